Add the design page and the base of all processes

Cause: the repository starts empty, and the processes need one agreed wire format, settings check, link and life cycle before they can be built apart.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Targets are documented in README.md. VENV may name another prepared folder.
+VENV ?= .venv
+PYTHON ?= python3.11
+PY := $(VENV)/bin/python
+SEED ?= 1
+
+.PHONY: demo test check faults measure schema
+
+$(VENV)/.ready: requirements.txt requirements-dev.txt pyproject.toml
+	test -x $(PY) || $(PYTHON) -m venv $(VENV)
+	$(PY) -m pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	$(PY) -m pip install --quiet --disable-pip-version-check --no-deps \
+		-e .
+	touch $@
+
+demo: $(VENV)/.ready
+	$(PY) -m tests.fleet.demo
+
+test: $(VENV)/.ready
+	$(PY) -m pytest -n 4
+
+check: $(VENV)/.ready
+	$(PY) -m ruff format --check .
+	$(PY) -m ruff check .
+
+faults: $(VENV)/.ready
+	$(PY) -m tests.fleet.faults --seed $(SEED)
+
+measure: $(VENV)/.ready
+	$(PY) -m tests.fleet.measure
+
+# The generated module is committed; only a change of the schema needs this target.
+schema: $(VENV)/.ready
+	$(PY) -m grpc_tools.protoc -I schema --python_out=sardinegauge schema/operator.proto
--- /dev/null
+++ b/sardinegauge/application.py
@@ -0,0 +1,114 @@
+"""The base application: owns sockets, timers and files, with life-cycle hooks."""
+
+import abc
+import asyncio
+import signal
+import sys
+
+from sardinegauge import background, clock, errors, logs
+
+DEFAULT_DRAIN_LIMIT_S = 30.0
+
+
+class Application(abc.ABC):
+    """One process of the system.
+
+    Subclasses override the hooks. `on_start` opens sockets and files, `on_drain`
+    finishes the work in flight, and `on_stop` closes everything that `on_start`
+    opened. The first SIGTERM or SIGINT drains within `drain_limit_s`; a second one
+    skips the rest of the drain but still runs `on_stop`, so files are closed cleanly.
+    SIGHUP calls `on_reload`.
+    """
+
+    drain_limit_s = DEFAULT_DRAIN_LIMIT_S
+
+    def __init__(self, name):
+        self.name = name
+        self.log = logs.get_logger(name)
+        self._stop_asked = None
+        self._drain_skipped = None
+        self._timers = []
+
+    @abc.abstractmethod
+    async def on_start(self):
+        """Open sockets and files and start timers."""
+
+    async def on_drain(self):
+        """Finish the work in flight; new work is refused already."""
+
+    @abc.abstractmethod
+    async def on_stop(self):
+        """Close everything that `on_start` opened."""
+
+    async def on_reload(self):
+        """Read the settings again where that is safe."""
+
+    def every(self, interval_s, callback):
+        """Call `callback(now_ms)` at a fixed interval until the application stops."""
+        self._timers.append(background.spawn(self._tick(interval_s, callback)))
+
+    async def _tick(self, interval_s, callback):
+        while True:
+            await asyncio.sleep(interval_s)
+            try:
+                result = callback(clock.monotonic_ms())
+                if asyncio.iscoroutine(result):
+                    await result
+            except errors.UserError:
+                raise
+            except Exception:
+                # One failed tick must not end the timer of a long-lived process.
+                self.log.exception("timer_failed", callback=callback.__name__)
+
+    def ask_stop(self):
+        """Begin a graceful shutdown; a second call skips the rest of the drain."""
+        if self._stop_asked.is_set():
+            self._drain_skipped.set()
+        self._stop_asked.set()
+
+    async def _main(self):
+        self._stop_asked = asyncio.Event()
+        self._drain_skipped = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.ask_stop)
+        loop.add_signal_handler(
+            signal.SIGHUP, lambda: background.spawn(self.on_reload())
+        )
+        try:
+            await self.on_start()
+            self.log.info("started")
+            await self._stop_asked.wait()
+            self.log.info("draining", limit_s=self.drain_limit_s)
+            await self._drain()
+        finally:
+            for timer in self._timers:
+                timer.cancel()
+            await self.on_stop()
+            self.log.info("stopped")
+
+    async def _drain(self):
+        drain = asyncio.ensure_future(self.on_drain())
+        skipped = asyncio.ensure_future(self._drain_skipped.wait())
+        await asyncio.wait(
+            (drain, skipped),
+            timeout=self.drain_limit_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        for task in (drain, skipped):
+            if not task.done():
+                task.cancel()
+        if drain.done() and not drain.cancelled() and drain.exception():
+            self.log.error("drain_failed", error=str(drain.exception()))
+
+    def run(self):
+        """Run until stopped; return the exit status of the process."""
+        try:
+            asyncio.run(self._main())
+        except errors.UserError as error:
+            print(f"{self.name}: {error}", file=sys.stderr)
+            return error.exit_status
+        except OSError as error:
+            print(f"{self.name}: {error}", file=sys.stderr)
+            return 1
+        return 0
--- /dev/null
+++ b/sardinegauge/commands.py
@@ -0,0 +1,248 @@
+"""Record classes of the log commands: every change of the replicated machine.
+
+Operators' commands carry a request id whose answer the machine stores, so that a resend
+gets the first answer. Internal commands come from the leader itself or from entries.
+`at_ms` is the leader's wall clock in milliseconds when it took the command; the machine
+has no other clock.
+"""
+
+from sardinegauge import messages, record
+
+
+class Command(record.Record):
+    """Base of all commands; `at_ms` is set by the leader."""
+
+    __slots__ = ("at_ms",)
+    _defaults = {"at_ms": 0}
+
+
+class OperatorCommand(Command):
+    """Base of operators' commands: who asks, under which request id."""
+
+    __slots__ = ("operator", "request_id")
+    _defaults = {"at_ms": 0}
+
+
+class SetConfiguration(OperatorCommand):
+    """Replace the configuration if `base_version` is still the newest version.
+
+    `document` is the whole configuration, see `configuration.check`. Answers:
+    `Accepted` with the version, `Conflict`, or `Invalid`.
+    """
+
+    __slots__ = ("base_version", "document")
+
+
+class SubmitJob(OperatorCommand):
+    """Submit a batch job of one or more equal tasks.
+
+    Sizes are for each task: cores, memory in MB, accelerators. `run_time_s` is the
+    operator's guess. A gang starts with all tasks or not at all. Answers: `Accepted`
+    with the job's id, `Impossible`, or `Invalid`.
+    """
+
+    __slots__ = (
+        "name",
+        "tenant",
+        "task_count",
+        "cores",
+        "memory_mb",
+        "accelerators",
+        "run_time_s",
+        "urgent",
+        "gang",
+        "command",
+        "group",
+    )
+    _defaults = {
+        "at_ms": 0,
+        "task_count": 1,
+        "accelerators": 0,
+        "run_time_s": 60.0,
+        "urgent": False,
+        "gang": False,
+        "command": "",
+        # Tasks of one interference class share what is learned; default: the name.
+        "group": "",
+    }
+
+
+class DeclareService(OperatorCommand):
+    """Declare or change a long-lived service by its name.
+
+    Each replica is a latency-critical task of the sizes given, spread over failure
+    domains and racks. `replicas` 0 stops the service.
+    """
+
+    __slots__ = (
+        "name",
+        "tenant",
+        "replicas",
+        "cores",
+        "memory_mb",
+        "accelerators",
+        "connections",
+        "command",
+    )
+    _defaults = {"at_ms": 0, "accelerators": 0, "connections": 0, "command": ""}
+
+
+class CancelJobs(OperatorCommand):
+    """Cancel jobs by id; final, and one command for a whole burst."""
+
+    __slots__ = ("jobs",)
+
+
+class DrainUpstream(OperatorCommand):
+    """Move work away from an upstream and give it none, or undo that."""
+
+    __slots__ = ("draining", "upstream")
+    _defaults = {"at_ms": 0, "draining": True}
+
+
+class RegisterWorker(Command):
+    """An upstream announced itself, or what it announced changed."""
+
+    __slots__ = (
+        "upstream",
+        "incarnation",
+        "address",
+        "failure_domain",
+        "rack",
+        "services",
+        "room",
+        "draining",
+    )
+    _defaults = {"at_ms": 0, "services": list, "draining": False}
+    _nested = {"room": messages.Room}
+
+
+class WorkerLost(Command):
+    """The lease of an upstream's agent has ended; its tasks are pending again."""
+
+    __slots__ = ("incarnation", "upstream")
+
+
+class Assignment(record.Record):
+    """One task for one upstream; `epoch` must be the task's current epoch plus one.
+
+    Sizes are what is reserved: cores, memory in MB, accelerators, connections.
+    """
+
+    __slots__ = (
+        "task",
+        "epoch",
+        "upstream",
+        "incarnation",
+        "cores",
+        "memory_mb",
+        "accelerators",
+        "connections",
+        "reason",
+    )
+    _defaults = {"accelerators": 0, "connections": 0, "reason": ""}
+
+
+class AssignTasks(Command):
+    """Place tasks; an assignment without room at its upstream is skipped."""
+
+    __slots__ = ("assignments",)
+    _nested = {"assignments": Assignment}
+
+
+class Eviction(record.Record):
+    """One running task that shall leave its upstream."""
+
+    __slots__ = ("task", "epoch", "reason")
+    _defaults = {"reason": ""}
+
+
+class EvictTasks(Command):
+    """Evict tasks by checkpoint; each resumes once after its stop is confirmed."""
+
+    __slots__ = ("evictions",)
+    _nested = {"evictions": Eviction}
+
+
+class TaskChange(record.Record):
+    """A change of a task's phase as its agent reported it."""
+
+    __slots__ = ("task", "epoch", "phase", "reason", "checkpoint")
+    _defaults = {"reason": "", "checkpoint": ""}
+
+
+class ReportTasks(Command):
+    """Changes of phase from one agent; those of old epochs do nothing."""
+
+    __slots__ = ("changes", "upstream", "incarnation")
+    _nested = {"changes": TaskChange}
+
+
+class ResizeTasks(Command):
+    """Change reservations after usage reports: sizes by task id.
+
+    `cores_by_task` is in cores, `memory_mb_by_task` in MB.
+    """
+
+    __slots__ = ("cores_by_task", "memory_mb_by_task")
+    _defaults = {"at_ms": 0, "memory_mb_by_task": dict}
+
+
+class QuarantineWorker(Command):
+    """Give a worker no tasks but single probes, or lift that."""
+
+    __slots__ = ("upstream", "quarantined", "reason")
+    _defaults = {"at_ms": 0, "quarantined": True, "reason": ""}
+
+
+class FailJob(Command):
+    """Give up a job that fails wherever it starts, or can never run."""
+
+    __slots__ = ("job", "reason", "impossible")
+    _defaults = {"at_ms": 0, "impossible": False}
+
+
+class MakeClaim(Command):
+    """Claim a request key for one upstream before the request is sent.
+
+    Answers: `Accepted` whose value has ``claim_index`` when the claim is new, or
+    ``claim`` with the existing claim's fields; `Conflict` if the key was used with
+    another digest.
+    """
+
+    __slots__ = ("tenant", "key", "digest", "upstream", "incarnation", "entry")
+    _defaults = {"at_ms": 0, "entry": ""}
+
+
+class SettleClaim(Command):
+    """Store the answer of a claimed request. `body` is base64 text.
+
+    `is_body_kept` is false when the body was too large to store.
+    """
+
+    __slots__ = (
+        "tenant",
+        "key",
+        "claim_index",
+        "status",
+        "headers",
+        "body",
+        "is_body_kept",
+    )
+    _defaults = {"at_ms": 0, "headers": list, "body": "", "is_body_kept": True}
+    _nested = {"headers": messages.Header}
+
+
+class ReleaseClaim(Command):
+    """Free a claim whose request did not run and is fenced at its agent."""
+
+    __slots__ = ("tenant", "key", "claim_index")
+
+
+class ExpireClaims(Command):
+    """Drop claims and stored answers made before a wall-clock time in ms."""
+
+    __slots__ = ("before_ms",)
+
+
+REGISTRY = record.Registry.of_module(globals(), Command)
--- /dev/null
+++ b/sardinegauge/link.py
@@ -0,0 +1,363 @@
+"""Framed, long-lived TCP links between the processes of one deployment.
+
+Each frame is a 4-byte little-endian length and one encoded `codec.Frame`. Either side
+may open exchanges; the reply flag tells apart the correlation ids of the two sides.
+"""
+
+import abc
+import asyncio
+import logging
+import random
+import struct
+
+from tornado import iostream, tcpclient, tcpserver
+
+from sardinegauge import background, codec, errors, messages
+
+MAX_FRAME_BYTES = 1 << 20
+MAX_SEND_BUFFER_BYTES = 16 << 20
+MAX_QUEUED_FRAMES = 1024
+PING_INTERVAL_S = 0.5
+# A silent partition closes no socket, so silence itself ends a link.
+SILENCE_LIMIT_S = 2.0
+CONNECT_TIMEOUT_S = 1.0
+RECONNECT_MIN_S = 0.05
+RECONNECT_MAX_S = 1.0
+PROTOCOL = 1
+
+_LENGTH = struct.Struct("<I")
+
+log = logging.getLogger(__name__)
+
+
+class Handler(abc.ABC):
+    """What a process does with the frames of its links."""
+
+    def on_open(self, link):
+        """Take note of a link after both hellos were exchanged."""
+
+    def on_close(self, link):
+        """Take note that a link is gone; open exchanges have failed already."""
+
+    @abc.abstractmethod
+    def on_message(self, link, message):
+        """Handle a one-way message."""
+
+    @abc.abstractmethod
+    def on_exchange(self, exchange, message):
+        """Handle the first message of an exchange that the peer opened."""
+
+
+class Exchange:
+    """One correlated conversation over a link.
+
+    The initiator gets it from `Link.open_exchange`, the responder in
+    `Handler.on_exchange`. It must be closed by whoever holds it.
+    """
+
+    __slots__ = ("_is_initiator", "_queue", "correlation", "link")
+
+    def __init__(self, link, correlation, is_initiator):
+        self.link = link
+        self.correlation = correlation
+        self._is_initiator = is_initiator
+        self._queue = asyncio.Queue()
+
+    def send(self, message):
+        """Queue a message; return a future done when the socket took its bytes.
+
+        Raises
+        ------
+        LinkClosedError
+            If the link is closed or its send buffer is full.
+        """
+        return self.link.send_frame(
+            codec.Frame(
+                correlation=self.correlation,
+                is_reply=not self._is_initiator,
+                message=message,
+            )
+        )
+
+    async def receive(self, timeout_s):
+        """Return the peer's next message in this exchange.
+
+        Raises
+        ------
+        LinkClosedError
+            If the link closes first.
+        asyncio.TimeoutError
+            If nothing arrives within `timeout_s` seconds.
+        """
+        if self._queue.empty():
+            message = await asyncio.wait_for(self._queue.get(), timeout_s)
+        else:
+            message = self._queue.get_nowait()
+        if message is None:
+            self._queue.put_nowait(None)
+            raise errors.LinkClosedError(f"link to {self.link.peer_name} closed")
+        return message
+
+    def close(self):
+        """Forget the exchange; later frames of it are dropped."""
+        self.link.forget(self.correlation, self._is_initiator)
+
+    def deliver(self, message):
+        """Queue a message from the peer; None says that the link closed."""
+        if message is not None and self._queue.qsize() >= MAX_QUEUED_FRAMES:
+            raise errors.WireError("peer exceeded its credit")
+        self._queue.put_nowait(message)
+
+
+class Link:
+    """One connection to a peer process, after the exchange of hellos."""
+
+    def __init__(self, stream, handler, hello):
+        self.stream = stream
+        self.handler = handler
+        self.hello = hello
+        self.peer = None
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self._next_correlation = 1
+        self._outbound_by_correlation = {}
+        self._inbound_by_correlation = {}
+        self._is_open = False
+
+    @property
+    def peer_name(self):
+        """Name of the peer from its hello, or its role where it has no name."""
+        if self.peer is None:
+            return "unknown"
+        return self.peer.name or self.peer.role
+
+    @property
+    def is_open(self):
+        """Tell whether messages can be sent."""
+        return self._is_open and not self.stream.closed()
+
+    async def run(self):
+        """Exchange hellos, then read frames until the link closes."""
+        self.stream.set_nodelay(True)
+        pinger = None
+        try:
+            self.send_frame(codec.Frame(message=self.hello))
+            first = await self._read_frame()
+            if not isinstance(first.message, messages.Hello):
+                raise errors.WireError("the first frame is no hello")
+            self.peer = first.message
+            self._is_open = True
+            self.handler.on_open(self)
+            pinger = background.spawn(self._ping())
+            while True:
+                self._dispatch(await self._read_frame())
+        except (TimeoutError, iostream.StreamClosedError, errors.LinkClosedError):
+            pass
+        except errors.WireError as error:
+            log.warning("link_protocol_error peer=%s error=%s", self.peer_name, error)
+        finally:
+            if pinger is not None:
+                pinger.cancel()
+            self.close()
+
+    async def _read_frame(self):
+        head = await asyncio.wait_for(
+            self.stream.read_bytes(_LENGTH.size), SILENCE_LIMIT_S
+        )
+        (length,) = _LENGTH.unpack(head)
+        if length > MAX_FRAME_BYTES:
+            raise errors.WireError(f"frame of {length} bytes is over the limit")
+        data = await asyncio.wait_for(self.stream.read_bytes(length), SILENCE_LIMIT_S)
+        self.bytes_received += _LENGTH.size + length
+        return codec.decode(data)
+
+    def _dispatch(self, frame):
+        message = frame.message
+        if isinstance(message, messages.Ping):
+            return
+        if frame.is_reply:
+            exchange = self._outbound_by_correlation.get(frame.correlation)
+            if exchange is not None:
+                exchange.deliver(message)
+            return
+        if frame.correlation == 0:
+            self.handler.on_message(self, message)
+            return
+        exchange = self._inbound_by_correlation.get(frame.correlation)
+        if exchange is not None:
+            exchange.deliver(message)
+            return
+        if isinstance(message, _CONTINUATIONS):
+            return  # The exchange was closed on this side already.
+        exchange = Exchange(self, frame.correlation, is_initiator=False)
+        self._inbound_by_correlation[frame.correlation] = exchange
+        self.handler.on_exchange(exchange, message)
+
+    async def _ping(self):
+        while True:
+            await asyncio.sleep(PING_INTERVAL_S)
+            self.send_frame(codec.Frame(message=messages.Ping()))
+
+    def send(self, message):
+        """Send a one-way message; see `Exchange.send` for errors."""
+        return self.send_frame(codec.Frame(message=message))
+
+    def send_frame(self, frame):
+        """Write one frame; return the future of the socket write."""
+        data = codec.encode(frame)
+        try:
+            future = self.stream.write(_LENGTH.pack(len(data)) + data)
+        except (iostream.StreamClosedError, iostream.StreamBufferFullError) as error:
+            self.close()
+            raise errors.LinkClosedError(str(error)) from error
+        self.bytes_sent += _LENGTH.size + len(data)
+        # Most callers do not wait for the write; a failure shows as a closed link.
+        future.add_done_callback(lambda done: done.exception())
+        return future
+
+    def open_exchange(self, message):
+        """Open an exchange with its first message and return it."""
+        correlation = self._next_correlation
+        self._next_correlation += 1
+        exchange = Exchange(self, correlation, is_initiator=True)
+        self._outbound_by_correlation[correlation] = exchange
+        try:
+            exchange.send(message)
+        except errors.LinkClosedError:
+            exchange.close()
+            raise
+        return exchange
+
+    async def request(self, message, timeout_s):
+        """Send a message and return the single reply; see `Exchange.receive`."""
+        exchange = self.open_exchange(message)
+        try:
+            return await exchange.receive(timeout_s)
+        finally:
+            exchange.close()
+
+    def forget(self, correlation, is_initiator):
+        """Drop an exchange from the tables."""
+        if is_initiator:
+            self._outbound_by_correlation.pop(correlation, None)
+        else:
+            self._inbound_by_correlation.pop(correlation, None)
+
+    def close(self):
+        """Close the connection and fail its open exchanges. Safe to repeat."""
+        was_open = self._is_open
+        self._is_open = False
+        self.stream.close()
+        for table in (self._outbound_by_correlation, self._inbound_by_correlation):
+            for exchange in list(table.values()):
+                exchange.deliver(None)
+            table.clear()
+        if was_open:
+            self.handler.on_close(self)
+
+
+_CONTINUATIONS = (
+    messages.BodyChunk,
+    messages.BodyEnd,
+    messages.Credit,
+    messages.Abort,
+)
+
+
+class LinkServer(tcpserver.TCPServer):
+    """Takes links from other processes and runs each with one handler."""
+
+    def __init__(self, handler, hello):
+        super().__init__(max_buffer_size=2 * MAX_FRAME_BYTES)
+        self.handler = handler
+        self.hello = hello
+        self.links = set()
+
+    async def handle_stream(self, stream, address):
+        """Run one accepted connection until it closes."""
+        stream.max_write_buffer_size = MAX_SEND_BUFFER_BYTES
+        link = Link(stream, self.handler, self.hello)
+        self.links.add(link)
+        try:
+            await link.run()
+        finally:
+            self.links.discard(link)
+
+    def close_links(self):
+        """Stop listening and close every link."""
+        self.stop()
+        for link in list(self.links):
+            link.close()
+
+
+class Dialer:
+    """Keeps one link to an address, reconnecting with jittered backoff.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` of the peer.
+    handler : Handler
+        Receives what the peer sends.
+    hello : messages.Hello
+        Sent first on every connection.
+    """
+
+    def __init__(self, address, handler, hello):
+        self.address = address
+        self.handler = handler
+        self.hello = hello
+        self.link = None
+        self._task = None
+        self._client = tcpclient.TCPClient()
+
+    @property
+    def is_open(self):
+        """Tell whether a link stands at the moment."""
+        return self.link is not None and self.link.is_open
+
+    def start(self):
+        """Begin connecting in the background."""
+        self._task = background.spawn(self._run())
+
+    def stop(self):
+        """Stop reconnecting and close the link."""
+        if self._task is not None:
+            self._task.cancel()
+        if self.link is not None:
+            self.link.close()
+
+    async def _run(self):
+        backoff_s = RECONNECT_MIN_S
+        while True:
+            if await self._connect_once():
+                backoff_s = RECONNECT_MIN_S
+            await asyncio.sleep(backoff_s * random.uniform(0.5, 1.0))
+            backoff_s = min(backoff_s * 2, RECONNECT_MAX_S)
+
+    async def _connect_once(self):
+        """Connect and run the link; tell whether it ever opened."""
+        host, port = split_address(self.address)
+        try:
+            stream = await asyncio.wait_for(
+                self._client.connect(host, port, max_buffer_size=2 * MAX_FRAME_BYTES),
+                CONNECT_TIMEOUT_S,
+            )
+        except (TimeoutError, OSError, iostream.StreamClosedError):
+            return False
+        stream.max_write_buffer_size = MAX_SEND_BUFFER_BYTES
+        self.link = Link(stream, self.handler, self.hello)
+        await self.link.run()
+        return self.link.peer is not None
+
+
+def split_address(address):
+    """Return host and port of an ``ip:port`` address.
+
+    Examples
+    --------
+    >>> split_address("127.0.0.1:7000")
+    ('127.0.0.1', 7000)
+    """
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/sardinegauge/messages.py
@@ -0,0 +1,623 @@
+"""Record classes of the wire messages, one per struct of ``wire.capnp``.
+
+Units stand in the field names (``_ms``, ``_mb``). Indexes, terms, versions and epochs
+are counted from 1; 0 means none.
+"""
+
+from sardinegauge import record
+
+
+class Ping(record.Record):
+    """Keeps a link alive; sent when it was idle for a ping interval."""
+
+    __slots__ = ("sent_ms",)
+    _defaults = {"sent_ms": 0}
+
+
+class Hello(record.Record):
+    """First frame in each direction of a link."""
+
+    __slots__ = (
+        "role",
+        "name",
+        "identity",
+        "address",
+        "protocol",
+    )
+    _defaults = {"role": "", "name": "", "identity": "", "address": "", "protocol": 0}
+
+
+class VoteRequest(record.Record):
+    """A candidate asks for a vote, or for a promise of one when `pre_vote` is set."""
+
+    __slots__ = (
+        "term",
+        "candidate",
+        "last_index",
+        "last_term",
+        "pre_vote",
+    )
+    _defaults = {
+        "term": 0,
+        "candidate": "",
+        "last_index": 0,
+        "last_term": 0,
+        "pre_vote": False,
+    }
+
+
+class VoteReply(record.Record):
+    """A voter's answer, with its last log index."""
+
+    __slots__ = (
+        "term",
+        "voter",
+        "granted",
+        "pre_vote",
+        "last_index",
+    )
+    _defaults = {
+        "term": 0,
+        "voter": "",
+        "granted": False,
+        "pre_vote": False,
+        "last_index": 0,
+    }
+
+
+class LogEntry(record.Record):
+    """One entry of the replicated log."""
+
+    __slots__ = (
+        "index",
+        "term",
+        "kind",
+        "body",
+    )
+    _defaults = {"index": 0, "term": 0, "kind": "", "body": b""}
+
+
+class MemberIndex(record.Record):
+    """The highest committed index that a member acknowledged."""
+
+    __slots__ = (
+        "member",
+        "index",
+    )
+    _defaults = {"member": "", "index": 0}
+
+
+class AppendRequest(record.Record):
+    """Log entries or a heartbeat from the leader."""
+
+    __slots__ = (
+        "term",
+        "leader",
+        "prev_index",
+        "prev_term",
+        "entries",
+        "commit_index",
+        "read_round",
+        "acknowledged",
+    )
+    _defaults = {
+        "term": 0,
+        "leader": "",
+        "prev_index": 0,
+        "prev_term": 0,
+        "entries": list,
+        "commit_index": 0,
+        "read_round": 0,
+        "acknowledged": list,
+    }
+    _nested = {"entries": LogEntry, "acknowledged": MemberIndex}
+
+
+class AppendReply(record.Record):
+    """A member's acknowledgement after its fsync."""
+
+    __slots__ = (
+        "term",
+        "member",
+        "success",
+        "match_index",
+        "conflict_index",
+        "read_round",
+    )
+    _defaults = {
+        "term": 0,
+        "member": "",
+        "success": False,
+        "match_index": 0,
+        "conflict_index": 0,
+        "read_round": 0,
+    }
+
+
+class SnapshotChunk(record.Record):
+    """A piece of a snapshot for a member that is too far behind for the log."""
+
+    __slots__ = (
+        "term",
+        "leader",
+        "last_index",
+        "last_term",
+        "offset",
+        "total",
+        "data",
+        "read_round",
+    )
+    _defaults = {
+        "term": 0,
+        "leader": "",
+        "last_index": 0,
+        "last_term": 0,
+        "offset": 0,
+        "total": 0,
+        "data": b"",
+        "read_round": 0,
+    }
+
+
+class SnapshotReply(record.Record):
+    """The offset from which a member wants the next chunk."""
+
+    __slots__ = (
+        "term",
+        "member",
+        "last_index",
+        "next_offset",
+        "done",
+        "read_round",
+    )
+    _defaults = {
+        "term": 0,
+        "member": "",
+        "last_index": 0,
+        "next_offset": 0,
+        "done": False,
+        "read_round": 0,
+    }
+
+
+class StaleMember(record.Record):
+    """Tells a member that its data folder is older than what it acknowledged."""
+
+    __slots__ = (
+        "term",
+        "member",
+        "acknowledged_index",
+    )
+    _defaults = {"term": 0, "member": "", "acknowledged_index": 0}
+
+
+class JoinRequest(record.Record):
+    """A replica with a new identity asks to become a learner."""
+
+    __slots__ = (
+        "identity",
+        "name",
+        "address",
+        "failure_domain",
+    )
+    _defaults = {"identity": "", "name": "", "address": "", "failure_domain": ""}
+
+
+class JoinReply(record.Record):
+    """The leader's answer to a join request."""
+
+    __slots__ = (
+        "accepted",
+        "leader",
+        "reason",
+    )
+    _defaults = {"accepted": False, "leader": "", "reason": ""}
+
+
+class Propose(record.Record):
+    """A command for the log, as tagged JSON of a `commands` record."""
+
+    __slots__ = (
+        "command",
+        "deadline_ms",
+    )
+    _defaults = {"command": b"", "deadline_ms": 0}
+
+
+class ProposeReply(record.Record):
+    """The answer to a command, sent after it was committed and applied."""
+
+    __slots__ = (
+        "verdict",
+        "answer",
+        "index",
+        "leader",
+        "reason",
+    )
+    _defaults = {"verdict": "", "answer": b"", "index": 0, "leader": "", "reason": ""}
+
+
+class Query(record.Record):
+    """A linearizable read of the machine."""
+
+    __slots__ = (
+        "kind",
+        "arguments",
+    )
+    _defaults = {"kind": "", "arguments": b""}
+
+
+class QueryReply(record.Record):
+    """The answer to a query, as JSON."""
+
+    __slots__ = (
+        "verdict",
+        "answer",
+        "leader",
+        "reason",
+    )
+    _defaults = {"verdict": "", "answer": b"", "leader": "", "reason": ""}
+
+
+class Poll(record.Record):
+    """An entry asks for newer configuration and directory."""
+
+    __slots__ = (
+        "name",
+        "config_version",
+        "directory_version",
+        "sequence",
+    )
+    _defaults = {"name": "", "config_version": 0, "directory_version": 0, "sequence": 0}
+
+
+class Upstream(record.Record):
+    """One upstream of the directory, as entries see it."""
+
+    __slots__ = (
+        "upstream",
+        "incarnation",
+        "address",
+        "failure_domain",
+        "rack",
+        "services",
+        "connections",
+        "draining",
+        "removed",
+    )
+    _defaults = {
+        "upstream": "",
+        "incarnation": "",
+        "address": "",
+        "failure_domain": "",
+        "rack": "",
+        "services": list,
+        "connections": 0,
+        "draining": False,
+        "removed": False,
+    }
+
+
+class PollReply(record.Record):
+    """Newer configuration and directory, confirmed by a read round."""
+
+    __slots__ = (
+        "confirmed",
+        "leader",
+        "config_version",
+        "config",
+        "directory_version",
+        "is_full_directory",
+        "directory",
+        "sequence",
+    )
+    _defaults = {
+        "confirmed": False,
+        "leader": "",
+        "config_version": 0,
+        "config": b"",
+        "directory_version": 0,
+        "is_full_directory": False,
+        "directory": list,
+        "sequence": 0,
+    }
+    _nested = {"directory": Upstream}
+
+
+class Room(record.Record):
+    """What a worker can carry; memory is in MB."""
+
+    __slots__ = (
+        "cores",
+        "memory_mb",
+        "accelerators",
+        "tasks",
+        "connections",
+    )
+    _defaults = {
+        "cores": 0.0,
+        "memory_mb": 0,
+        "accelerators": 0,
+        "tasks": 0,
+        "connections": 0,
+    }
+
+
+class TaskReport(record.Record):
+    """What an agent knows of one task."""
+
+    __slots__ = (
+        "task",
+        "epoch",
+        "phase",
+        "reason",
+        "checkpoint",
+        "cores",
+        "memory_mb",
+        "progress",
+        "throttle",
+    )
+    _defaults = {
+        "task": "",
+        "epoch": 0,
+        "phase": "",
+        "reason": "",
+        "checkpoint": "",
+        "cores": 0.0,
+        "memory_mb": 0,
+        "progress": 0.0,
+        "throttle": 1.0,
+    }
+
+
+class ServiceLoad(record.Record):
+    """Requests and latencies of one service since the last heartbeat."""
+
+    __slots__ = (
+        "service",
+        "requests",
+        "p50_ms",
+        "p99_ms",
+        "in_flight",
+    )
+    _defaults = {
+        "service": "",
+        "requests": 0,
+        "p50_ms": 0.0,
+        "p99_ms": 0.0,
+        "in_flight": 0,
+    }
+
+
+class Heartbeat(record.Record):
+    """An agent's announcement, load and whole table of tasks."""
+
+    __slots__ = (
+        "upstream",
+        "incarnation",
+        "address",
+        "failure_domain",
+        "rack",
+        "services",
+        "room",
+        "draining",
+        "config_version",
+        "sequence",
+        "tasks",
+        "loads",
+    )
+    _defaults = {
+        "upstream": "",
+        "incarnation": "",
+        "address": "",
+        "failure_domain": "",
+        "rack": "",
+        "services": list,
+        "room": Room,
+        "draining": False,
+        "config_version": 0,
+        "sequence": 0,
+        "tasks": list,
+        "loads": list,
+    }
+    _nested = {"room": Room, "tasks": TaskReport, "loads": ServiceLoad}
+
+
+class TaskOrder(record.Record):
+    """What shall become of one task at an agent."""
+
+    __slots__ = (
+        "task",
+        "epoch",
+        "action",
+        "tenant",
+        "job",
+        "task_class",
+        "cores",
+        "memory_mb",
+        "accelerators",
+        "connections",
+        "command",
+        "checkpoint",
+        "throttle",
+    )
+    _defaults = {
+        "task": "",
+        "epoch": 0,
+        "action": "",
+        "tenant": "",
+        "job": "",
+        "task_class": "",
+        "cores": 0.0,
+        "memory_mb": 0,
+        "accelerators": 0,
+        "connections": 0,
+        "command": "",
+        "checkpoint": "",
+        "throttle": 1.0,
+    }
+
+
+class Directive(record.Record):
+    """The whole table of tasks that an agent shall run; a reply renews its lease."""
+
+    __slots__ = (
+        "confirmed",
+        "leader",
+        "sequence",
+        "lease_ms",
+        "config_version",
+        "config",
+        "tasks",
+        "reason",
+    )
+    _defaults = {
+        "confirmed": False,
+        "leader": "",
+        "sequence": 0,
+        "lease_ms": 0,
+        "config_version": 0,
+        "config": b"",
+        "tasks": list,
+        "reason": "",
+    }
+    _nested = {"tasks": TaskOrder}
+
+
+class Header(record.Record):
+    """One HTTP header."""
+
+    __slots__ = (
+        "name",
+        "value",
+    )
+    _defaults = {"name": "", "value": ""}
+
+
+class RequestHead(record.Record):
+    """Opens the exchange of one caller's request with an agent."""
+
+    __slots__ = (
+        "request_id",
+        "tenant",
+        "service",
+        "method",
+        "path",
+        "headers",
+        "deadline_ms",
+        "idempotent",
+        "key",
+        "claim_index",
+        "incarnation",
+        "has_body",
+    )
+    _defaults = {
+        "request_id": "",
+        "tenant": "",
+        "service": "",
+        "method": "",
+        "path": "",
+        "headers": list,
+        "deadline_ms": 0,
+        "idempotent": False,
+        "key": "",
+        "claim_index": 0,
+        "incarnation": "",
+        "has_body": False,
+    }
+    _nested = {"headers": Header}
+
+
+class BodyChunk(record.Record):
+    """A piece of a request's or a response's body."""
+
+    __slots__ = ("data",)
+    _defaults = {"data": b""}
+
+
+class BodyEnd(record.Record):
+    """Ends a body; `length` reveals a cut one."""
+
+    __slots__ = ("length",)
+    _defaults = {"length": 0}
+
+
+class ResponseHead(record.Record):
+    """Status and headers of a response, with the upstream's load."""
+
+    __slots__ = (
+        "status",
+        "headers",
+        "in_flight",
+        "queued",
+    )
+    _defaults = {"status": 0, "headers": list, "in_flight": 0, "queued": 0}
+    _nested = {"headers": Header}
+
+
+class Credit(record.Record):
+    """Allows the sender of a body to send `size` more bytes."""
+
+    __slots__ = ("size",)
+    _defaults = {"size": 0}
+
+
+class Abort(record.Record):
+    """Ends an exchange early."""
+
+    __slots__ = (
+        "verdict",
+        "reason",
+    )
+    _defaults = {"verdict": "", "reason": ""}
+
+
+class Refusal(record.Record):
+    """The agent did not take the request."""
+
+    __slots__ = (
+        "verdict",
+        "reason",
+        "retry_after_ms",
+        "draining",
+        "in_flight",
+    )
+    _defaults = {
+        "verdict": "",
+        "reason": "",
+        "retry_after_ms": 0,
+        "draining": False,
+        "in_flight": 0,
+    }
+
+
+class KeyQuery(record.Record):
+    """Asks an agent what became of a request key."""
+
+    __slots__ = (
+        "tenant",
+        "key",
+        "claim_index",
+        "fence",
+    )
+    _defaults = {"tenant": "", "key": "", "claim_index": 0, "fence": False}
+
+
+class KeyReply(record.Record):
+    """What an agent knows of a request key."""
+
+    __slots__ = (
+        "state",
+        "status",
+        "headers",
+        "body",
+        "is_body_kept",
+    )
+    _defaults = {
+        "state": "",
+        "status": 0,
+        "headers": list,
+        "body": b"",
+        "is_body_kept": False,
+    }
+    _nested = {"headers": Header}
--- /dev/null
+++ b/sardinegauge/metrics.py
@@ -0,0 +1,69 @@
+"""prometheus_client registry, the histograms by tenant and class, and the page."""
+
+import prometheus_client
+from prometheus_client import exposition, registry
+
+# Bounds in seconds; they bracket the 1.2 s of an urgent start and the few
+# milliseconds of an interactive response.
+LATENCY_BUCKETS_S = (
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.5,
+    1.0,
+    1.2,
+    2.0,
+    5.0,
+    10.0,
+)
+
+CONTENT_TYPE = exposition.CONTENT_TYPE_LATEST
+
+
+class Metrics:
+    """The metrics of one process in a registry of its own.
+
+    Names begin with ``sardinegauge_``; units are the last word of a name.
+
+    Examples
+    --------
+    >>> metrics = Metrics()
+    >>> waits = metrics.histogram("task_wait_seconds", "Wait.", ("tenant",))
+    >>> waits.labels("karri").observe(0.3)
+    >>> b'sardinegauge_task_wait_seconds_count{tenant="karri"} 1.0' in metrics.page()
+    True
+    """
+
+    def __init__(self):
+        self.registry = registry.CollectorRegistry()
+
+    def counter(self, name, text, labels=()):
+        """Return a new counter."""
+        return prometheus_client.Counter(
+            f"sardinegauge_{name}", text, labels, registry=self.registry
+        )
+
+    def gauge(self, name, text, labels=()):
+        """Return a new gauge."""
+        return prometheus_client.Gauge(
+            f"sardinegauge_{name}", text, labels, registry=self.registry
+        )
+
+    def histogram(self, name, text, labels=(), buckets=LATENCY_BUCKETS_S):
+        """Return a new histogram with bucket bounds in the unit of its name."""
+        return prometheus_client.Histogram(
+            f"sardinegauge_{name}",
+            text,
+            labels,
+            registry=self.registry,
+            buckets=buckets,
+        )
+
+    def page(self):
+        """Return the metrics page in the text format, as bytes."""
+        return exposition.generate_latest(self.registry)
--- /dev/null
+++ b/sardinegauge/record.py
@@ -0,0 +1,168 @@
+"""Plain data classes with slots: the base of messages, commands, events and effects."""
+
+import json
+
+
+class Record:
+    """A plain class whose fields are its slots.
+
+    A subclass names its fields in ``__slots__``. Fields without an entry in
+    ``_defaults`` must be given by keyword; a callable default makes a new value for
+    each instance. ``_nested`` names the record class of a field that holds a record
+    or a list of records, which conversion from plain dicts needs.
+
+    Examples
+    --------
+    >>> class Point(Record):
+    ...     __slots__ = ("x", "y")
+    ...     _defaults = {"y": 0}
+    >>> Point(x=1)
+    Point(x=1, y=0)
+    >>> Point.from_dict({"x": 1, "y": 2}).to_dict()
+    {'x': 1, 'y': 2}
+    """
+
+    __slots__ = ()
+    _defaults = {}
+    _nested = {}
+
+    def __init__(self, **fields):
+        for name in self.field_names():
+            if name in fields:
+                value = fields.pop(name)
+            elif name in self._defaults:
+                value = self._defaults[name]
+                if callable(value):
+                    value = value()
+            else:
+                raise TypeError(f"{type(self).__name__} needs the field {name!r}")
+            setattr(self, name, value)
+        if fields:
+            unknown = ", ".join(sorted(fields))
+            raise TypeError(f"{type(self).__name__} has no field {unknown}")
+
+    @classmethod
+    def field_names(cls):
+        """Return the names of all fields, those of base classes first.
+
+        The result is cached per class, since every construction asks for it.
+        """
+        names = cls.__dict__.get("_field_names")
+        if names is None:
+            names = ()
+            for base in reversed(cls.__mro__):
+                slots = base.__dict__.get("__slots__", ())
+                names += (slots,) if isinstance(slots, str) else tuple(slots)
+            cls._field_names = names
+        return names
+
+    def to_dict(self):
+        """Return the fields as a plain dict; nested records become dicts as well."""
+        return {name: _plain(getattr(self, name)) for name in self.field_names()}
+
+    @classmethod
+    def from_dict(cls, data):
+        """Build the record from a plain dict as made by `to_dict`.
+
+        Raises
+        ------
+        TypeError
+            If a field without a default is missing or a key is unknown.
+        """
+        fields = dict(data)
+        for name, nested in cls._nested.items():
+            if fields.get(name) is not None:
+                fields[name] = _build(nested, fields[name])
+        return cls(**fields)
+
+    def replace(self, **changes):
+        """Return a copy of the record with some fields changed."""
+        fields = {name: getattr(self, name) for name in self.field_names()}
+        fields.update(changes)
+        return type(self)(**fields)
+
+    def __eq__(self, other):
+        if type(self) is not type(other):
+            return NotImplemented
+        return all(
+            getattr(self, name) == getattr(other, name) for name in self.field_names()
+        )
+
+    __hash__ = None
+
+    def __repr__(self):
+        shown = ", ".join(
+            f"{name}={getattr(self, name)!r}" for name in self.field_names()
+        )
+        return f"{type(self).__name__}({shown})"
+
+
+def _plain(value):
+    if isinstance(value, Record):
+        return value.to_dict()
+    if isinstance(value, (list, tuple)):
+        return [_plain(item) for item in value]
+    if isinstance(value, dict):
+        return {key: _plain(item) for key, item in value.items()}
+    return value
+
+
+def _build(nested, value):
+    if isinstance(value, list):
+        return [nested.from_dict(item) for item in value]
+    if isinstance(value, dict):
+        return nested.from_dict(value)
+    return value
+
+
+class Registry:
+    """The record classes of one family by class name, for tagged JSON.
+
+    Examples
+    --------
+    >>> class Stop(Record):
+    ...     __slots__ = ("task",)
+    >>> registry = Registry([Stop])
+    >>> registry.dumps(Stop(task="t1"))
+    b'{"kind":"Stop","task":"t1"}'
+    >>> registry.loads(b'{"kind":"Stop","task":"t1"}')
+    Stop(task='t1')
+    """
+
+    def __init__(self, classes):
+        self.by_name = {cls.__name__: cls for cls in classes}
+
+    @classmethod
+    def of_module(cls, namespace, base):
+        """Collect every subclass of `base` from a module's namespace."""
+        return cls(
+            value
+            for value in namespace.values()
+            if isinstance(value, type) and issubclass(value, base) and value is not base
+        )
+
+    def to_tagged(self, item):
+        """Return the record as a plain dict with its class name under ``kind``."""
+        return {"kind": type(item).__name__, **item.to_dict()}
+
+    def from_tagged(self, data):
+        """Build a record from a tagged dict.
+
+        Raises
+        ------
+        ValueError
+            If the kind is unknown.
+        """
+        fields = dict(data)
+        kind = fields.pop("kind", None)
+        if kind not in self.by_name:
+            raise ValueError(f"unknown kind {kind!r}")
+        return self.by_name[kind].from_dict(fields)
+
+    def dumps(self, item):
+        """Return the record as tagged JSON bytes."""
+        return json.dumps(self.to_tagged(item), separators=(",", ":")).encode()
+
+    def loads(self, data):
+        """Build a record from tagged JSON bytes."""
+        return self.from_tagged(json.loads(data))
--- /dev/null
+++ b/sardinegauge/settings.py
@@ -0,0 +1,164 @@
+"""Settings files: JSON with comments, checked in full before a process starts."""
+
+import difflib
+import ipaddress
+
+import json5
+
+from sardinegauge import errors, record
+
+_REQUIRED = object()
+_ITEM_KINDS = {"texts": "text", "addresses": "address"}
+
+
+class Setting(record.Record):
+    """One key of a settings file.
+
+    `kind` is one of ``text``, ``integer``, ``number``, ``flag``, ``address``
+    (``ip:port``), ``texts`` and ``addresses`` (lists), and ``table`` (text values by
+    free keys).
+    """
+
+    __slots__ = ("name", "kind", "default", "minimum", "maximum", "choices", "text")
+    _defaults = {
+        "default": _REQUIRED,
+        "minimum": None,
+        "maximum": None,
+        "choices": (),
+        "text": "",
+    }
+
+    @property
+    def is_required(self):
+        """Tell whether the key has no default."""
+        return self.default is _REQUIRED
+
+
+class Settings:
+    """Checked settings; each key of the file is an attribute.
+
+    Examples
+    --------
+    >>> known = [Setting(name="name", kind="text"),
+    ...          Setting(name="limit", kind="integer", default=3, minimum=1)]
+    >>> check({"name": "a"}, known, "demo").limit
+    3
+    """
+
+    def __init__(self, values):
+        self.__dict__.update(values)
+
+
+def load(path, known):
+    """Read and check a settings file.
+
+    Parameters
+    ----------
+    path : str
+        File with JSON and comments.
+    known : list of Setting
+        Every key the process understands.
+
+    Returns
+    -------
+    Settings
+        The values, with defaults filled in.
+
+    Raises
+    ------
+    SettingsError
+        With every problem and its path in the file.
+    """
+    try:
+        with open(path, encoding="utf-8") as file:
+            data = json5.load(file)
+    except OSError as error:
+        raise errors.SettingsError(path, [str(error)]) from error
+    except ValueError as error:
+        raise errors.SettingsError(
+            path, [f"not JSON with comments: {error}"]
+        ) from error
+    return check(data, known, path)
+
+
+def check(data, known, path):
+    """Check a plain dict against the known settings; see `load`."""
+    if not isinstance(data, dict):
+        raise errors.SettingsError(path, ["the file must hold one object"])
+    by_name = {setting.name: setting for setting in known}
+    problems = [_unknown_key(key, by_name) for key in data if key not in by_name]
+    values = {}
+    for setting in known:
+        if setting.name in data:
+            value = data[setting.name]
+            problems += _check_value(setting, value)
+        elif setting.is_required:
+            problems.append(f"{setting.name}: missing, and it has no default")
+            value = None
+        else:
+            value = setting.default
+        values[setting.name] = value
+    if problems:
+        raise errors.SettingsError(path, problems)
+    return Settings(values)
+
+
+def _unknown_key(key, by_name):
+    close = difflib.get_close_matches(key, by_name, n=1)
+    hint = f"; did you mean {close[0]}?" if close else ""
+    return f"{key}: unknown key{hint}"
+
+
+def _check_value(setting, value):
+    """Return the problems of one value as ``path: reason`` lines."""
+    if setting.kind in _ITEM_KINDS:
+        if not isinstance(value, list):
+            return [f"{setting.name}: must be a list"]
+        item = setting.replace(kind=_ITEM_KINDS[setting.kind])
+        problems = []
+        for number, entry in enumerate(value):
+            item.name = f"{setting.name}[{number}]"
+            problems += _check_value(item, entry)
+        return problems
+    reason = _reason_against(setting, value)
+    return [f"{setting.name}: {reason}"] if reason else []
+
+
+def _reason_against(setting, value):
+    kind = setting.kind
+    if kind == "flag":
+        return "" if isinstance(value, bool) else "must be true or false"
+    if kind == "table":
+        if isinstance(value, dict) and all(isinstance(v, str) for v in value.values()):
+            return ""
+        return "must be an object with text values"
+    if kind in ("integer", "number"):
+        return _number_reason(setting, value)
+    if not isinstance(value, str):
+        return "must be text"
+    if setting.choices and value not in setting.choices:
+        return f"must be one of {', '.join(setting.choices)}"
+    if kind == "address":
+        return _address_reason(value)
+    return ""
+
+
+def _number_reason(setting, value):
+    allowed = int if setting.kind == "integer" else (int, float)
+    if isinstance(value, bool) or not isinstance(value, allowed):
+        return f"must be a{'n' if setting.kind == 'integer' else ''} {setting.kind}"
+    if setting.minimum is not None and value < setting.minimum:
+        return f"must be at least {setting.minimum}"
+    if setting.maximum is not None and value > setting.maximum:
+        return f"must be at most {setting.maximum}"
+    return ""
+
+
+def _address_reason(value):
+    host, _, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host)
+        is_port = 0 < int(port) < 65536
+    except ValueError:
+        is_port = False
+    return "" if is_port else "must be ip:port with an IP address"
--- /dev/null
+++ b/tests/test_codec.py
@@ -0,0 +1,33 @@
+"""Guards against a schema and its record classes drifting apart."""
+
+import inspect
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sardinegauge import codec, errors, messages, record
+
+MESSAGE_CLASSES = [
+    cls
+    for _, cls in inspect.getmembers(messages, inspect.isclass)
+    if issubclass(cls, record.Record)
+]
+
+
+@pytest.mark.parametrize("cls", MESSAGE_CLASSES, ids=lambda cls: cls.__name__)
+def test_defaults_agree_with_schema(cls):
+    """A default that differs from the schema's would change in transit."""
+    name = cls.__name__[0].lower() + cls.__name__[1:]
+    frame = codec.Frame(correlation=1, message=cls())
+    if name in codec._SCHEMA.Envelope.schema.union_fields:
+        assert codec.decode(codec.encode(frame)) == frame
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_decode_or_raise_wire_error(data):
+    """A damaged frame must not raise anything that ends the process."""
+    try:
+        codec.decode(data)
+    except errors.WireError:
+        pass
--- /dev/null
+++ b/tests/test_link.py
@@ -0,0 +1,65 @@
+"""Guards against swapped replies, silent peers and exchanges that never end."""
+
+import asyncio
+
+import pytest
+from tornado import netutil
+
+from sardinegauge import background, errors, link, messages
+
+
+class Echo(link.Handler):
+    """Answers queries, the one named "slow" after a delay."""
+
+    def on_message(self, link, message):
+        pass
+
+    def on_exchange(self, exchange, message):
+        background.spawn(self._answer(exchange, message))
+
+    async def _answer(self, exchange, message):
+        if message.kind == "slow":
+            await asyncio.sleep(0.05)
+        if message.kind != "never":
+            exchange.send(messages.QueryReply(reason=message.kind))
+        exchange.close()
+
+
+async def _pair():
+    server = link.LinkServer(Echo(), messages.Hello(role="state", name="server"))
+    sockets = netutil.bind_sockets(0, "127.0.0.1")
+    server.add_sockets(sockets)
+    address = f"127.0.0.1:{sockets[0].getsockname()[1]}"
+    dialer = link.Dialer(address, Echo(), messages.Hello(role="entry", name="client"))
+    dialer.start()
+    while not dialer.is_open:
+        await asyncio.sleep(0.005)
+    return server, dialer
+
+
+def test_replies_out_of_order_reach_their_own_request():
+    async def run():
+        server, dialer = await _pair()
+        slow = dialer.link.request(messages.Query(kind="slow"), 5)
+        quick = dialer.link.request(messages.Query(kind="quick"), 5)
+        replies = await asyncio.gather(slow, quick)
+        dialer.stop()
+        server.close_links()
+        return [reply.reason for reply in replies]
+
+    assert asyncio.run(run()) == ["slow", "quick"]
+
+
+def test_closing_a_link_fails_its_open_exchanges():
+    async def run():
+        server, dialer = await _pair()
+        waiting = asyncio.ensure_future(
+            dialer.link.request(messages.Query(kind="never"), 5)
+        )
+        await asyncio.sleep(0.02)
+        server.close_links()
+        with pytest.raises(errors.LinkClosedError):
+            await waiting
+        dialer.stop()
+
+    asyncio.run(run())
