Add the operators' calls and the command line

Cause: operators drive the system by remote calls from a schema file, and need a shell command over them that is safe to repeat.

--- /dev/null
+++ b/sardinegauge/calls.py
@@ -0,0 +1,191 @@
+"""The table of the operators' calls: message classes, commands and query kinds."""
+
+import json
+
+import json5
+
+from sardinegauge import commands, record
+from sardinegauge import operator_pb2 as schema
+
+
+class BadRequestError(Exception):
+    """A request's content is malformed; `problems` holds (path, reason) pairs."""
+
+    def __init__(self, problems):
+        self.problems = problems
+        super().__init__(str(problems))
+
+
+class Call(record.Record):
+    """One method of the operators' service.
+
+    `to_command(request, operator)` is set for calls that change something;
+    `query_kind`, `to_arguments(request)` and `to_reply(value)` for those that read.
+    """
+
+    __slots__ = (
+        "name",
+        "request",
+        "reply",
+        "to_command",
+        "query_kind",
+        "to_arguments",
+        "to_reply",
+    )
+    _defaults = {
+        "to_command": None,
+        "query_kind": "",
+        "to_arguments": None,
+        "to_reply": None,
+    }
+
+    @property
+    def is_change(self):
+        """Tell whether the call changes something."""
+        return self.to_command is not None
+
+
+def _set_configuration(request, operator):
+    try:
+        document = json5.loads(request.document)
+    except ValueError as error:
+        raise BadRequestError(
+            [("document", f"not JSON with comments: {error}")]
+        ) from error
+    return commands.SetConfiguration(
+        operator=operator,
+        request_id=request.request_id,
+        base_version=request.base_version,
+        document=document,
+    )
+
+
+def _submit_job(request, operator):
+    return commands.SubmitJob(
+        operator=operator,
+        request_id=request.request_id,
+        name=request.name,
+        tenant=request.tenant,
+        task_count=request.task_count or 1,
+        cores=request.cores,
+        memory_mb=request.memory_mb,
+        accelerators=request.accelerators,
+        run_time_s=request.run_time_s or commands.SubmitJob._defaults["run_time_s"],
+        urgent=request.urgent,
+        gang=request.gang,
+        command=request.command,
+        group=request.group,
+    )
+
+
+def _cancel_jobs(request, operator):
+    return commands.CancelJobs(
+        operator=operator, request_id=request.request_id, jobs=list(request.jobs)
+    )
+
+
+def _declare_service(request, operator):
+    return commands.DeclareService(
+        operator=operator,
+        request_id=request.request_id,
+        name=request.name,
+        tenant=request.tenant,
+        replicas=request.replicas,
+        cores=request.cores,
+        memory_mb=request.memory_mb,
+        accelerators=request.accelerators,
+        connections=request.connections,
+        command=request.command,
+    )
+
+
+def _drain_upstream(request, operator):
+    return commands.DrainUpstream(
+        operator=operator,
+        request_id=request.request_id,
+        upstream=request.upstream,
+        draining=not request.undo,
+    )
+
+
+def _change_member(request, operator):
+    return commands.ChangeMember(
+        operator=operator,
+        request_id=request.request_id,
+        identity=request.identity,
+        action=request.action,
+    )
+
+
+def _no_arguments(request):
+    return {}
+
+
+def _as_is(value):
+    return value
+
+
+def _configuration_reply(value):
+    """Give the document as JSON text, as the schema has it."""
+    return {**value, "document": json.dumps(value.get("document", {}), indent=2)}
+
+
+def _change(name, to_command):
+    return Call(
+        name=name,
+        request=getattr(schema, f"{name}Request"),
+        reply=schema.ChangeReply,
+        to_command=to_command,
+    )
+
+
+def _read(name, reply, query_kind, to_arguments=_no_arguments, to_reply=_as_is):
+    return Call(
+        name=name,
+        request=getattr(schema, f"{name}Request"),
+        reply=reply,
+        query_kind=query_kind,
+        to_arguments=to_arguments,
+        to_reply=to_reply,
+    )
+
+
+_CALLS = (
+    _change("SetConfiguration", _set_configuration),
+    _change("SubmitJob", _submit_job),
+    _change("CancelJobs", _cancel_jobs),
+    _change("DeclareService", _declare_service),
+    _change("DrainUpstream", _drain_upstream),
+    _change("ChangeMember", _change_member),
+    _read(
+        "GetConfiguration",
+        schema.GetConfigurationReply,
+        "configuration",
+        to_reply=_configuration_reply,
+    ),
+    _read(
+        "ListJobs",
+        schema.ListJobsReply,
+        "jobs",
+        lambda request: {"tenant": request.tenant, "state": request.state},
+    ),
+    _read("GetJob", schema.Job, "job", lambda request: {"id": request.id}),
+    _read("ListServices", schema.ListServicesReply, "services"),
+    _read("ListUpstreams", schema.ListUpstreamsReply, "upstreams"),
+    _read("ListTenants", schema.ListTenantsReply, "tenants"),
+    _read("ListMembers", schema.ListMembersReply, "members"),
+    _read(
+        "ListAudit",
+        schema.ListAuditReply,
+        "audit",
+        lambda request: {"limit": request.limit},
+    ),
+    _read(
+        "Explain",
+        schema.ExplainReply,
+        "explain",
+        lambda request: {"id": request.id},
+    ),
+)
+
+BY_NAME = {call.name: call for call in _CALLS}
--- /dev/null
+++ b/sardinegauge/cli/__main__.py
@@ -0,0 +1,5 @@
+"""Run the command line as ``python -m sardinegauge.cli``."""
+
+from sardinegauge import cli
+
+cli.main()
--- /dev/null
+++ b/sardinegauge/cli/states.py
@@ -0,0 +1,62 @@
+"""``sardinegauge state``: members of the replicated state."""
+
+import time
+
+import typer
+
+from sardinegauge.cli import client as client_module
+from sardinegauge.cli import options, output
+
+POLL_INTERVAL_S = 0.5
+_COLUMNS = ("identity", "name", "role", "address", "failure_domain", "match_index")
+
+app = typer.Typer(no_args_is_help=True, help="State replicas and their membership.")
+
+
+@app.command()
+def members(context: typer.Context):
+    """List the members of the state group."""
+    output.show(context.obj, context.obj.read("ListMembers"), "members", _COLUMNS)
+
+
+@app.command()
+def promote(
+    context: typer.Context, identity: str, request_id: str = options.REQUEST_ID
+):
+    """Make a caught-up learner a voter."""
+    context.obj.change("ChangeMember", request_id, identity=identity, action="promote")
+
+
+@app.command()
+def remove(context: typer.Context, identity: str, request_id: str = options.REQUEST_ID):
+    """Remove a member for good, such as one whose VM is lost."""
+    context.obj.change("ChangeMember", request_id, identity=identity, action="remove")
+
+
+@app.command()
+def replace(
+    context: typer.Context,
+    name: str,
+    timeout_s: float = options.TIMEOUT_S,
+):
+    """Wait until a replica with a new data folder has replaced its lost identity.
+
+    Start the replica with an empty data folder and the same name first; the leader
+    catches it up, promotes it and removes the lost identity by itself.
+    """
+    end = time.monotonic() + timeout_s
+    shown = None
+    while True:
+        rows = context.obj.read("ListMembers").get("members", [])
+        own = [row for row in rows if row["name"] == name]
+        progress = ", ".join(f"{row['identity']} {row['role']}" for row in own)
+        if progress != shown:
+            typer.echo(f"{name}: {progress or 'not a member yet'}", err=True)
+            shown = progress
+        if len(own) == 1 and own[0]["role"] != "learner":
+            return
+        if time.monotonic() > end:
+            raise client_module.CallError(
+                f"{name} is not replaced yet", client_module.WAIT_ENDED_STATUS
+            )
+        time.sleep(POLL_INTERVAL_S)
--- a/sardinegauge/commands.py
+++ b/sardinegauge/commands.py
@@ -100,6 +100,16 @@
     _defaults = {"at_ms": 0, "draining": True}
 
 
+class ChangeMember(OperatorCommand):
+    """Promote a learner or remove a member of the state group.
+
+    `action` is ``"promote"`` or ``"remove"``. The leader turns it into a membership
+    entry of the log; the machine itself does not change.
+    """
+
+    __slots__ = ("identity", "action")
+
+
 class RegisterWorker(Command):
     """An upstream announced itself, or what it announced changed."""
 
