Add the replicated state machine

Change: machine with configuration, workers, jobs, services, tasks, claims, replies, audit, tenants' usage, queries and directory. Every command is checked field by field before a handler sees it. RegisterWorker gets the field previous_may_run, since a restarted agent's tasks run on until their lease ends.

--- /dev/null
+++ b/sardinegauge/audit.py
@@ -0,0 +1,46 @@
+"""The bounded list of operators' accepted changes."""
+
+import collections
+
+from sardinegauge import record, snapshots
+
+MAX_RECORDS = 5_000
+"""About a day of changes at the target size, which has 5,400 a day."""
+MAX_SUBJECT_LENGTH = 200
+
+
+class AuditRecord(record.Record):
+    """One accepted change; `index` is its log index, `subject` what it changed."""
+
+    __slots__ = ("index", "at_ms", "operator", "call", "outcome", "subject")
+
+
+class Audit:
+    """Accepted changes, oldest first; old ones make room for new ones."""
+
+    __slots__ = ("records",)
+
+    def __init__(self):
+        self.records = collections.deque(maxlen=MAX_RECORDS)
+
+    def note(self, index, command, answer):
+        """Add an accepted change."""
+        subject = ", ".join(answer.ids[:20]) or f"version {answer.version}"
+        self.records.append(
+            AuditRecord(
+                index=index,
+                at_ms=command.at_ms,
+                operator=command.operator,
+                call=type(command).__name__,
+                outcome="accepted",
+                subject=subject[:MAX_SUBJECT_LENGTH],
+            )
+        )
+
+    def to_snapshot(self):
+        """Return the list as plain data."""
+        return snapshots.to_rows(AuditRecord, self.records)
+
+    def load_snapshot(self, data):
+        """Rebuild the list."""
+        self.records.extend(snapshots.from_rows(AuditRecord, data))
--- /dev/null
+++ b/sardinegauge/checks.py
@@ -0,0 +1,297 @@
+"""Checks of command fields: each problem with the path of its field.
+
+Commands reach the machine from the log, so a malformed one can't be refused earlier by
+everyone. Each check is a function ``check(value, path, problems)`` that appends
+``[path, reason]`` pairs.
+"""
+
+import math
+
+from sardinegauge import commands, messages
+
+MAX_TEXT_LENGTH = 1_000
+MAX_BODY_LENGTH = 1_000_000
+MAX_NUMBER = 1e9
+MAX_INTEGER = 2**53
+"""Largest integer that JSON readers in other languages keep exact."""
+MAX_TASKS_PER_JOB = 10_000
+"""One command must not stop the machine for longer than about a tenth of a second."""
+MAX_ITEMS = 100_000
+
+_NAME_MARKS = frozenset("._-")
+
+
+def text(limit=MAX_TEXT_LENGTH, is_empty_allowed=False):
+    """Return a check for text that any encoder accepts."""
+
+    def check(value, path, problems):
+        if not isinstance(value, str):
+            problems.append([path, "must be text"])
+        elif not value and not is_empty_allowed:
+            problems.append([path, "must not be empty"])
+        elif len(value) > limit:
+            problems.append([path, f"must have at most {limit} characters"])
+        elif not value.isascii() and any("\ud800" <= c <= "\udfff" for c in value):
+            problems.append([path, "must not hold surrogate code points"])
+
+    return check
+
+
+def number(minimum=0.0, maximum=MAX_NUMBER, is_minimum_allowed=True):
+    """Return a check for a finite number in a range."""
+
+    def check(value, path, problems):
+        if isinstance(value, bool) or not isinstance(value, (int, float)):
+            problems.append([path, "must be a number"])
+        elif isinstance(value, float) and not math.isfinite(value):
+            problems.append([path, "must be finite"])
+        elif value < minimum or (value == minimum and not is_minimum_allowed):
+            word = "at least" if is_minimum_allowed else "above"
+            problems.append([path, f"must be {word} {minimum:g}"])
+        elif value > maximum:
+            problems.append([path, f"must be at most {maximum:g}"])
+
+    return check
+
+
+def integer(minimum=0, maximum=MAX_INTEGER):
+    """Return a check for an integer in a range."""
+
+    def check(value, path, problems):
+        if isinstance(value, bool) or not isinstance(value, int):
+            problems.append([path, "must be an integer"])
+        elif value < minimum:
+            problems.append([path, f"must be at least {minimum}"])
+        elif value > maximum:
+            problems.append([path, f"must be at most {maximum}"])
+
+    return check
+
+
+def flag(value, path, problems):
+    """Check for true or false."""
+    if not isinstance(value, bool):
+        problems.append([path, "must be true or false"])
+
+
+def name(value, path, problems):
+    """Check for a name that is one path segment of a URL."""
+    before = len(problems)
+    text(100)(value, path, problems)
+    if len(problems) > before:
+        return
+    is_plain = value.isascii() and all(c.isalnum() or c in _NAME_MARKS for c in value)
+    if not is_plain or not value[0].isalnum():
+        reason = "must begin with a letter or digit and hold only those and . _ -"
+        problems.append([path, reason])
+
+
+def items(check_item, limit=MAX_ITEMS):
+    """Return a check for a list of values."""
+
+    def check(value, path, problems):
+        if not isinstance(value, list):
+            problems.append([path, "must be a list"])
+            return
+        if len(value) > limit:
+            problems.append([path, f"must have at most {limit} entries"])
+            return
+        for position, entry in enumerate(value):
+            check_item(entry, f"{path}[{position}]", problems)
+
+    return check
+
+
+def fields(cls, checks):
+    """Return a check for a record of a class with a check for each field."""
+    checks = list(checks.items())
+
+    def check(value, path, problems):
+        if not isinstance(value, cls):
+            problems.append([path, "must be an object"])
+            return
+        for field, check_field in checks:
+            check_field(getattr(value, field), f"{path}.{field}", problems)
+
+    return check
+
+
+def table(check_value, limit=MAX_ITEMS):
+    """Return a check for an object with text keys and checked values."""
+
+    def check(value, path, problems):
+        if not isinstance(value, dict):
+            problems.append([path, "must be an object"])
+            return
+        if len(value) > limit:
+            problems.append([path, f"must have at most {limit} entries"])
+            return
+        for key, entry in value.items():
+            text()(key, path, problems)
+            check_value(entry, f"{path}.{key}", problems)
+
+    return check
+
+
+def anything(value, path, problems):
+    """Accept every value; the command's handler checks it."""
+
+
+def choice(*allowed):
+    """Return a check for one of several texts."""
+
+    def check(value, path, problems):
+        if not isinstance(value, str) or value not in allowed:
+            problems.append([path, f"must be one of {', '.join(allowed)}"])
+
+    return check
+
+
+TEXT = text()
+OPTIONAL_TEXT = text(is_empty_allowed=True)
+COUNT = integer()
+SIZE = number()
+PHASES = (
+    "starting",
+    "running",
+    "stopping",
+    "stopped",
+    "finished",
+    "failed",
+    "refused",
+)
+
+_ROOM = fields(
+    messages.Room,
+    {
+        "cores": SIZE,
+        "memory_mb": COUNT,
+        "accelerators": COUNT,
+        "tasks": COUNT,
+        "connections": COUNT,
+    },
+)
+_ASSIGNMENT = fields(
+    commands.Assignment,
+    {
+        "task": TEXT,
+        "epoch": COUNT,
+        "upstream": TEXT,
+        "incarnation": TEXT,
+        "cores": SIZE,
+        "memory_mb": COUNT,
+        "accelerators": COUNT,
+        "connections": COUNT,
+        "reason": OPTIONAL_TEXT,
+    },
+)
+_EVICTION = fields(
+    commands.Eviction, {"task": TEXT, "epoch": COUNT, "reason": OPTIONAL_TEXT}
+)
+_TASK_CHANGE = fields(
+    commands.TaskChange,
+    {
+        "task": TEXT,
+        "epoch": COUNT,
+        "phase": choice(*PHASES),
+        "reason": OPTIONAL_TEXT,
+        "checkpoint": OPTIONAL_TEXT,
+    },
+)
+_HEADER = fields(
+    messages.Header,
+    {"name": TEXT, "value": text(MAX_BODY_LENGTH, is_empty_allowed=True)},
+)
+_OPERATOR = {"operator": TEXT, "request_id": TEXT}
+_UPSTREAM = {"upstream": TEXT, "incarnation": TEXT}
+_CLAIM = {"tenant": TEXT, "key": TEXT}
+_SIZES = {"cores": SIZE, "memory_mb": COUNT, "accelerators": COUNT}
+
+_CHECKS_BY_COMMAND = {
+    commands.SetConfiguration: {
+        **_OPERATOR,
+        "base_version": COUNT,
+        "document": anything,
+    },
+    commands.SubmitJob: {
+        **_OPERATOR,
+        **_SIZES,
+        "name": TEXT,
+        "tenant": TEXT,
+        "task_count": integer(1, MAX_TASKS_PER_JOB),
+        "run_time_s": number(is_minimum_allowed=False),
+        "urgent": flag,
+        "gang": flag,
+        "command": text(MAX_BODY_LENGTH, is_empty_allowed=True),
+        "group": OPTIONAL_TEXT,
+    },
+    commands.DeclareService: {
+        **_OPERATOR,
+        **_SIZES,
+        "name": name,
+        "tenant": TEXT,
+        "replicas": integer(0, MAX_TASKS_PER_JOB),
+        "connections": COUNT,
+        "command": text(MAX_BODY_LENGTH, is_empty_allowed=True),
+    },
+    commands.CancelJobs: {**_OPERATOR, "jobs": items(TEXT)},
+    commands.DrainUpstream: {**_OPERATOR, "draining": flag, "upstream": TEXT},
+    commands.RegisterWorker: {
+        **_UPSTREAM,
+        "address": OPTIONAL_TEXT,
+        "failure_domain": OPTIONAL_TEXT,
+        "rack": OPTIONAL_TEXT,
+        "services": items(TEXT),
+        "room": _ROOM,
+        "draining": flag,
+        "previous_may_run": flag,
+    },
+    commands.WorkerLost: _UPSTREAM,
+    commands.AssignTasks: {"assignments": items(_ASSIGNMENT)},
+    commands.EvictTasks: {"evictions": items(_EVICTION)},
+    commands.ReportTasks: {**_UPSTREAM, "changes": items(_TASK_CHANGE)},
+    commands.ResizeTasks: {
+        "cores_by_task": table(SIZE),
+        "memory_mb_by_task": table(COUNT),
+    },
+    commands.QuarantineWorker: {
+        "upstream": TEXT,
+        "quarantined": flag,
+        "reason": OPTIONAL_TEXT,
+    },
+    commands.FailJob: {"job": TEXT, "reason": OPTIONAL_TEXT, "impossible": flag},
+    commands.MakeClaim: {
+        **_CLAIM,
+        **_UPSTREAM,
+        "digest": OPTIONAL_TEXT,
+        "entry": OPTIONAL_TEXT,
+    },
+    commands.SettleClaim: {
+        **_CLAIM,
+        "claim_index": COUNT,
+        "status": integer(0, 999),
+        "headers": items(_HEADER),
+        "body": text(MAX_BODY_LENGTH, is_empty_allowed=True),
+        "is_body_kept": flag,
+    },
+    commands.ReleaseClaim: {**_CLAIM, "claim_index": COUNT},
+    commands.ExpireClaims: {"before_ms": COUNT},
+}
+_CHECKS = {
+    cls: [("at_ms", COUNT), *table_of_fields.items()]
+    for cls, table_of_fields in _CHECKS_BY_COMMAND.items()
+}
+
+
+def problems_of(command):
+    """Return the problems of a command's fields as ``[path, reason]`` pairs.
+
+    Examples
+    --------
+    >>> problems_of(commands.WorkerLost(upstream="", incarnation=3))
+    [['upstream', 'must not be empty'], ['incarnation', 'must be text']]
+    """
+    problems = []
+    for field, check in _CHECKS[type(command)]:
+        check(getattr(command, field), field, problems)
+    return problems
--- /dev/null
+++ b/sardinegauge/claims.py
@@ -0,0 +1,149 @@
+"""Claims of request keys: a non-idempotent request runs at one upstream only."""
+
+from sardinegauge import outcome, record, snapshots
+
+
+class Claim(record.Record):
+    """One request key of a tenant, claimed for one incarnation of an upstream.
+
+    `claim_index` is the log index of the command that made it, so a key that was
+    released and claimed again has another one. `headers` are plain dicts with `name`
+    and `value`; `body` is base64 text.
+    """
+
+    __slots__ = (
+        "tenant",
+        "key",
+        "digest",
+        "upstream",
+        "incarnation",
+        "entry",
+        "claim_index",
+        "made_at_ms",
+        "state",
+        "status",
+        "headers",
+        "body",
+        "is_body_kept",
+    )
+    _defaults = {
+        "entry": "",
+        "made_at_ms": 0,
+        "state": "open",
+        "status": 0,
+        "headers": list,
+        "body": "",
+        "is_body_kept": False,
+    }
+
+    def to_answer(self):
+        """Return the fields that a resend of the request needs."""
+        return {
+            "claim_index": self.claim_index,
+            "state": self.state,
+            "upstream": self.upstream,
+            "incarnation": self.incarnation,
+            "status": self.status,
+            "headers": [dict(header) for header in self.headers],
+            "body": self.body,
+            "is_body_kept": self.is_body_kept,
+        }
+
+
+class Claims:
+    """All claims by tenant and key, in the order they were made."""
+
+    __slots__ = ("by_key",)
+
+    def __init__(self):
+        self.by_key = {}
+
+    def to_snapshot(self):
+        """Return the table as plain data."""
+        return snapshots.to_rows(Claim, self.by_key.values())
+
+    def load_snapshot(self, data):
+        """Rebuild the table."""
+        for claim in snapshots.from_rows(Claim, data):
+            self.by_key[claim.tenant, claim.key] = claim
+
+
+def make(machine, index, command):
+    """Apply `commands.MakeClaim`; a resend gets the claim that exists."""
+    key = (command.tenant, command.key)
+    claim = machine.claims.by_key.get(key)
+    is_new = claim is None
+    if is_new:
+        claim = Claim(
+            tenant=command.tenant,
+            key=command.key,
+            digest=command.digest,
+            upstream=command.upstream,
+            incarnation=command.incarnation,
+            entry=command.entry,
+            claim_index=index,
+            made_at_ms=command.at_ms,
+        )
+        machine.claims.by_key[key] = claim
+    elif claim.digest != command.digest:
+        return outcome.Conflict(
+            version=claim.claim_index,
+            operator="",
+            reason="the key was used for another request",
+        )
+    return outcome.Accepted(value={**claim.to_answer(), "is_new": is_new})
+
+
+def _find(machine, command):
+    """Return the claim that a command owns, or None."""
+    claim = machine.claims.by_key.get((command.tenant, command.key))
+    if claim is None or claim.claim_index != command.claim_index:
+        return None
+    return claim
+
+
+def settle(machine, index, command):
+    """Apply `commands.SettleClaim`; the first answer stays.
+
+    `Accepted` has the claim's fields, and ``is_new`` when this command settled it.
+    """
+    claim = _find(machine, command)
+    if claim is None:
+        return outcome.Impossible(reason="no such claim")
+    is_new = claim.state == "open"
+    if is_new:
+        claim.state = "settled"
+        claim.status = command.status
+        claim.headers = [header.to_dict() for header in command.headers]
+        claim.body = command.body if command.is_body_kept else ""
+        claim.is_body_kept = command.is_body_kept
+    return outcome.Accepted(value={**claim.to_answer(), "is_new": is_new})
+
+
+def release(machine, index, command):
+    """Apply `commands.ReleaseClaim`; a settled claim is never freed, since it ran."""
+    claim = _find(machine, command)
+    if claim is None:
+        return outcome.Impossible(reason="no such claim")
+    if claim.state != "open":
+        return outcome.Impossible(reason="the claim is settled")
+    del machine.claims.by_key[claim.tenant, claim.key]
+    return outcome.Accepted()
+
+
+def expire(machine, index, command):
+    """Apply `commands.ExpireClaims`; `Accepted` has the number of ``claims`` and
+    ``replies`` dropped.
+
+    Only the oldest entries are looked at. After a change to a leader whose clock is
+    behind, some entries stay longer, never shorter, than asked.
+    """
+    expired = []
+    for key, claim in machine.claims.by_key.items():
+        if claim.made_at_ms >= command.before_ms:
+            break
+        expired.append(key)
+    for key in expired:
+        del machine.claims.by_key[key]
+    replies = machine.replies.expire(command.before_ms)
+    return outcome.Accepted(value={"claims": len(expired), "replies": replies})
--- a/sardinegauge/commands.py
+++ b/sardinegauge/commands.py
@@ -101,7 +101,11 @@
 
 
 class RegisterWorker(Command):
-    """An upstream announced itself, or what it announced changed."""
+    """An upstream announced itself, or what it announced changed.
+
+    A new incarnation makes the tasks of the previous one pending again, unless
+    `previous_may_run` is set; see `workers.register` for when that must be set.
+    """
 
     __slots__ = (
         "upstream",
@@ -112,8 +116,14 @@
         "services",
         "room",
         "draining",
+        "previous_may_run",
     )
-    _defaults = {"at_ms": 0, "services": list, "draining": False}
+    _defaults = {
+        "at_ms": 0,
+        "services": list,
+        "draining": False,
+        "previous_may_run": False,
+    }
     _nested = {"room": messages.Room}
 
 
--- /dev/null
+++ b/sardinegauge/lifecycle.py
@@ -0,0 +1,274 @@
+"""The life of tasks: commands that place, move, resize and report them."""
+
+import math
+
+from sardinegauge import jobs, outcome, services, tasks
+
+STOPPED_PHASES = frozenset({"stopped", "finished", "failed", "refused"})
+
+
+def assign(machine, index, command):
+    """Apply `commands.AssignTasks`.
+
+    Each assignment is checked again here, since the scheduler planned it against an
+    older state. A gang starts whole: its assignments in one command are taken back
+    when a task of the gang would still be pending after them. The answer lists the
+    assigned tasks, and the reason of each ``skipped`` one by task id.
+    """
+    skipped = {}
+    before_by_id = {}
+    for assignment in command.assignments:
+        reason = _refusal(machine, assignment)
+        if reason:
+            skipped.setdefault(assignment.task, reason)
+        else:
+            before_by_id[assignment.task] = _place(machine, assignment, command.at_ms)
+    _undo_partial_gangs(machine, before_by_id, skipped)
+    for id in before_by_id:
+        skipped.pop(id, None)
+    return outcome.Accepted(ids=list(before_by_id), value={"skipped": skipped})
+
+
+def _refusal(machine, assignment):
+    """Return why an assignment must not be carried out, or an empty text."""
+    task = machine.tasks.by_id.get(assignment.task)
+    if task is None:
+        return "no such task"
+    if task.state != "pending":
+        return f"task is {task.state}"
+    if assignment.epoch != task.epoch + 1:
+        return f"epoch must be {task.epoch + 1}"
+    worker = machine.workers.by_upstream.get(assignment.upstream)
+    if worker is None:
+        return "no such upstream"
+    reason = worker.refusal(assignment.incarnation)
+    if reason:
+        return reason
+    lacking = worker.lacking(assignment, machine.tasks.by_id)
+    return f"no room: {lacking}" if lacking else ""
+
+
+def _place(machine, assignment, at_ms):
+    """Assign a task; return what an undo needs."""
+    task = machine.tasks.by_id[assignment.task]
+    before = task.replace()
+    task.state = "assigned"
+    task.epoch = assignment.epoch
+    task.cores = assignment.cores
+    task.memory_mb = assignment.memory_mb
+    task.accelerators = assignment.accelerators
+    task.connections = assignment.connections
+    task.reason = assignment.reason
+    task.changed_at_ms = at_ms
+    machine.tasks.occupy(task, machine.workers.by_upstream[assignment.upstream])
+    return before
+
+
+def _undo_partial_gangs(machine, before_by_id, skipped):
+    gangs = {}
+    for id in before_by_id:
+        job = machine.jobs.by_id.get(machine.tasks.by_id[id].job)
+        if job is not None and job.is_gang:
+            gangs.setdefault(job.id, []).append(id)
+    for job_id, ids in gangs.items():
+        task_ids = machine.jobs.by_id[job_id].task_ids
+        if any(id in machine.tasks.pending_by_id for id in task_ids):
+            for id in ids:
+                _undo(machine, before_by_id.pop(id))
+                skipped[id] = "gang is not complete"
+
+
+def _undo(machine, before):
+    task = machine.tasks.by_id[before.id]
+    machine.tasks.vacate(task, machine.workers.by_upstream[task.upstream])
+    for name in ("epoch", "cores", "memory_mb", "accelerators", "connections"):
+        setattr(task, name, getattr(before, name))
+    machine.tasks.make_pending(task, before.changed_at_ms, before.reason)
+    task.pending_since_ms = before.pending_since_ms
+
+
+def evict(machine, index, command):
+    """Apply `commands.EvictTasks`: the tasks stay in place until their stop.
+
+    The answer lists the tasks now evicting, and the reason of each ``skipped`` one.
+    """
+    evicting = []
+    skipped = {}
+    for eviction in command.evictions:
+        task = machine.tasks.by_id.get(eviction.task)
+        if task is None:
+            skipped[eviction.task] = "no such task"
+        elif task.state not in ("assigned", "running"):
+            skipped[eviction.task] = f"task is {task.state}"
+        elif eviction.epoch != task.epoch:
+            skipped[eviction.task] = f"epoch is {task.epoch}"
+        else:
+            task.state = "evicting"
+            task.reason = eviction.reason
+            task.changed_at_ms = command.at_ms
+            _touch_service(machine, index, task)
+            evicting.append(task.id)
+    for id in evicting:
+        skipped.pop(id, None)
+    return outcome.Accepted(ids=evicting, value={"skipped": skipped})
+
+
+def report(machine, index, command):
+    """Apply `commands.ReportTasks`.
+
+    A change counts only for the task's current epoch at the upstream that reports it,
+    so a late or repeated one does nothing. The newest incarnation may also report the
+    tasks that an older one left. The answer lists the tasks changed, and the ``late``
+    ones.
+    """
+    changed = []
+    late = []
+    worker = machine.workers.by_upstream.get(command.upstream)
+    for change in command.changes:
+        task = machine.tasks.by_id.get(change.task)
+        if worker is None or not _is_current(task, change, command, worker):
+            late.append(change.task)
+        elif _change_phase(machine, index, command.at_ms, task, change):
+            changed.append(task.id)
+    return outcome.Accepted(ids=changed, value={"late": late})
+
+
+def _is_current(task, change, command, worker):
+    if task is None or task.epoch != change.epoch:
+        return False
+    if task.upstream != command.upstream:
+        return False
+    return command.incarnation in (task.incarnation, worker.incarnation)
+
+
+def _change_phase(machine, index, at_ms, task, change):
+    """Carry out one reported change; tell whether it changed the task."""
+    if change.phase in STOPPED_PHASES:
+        if change.checkpoint:
+            task.checkpoint = change.checkpoint
+        _stop(machine, index, at_ms, task, change)
+        return True
+    if change.phase == "running" and task.state == "assigned":
+        task.state = "running"
+        task.changed_at_ms = at_ms
+        _touch_service(machine, index, task)
+        jobs.note_running(machine, task)
+        return True
+    if change.checkpoint and change.checkpoint != task.checkpoint:
+        # A periodic checkpoint limits what the loss of the worker costs.
+        task.checkpoint = change.checkpoint
+        return True
+    return False
+
+
+def _stop(machine, index, at_ms, task, change):
+    """Take the place of a task whose stop was reported, and decide what follows."""
+    is_done = change.phase == "finished" and not task.service
+    if not task.has_ended:
+        if is_done:
+            machine.tasks.end(task, "finished", at_ms, change.reason)
+        elif change.phase in ("failed", "finished"):
+            # A service's task has no end of its own, so its exit is a failure.
+            _count_failure(task)
+        elif change.phase == "stopped" and task.state == "evicting":
+            task.evictions += 1
+    _release(machine, index, at_ms, task, change.reason or change.phase)
+    if is_done and task.state == "finished":
+        jobs.note_finished(machine, task, at_ms)
+
+
+def _count_failure(task):
+    task.failures += 1
+    if task.upstream not in task.failed_upstreams:
+        task.failed_upstreams.append(task.upstream)
+        del task.failed_upstreams[: -tasks.MAX_FAILED_UPSTREAMS]
+
+
+def _release(machine, index, at_ms, task, reason):
+    """Vacate a task's place; it waits again unless it has ended."""
+    worker = machine.workers.by_upstream[task.upstream]
+    _touch_service(machine, index, task)
+    machine.tasks.vacate(task, worker)
+    if not task.has_ended:
+        services.renew(machine, task)
+        machine.tasks.make_pending(task, at_ms, reason)
+    elif task.service:
+        services.forget(machine, task)
+
+
+def _touch_service(machine, index, task):
+    """Let entries learn that an upstream begins or ends to serve a service."""
+    if task.service:
+        worker = machine.workers.by_upstream[task.upstream]
+        machine.workers.touch(worker, index)
+
+
+def lose(machine, index, at_ms, worker, incarnation, reason):
+    """Free the tasks of an incarnation of a worker, or all without one.
+
+    Their epochs grow at once, so nothing the old agent says about them counts again.
+    Returns the ids of the tasks that are pending again.
+    """
+    freed = []
+    for id in sorted(worker.task_ids):
+        task = machine.tasks.by_id[id]
+        if incarnation is not None and task.incarnation != incarnation:
+            continue
+        if not task.has_ended:
+            task.epoch += 1
+            freed.append(id)
+        _release(machine, index, at_ms, task, reason)
+    return freed
+
+
+def resize(machine, index, command):
+    """Apply `commands.ResizeTasks`; first what shrinks, then what grows.
+
+    A reservation grows only as far as its worker has room. The answer lists the
+    resized tasks; ``excess`` has by task id what did not fit (`cores`, `memory_mb`),
+    which the scheduler makes room for by evictions; ``skipped`` has the reason of
+    each task that holds no reservation.
+    """
+    wanted = []
+    skipped = {}
+    for id in {**command.cores_by_task, **command.memory_mb_by_task}:
+        task = machine.tasks.by_id.get(id)
+        if task is None or not task.upstream or task.has_ended:
+            skipped[id] = "no such task" if task is None else f"task is {task.state}"
+            continue
+        cores = command.cores_by_task.get(id, task.cores)
+        memory_mb = command.memory_mb_by_task.get(id, task.memory_mb)
+        wanted.append((task, cores, memory_mb))
+    for task, cores, memory_mb in wanted:
+        _resize(machine, task, min(cores, task.cores), min(memory_mb, task.memory_mb))
+    excess = {}
+    for task, cores, memory_mb in wanted:
+        given = _grow(machine, task, cores, memory_mb)
+        if given != (cores, memory_mb):
+            excess[task.id] = {
+                "cores": cores - given[0],
+                "memory_mb": memory_mb - given[1],
+            }
+    ids = [task.id for task, _, _ in wanted]
+    return outcome.Accepted(ids=ids, value={"excess": excess, "skipped": skipped})
+
+
+def _grow(machine, task, cores, memory_mb):
+    """Grow a reservation as far as there is room; return what it has then."""
+    worker = machine.workers.by_upstream[task.upstream]
+    others = [machine.tasks.by_id[id].cores for id in worker.task_ids if id != task.id]
+    if math.fsum([*others, cores]) > worker.room.cores:
+        cores = max(task.cores, worker.room.cores - math.fsum(others))
+        if math.fsum([*others, cores]) > worker.room.cores:
+            # The difference was rounded up; giving up this growth is simplest.
+            cores = task.cores
+    free_mb = worker.room.memory_mb - worker.reserved.memory_mb
+    memory_mb = min(memory_mb, task.memory_mb + max(0, free_mb))
+    _resize(machine, task, cores, memory_mb)
+    return cores, memory_mb
+
+
+def _resize(machine, task, cores, memory_mb):
+    if (cores, memory_mb) != (task.cores, task.memory_mb):
+        worker = machine.workers.by_upstream[task.upstream]
+        machine.tasks.resize(task, worker, cores, memory_mb)
--- /dev/null
+++ b/sardinegauge/replies.py
@@ -0,0 +1,72 @@
+"""Stored answers to operators' commands: a resend gets the first answer."""
+
+import copy
+import hashlib
+import json
+
+from sardinegauge import outcome, record, snapshots
+
+
+class Reply(record.Record):
+    """The answer to one request id of one operator, as plain data.
+
+    `digest` is that of the command, so a request id used for something else is seen.
+    """
+
+    __slots__ = ("operator", "request_id", "digest", "answer", "made_at_ms")
+
+
+class Replies:
+    """All stored answers by operator and request id, in the order they were made."""
+
+    __slots__ = ("by_request",)
+
+    def __init__(self):
+        self.by_request = {}
+
+    def find(self, command):
+        """Return the answer to a resent command, or None for a new one."""
+        reply = self.by_request.get((command.operator, command.request_id))
+        if reply is None:
+            return None
+        if reply.digest != _digest(command):
+            reason = "was used for another call"
+            return outcome.Invalid(problems=[["request_id", reason]])
+        return outcome.from_plain(copy.deepcopy(reply.answer))
+
+    def store(self, command, answer):
+        """Keep the answer to a new command, whatever its outcome."""
+        self.by_request[command.operator, command.request_id] = Reply(
+            operator=command.operator,
+            request_id=command.request_id,
+            digest=_digest(command),
+            answer=outcome.to_plain(answer),
+            made_at_ms=command.at_ms if isinstance(command.at_ms, int) else 0,
+        )
+
+    def expire(self, before_ms):
+        """Drop the oldest answers made before a wall-clock time; return how many."""
+        expired = []
+        for key, reply in self.by_request.items():
+            if reply.made_at_ms >= before_ms:
+                break
+            expired.append(key)
+        for key in expired:
+            del self.by_request[key]
+        return len(expired)
+
+    def to_snapshot(self):
+        """Return the table as plain data."""
+        return snapshots.to_rows(Reply, self.by_request.values())
+
+    def load_snapshot(self, data):
+        """Rebuild the table."""
+        for reply in snapshots.from_rows(Reply, data):
+            self.by_request[reply.operator, reply.request_id] = reply
+
+
+def _digest(command):
+    """Return a digest of what a command asks for, whenever it was taken."""
+    asked = {"kind": type(command).__name__, **command.to_dict(), "at_ms": 0}
+    data = json.dumps(asked, sort_keys=True, default=str).encode()
+    return hashlib.sha256(data).hexdigest()[:32]
--- /dev/null
+++ b/sardinegauge/tasks.py
@@ -0,0 +1,177 @@
+"""Tasks: the table, its indexes, and the elementary changes of a task's place.
+
+A task is at an upstream exactly while its `upstream` is not empty: from its assignment
+until its stop was reported or its worker was lost. A task that ended while it had a
+place (a cancelled one, say) keeps the place and its reservation until then.
+"""
+
+from sardinegauge import record, snapshots, tenants
+
+ENDED_STATES = frozenset({"finished", "failed", "cancelled", "impossible"})
+MAX_FAILED_UPSTREAMS = 10
+
+
+class Task(record.Record):
+    """One task of a job or a service.
+
+    `cores`, `memory_mb` (MB), `accelerators` and `connections` are what is reserved or
+    would be; the declared sizes are the operator's. `epoch` is that of the newest
+    start, 0 before the first.
+    """
+
+    __slots__ = (
+        "id",
+        "job",
+        "service",
+        "tenant",
+        "task_class",
+        "group",
+        "state",
+        "epoch",
+        "upstream",
+        "incarnation",
+        "cores",
+        "memory_mb",
+        "accelerators",
+        "connections",
+        "declared_cores",
+        "declared_memory_mb",
+        "checkpoint",
+        "command",
+        "run_time_s",
+        "evictions",
+        "failures",
+        "failed_upstreams",
+        "reason",
+        "changed_at_ms",
+        "pending_since_ms",
+    )
+    _defaults = {
+        "job": "",
+        "service": "",
+        "group": "",
+        "state": "pending",
+        "epoch": 0,
+        "upstream": "",
+        "incarnation": "",
+        "accelerators": 0,
+        "connections": 0,
+        "checkpoint": "",
+        "command": "",
+        "run_time_s": 0.0,
+        "evictions": 0,
+        "failures": 0,
+        "failed_upstreams": list,
+        "reason": "",
+        "changed_at_ms": 0,
+        "pending_since_ms": 0,
+    }
+
+    @property
+    def has_ended(self):
+        """Tell whether the task will never be assigned again."""
+        return self.state in ENDED_STATES
+
+
+class Tasks:
+    """All tasks by id with their indexes.
+
+    `ids_by_upstream` holds the same set objects as `workers.Worker.task_ids`, so the
+    two can't differ.
+    """
+
+    __slots__ = ("by_id", "ids_by_upstream", "pending_by_id", "usage_by_tenant")
+
+    def __init__(self):
+        self.by_id = {}
+        self.pending_by_id = {}
+        self.ids_by_upstream = {}
+        self.usage_by_tenant = {}
+
+    def add(self, task):
+        """Add a pending task."""
+        self.by_id[task.id] = task
+        self._enter_pending(task)
+
+    def remove(self, task):
+        """Forget an ended task without a place."""
+        del self.by_id[task.id]
+
+    def occupy(self, task, worker):
+        """Give a pending task a place; its reservation is set already."""
+        self._leave_pending(task)
+        task.upstream = worker.upstream
+        task.incarnation = worker.incarnation
+        worker.task_ids.add(task.id)
+        self._usage(task).add(task, 1)
+        worker.count_reserved(self.by_id)
+
+    def vacate(self, task, worker):
+        """Take the place from a task."""
+        task.upstream = ""
+        task.incarnation = ""
+        worker.task_ids.discard(task.id)
+        self._usage(task).add(task, -1)
+        self._drop_empty_usage(task)
+        worker.count_reserved(self.by_id)
+
+    def make_pending(self, task, at_ms, reason):
+        """Let a task without a place wait for one."""
+        task.state = "pending"
+        task.reason = reason
+        task.changed_at_ms = at_ms
+        task.pending_since_ms = at_ms
+        self._enter_pending(task)
+
+    def end(self, task, state, at_ms, reason):
+        """End a task for good; a place is kept until its stop is reported."""
+        if task.state == "pending":
+            self._leave_pending(task)
+            self._drop_empty_usage(task)
+        task.state = state
+        task.reason = reason
+        task.changed_at_ms = at_ms
+
+    def resize(self, task, worker, cores, memory_mb):
+        """Change the reservation of a placed task."""
+        usage = self._usage(task)
+        usage.add(task, -1)
+        task.cores = cores
+        task.memory_mb = memory_mb
+        usage.add(task, 1)
+        worker.count_reserved(self.by_id)
+
+    def _enter_pending(self, task):
+        self.pending_by_id[task.id] = task
+        self._usage(task).pending += 1
+
+    def _leave_pending(self, task):
+        del self.pending_by_id[task.id]
+        self._usage(task).pending -= 1
+
+    def _usage(self, task):
+        usage = self.usage_by_tenant.get(task.tenant)
+        if usage is None:
+            usage = self.usage_by_tenant[task.tenant] = tenants.Usage()
+        return usage
+
+    def _drop_empty_usage(self, task):
+        # Names of tenants are free text, so unused ones must not pile up.
+        if self.usage_by_tenant[task.tenant].is_empty:
+            del self.usage_by_tenant[task.tenant]
+
+    def to_snapshot(self):
+        """Return the table as plain columns and rows."""
+        return snapshots.to_rows(Task, self.by_id.values())
+
+    def load_snapshot(self, data, workers):
+        """Rebuild the table and its indexes; workers are loaded already."""
+        for task in snapshots.from_rows(Task, data):
+            self.by_id[task.id] = task
+            if task.state == "pending":
+                self._enter_pending(task)
+            elif task.upstream:
+                workers.by_upstream[task.upstream].task_ids.add(task.id)
+                self._usage(task).add(task, 1)
+        for worker in workers.by_upstream.values():
+            worker.count_reserved(self.by_id)
