--- /dev/null
+++ b/sardinegauge/directives.py
@@ -0,0 +1,57 @@
+"""The whole table of tasks that each agent shall run."""
+
+from sardinegauge import messages
+
+# States of a task in which its worker still holds it, with the order that it gets. A
+# task in any other state that the worker still holds shall stop.
+ACTION_BY_STATE = {"assigned": "run", "running": "run", "evicting": "evict"}
+
+
+def build(state, upstream, sequence=0):
+    """Return the directive for one upstream; `sequence` 0 marks a push.
+
+    The table is cached until `forget` is called for the upstream, since most
+    heartbeats are answered with an unchanged table.
+    """
+    orders = state.orders_by_upstream.get(upstream)
+    if orders is None:
+        orders = _orders(state, upstream)
+        state.orders_by_upstream[upstream] = orders
+    return messages.Directive(sequence=sequence, tasks=orders)
+
+
+def build_empty(sequence, reason):
+    """Return a directive without tasks for an agent that is not registered."""
+    return messages.Directive(sequence=sequence, reason=reason)
+
+
+def forget(state, upstream):
+    """Drop the cached table of an upstream after a change of its tasks."""
+    state.orders_by_upstream.pop(upstream, None)
+
+
+def _orders(state, upstream):
+    worker = state.machine.workers.by_upstream.get(upstream)
+    if worker is None or worker.is_lost:
+        return []
+    by_id = state.machine.tasks.by_id
+    held = [by_id[task_id] for task_id in sorted(worker.task_ids) if task_id in by_id]
+    return [_order(state, task) for task in held if task.upstream == upstream]
+
+
+def _order(state, task):
+    return messages.TaskOrder(
+        task=task.id,
+        epoch=task.epoch,
+        action=ACTION_BY_STATE.get(task.state, "stop"),
+        tenant=task.tenant,
+        job=task.job or task.service,
+        task_class=task.task_class,
+        cores=task.cores,
+        memory_mb=task.memory_mb,
+        accelerators=task.accelerators,
+        connections=task.connections,
+        command=task.command,
+        checkpoint=task.checkpoint,
+        throttle=state.throttle_by_task.get(task.id, 1.0),
+    )
--- /dev/null
+++ b/sardinegauge/inflight.py
@@ -0,0 +1,67 @@
+"""Proposals that were made and whose effect is not yet seen in the machine."""
+
+from sardinegauge import commands
+
+# A proposal without an answer for this long was dropped on the way to the log. A
+# repeated one does no harm, since epochs and incarnations reject the second.
+PROPOSAL_TIMEOUT_MS = 5_000
+
+
+def keys_of(command):
+    """Return the keys under which a command's parts count as in flight.
+
+    Examples
+    --------
+    >>> keys_of(commands.WorkerLost(upstream="a", incarnation="1"))
+    [('lost', 'a', '1')]
+    """
+    if isinstance(command, commands.AssignTasks):
+        return [("assign", a.task, a.epoch) for a in command.assignments]
+    if isinstance(command, commands.EvictTasks):
+        return [("evict", e.task, e.epoch) for e in command.evictions]
+    if isinstance(command, commands.ReportTasks):
+        return [("report", c.task, c.epoch, c.phase) for c in command.changes]
+    if isinstance(command, commands.RegisterWorker):
+        return [("register", command.upstream, command.incarnation)]
+    if isinstance(command, commands.WorkerLost):
+        return [("lost", command.upstream, command.incarnation)]
+    if isinstance(command, commands.ResizeTasks):
+        return [("resize", task) for task in command.cores_by_task]
+    if isinstance(command, commands.QuarantineWorker):
+        return [("quarantine", command.upstream)]
+    if isinstance(command, commands.FailJob):
+        return [("fail", command.job)]
+    return []
+
+
+class InFlight:
+    """Keys of proposed commands with the time of the proposal, oldest first."""
+
+    __slots__ = ("since_by_key",)
+
+    def __init__(self):
+        self.since_by_key = {}
+
+    def __contains__(self, key):
+        return key in self.since_by_key
+
+    def add(self, now_ms, command):
+        """Note a command that is proposed now."""
+        for key in keys_of(command):
+            self.since_by_key[key] = now_ms
+
+    def remove(self, command):
+        """Forget a command that was applied, whatever its answer."""
+        for key in keys_of(command):
+            self.since_by_key.pop(key, None)
+
+    def expire(self, now_ms):
+        """Forget proposals older than the timeout and return their keys."""
+        expired = []
+        for key, since_ms in self.since_by_key.items():
+            if now_ms - since_ms < PROPOSAL_TIMEOUT_MS:
+                break
+            expired.append(key)
+        for key in expired:
+            del self.since_by_key[key]
+        return expired
--- /dev/null
+++ b/sardinegauge/pending.py
@@ -0,0 +1,78 @@
+"""Queue of pending tasks, by class and by job or service."""
+
+from sardinegauge import record
+
+URGENT = "urgent"
+LATENCY_CRITICAL = "latency_critical"
+BATCH = "batch"
+CLASSES = (URGENT, LATENCY_CRITICAL, BATCH)
+# A unit that found no room is tried again after this time, so that a long queue costs
+# little per round. Room that is freed meanwhile is found at the next try.
+BACKOFF_MS = 500
+
+
+class Unit(record.Record):
+    """The pending tasks of one job or service, which are equal in size.
+
+    `since_ms` is when its oldest task became pending, in the machine's wall clock.
+    """
+
+    __slots__ = (
+        "name",
+        "not_before_ms",
+        "since_ms",
+        "task_class",
+        "task_ids",
+        "tenant",
+    )
+    _defaults = {"not_before_ms": 0, "task_ids": dict}
+
+
+class PendingQueue:
+    """Pending tasks as units; a task is queued or in flight, never both."""
+
+    __slots__ = ("unit_by_task", "units_by_class")
+
+    def __init__(self):
+        self.units_by_class = {task_class: {} for task_class in CLASSES}
+        self.unit_by_task = {}
+
+    def __len__(self):
+        return len(self.unit_by_task)
+
+    def __contains__(self, task_id):
+        return task_id in self.unit_by_task
+
+    def add(self, task):
+        """Queue a task that is pending in the machine."""
+        if task.id in self.unit_by_task:
+            return
+        name = task.job or task.service
+        units = self.units_by_class[task.task_class]
+        unit = units.get(name)
+        if unit is None:
+            unit = units[name] = Unit(
+                name=name,
+                tenant=task.tenant,
+                task_class=task.task_class,
+                since_ms=task.pending_since_ms,
+            )
+        unit.since_ms = min(unit.since_ms, task.pending_since_ms)
+        unit.task_ids[task.id] = True
+        self.unit_by_task[task.id] = unit
+
+    def remove(self, task_id):
+        """Take a task out, and its unit when it was the last."""
+        unit = self.unit_by_task.pop(task_id, None)
+        if unit is None:
+            return
+        del unit.task_ids[task_id]
+        if not unit.task_ids:
+            del self.units_by_class[unit.task_class][unit.name]
+
+    def ready(self, task_class, now_ms):
+        """Return the units of a class that may be tried now, oldest first."""
+        units = self.units_by_class[task_class].values()
+        found = [unit for unit in units if unit.not_before_ms <= now_ms]
+        found.sort(key=lambda unit: (unit.since_ms, unit.name))
+        return found
