Add the state process: agreement, data folder, replica and client

Cause: entries and agents need a replicated state to propose to, read from and poll.

The wire gets TimeoutNow for the handover of the leadership; the base application gets fail() for a fatal error.

--- a/sardinegauge/application.py
+++ b/sardinegauge/application.py
@@ -27,6 +27,7 @@
         self.log = logs.get_logger(name)
         self._stop_asked = None
         self._drain_skipped = None
+        self._failure = None
         self._timers = []
 
     @abc.abstractmethod
@@ -66,6 +67,12 @@
             self._drain_skipped.set()
         self._stop_asked.set()
 
+    def fail(self, error):
+        """Stop at once without a drain, with the exit status of a `UserError`."""
+        self._failure = error
+        self._drain_skipped.set()
+        self._stop_asked.set()
+
     async def _main(self):
         self._stop_asked = asyncio.Event()
         self._drain_skipped = asyncio.Event()
@@ -81,6 +88,8 @@
             await self._stop_asked.wait()
             self.log.info("draining", limit_s=self.drain_limit_s)
             await self._drain()
+            if self._failure is not None:
+                raise self._failure
         finally:
             for timer in self._timers:
                 timer.cancel()
--- a/sardinegauge/messages.py
+++ b/sardinegauge/messages.py
@@ -191,6 +191,16 @@
     _defaults = {"term": 0, "member": "", "acknowledged_index": 0}
 
 
+class TimeoutNow(record.Record):
+    """The leader hands over: the receiver begins an election at once."""
+
+    __slots__ = (
+        "term",
+        "leader",
+    )
+    _defaults = {"term": 0, "leader": ""}
+
+
 class JoinRequest(record.Record):
     """A replica with a new identity asks to become a learner."""
 
--- /dev/null
+++ b/sardinegauge/replica.py
@@ -0,0 +1,392 @@
+"""Reducer of the state process: agreement, machine and scheduler in one.
+
+`reduce` takes the state and one event, of `raft` or of this module, and returns effects
+of `raftstate` and of this module. The application executes them in order.
+"""
+
+import json
+import logging
+
+from sardinegauge import (
+    commands,
+    directing,
+    membership,
+    messages,
+    outcome,
+    raft,
+    raftstate,
+    record,
+    requests,
+)
+
+# Entries applied for one event, so that a long log leaves room for heartbeats.
+APPLY_BATCH = 256
+SNAPSHOT_ENTRIES = 10_000
+
+log = logging.getLogger(__name__)
+
+
+class Asked(record.Record):
+    """A request of a peer arrived; `token` comes back with its reply."""
+
+    __slots__ = ("message", "now_ms", "token", "wall_ms")
+
+
+class SchedulerTick(record.Record):
+    """Time for the scheduler passed; expected every 100 ms."""
+
+    __slots__ = ("now_ms", "wall_ms")
+
+
+class ApplyNext(record.Record):
+    """Continue to apply committed entries, as the effect `ApplyMore` asked."""
+
+    __slots__ = ("now_ms",)
+
+
+class StopAsked(record.Record):
+    """Take no further commands and hand over the leadership."""
+
+    __slots__ = ("now_ms",)
+
+
+class Reply(record.Record):
+    """Effect: answer the request with this token."""
+
+    __slots__ = ("message", "token")
+
+
+class Push(record.Record):
+    """Effect: send a message to an agent outside its heartbeat exchange."""
+
+    __slots__ = ("incarnation", "message", "upstream")
+
+
+class ApplyMore(record.Record):
+    """Effect: send `ApplyNext` soon, after other events had their turn."""
+
+    __slots__ = ()
+
+
+class Parts(record.Record):
+    """The modules a replica drives, see section 16 of the design page."""
+
+    __slots__ = ("machine", "queries", "directory", "scheduler")
+
+
+class Proposal(record.Record):
+    """A command in the log that awaits its answer; `token` is None for own ones."""
+
+    __slots__ = ("command", "term", "token")
+
+
+class State:
+    """State of one replica.
+
+    Parameters
+    ----------
+    identity : str
+        Own identity.
+    address : str
+        Address on which others reach this replica.
+    stored : storage.Stored
+        What the data folder held.
+    parts : Parts
+        The modules to drive.
+    now_ms : int
+        Time of creation.
+    """
+
+    def __init__(self, identity, address, stored, parts, now_ms):
+        self.address = address
+        self.parts = parts
+        self.raft = raftstate.State(identity, stored, now_ms)
+        self.machine = parts.machine.Machine()
+        self.applied_index = stored.snapshot.index
+        if stored.snapshot.blob:
+            _, data = membership.unpack_snapshot(stored.snapshot.blob)
+            self.machine = parts.machine.from_snapshot(json.loads(data))
+        self.scheduler = None
+        self.now_ms = now_ms
+        self.wall_ms = 0
+        self.snapshot_entries = SNAPSHOT_ENTRIES
+        self.gained_term = 0
+        self.is_stopping = False
+        self.proposals_by_index = {}
+        self.requests = requests.Requests()
+        self.agents = directing.Agents()
+        self.effects = []
+
+    @property
+    def is_leading(self):
+        """Tell whether this replica leads with a machine that is current."""
+        return self.scheduler is not None
+
+    def emit(self, effect):
+        """Add an effect to the result of the current event."""
+        self.effects.append(effect)
+
+
+def reduce(state, event):
+    """Apply one event and return the list of effects."""
+    state.effects = []
+    state.now_ms = max(state.now_ms, event.now_ms)
+    if isinstance(event, raft.Event):
+        feed_raft(state, event)
+    else:
+        _BY_EVENT[type(event)](state, event)
+    _apply_committed(state)
+    effects, state.effects = state.effects, []
+    return effects
+
+
+def feed_raft(state, event):
+    """Pass an event to the agreement reducer and take up its effects."""
+    for effect in raft.reduce(state.raft, event):
+        handler = _BY_RAFT_EFFECT.get(type(effect))
+        if handler is None:
+            state.emit(effect)
+        else:
+            handler(state, effect)
+
+
+def feed_scheduler(state, event):
+    """Pass an event to the scheduler and take up its effects."""
+    parts = state.parts.scheduler
+    for effect in parts.reduce(state.scheduler, event):
+        if isinstance(effect, parts.Propose):
+            _propose_own(state, effect.command)
+        else:
+            directing.on_direct(state, effect)
+
+
+def _propose_own(state, command):
+    if isinstance(command, commands.WorkerLost):
+        directing.on_worker_losing(state, command.upstream)
+    append_command(state, command, None)
+
+
+def append_command(state, command, token):
+    """Stamp a command, append it to the log and remember who awaits the answer."""
+    command.at_ms = state.wall_ms
+    body = commands.REGISTRY.dumps(command)
+    remember_proposal(state, command, token)
+    feed_raft(state, raft.Appended(now_ms=state.now_ms, bodies=[body]))
+
+
+def remember_proposal(state, command, token):
+    """Expect the answer of the entry that is appended next."""
+    index = state.raft.log.last_index + 1
+    state.proposals_by_index[index] = Proposal(
+        command=command, term=state.raft.term, token=token
+    )
+
+
+def _on_asked(state, event):
+    state.wall_ms = event.wall_ms
+    handler = _BY_MESSAGE.get(type(event.message))
+    if handler is None:
+        reason = f"unexpected message {type(event.message).__name__}"
+        refusal = messages.Abort(verdict=outcome.Verdict.NOT_RUN.value, reason=reason)
+        state.emit(Reply(token=event.token, message=refusal))
+        return
+    handler(state, event.token, event.message)
+
+
+def _on_scheduler_tick(state, event):
+    state.wall_ms = event.wall_ms
+    if state.is_leading:
+        feed_scheduler(state, state.parts.scheduler.Tick(now_ms=state.now_ms))
+    directing.expire(state)
+
+
+def _on_apply_next(state, event):
+    """Do nothing by itself: every event applies what is committed."""
+
+
+def _on_stop_asked(state, event):
+    state.is_stopping = True
+    feed_raft(state, raft.TransferAsked(now_ms=state.now_ms))
+
+
+# Committed entries.
+
+
+def _apply_committed(state):
+    log_part = state.raft.log
+    last = min(state.raft.commit_index, state.applied_index + APPLY_BATCH)
+    while state.applied_index < last:
+        entry = log_part.entry(state.applied_index + 1)
+        state.applied_index += 1
+        _apply(state, entry)
+    _start_scheduler(state)
+    _answer_reads(state)
+    _take_snapshot(state)
+    # The steps above may have committed more, as in a group of one.
+    if state.applied_index < state.raft.commit_index:
+        state.emit(ApplyMore())
+
+
+def _apply(state, entry):
+    proposal = state.proposals_by_index.pop(entry.index, None)
+    if proposal is not None and proposal.term != entry.term:
+        requests.reply_not_run(state, proposal.token, "another leader took over")
+        proposal = None
+    if entry.kind == "members":
+        if proposal is not None:
+            requests.reply_ran(state, proposal.token, outcome.Accepted(), entry.index)
+        return
+    if entry.kind != "command":
+        return
+    command = proposal.command if proposal else commands.REGISTRY.loads(entry.body)
+    answer = _apply_command(state, entry.index, command)
+    if proposal is not None:
+        requests.reply_ran(state, proposal.token, answer, entry.index)
+    if isinstance(command, commands.WorkerLost):
+        directing.on_worker_lost(state, command.upstream)
+    if state.is_leading:
+        feed_scheduler(
+            state,
+            state.parts.scheduler.CommandApplied(
+                now_ms=state.now_ms, index=entry.index, command=command, answer=answer
+            ),
+        )
+
+
+def _apply_command(state, index, command):
+    """Apply a command; one that the machine chokes on must not stop every replica."""
+    try:
+        return state.parts.machine.apply(state.machine, index, command)
+    except MemoryError:
+        raise  # It depends on this VM, so other replicas may have gone on.
+    except Exception as error:
+        log.exception("command_failed index=%d kind=%s", index, type(command).__name__)
+        return outcome.Invalid(problems=[["", f"{type(error).__name__}: {error}"]])
+
+
+def _take_snapshot(state):
+    if state.applied_index - state.raft.snapshot.index < state.snapshot_entries:
+        return
+    plain = state.parts.machine.to_snapshot(state.machine)
+    data = json.dumps(plain, separators=(",", ":")).encode()
+    event = raft.SnapshotTaken(
+        now_ms=state.now_ms, index=state.applied_index, data=data
+    )
+    feed_raft(state, event)
+
+
+def _answer_reads(state):
+    """Answer the confirmed reads whose entries are applied."""
+    if not state.requests.confirmed:
+        return
+    waiting, state.requests.confirmed = state.requests.confirmed, []
+    for read in waiting:
+        if read.index > state.applied_index or not state.is_leading:
+            state.requests.confirmed.append(read)
+        else:
+            _ANSWERS[type(read.message)](state, read)
+
+
+# Effects of the agreement.
+
+
+def _on_restore_machine(state, effect):
+    state.machine = state.parts.machine.from_snapshot(json.loads(effect.data))
+    state.applied_index = effect.index
+
+
+def _on_leadership_gained(state, effect):
+    state.gained_term = effect.term
+
+
+def _start_scheduler(state):
+    """Start the scheduler once the machine holds everything of earlier terms."""
+    if not state.gained_term or state.applied_index < state.raft.term_start_index:
+        return
+    state.scheduler = state.parts.scheduler.State(state.machine)
+    event = state.parts.scheduler.LeadershipGained(
+        now_ms=state.now_ms, term=state.gained_term
+    )
+    state.gained_term = 0
+    feed_scheduler(state, event)
+
+
+def _on_leadership_lost(state, effect):
+    state.gained_term = 0
+    if state.scheduler is not None:
+        lost = state.parts.scheduler.LeadershipLost(now_ms=state.now_ms)
+        state.parts.scheduler.reduce(state.scheduler, lost)
+        state.scheduler = None
+    directing.on_leadership_lost(state)
+    requests.on_leadership_lost(state)
+
+
+def _on_read_ready(state, effect):
+    requests.on_read_ready(state, effect.read, effect.index)
+
+
+def _on_read_failed(state, effect):
+    requests.on_read_failed(state, effect.read)
+
+
+_BY_EVENT = {
+    Asked: _on_asked,
+    SchedulerTick: _on_scheduler_tick,
+    ApplyNext: _on_apply_next,
+    StopAsked: _on_stop_asked,
+}
+
+_BY_MESSAGE = {
+    messages.Propose: requests.on_propose,
+    messages.Query: requests.ask_read,
+    messages.Poll: requests.ask_read,
+    messages.Heartbeat: directing.on_heartbeat,
+    messages.JoinRequest: requests.on_join,
+}
+
+_ANSWERS = {
+    messages.Query: requests.answer_query,
+    messages.Poll: requests.answer_poll,
+    messages.Heartbeat: directing.on_read_ready,
+    directing.PushRound: directing.on_push_ready,
+}
+
+_BY_RAFT_EFFECT = {
+    raftstate.RestoreMachine: _on_restore_machine,
+    raftstate.LeadershipGained: _on_leadership_gained,
+    raftstate.LeadershipLost: _on_leadership_lost,
+    raftstate.ReadReady: _on_read_ready,
+    raftstate.ReadFailed: _on_read_failed,
+}
+
+
+def status(state):
+    """Return what the health page and the query ``members`` show, as a plain dict."""
+    agreement = state.raft
+    members = []
+    for member in agreement.members.values():
+        progress = agreement.progress.get(member.identity)
+        is_self = member.identity == agreement.identity
+        members.append(
+            {
+                **member.to_dict(),
+                "is_leader": member.identity == agreement.leader,
+                "match_index": agreement.durable_index
+                if is_self
+                else progress.match_index
+                if progress
+                else agreement.acknowledged.get(member.identity, 0),
+                "silent_ms": state.now_ms - progress.ack_ms if progress else 0,
+            }
+        )
+    return {
+        "identity": agreement.identity,
+        "role": agreement.role,
+        "term": agreement.term,
+        "leader": agreement.leader_address,
+        "last_index": agreement.log.last_index,
+        "commit_index": agreement.commit_index,
+        "applied_index": state.applied_index,
+        "snapshot_index": agreement.snapshot.index,
+        "members": members,
+    }
--- /dev/null
+++ b/sardinegauge/replication.py
@@ -0,0 +1,420 @@
+"""Log replication, read rounds and snapshot transfer of the agreement reducer."""
+
+from sardinegauge import elections, membership, messages, raftstate
+
+MAX_BATCH_ENTRIES = 512
+MAX_BATCH_BYTES = 256 << 10
+# Few requests in flight make entries that arrive meanwhile share the next one.
+MAX_IN_FLIGHT = 4
+SNAPSHOT_CHUNK_BYTES = 256 << 10
+MAX_SNAPSHOT_BYTES = 1 << 30
+RESEND_MS = 300
+
+
+# The leader's side.
+
+
+def become_leader(state):
+    """Take the lead of the term and append its first entry."""
+    state.role = raftstate.LEADER
+    state.leader = state.identity
+    state.is_gained = False
+    state.round = 0
+    state.progress = {}
+    _match_progress(state)
+    state.term_start_index = state.log.last_index + 1
+    append(state, "noop", b"")
+    state.heartbeat_due_ms = state.now_ms + raftstate.HEARTBEAT_MS
+    broadcast(state)
+
+
+def append(state, kind, body):
+    """Append an entry to the leader's log; the caller replicates it."""
+    entry = messages.LogEntry(
+        index=state.log.last_index + 1, term=state.term, kind=kind, body=body
+    )
+    state.log.append([entry])
+    if kind == "members":
+        state.note_members(entry.index, membership.loads(body))
+        _match_progress(state)
+    state.persist([entry])
+
+
+def _match_progress(state):
+    """Keep progress of exactly the other members."""
+    for identity in state.members:
+        if identity != state.identity and identity not in state.progress:
+            state.progress[identity] = raftstate.Progress(
+                state.log.last_index + 1, state.now_ms
+            )
+    for identity in list(state.progress):
+        if identity not in state.members:
+            del state.progress[identity]
+
+
+def replicate(state):
+    """Send entries to every member that has room for more in flight."""
+    for identity, progress in state.progress.items():
+        while (
+            progress.snapshot_offset is None
+            and progress.next_index <= state.log.last_index
+            and len(progress.in_flight) < MAX_IN_FLIGHT
+        ):
+            _send_entries(state, identity, progress)
+
+
+def broadcast(state):
+    """Send a heartbeat to every member, and entries where some wait."""
+    for identity, progress in state.progress.items():
+        if progress.in_flight and state.now_ms - progress.sent_ms > RESEND_MS:
+            progress.in_flight.clear()
+            progress.next_index = progress.match_index + 1
+        if progress.snapshot_offset is not None:
+            if state.now_ms - progress.sent_ms > RESEND_MS:
+                _send_chunk(state, identity, progress)
+            _send_append(state, identity, state.log.last_index, [])
+        elif progress.next_index <= state.log.base_index:
+            _send_entries(state, identity, progress)
+        else:
+            _send_append(state, identity, progress.next_index - 1, [])
+    replicate(state)
+
+
+def _send_entries(state, identity, progress):
+    if progress.next_index <= state.log.base_index:
+        progress.snapshot_offset = 0
+        progress.in_flight.clear()
+        _send_chunk(state, identity, progress)
+        return
+    entries = state.log.batch(progress.next_index, MAX_BATCH_ENTRIES, MAX_BATCH_BYTES)
+    _send_append(state, identity, progress.next_index - 1, entries)
+    progress.next_index += len(entries)
+    progress.in_flight.append(progress.next_index - 1)
+    progress.sent_ms = state.now_ms
+
+
+def _send_append(state, identity, prev_index, entries):
+    # Numbers of members that left are of no use to a candidate.
+    table = [
+        messages.MemberIndex(member=member, index=index)
+        for member, index in state.acknowledged.items()
+        if member in state.members
+    ]
+    state.send(
+        identity,
+        messages.AppendRequest(
+            term=state.term,
+            leader=state.identity,
+            prev_index=prev_index,
+            prev_term=state.log.term_at(prev_index) or 0,
+            entries=entries,
+            commit_index=state.commit_index,
+            read_round=state.round,
+            acknowledged=table,
+        ),
+    )
+
+
+def _send_chunk(state, identity, progress):
+    snapshot = state.snapshot
+    offset = progress.snapshot_offset
+    progress.sent_ms = state.now_ms
+    state.send(
+        identity,
+        messages.SnapshotChunk(
+            term=state.term,
+            leader=state.identity,
+            last_index=snapshot.index,
+            last_term=snapshot.term,
+            offset=offset,
+            total=len(snapshot.blob),
+            data=snapshot.blob[offset : offset + SNAPSHOT_CHUNK_BYTES],
+            read_round=state.round,
+        ),
+    )
+
+
+def _note_contact(state, reply):
+    """Note a reply of the own term; return the member's progress, or None."""
+    if reply.term > state.term:
+        state.become_follower(reply.term)
+        return None
+    if state.role != raftstate.LEADER or reply.term < state.term:
+        return None
+    progress = state.progress.get(reply.member)
+    if progress is not None:
+        progress.ack_ms = state.now_ms
+        progress.read_round = max(progress.read_round, reply.read_round)
+    return progress
+
+
+def on_append_reply(state, reply):
+    """Advance or take back what a member holds."""
+    progress = _note_contact(state, reply)
+    if progress is None:
+        return
+    if reply.success:
+        _advance(state, reply.member, progress, reply.match_index)
+    elif elections.is_stale(state, reply.member, reply.conflict_index - 1):
+        state.send(
+            reply.member,
+            messages.StaleMember(
+                term=state.term,
+                member=reply.member,
+                acknowledged_index=state.acknowledged[reply.member],
+            ),
+        )
+    elif progress.snapshot_offset is None:
+        progress.in_flight.clear()
+        wanted = min(reply.conflict_index, progress.next_index)
+        progress.next_index = max(progress.match_index + 1, wanted)
+    confirm_reads(state)
+    replicate(state)
+
+
+def _advance(state, identity, progress, match_index):
+    progress.match_index = max(progress.match_index, match_index)
+    progress.next_index = max(progress.next_index, progress.match_index + 1)
+    while progress.in_flight and progress.in_flight[0] <= match_index:
+        progress.in_flight.popleft()
+    advance_commit(state)
+    state.raise_acknowledged(identity, min(progress.match_index, state.commit_index))
+
+
+def advance_commit(state):
+    """Commit what a quorum holds durably, counting only entries of the own term."""
+    if state.role != raftstate.LEADER:
+        return
+    matches = {i: progress.match_index for i, progress in state.progress.items()}
+    matches[state.identity] = state.durable_index
+    index = membership.quorum_value(state.members, matches)
+    if index > state.commit_index and state.log.term_at(index) == state.term:
+        state.commit_index = index
+        state.raise_acknowledged(
+            state.identity, min(state.durable_index, state.commit_index)
+        )
+        for identity, match_index in matches.items():
+            state.raise_acknowledged(identity, min(match_index, index))
+    if not state.is_gained and state.commit_index >= state.term_start_index:
+        state.is_gained = True
+        state.emit(raftstate.LeadershipGained(term=state.term))
+        confirm_reads(state)
+
+
+def on_snapshot_reply(state, reply):
+    """Send the next chunk, or go on with the log after the last one."""
+    progress = _note_contact(state, reply)
+    if progress is None:
+        return
+    confirm_reads(state)
+    if progress.snapshot_offset is None or reply.last_index != state.snapshot.index:
+        if progress.snapshot_offset is not None and not reply.done:
+            progress.snapshot_offset = 0  # A newer snapshot replaced the one sent.
+            _send_chunk(state, reply.member, progress)
+        return
+    if reply.done:
+        progress.snapshot_offset = None
+        progress.next_index = reply.last_index + 1
+        _advance(state, reply.member, progress, reply.last_index)
+        replicate(state)
+    elif reply.next_offset < len(state.snapshot.blob):
+        progress.snapshot_offset = reply.next_offset
+        _send_chunk(state, reply.member, progress)
+
+
+def has_quorum_contact(state):
+    """Tell whether a quorum acknowledged the leader lately."""
+    live = {state.identity}
+    for identity, progress in state.progress.items():
+        if state.now_ms - progress.ack_ms < raftstate.CHECK_QUORUM_MS:
+            live.add(identity)
+    return membership.is_quorum(state.members, live)
+
+
+def ask_read(state, read):
+    """Queue a read for the next heartbeat round, which begins after it arrived."""
+    if state.role != raftstate.LEADER:
+        state.emit(raftstate.ReadFailed(read=read))
+        return
+    state.reads.append((read, state.round + 1, state.commit_index))
+    if _confirmed_round(state) >= state.round:
+        _start_round(state)
+
+
+def _start_round(state):
+    state.round += 1
+    broadcast(state)
+    confirm_reads(state)
+
+
+def _confirmed_round(state):
+    rounds = {i: progress.read_round for i, progress in state.progress.items()}
+    rounds[state.identity] = state.round
+    return membership.quorum_value(state.members, rounds)
+
+
+def confirm_reads(state):
+    """Release the reads whose round a quorum acknowledged."""
+    # Before the first entry of its term is committed, a leader cannot know the
+    # newest committed entry.
+    if state.role != raftstate.LEADER or not state.is_gained:
+        return
+    confirmed = _confirmed_round(state)
+    while state.reads and state.reads[0][1] <= confirmed:
+        read, _, index = state.reads.popleft()
+        index = max(index, state.term_start_index)
+        state.emit(raftstate.ReadReady(read=read, index=index))
+    if state.reads and confirmed >= state.round:
+        _start_round(state)
+
+
+# The follower's side.
+
+
+def _accept_leader(state, message):
+    """Follow the sender of a message of a current term; return False if it is old."""
+    if message.term < state.term:
+        return False
+    if message.term > state.term or state.role != raftstate.FOLLOWER:
+        state.become_follower(message.term)
+    state.leader = message.leader
+    state.leader_contact_ms = state.now_ms
+    state.reset_election_timer()
+    return True
+
+
+def on_append_request(state, request):
+    """Append a leader's entries where they continue the log; see `messages`."""
+    reply = messages.AppendReply(
+        term=state.term, member=state.identity, read_round=request.read_round
+    )
+    if not _accept_leader(state, request):
+        reply.read_round = 0
+        state.send_durable(request.leader, reply)
+        return
+    reply.term = state.term
+    for item in request.acknowledged:
+        state.raise_acknowledged(item.member, item.index)
+    conflict_index = _conflict(state, request)
+    if conflict_index:
+        reply.conflict_index = conflict_index
+        _persist_acknowledged(state)
+        state.send_durable(request.leader, reply)
+        return
+    match_index = request.prev_index + len(request.entries)
+    _store(state, request.entries)
+    _persist_acknowledged(state)
+    state.commit_index = max(state.commit_index, min(request.commit_index, match_index))
+    reply.success = True
+    reply.match_index = match_index
+    if request.entries or state.durable_sequence >= state.sequence:
+        state.send_durable(request.leader, reply)
+        return
+    # A heartbeat must not wait for a slow disk, so it acknowledges what is durable.
+    reply.match_index = min(match_index, state.durable_index)
+    if _is_term_durable(state):
+        state.send(request.leader, reply)
+    else:
+        state.send_durable(request.leader, reply)
+
+
+def _is_term_durable(state):
+    return state.durable_term == state.term
+
+
+def _persist_acknowledged(state):
+    """Store the table when it says more than the own log can show after a restart."""
+    if not state.has_new_acknowledged:
+        return
+    if max(state.acknowledged.values(), default=0) > state.log.last_index:
+        state.persist()
+
+
+def _conflict(state, request):
+    """Return the index from which the leader shall resend, or 0 if all fits."""
+    if request.prev_index > state.log.last_index:
+        return state.log.last_index + 1
+    if request.prev_index <= state.log.base_index:
+        return 0
+    if state.log.term_at(request.prev_index) == request.prev_term:
+        return 0
+    first = state.log.first_index_of_term_at(request.prev_index)
+    return max(first, state.commit_index + 1)
+
+
+def _store(state, entries):
+    """Add the entries the log lacks, dropping those that contradict the leader."""
+    missing = []
+    truncate_from = 0
+    for entry in entries:
+        if missing or entry.index > state.log.last_index:
+            missing.append(entry)
+            continue
+        if entry.index <= state.log.base_index:
+            continue
+        if state.log.term_at(entry.index) == entry.term:
+            continue
+        if entry.index <= state.commit_index:
+            raise AssertionError(f"entry {entry.index} is committed and contradicted")
+        truncate_from = entry.index
+        state.log.truncate_from(entry.index)
+        state.forget_members_from(entry.index)
+        missing.append(entry)
+    if not missing:
+        return
+    state.log.append(missing)
+    for entry in missing:
+        if entry.kind == "members":
+            state.note_members(entry.index, membership.loads(entry.body))
+    state.persist(missing, truncate_from)
+
+
+def on_snapshot_chunk(state, chunk):
+    """Collect a snapshot in order and install it when it is whole."""
+    reply = messages.SnapshotReply(
+        term=state.term,
+        member=state.identity,
+        last_index=chunk.last_index,
+        read_round=chunk.read_round,
+    )
+    if not _accept_leader(state, chunk):
+        reply.read_round = 0
+        state.send_durable(chunk.leader, reply)
+        return
+    reply.term = state.term
+    if _holds(state, chunk):
+        state.commit_index = max(state.commit_index, chunk.last_index)
+        state.incoming = None
+        reply.done = True
+    elif chunk.total <= MAX_SNAPSHOT_BYTES:
+        incoming = state.incoming
+        key = (chunk.last_index, chunk.last_term)
+        if incoming is None or (incoming.index, incoming.term) != key:
+            incoming = state.incoming = raftstate.Incoming(*key)
+        if chunk.offset == len(incoming.data):
+            incoming.data += chunk.data
+        reply.next_offset = len(incoming.data)
+        if reply.next_offset >= chunk.total:
+            _install(state, incoming)
+            reply.done = True
+    state.send_durable(chunk.leader, reply)
+
+
+def _holds(state, chunk):
+    if chunk.last_index <= state.log.base_index:
+        return True
+    return state.log.term_at(chunk.last_index) == chunk.last_term
+
+
+def _install(state, incoming):
+    blob = bytes(incoming.data)
+    members, data = membership.unpack_snapshot(blob)
+    state.incoming = None
+    state.snapshot = raftstate.Snapshot(
+        index=incoming.index, term=incoming.term, blob=blob
+    )
+    state.log.reset(incoming.index, incoming.term)
+    state.commit_index = incoming.index
+    state.members_history = []
+    state.note_members(incoming.index, members)
+    state.install(data)
--- /dev/null
+++ b/sardinegauge/requests.py
@@ -0,0 +1,264 @@
+"""Requests that a replica answers: commands, reads, polls, heartbeats and joins."""
+
+import json
+import logging
+
+from sardinegauge import (
+    commands,
+    directing,
+    membership,
+    messages,
+    outcome,
+    raft,
+    raftstate,
+    record,
+    replica,
+)
+
+MAX_COMMAND_BYTES = 512 << 10
+# Entries of the leader that no quorum holds yet; more are refused as not run.
+MAX_UNCOMMITTED = 4096
+# Answers are sent as one frame; the rest is room for the other fields.
+MAX_ANSWER_BYTES = (1 << 20) - 4096
+_MALFORMED = (ValueError, TypeError, KeyError, AttributeError, RecursionError)
+
+log = logging.getLogger(__name__)
+
+
+class Read(record.Record):
+    """A request that waits for its read round and for entries up to `index`."""
+
+    __slots__ = ("index", "is_confirmed", "message", "token")
+    _defaults = {"index": 0, "is_confirmed": False}
+
+
+class Requests:
+    """Reads in progress by their number."""
+
+    def __init__(self):
+        self.reads = {}
+        self.confirmed = []
+        self.next_read = 1
+
+
+def _reply(state, token, message):
+    if token is not None:
+        state.emit(replica.Reply(token=token, message=message))
+
+
+def reply_ran(state, token, answer, index=0):
+    """Answer a command with its outcome."""
+    data = json.dumps(outcome.to_plain(answer)).encode()
+    if len(data) > MAX_ANSWER_BYTES:
+        data = b""
+    reply = messages.ProposeReply(
+        verdict=outcome.Verdict.RAN.value,
+        answer=data,
+        index=index,
+        leader=state.raft.leader_address,
+        reason="" if data else "the answer is too large for one message",
+    )
+    _reply(state, token, reply)
+
+
+def reply_not_run(state, token, reason):
+    """Tell that a command is in no log and will never be."""
+    reply = messages.ProposeReply(
+        verdict=outcome.Verdict.NOT_RUN.value,
+        leader=state.raft.leader_address,
+        reason=reason,
+    )
+    _reply(state, token, reply)
+
+
+# Commands.
+
+
+def on_propose(state, token, message):
+    """Put a command into the log, or answer why not."""
+    problem = _proposal_problem(state)
+    if problem:
+        reply_not_run(state, token, problem)
+        return
+    try:
+        command = _parse(message.command)
+    except _MALFORMED as error:
+        invalid = outcome.Invalid(problems=[["", f"malformed command: {error}"]])
+        reply_ran(state, token, invalid)
+        return
+    if isinstance(command, dict):
+        _change_member(state, token, command)
+    else:
+        replica.append_command(state, command, token)
+
+
+def _proposal_problem(state):
+    if state.raft.role != raftstate.LEADER:
+        return "not the leader"
+    if state.is_stopping:
+        return "the leader hands over"
+    if state.raft.log.last_index - state.raft.commit_index >= MAX_UNCOMMITTED:
+        return "too many commands wait for a quorum"
+    return ""
+
+
+def _parse(data):
+    """Return a command record, or the dict of a membership change."""
+    if len(data) > MAX_COMMAND_BYTES:
+        raise ValueError(f"{len(data)} bytes are over the limit {MAX_COMMAND_BYTES}")
+    plain = json.loads(data)
+    if not isinstance(plain, dict):
+        raise ValueError("not an object")
+    if plain.get("kind") == "ChangeMember":
+        return {"identity": str(plain["identity"]), "action": str(plain["action"])}
+    return commands.REGISTRY.from_tagged(plain)
+
+
+def _change_member(state, token, change):
+    known = state.raft.members.get(change["identity"])
+    if change["action"] == "promote" and known is not None and known.is_voter:
+        reply_ran(state, token, outcome.Accepted())
+        return
+    problem = raft.change_problem(state.raft, change["action"], change["identity"])
+    if problem:
+        is_final = change["action"] not in raft.MEMBER_ACTIONS or known is None
+        if is_final:
+            reply_ran(state, token, outcome.Invalid(problems=[["", problem]]))
+        else:
+            reply_not_run(state, token, problem)
+        return
+    replica.remember_proposal(state, None, token)
+    event = raft.MemberChangeAsked(now_ms=state.now_ms, **change)
+    replica.feed_raft(state, event)
+
+
+def on_join(state, token, message):
+    """Add a replica as learner and tell it whether it is a member."""
+    is_complete = message.identity and message.name and message.address
+    if state.raft.role == raftstate.LEADER and is_complete:
+        member = membership.Member(
+            identity=message.identity,
+            name=message.name,
+            address=message.address,
+            failure_domain=message.failure_domain,
+            is_voter=False,
+        )
+        replica.feed_raft(state, raft.JoinAsked(now_ms=state.now_ms, member=member))
+    reply = messages.JoinReply(
+        accepted=state.raft.role == raftstate.LEADER
+        and message.identity in state.raft.members,
+        leader=state.raft.leader_address,
+    )
+    _reply(state, token, reply)
+
+
+# Reads.
+
+
+def ask_read(state, token, message):
+    """Queue a request until a read round confirms the leadership."""
+    read = state.requests.next_read
+    state.requests.next_read += 1
+    state.requests.reads[read] = Read(message=message, token=token)
+    replica.feed_raft(state, raft.ReadAsked(now_ms=state.now_ms, read=read))
+
+
+def on_read_ready(state, read, index):
+    """Note that a read may be answered once `index` is applied."""
+    waiting = state.requests.reads.pop(read)
+    waiting.index = index
+    state.requests.confirmed.append(waiting)
+
+
+def on_read_failed(state, read):
+    """Refuse a read that this replica cannot confirm."""
+    _refuse_read(state, state.requests.reads.pop(read))
+
+
+def on_leadership_lost(state):
+    """Give every waiting request its answer."""
+    for proposal in state.proposals_by_index.values():
+        reply = messages.ProposeReply(
+            verdict=outcome.Verdict.MAY_HAVE_RUN.value,
+            leader=state.raft.leader_address,
+            reason="the leadership was lost before the command was committed",
+        )
+        _reply(state, proposal.token, reply)
+    state.proposals_by_index.clear()
+    confirmed, state.requests.confirmed = state.requests.confirmed, []
+    for read in confirmed:
+        _refuse_read(state, read)
+
+
+def _refuse_read(state, read):
+    leader = state.raft.leader_address
+    message = read.message
+    if isinstance(message, messages.Query):
+        reply = messages.QueryReply(
+            verdict=outcome.Verdict.NOT_RUN.value,
+            leader=leader,
+            reason="not the leader",
+        )
+    elif isinstance(message, messages.Poll):
+        reply = messages.PollReply(leader=leader, sequence=message.sequence)
+    else:
+        directing.on_read_failed(state, read)
+        return
+    _reply(state, read.token, reply)
+
+
+def answer_query(state, read):
+    """Answer a confirmed query."""
+    reply = messages.QueryReply(
+        verdict=outcome.Verdict.RAN.value, leader=state.raft.leader_address
+    )
+    try:
+        arguments = json.loads(read.message.arguments or b"{}")
+        answer = _query(state, read.message.kind, arguments)
+        reply.answer = json.dumps(answer).encode()
+        if len(reply.answer) > MAX_ANSWER_BYTES:
+            reply.answer = b""
+            reply.reason = "the answer is too large for one message"
+    except Exception as error:
+        # A read changes nothing, so any fault in it is the asker's to see.
+        log.info("query_failed kind=%s error=%r", read.message.kind, error)
+        reply.answer = b""
+        reply.reason = f"{type(error).__name__}: {error}"
+    _reply(state, read.token, reply)
+
+
+def _query(state, kind, arguments):
+    if kind == "members":
+        return replica.status(state)
+    if kind == "explain":
+        lines = state.parts.scheduler.explain(state.scheduler, arguments["id"])
+        return {"lines": lines}
+    return state.parts.queries.answer(state.machine, kind, arguments)
+
+
+def configuration_since(state, version):
+    """Return version and JSON of the configuration; no JSON if `version` is it."""
+    current = state.machine.configuration
+    if current.version <= version:
+        return current.version, b""
+    return current.version, json.dumps(current.document).encode()
+
+
+def answer_poll(state, read):
+    """Answer a confirmed poll with what is newer than it holds."""
+    poll = read.message
+    config_version, config = configuration_since(state, poll.config_version)
+    version, is_full, upstreams = state.parts.directory.changes(
+        state.machine, poll.directory_version
+    )
+    reply = messages.PollReply(
+        confirmed=True,
+        leader=state.raft.leader_address,
+        config_version=config_version,
+        config=config,
+        directory_version=version,
+        is_full_directory=is_full,
+        directory=upstreams,
+        sequence=poll.sequence,
+    )
+    _reply(state, read.token, reply)
--- /dev/null
+++ b/sardinegauge/stateapp.py
@@ -0,0 +1,431 @@
+"""Application of the state process: links, data folder, timers and the health page."""
+
+import asyncio
+import json
+import random
+import sys
+
+import typer
+from tornado import httpserver, web
+
+from sardinegauge import (
+    application,
+    background,
+    clock,
+    errors,
+    link,
+    logs,
+    messages,
+    raft,
+    raftstate,
+    replica,
+    settings,
+    statemetrics,
+    storage,
+    writer,
+)
+
+TICK_S = 0.02
+SCHEDULER_TICK_S = 0.1
+JOIN_INTERVAL_S = 0.5
+JOIN_TIMEOUT_S = 1.0
+# A member without a leader for this long asks whether it still is a member.
+LEADERLESS_MS = 3000
+HANDOVER_POLL_S = 0.02
+
+KNOWN_SETTINGS = [
+    settings.Setting(name="name", kind="text"),
+    settings.Setting(name="listen", kind="address"),
+    settings.Setting(name="advertise", kind="address", default=""),
+    settings.Setting(name="metrics_listen", kind="address", default=""),
+    settings.Setting(name="failure_domain", kind="text", default=""),
+    settings.Setting(
+        name="log_level",
+        kind="text",
+        default="info",
+        choices=("debug", "info", "warning", "error"),
+    ),
+    settings.Setting(name="drain_limit_s", kind="number", default=30.0, minimum=0),
+    settings.Setting(name="data_dir", kind="text"),
+    settings.Setting(name="peers", kind="addresses", default=[]),
+    settings.Setting(name="initial_members", kind="table", default={}),
+]
+
+
+def default_parts():
+    """Return the modules that a replica drives in production."""
+    from sardinegauge import directory, machine, queries, scheduler
+
+    return replica.Parts(
+        machine=machine, queries=queries, directory=directory, scheduler=scheduler
+    )
+
+
+class StateApplication(application.Application, link.Handler):
+    """One replica as a process.
+
+    Parameters
+    ----------
+    config : settings.Settings
+        Values of `KNOWN_SETTINGS`.
+    parts : replica.Parts
+        The modules to drive; tests pass their own.
+    """
+
+    def __init__(self, config, parts):
+        super().__init__(f"state-{config.name}")
+        self.config = config
+        self.parts = parts
+        self.address = config.advertise or config.listen
+        self.drain_limit_s = config.drain_limit_s
+        self.metrics = statemetrics.StateMetrics()
+        self.folder = None
+        self.writer = None
+        self.state = None
+        self.server = None
+        self.http = None
+        self.hello = None
+        self.writer_batch = writer.MAX_BATCH_WRITES
+        self._dialers_by_address = {}
+        self._links = set()
+        self._exchanges_by_token = {}
+        self._agent_links_by_upstream = {}
+        self._next_token = 1
+        self._generation = 0
+        self._loop = None
+
+    # Life cycle.
+
+    async def on_start(self):
+        """Open the data folder, then take links."""
+        self._loop = asyncio.get_running_loop()
+        self._open_replica()
+        self.server = link.LinkServer(self, self.hello)
+        host, port = link.split_address(self.config.listen)
+        self.server.listen(port, host)
+        self._listen_http()
+        self._match_dialers()
+        self.every(TICK_S, self._pass_time)
+        self.every(SCHEDULER_TICK_S, self._run_scheduler)
+        self.every(JOIN_INTERVAL_S, self._join)
+
+    def _open_replica(self):
+        self.folder, stored = storage.open_folder(
+            self.config.data_dir, self.config.name
+        )
+        self.log.info(
+            "data_folder_opened",
+            identity=self.folder.identity,
+            term=stored.term,
+            last_index=stored.log.last_index,
+            snapshot_index=stored.snapshot.index,
+        )
+        self.hello = messages.Hello(
+            role="state",
+            name=self.config.name,
+            identity=self.folder.identity,
+            address=self.address,
+            protocol=link.PROTOCOL,
+        )
+        self.state = replica.State(
+            self.folder.identity, self.address, stored, self.parts, clock.monotonic_ms()
+        )
+        self._generation += 1
+        self._start_writer()
+
+    def _start_writer(self):
+        generation = self._generation
+
+        def on_durable(sequence):
+            self._loop.call_soon_threadsafe(self._on_durable, generation, sequence)
+
+        def on_failed(error):
+            self._loop.call_soon_threadsafe(self._on_write_failed, error)
+
+        self.writer = writer.Writer(
+            self.folder, on_durable, on_failed, self.writer_batch
+        )
+        self.writer.start()
+
+    def _listen_http(self):
+        if not self.config.metrics_listen:
+            return
+        host, port = link.split_address(self.config.metrics_listen)
+        self.http = httpserver.HTTPServer(
+            web.Application(
+                [
+                    ("/metrics", MetricsPage, {"app": self}),
+                    ("/health", HealthPage, {"app": self}),
+                ],
+                log_function=lambda handler: None,
+            )
+        )
+        self.http.listen(port, host)
+
+    async def on_drain(self):
+        """Hand the leadership over, so that no election timeout passes."""
+        while self.state.raft.role == raftstate.LEADER:
+            self._feed(replica.StopAsked(now_ms=clock.monotonic_ms()))
+            if len(self.state.raft.members) < 2:
+                break
+            await asyncio.sleep(HANDOVER_POLL_S)
+
+    async def on_stop(self):
+        """Close links, finish the writes and close the files."""
+        if self.http is not None:
+            self.http.stop()
+        for dialer in self._dialers_by_address.values():
+            dialer.stop()
+        if self.server is not None:
+            self.server.close_links()
+        if self.writer is not None:
+            self.writer.stop()
+        if self.folder is not None:
+            self.folder.close()
+
+    # Events.
+
+    def _feed(self, event):
+        for effect in replica.reduce(self.state, event):
+            _EXECUTE[type(effect)](self, effect)
+
+    def _pass_time(self, now_ms):
+        self._feed(raft.Tick(now_ms=now_ms, jitter=random.random()))
+
+    def _run_scheduler(self, now_ms):
+        self._feed(replica.SchedulerTick(now_ms=now_ms, wall_ms=clock.wall_ms()))
+        self.metrics.update(self.state, self.writer)
+
+    def _on_durable(self, generation, sequence):
+        # A writer of an abandoned identity may report after its end.
+        if generation == self._generation:
+            now_ms = clock.monotonic_ms()
+            self._feed(raft.Persisted(now_ms=now_ms, sequence=sequence))
+
+    def _on_write_failed(self, error):
+        self.log.error("write_failed", error=str(error))
+        self.fail(errors.UserError(f"{self.config.data_dir}: {error}"))
+
+    def on_open(self, link):
+        """Keep links of replicas to reach their identities."""
+        if link.peer.role == "state":
+            self._links.add(link)
+
+    def on_close(self, link):
+        """Forget a closed link."""
+        self._links.discard(link)
+
+    def on_message(self, link, message):
+        """Feed the messages of other replicas."""
+        if type(message) not in raft.RECEIVED:
+            self.log.warning("unexpected_message", kind=type(message).__name__)
+            return
+        self._feed(raft.Received(now_ms=clock.monotonic_ms(), message=message))
+
+    def on_exchange(self, exchange, message):
+        """Feed a request; its reply comes back as an effect with the token."""
+        token = self._next_token
+        self._next_token += 1
+        self._exchanges_by_token[token] = exchange
+        if isinstance(message, messages.Heartbeat):
+            agent = (message.incarnation, exchange.link)
+            self._agent_links_by_upstream[message.upstream] = agent
+        self._feed(
+            replica.Asked(
+                now_ms=clock.monotonic_ms(),
+                wall_ms=clock.wall_ms(),
+                token=token,
+                message=message,
+            )
+        )
+
+    # Effects.
+
+    def _send(self, effect):
+        for candidate in self._links:
+            if candidate.peer.identity == effect.member and candidate.is_open:
+                try:
+                    candidate.send(effect.message)
+                except errors.LinkClosedError:
+                    continue
+                return
+
+    def _write(self, effect):
+        self.writer.put(effect)
+
+    def _reply(self, effect):
+        exchange = self._exchanges_by_token.pop(effect.token)
+        try:
+            exchange.send(effect.message)
+        except errors.LinkClosedError:
+            pass  # The asker sees the closed link and asks elsewhere.
+        exchange.close()
+
+    def _push(self, effect):
+        incarnation, agent_link = self._agent_links_by_upstream[effect.upstream]
+        if incarnation != effect.incarnation or not agent_link.is_open:
+            return
+        try:
+            agent_link.send(effect.message)
+        except errors.LinkClosedError:
+            pass  # The agent's next heartbeat brings the same table.
+
+    def _apply_more(self, effect):
+        self._loop.call_soon(
+            lambda: self._feed(replica.ApplyNext(now_ms=clock.monotonic_ms()))
+        )
+
+    def _match_dialers(self, effect=None):
+        """Keep one dialer to each peer of the settings and to each member."""
+        wanted = set(self.config.peers)
+        wanted |= {member.address for member in self.state.raft.members.values()}
+        wanted -= {self.address, self.config.listen}
+        for address in wanted - self._dialers_by_address.keys():
+            dialer = link.Dialer(address, self, self.hello)
+            self._dialers_by_address[address] = dialer
+            dialer.start()
+        for address in self._dialers_by_address.keys() - wanted:
+            self._dialers_by_address.pop(address).stop()
+
+    # Joining.
+
+    async def _join(self, now_ms):
+        """Ask the leader for membership while there is none, as far as known here."""
+        state = self.state.raft
+        is_lost = now_ms - state.leader_contact_ms > LEADERLESS_MS
+        if state.role == raftstate.LEADER:
+            return
+        if state.identity in state.members and not is_lost:
+            known = state.members[state.identity]
+            if known.address == self.address:
+                return
+        request = messages.JoinRequest(
+            identity=state.identity,
+            name=self.config.name,
+            address=self.address,
+            failure_domain=self.config.failure_domain,
+        )
+        for dialer in list(self._dialers_by_address.values()):
+            if dialer.is_open:
+                background.spawn(self._ask_join(dialer.link, request))
+
+    async def _ask_join(self, peer, request):
+        try:
+            reply = await peer.request(request, JOIN_TIMEOUT_S)
+        except (errors.LinkClosedError, TimeoutError):
+            return
+        self.log.info("join_answered", accepted=reply.accepted, leader=reply.leader)
+
+    def _rejoin(self, effect):
+        """Set the outdated state aside and begin with a new identity."""
+        self.log.error(
+            "data_folder_outdated",
+            identity=self.folder.identity,
+            acknowledged_index=effect.acknowledged_index,
+            last_index=self.state.raft.log.last_index,
+        )
+        self.writer.stop()
+        self.folder.set_aside()
+        self.folder.close()
+        self._open_replica()
+        self._restart_links()
+
+    def _restart_links(self):
+        """Connect again, since a link's hello names the old identity."""
+        self.server.hello = self.hello
+        for open_link in list(self.server.links):
+            open_link.close()
+        for dialer in self._dialers_by_address.values():
+            dialer.stop()
+        self._dialers_by_address.clear()
+        self._match_dialers()
+
+
+class _Page(web.RequestHandler):
+    def initialize(self, app):
+        self.app = app
+
+
+class MetricsPage(_Page):
+    """The metrics in the text format."""
+
+    def get(self):
+        """Write the page."""
+        self.set_header("Content-Type", statemetrics.CONTENT_TYPE)
+        self.write(self.app.metrics.page())
+
+
+class HealthPage(_Page):
+    """The replica's status as JSON; 503 while it knows no leader."""
+
+    def get(self):
+        """Write the status."""
+        status = replica.status(self.app.state)
+        if not status["leader"]:
+            self.set_status(503)
+        self.set_header("Content-Type", "application/json")
+        self.write(json.dumps(status))
+
+
+_EXECUTE = {
+    raftstate.Send: StateApplication._send,
+    raftstate.Persist: StateApplication._write,
+    raftstate.InstallSnapshot: StateApplication._write,
+    raftstate.SaveSnapshot: StateApplication._write,
+    raftstate.MembersChanged: StateApplication._match_dialers,
+    raftstate.Rejoin: StateApplication._rejoin,
+    replica.Reply: StateApplication._reply,
+    replica.Push: StateApplication._push,
+    replica.ApplyMore: StateApplication._apply_more,
+}
+
+commands_line = typer.Typer(add_completion=False)
+
+
+def _load_settings(path):
+    try:
+        return settings.load(path, KNOWN_SETTINGS)
+    except errors.UserError as error:
+        _fail(error)
+
+
+def _fail(error):
+    print(f"sardinegauge-state: {error}", file=sys.stderr)
+    raise typer.Exit(error.exit_status)
+
+
+@commands_line.callback(invoke_without_command=True)
+def run(
+    context: typer.Context,
+    settings_file: str = typer.Option("", "--settings", help="Settings file."),
+):
+    """Run one replica of the state."""
+    if context.invoked_subcommand is not None:
+        return
+    if not settings_file:
+        _fail(errors.SettingsError("--settings", ["the option is missing"]))
+    config = _load_settings(settings_file)
+    logs.configure(config.log_level)
+    raise typer.Exit(StateApplication(config, default_parts()).run())
+
+
+@commands_line.command()
+def init(settings_file: str = typer.Option(..., "--settings", help="Settings file.")):
+    """Create the data folder of one initial member of a new group."""
+    config = _load_settings(settings_file)
+    if config.name not in config.initial_members:
+        problem = f"initial_members: {config.name} is not among them"
+        _fail(errors.SettingsError(settings_file, [problem]))
+    try:
+        storage.init_folder(config.data_dir, config.name, config.initial_members)
+    except errors.UserError as error:
+        _fail(error)
+
+
+def main():
+    """Run the command line."""
+    commands_line()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/sardinegauge/statemetrics.py
@@ -0,0 +1,41 @@
+"""Metrics of the state process."""
+
+from sardinegauge import metrics, raftstate
+
+CONTENT_TYPE = metrics.CONTENT_TYPE
+
+
+class StateMetrics:
+    """Gauges of one replica, filled from its state before the page is read."""
+
+    def __init__(self):
+        self._metrics = metrics.Metrics()
+        gauge = self._metrics.gauge
+        self._is_leader = gauge("state_is_leader", "1 while this replica leads.")
+        self._term = gauge("state_term", "Current term.")
+        self._last = gauge("state_last_index", "Last index of the log.")
+        self._commit = gauge("state_commit_index", "Committed index.")
+        self._applied = gauge("state_applied_index", "Applied index.")
+        self._snapshot = gauge("state_snapshot_index", "Index of the last snapshot.")
+        self._members = gauge("state_members", "Members of the group.", ("kind",))
+        self._syncs = gauge("state_log_syncs", "Log syncs since the start.")
+        self._writes = gauge("state_log_writes", "Log writes since the start.")
+
+    def update(self, state, writer):
+        """Take the values of a replica's state and of its writer."""
+        agreement = state.raft
+        self._is_leader.set(agreement.role == raftstate.LEADER)
+        self._term.set(agreement.term)
+        self._last.set(agreement.log.last_index)
+        self._commit.set(agreement.commit_index)
+        self._applied.set(state.applied_index)
+        self._snapshot.set(agreement.snapshot.index)
+        voters = sum(member.is_voter for member in agreement.members.values())
+        self._members.labels("voter").set(voters)
+        self._members.labels("learner").set(len(agreement.members) - voters)
+        self._syncs.set(writer.syncs)
+        self._writes.set(writer.writes)
+
+    def page(self):
+        """Return the metrics page as bytes."""
+        return self._metrics.page()
--- a/sardinegauge/wire.capnp
+++ b/sardinegauge/wire.capnp
@@ -35,6 +35,7 @@
     refusal @27 :Refusal;
     keyQuery @28 :KeyQuery;
     keyReply @29 :KeyReply;
+    timeoutNow @30 :TimeoutNow;
   }
 }
 
@@ -124,6 +125,11 @@
   acknowledgedIndex @2 :UInt64;
 }
 
+struct TimeoutNow {
+  term @0 :UInt64;
+  leader @1 :Text;
+}
+
 struct JoinRequest {
   identity @0 :Text;
   name @1 :Text;
