Add the entry process, first working version

Cause: callers' HTTP requests had no way to an agent.

Change: the pure reducer (entry, entrystate, entryattempts, entryclaims) with its events and effects as data, the balancer with two random choices by load and two baselines, the table of upstreams, the retry budget, the limits, and the tornado application that streams bodies through links to agents. link.Link gets the read-only property exchange_count, so that a link to a leaving agent closes only when it is idle.

Verdicts, claims, limits and drain are written but not yet tested.

--- /dev/null
+++ b/sardinegauge/agentlinks.py
@@ -0,0 +1,130 @@
+"""Links of an entry to the agents of all upstreams."""
+
+import asyncio
+
+from tornado import iostream
+
+from sardinegauge import errors, link
+
+
+class _AgentHandler(link.Handler):
+    """Reports the links of one dialer."""
+
+    def __init__(self, links, name):
+        self.links = links
+        self.name = name
+
+    def on_open(self, link):
+        self.links.opened(self, link)
+
+    def on_close(self, link):
+        self.links.closed(self)
+
+    def on_message(self, link, message):
+        pass
+
+    def on_exchange(self, exchange, message):
+        exchange.close()
+
+
+class _Peer:
+    """One dialer with its handler and the lock of its body chunks."""
+
+    __slots__ = ("chunk_lock", "dialer", "handler")
+
+    def __init__(self, dialer, handler):
+        self.dialer = dialer
+        self.handler = handler
+        self.chunk_lock = asyncio.Lock()
+
+
+class AgentLinks:
+    """Dials the agents that the reducer names.
+
+    Parameters
+    ----------
+    hello : messages.Hello
+        Sent on each link.
+    on_open, on_close : callable
+        Called with the upstream's name, `on_open` also with the agent's incarnation.
+    """
+
+    def __init__(self, hello, on_open, on_close):
+        self.hello = hello
+        self._on_open = on_open
+        self._on_close = on_close
+        self._peers = {}
+        self._leaving = []
+
+    def dial(self, name, address):
+        """Keep a link to an agent, in place of one to its former address."""
+        self.hang_up(name)
+        handler = _AgentHandler(self, name)
+        dialer = link.Dialer(address, handler, self.hello)
+        self._peers[name] = _Peer(dialer, handler)
+        dialer.start()
+
+    def hang_up(self, name):
+        """Close the link to an agent once its open exchanges have ended."""
+        peer = self._peers.pop(name, None)
+        if peer is not None:
+            self._leaving.append(peer)
+            self._on_close(name)
+            self.sweep()
+
+    def sweep(self):
+        """Close the links of leaving agents that have no open exchange."""
+        for peer in list(self._leaving):
+            if not peer.dialer.is_open or not peer.dialer.link.exchange_count:
+                peer.dialer.stop()
+                self._leaving.remove(peer)
+
+    def opened(self, handler, opened_link):
+        """Report a link, unless its agent was hung up meanwhile."""
+        if self._is_current(handler):
+            self._on_open(handler.name, opened_link.peer.identity)
+
+    def closed(self, handler):
+        """Report the end of a link, unless its agent was hung up meanwhile."""
+        if self._is_current(handler):
+            self._on_close(handler.name)
+        else:
+            self.sweep()
+
+    def _is_current(self, handler):
+        peer = self._peers.get(handler.name)
+        return peer is not None and peer.handler is handler
+
+    def open_exchange(self, name, message):
+        """Open an exchange with an agent; see `link.Link.open_exchange`.
+
+        Returns
+        -------
+        tuple of (link.Exchange, asyncio.Lock)
+            The exchange, and the lock to hold while a body chunk is sent. Without
+            it, the bodies of many requests could overrun the send buffer of a link.
+        """
+        peer = self._peers.get(name)
+        if peer is None or not peer.dialer.is_open:
+            raise errors.LinkClosedError(f"no link to {name}")
+        return peer.dialer.link.open_exchange(message), peer.chunk_lock
+
+    def stop(self):
+        """Close all links."""
+        for peer in (*self._peers.values(), *self._leaving):
+            peer.dialer.stop()
+
+
+async def send_chunk(exchange, lock, message):
+    """Send a message and wait until the socket took it.
+
+    Raises
+    ------
+    LinkClosedError
+        If the link closes first.
+    """
+    try:
+        async with lock:
+            await exchange.send(message)
+    except iostream.StreamClosedError as error:
+        raise errors.LinkClosedError(str(error)) from error
--- /dev/null
+++ b/sardinegauge/entry.py
@@ -0,0 +1,271 @@
+"""Pure reducer of the entry: evidence, choice of upstream, attempts and verdicts.
+
+`reduce(state, event)` returns a list of effects. Each request ends with exactly one of
+`Answer`, `Replay`, `Complete`, `Cut` and `Forget`. A request whose caller is gone may
+stay in the table until its attempt or its claim is resolved.
+"""
+
+import json
+
+from sardinegauge import (
+    entryattempts,
+    entryclaims,
+    entryevents,
+    entrystate,
+    limits,
+    outcome,
+    retrybudget,
+    upstreamtable,
+)
+
+State = entrystate.State
+
+# A deadline that passed sooner says little about the upstream: the caller chose it.
+MIN_TIMEOUT_FAILURE_MS = 1_000
+
+
+def reduce(state, event):
+    """Apply an event to the state; return the list of effects."""
+    if not isinstance(event, entryevents.RequestEvent):
+        return _ON_PROCESS_EVENT[type(event)](state, event)
+    if isinstance(event, entryevents.Arrived):
+        return _arrived(state, event)
+    request = state.requests.get(event.number)
+    if request is None:
+        return []
+    return _ON_REQUEST_EVENT[type(event)](state, request, event)
+
+
+def _poll_answered(state, event):
+    reply = event.reply
+    if not reply.confirmed or reply.config_version < state.config_version:
+        return []
+    if reply.directory_version < state.upstreams.version:
+        return []
+    if reply.config_version > state.config_version:
+        if not reply.config:
+            return []
+        state.config_version = reply.config_version
+        state.configuration = json.loads(reply.config)
+        state.limits.configure(state.configuration.get("tenants") or {})
+    effects = []
+    if reply.is_full_directory or reply.directory_version > state.upstreams.version:
+        dialled, dropped = state.upstreams.apply(
+            reply.directory_version, reply.is_full_directory, reply.directory
+        )
+        effects += [entryevents.HangUp(upstream=name) for name in dropped]
+        effects += [
+            entryevents.Dial(
+                upstream=name, address=state.upstreams.by_name[name].address
+            )
+            for name in dialled
+        ]
+    state.confirmed_until_ms = max(
+        state.confirmed_until_ms, event.sent_ms + entrystate.EVIDENCE_MS
+    )
+    return effects
+
+
+def _link_opened(state, event):
+    upstream = state.upstreams.by_name.get(event.upstream)
+    if upstream is not None:
+        upstream.linked_incarnation = event.incarnation
+    return []
+
+
+def _link_closed(state, event):
+    upstream = state.upstreams.by_name.get(event.upstream)
+    if upstream is not None:
+        upstream.linked_incarnation = ""
+    return []
+
+
+def _drain_began(state, event):
+    state.is_draining = True
+    return []
+
+
+def _arrived(state, event):
+    call = event.call
+    request = entrystate.Request(event.number, call)
+    if not state.is_ready(event.now_ms):
+        reason = "no confirmed configuration"
+        if state.is_draining:
+            reason = "the entry is leaving"
+        return [_refusal(request, 503, reason)]
+    admission = state.limits.admit(event.now_ms, call.tenant, event.number)
+    if isinstance(admission, limits.Refused):
+        return [
+            _refusal(
+                request, admission.status, admission.reason, admission.retry_after_ms
+            )
+        ]
+    state.budget.count_request(event.now_ms)
+    state.requests[event.number] = request
+    request.is_admitted = admission
+    if admission:
+        return []
+    request.stage = entrystate.QUEUED
+    return [entrystate.wait(request, limits.MAX_QUEUE_WAIT_MS)]
+
+
+def _refusal(request, status, reason, retry_after_ms=entrystate.RETRY_AFTER_MS):
+    return entryevents.Answer(
+        number=request.number,
+        status=status,
+        verdict=outcome.Verdict.NOT_RUN,
+        reason=reason,
+        retry_after_ms=retry_after_ms,
+    )
+
+
+def _body_ready(state, request, event):
+    request.is_body_ready = True
+    request.digest = event.digest
+    if not request.is_admitted:
+        return []
+    return entryattempts.start(state, request, event.now_ms, event.seed)
+
+
+def _attempt_failed(state, request, event):
+    if event.attempt != request.attempt or request.stage not in (
+        entrystate.SENT,
+        entrystate.RESPONDING,
+    ):
+        return []
+    _judge_upstream(request.upstream, event)
+    if request.stage == entrystate.RESPONDING:
+        return _end(state, request, entryevents.Cut, reason=event.reason)
+    entrystate.leave_upstream(request)
+    if event.verdict is not outcome.Verdict.NOT_RUN:
+        request.worst = event.verdict
+    elif request.claim_index:
+        return entryclaims.not_run(state, request, event)
+    if request.is_answered:
+        return entrystate.drop(state, request)
+    if not entryattempts.may_retry(state, request, event):
+        return entryattempts.fail(state, request, event)
+    request.stage = entrystate.BACKOFF
+    delay_ms = retrybudget.backoff_ms(request.retries, event.seed)
+    return [entrystate.wait(request, delay_ms)]
+
+
+def _judge_upstream(upstream, event):
+    if event.is_refusal:
+        upstream.report(event.in_flight, event.now_ms)
+        if event.is_draining:
+            upstream.leaving_until_ms = event.now_ms + upstreamtable.LEAVING_MS
+    elif event.verdict is not outcome.Verdict.NOT_RUN:
+        upstream.fail(event.now_ms)
+
+
+def _end(state, request, final, **fields):
+    """End a request whose response has begun."""
+    effects = []
+    if not request.is_answered:
+        request.is_answered = True
+        effects.append(final(number=request.number, **fields))
+    return effects + entrystate.drop(state, request)
+
+
+def _head_received(state, request, event):
+    if event.attempt != request.attempt or request.stage != entrystate.SENT:
+        return []
+    request.stage = entrystate.RESPONDING
+    request.upstream.report(event.in_flight + event.queued, event.now_ms)
+    if event.status >= 500:
+        request.upstream.fail(event.now_ms)
+    else:
+        request.upstream.succeed()
+    if request.is_answered:
+        return []
+    return [entryevents.Forward(number=request.number, attempt=request.attempt)]
+
+
+def _attempt_finished(state, request, event):
+    if event.attempt != request.attempt or request.stage != entrystate.RESPONDING:
+        return []
+    effects = entryclaims.settle(request, request.claim_index, event.response)
+    return _end(state, request, entryevents.Complete) + effects
+
+
+def _wait_passed(state, request, event):
+    if event.token != request.token:
+        return []
+    if request.stage == entrystate.QUEUED:
+        reason = "the tenant is at its limit of concurrent requests"
+        return entrystate.give_up(
+            state, request, reason, 429, retry_after_ms=entrystate.RETRY_AFTER_MS
+        )
+    if request.stage == entrystate.BACKOFF:
+        return entryattempts.start(state, request, event.now_ms, event.seed)
+    return entryclaims.wait_passed(state, request)
+
+
+def _deadline_passed(state, request, event):
+    if request.stage == entrystate.RESPONDING and not request.is_answered:
+        return []  # The deadline bounds the time to the head of the response.
+    if request.stage == entrystate.SENT or request.stage == entrystate.RESPONDING:
+        if event.now_ms - request.sent_at_ms >= MIN_TIMEOUT_FAILURE_MS:
+            request.upstream.fail(event.now_ms)
+        if request.worst is outcome.Verdict.NOT_RUN:
+            request.worst = outcome.Verdict.MAY_HAVE_RUN
+        return [_cancel(request, "deadline passed")] + entrystate.give_up(
+            state, request, "no response within the deadline"
+        )
+    if request.stage == entrystate.RECEIVING:
+        return entrystate.give_up(
+            state, request, "body not received within the deadline", 408
+        )
+    if request.stage in (
+        entrystate.CLAIMING,
+        entrystate.QUERYING,
+        entrystate.RELEASING,
+    ):
+        return entryclaims.deadline_passed(state, request)
+    return entrystate.give_up(state, request, "not sent within the deadline")
+
+
+def _cancel(request, reason):
+    return entryevents.Cancel(
+        number=request.number, attempt=request.attempt, reason=reason
+    )
+
+
+def _caller_gone(state, request, event):
+    """Cancel what is safe to cancel.
+
+    A non-idempotent request that is under way runs to its end, so that its response
+    settles the claim and a resend gets it.
+    """
+    if request.is_answered:
+        return []
+    request.is_answered = True
+    effects = [entryevents.Forget(number=request.number)]
+    if request.stage in (entrystate.SENT, entrystate.RESPONDING):
+        if not request.call.is_idempotent and not event.is_body_cut:
+            return effects
+        effects.append(_cancel(request, "caller gone"))
+    elif request.stage == entrystate.CLAIMING:
+        return effects
+    return effects + entrystate.drop(state, request)
+
+
+_ON_PROCESS_EVENT = {
+    entryevents.PollAnswered: _poll_answered,
+    entryevents.LinkOpened: _link_opened,
+    entryevents.LinkClosed: _link_closed,
+    entryevents.DrainBegan: _drain_began,
+}
+_ON_REQUEST_EVENT = {
+    entryevents.BodyReady: _body_ready,
+    entryevents.AttemptFailed: _attempt_failed,
+    entryevents.HeadReceived: _head_received,
+    entryevents.AttemptFinished: _attempt_finished,
+    entryevents.WaitPassed: _wait_passed,
+    entryevents.DeadlinePassed: _deadline_passed,
+    entryevents.CallerGone: _caller_gone,
+    entryevents.ClaimAnswered: entryclaims.claim_answered,
+    entryevents.ClaimReleased: entryclaims.claim_released,
+    entryevents.KeyAnswered: entryclaims.key_answered,
+}
--- /dev/null
+++ b/sardinegauge/entryattempts.py
@@ -0,0 +1,81 @@
+"""Part of the entry's reducer: attempts, and whether another one is made."""
+
+from sardinegauge import entryevents, entrystate, outcome
+
+MAX_ATTEMPTS = 4
+
+
+def start(state, request, now_ms, seed):
+    """Choose an upstream, then send the request there or claim its key first."""
+    if not state.is_confirmed(now_ms):
+        return entrystate.give_up(state, request, "no confirmed configuration")
+    candidates = state.upstreams.candidates(request.call.service, now_ms, request.tried)
+    if not candidates:
+        return entrystate.give_up(
+            state, request, f"no upstream serves {request.call.service}"
+        )
+    upstream = state.balancer.choose(candidates, seed, now_ms)
+    upstream.own += 1
+    request.upstream = upstream
+    request.incarnation = upstream.incarnation
+    if request.call.key:
+        return claim(request)
+    return send(request, now_ms)
+
+
+def send(request, now_ms):
+    """Send the request to its upstream as a new attempt."""
+    request.attempt += 1
+    request.stage = entrystate.SENT
+    request.sent_at_ms = now_ms
+    request.tried.append(request.upstream.name)
+    return [
+        entryevents.Send(
+            number=request.number,
+            attempt=request.attempt,
+            upstream=request.upstream.name,
+            incarnation=request.incarnation,
+            deadline_ms=max(1, request.call.deadline_ms - now_ms),
+            claim_index=request.claim_index,
+        )
+    ]
+
+
+def claim(request):
+    """Propose a claim for the chosen upstream."""
+    request.stage = entrystate.CLAIMING
+    return [
+        entryevents.MakeClaim(
+            number=request.number,
+            tenant=request.call.tenant,
+            key=request.call.key,
+            digest=request.digest,
+            upstream=request.upstream.name,
+            incarnation=request.incarnation,
+            token=request.call.token,
+        )
+    ]
+
+
+def may_retry(state, request, event):
+    """Tell whether another attempt is safe and affordable; take it if so."""
+    is_safe = event.verdict.may_retry(request.call.is_idempotent)
+    if not is_safe or event.is_body_sent or request.attempt >= MAX_ATTEMPTS:
+        return False
+    if event.now_ms >= request.call.deadline_ms:
+        return False
+    if not state.budget.take(event.now_ms):
+        return False
+    request.retries += 1
+    return True
+
+
+def fail(state, request, event):
+    """Give up after a failed attempt."""
+    status = 502 if request.worst is outcome.Verdict.RAN else None
+    retry_after_ms = event.retry_after_ms or None
+    if request.worst is not outcome.Verdict.NOT_RUN:
+        retry_after_ms = 0
+    return entrystate.give_up(
+        state, request, event.reason, status, retry_after_ms=retry_after_ms
+    )
--- a/sardinegauge/link.py
+++ b/sardinegauge/link.py
@@ -136,6 +136,11 @@
         """Tell whether messages can be sent."""
         return self._is_open and not self.stream.closed()
 
+    @property
+    def exchange_count(self):
+        """Number of exchanges that this side opened and has not closed."""
+        return len(self._outbound_by_correlation)
+
     async def run(self):
         """Exchange hellos, then read frames until the link closes."""
         self.stream.set_nodelay(True)
