Split the entry's application and close gaps in claims

Change: requestfront holds callers, attempts and effects; requesthead checks heads. A release is proposed again until it is answered, a query names the incarnation that was claimed, and an open claim counts as this call's own only for the same upstream and incarnation. Stalled callers get 408 and count against no upstream.

--- a/sardinegauge/agentlinks.py
+++ b/sardinegauge/agentlinks.py
@@ -95,18 +95,25 @@
         peer = self._peers.get(handler.name)
         return peer is not None and peer.handler is handler
 
-    def open_exchange(self, name, message):
-        """Open an exchange with an agent; see `link.Link.open_exchange`.
+    def open_exchange(self, name, incarnation, message):
+        """Open an exchange with an incarnation of an agent.
 
         Returns
         -------
         tuple of (link.Exchange, asyncio.Lock)
             The exchange, and the lock to hold while a body chunk is sent. Without
             it, the bodies of many requests could overrun the send buffer of a link.
+
+        Raises
+        ------
+        LinkClosedError
+            If there is no such link; the message was not sent.
         """
         peer = self._peers.get(name)
         if peer is None or not peer.dialer.is_open:
             raise errors.LinkClosedError(f"no link to {name}")
+        if peer.dialer.link.peer.identity != incarnation:
+            raise errors.LinkClosedError(f"{name} has another incarnation")
         return peer.dialer.link.open_exchange(message), peer.chunk_lock
 
     def stop(self):
--- a/sardinegauge/callerhttp.py
+++ b/sardinegauge/callerhttp.py
@@ -1,189 +1,22 @@
 """HTTP side of one caller's request: checks the head, takes the body, answers."""
 
+import asyncio
 import http
 import json
 import math
-import re
 import socket
 import struct
 
 from tornado import httputil
 
-from sardinegauge import messages, outcome, requestbody
+from sardinegauge import outcome, requestbody, requesthead
 
-# Within the limit of the HTTP server, which closes the connection without an answer.
-MAX_HEADER_BYTES = 16 * 1024
-MAX_PATH_BYTES = 8 * 1024
 MAX_BUFFERED_BODY_BYTES = 256 * 1024
-MAX_BODY_BYTES = 1 << 30
-MAX_DEADLINE_MS = 600_000
-DEFAULT_DEADLINE_MS = 10_000
-DEFAULT_TENANT = "default"
 # Bytes of an unwanted body that are taken after an early answer. Closing at once would
 # reset the connection and could destroy the answer on its way.
 MAX_DISCARDED_BYTES = 1 << 20
 DISCARD_LIMIT_S = 1.0
 
-_IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
-_METHODS = _IDEMPOTENT_METHODS | {"POST", "PATCH"}
-_HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "expect",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
-_PRINTABLE = re.compile(r"[\x21-\x7e]{1,255}")
-_FLAGS = {"true": True, "1": True, "false": False, "0": False}
-
-
-class BadRequestError(Exception):
-    """The head of a request is malformed or over a limit."""
-
-    def __init__(self, status, reason):
-        self.status = status
-        super().__init__(reason)
-
-
-class Head:
-    """The checked head of a request.
-
-    `headers` holds the end-to-end headers as `messages.Header` records.
-    """
-
-    __slots__ = (
-        "content_length",
-        "deadline_ms",
-        "has_body",
-        "headers",
-        "is_idempotent",
-        "key",
-        "method",
-        "path",
-        "request_id",
-        "service",
-        "tenant",
-    )
-
-
-def parse_head(start_line, headers):
-    """Check the head of a request.
-
-    Parameters
-    ----------
-    start_line : tornado.httputil.RequestStartLine
-        Method, path and version.
-    headers : tornado.httputil.HTTPHeaders
-        All headers.
-
-    Returns
-    -------
-    Head
-
-    Raises
-    ------
-    BadRequestError
-        With the status and what is wrong.
-    """
-    head = Head()
-    head.method = start_line.method
-    head.path = start_line.path
-    if len(head.path) > MAX_PATH_BYTES:
-        raise BadRequestError(414, f"the path is over {MAX_PATH_BYTES} bytes")
-    pairs = list(headers.get_all())
-    if sum(len(name) + len(value) + 4 for name, value in pairs) > MAX_HEADER_BYTES:
-        raise BadRequestError(431, f"the headers are over {MAX_HEADER_BYTES} bytes")
-    if head.method not in _METHODS:
-        raise BadRequestError(405, "the method is not supported")
-    head.service = _service_of(head.path)
-    head.tenant = _text(headers, "Sardinegauge-Tenant", _NAME, DEFAULT_TENANT)
-    head.request_id = _text(headers, "Sardinegauge-Request-Id", _PRINTABLE, "")
-    head.deadline_ms = _deadline(headers)
-    head.is_idempotent = _is_idempotent(head.method, headers)
-    head.key = _text(headers, "Idempotency-Key", _PRINTABLE, "")
-    head.content_length = _content_length(headers)
-    head.has_body = head.content_length > 0 or "Transfer-Encoding" in headers
-    named = _connection_options(headers)
-    head.headers = [
-        messages.Header(name=name, value=value)
-        for name, value in pairs
-        if name.lower() not in _HOP_BY_HOP and name.lower() not in named
-    ]
-    return head
-
-
-def _service_of(path):
-    """Return the first segment of the path.
-
-    Examples
-    --------
-    >>> _service_of("/quotes/hides?size=3")
-    'quotes'
-    """
-    if not path.startswith("/"):
-        raise BadRequestError(400, "the path must begin with /")
-    service = re.split("[/?]", path[1:], maxsplit=1)[0]
-    if not _NAME.fullmatch(service):
-        raise BadRequestError(404, "the first segment of the path names no service")
-    return service
-
-
-def _text(headers, name, pattern, default):
-    value = headers.get(name)
-    if value is None:
-        return default
-    if not pattern.fullmatch(value):
-        raise BadRequestError(400, f"the header {name} is malformed")
-    return value
-
-
-def _deadline(headers):
-    value = headers.get("Sardinegauge-Deadline-Ms")
-    if value is None:
-        return DEFAULT_DEADLINE_MS
-    if not re.fullmatch("[0-9]{1,6}", value) or not 1 <= int(value) <= MAX_DEADLINE_MS:
-        raise BadRequestError(
-            400, f"Sardinegauge-Deadline-Ms must be 1 to {MAX_DEADLINE_MS}"
-        )
-    return int(value)
-
-
-def _is_idempotent(method, headers):
-    value = headers.get("Sardinegauge-Idempotent")
-    if value is None:
-        return method in _IDEMPOTENT_METHODS
-    if value.lower() not in _FLAGS:
-        raise BadRequestError(400, "Sardinegauge-Idempotent must be true or false")
-    return _FLAGS[value.lower()]
-
-
-def _content_length(headers):
-    """Return the declared length in bytes, -1 where there is none."""
-    value = headers.get("Content-Length")
-    if value is None:
-        return -1
-    if not re.fullmatch("[0-9]{1,15}", value):
-        raise BadRequestError(400, "the header Content-Length is malformed")
-    if int(value) > MAX_BODY_BYTES:
-        raise BadRequestError(413, f"the body is over {MAX_BODY_BYTES} bytes")
-    return int(value)
-
-
-def _connection_options(headers):
-    """Return the names of headers that the Connection header makes hop-by-hop."""
-    value = headers.get("Connection")
-    if value is None:
-        return frozenset()
-    return frozenset(option.strip().lower() for option in value.split(","))
-
 
 class Caller(httputil.HTTPMessageDelegate):
     """One request of a caller and its response.
@@ -208,21 +41,23 @@
         self.last_byte_s = 0.0
         self.number = 0
         self.request_id = ""
-        self.response_head = None
+        self.response_status = 0
         self.started_s = 0.0
         self.timer = None
         self._discarded = 0
+        self._awaits_body = False
         self._is_body_dropped = False
-        self._status = 0
+        self._fields = None
 
     # HTTPMessageDelegate
 
     def headers_received(self, start_line, headers):
         """Check the head and hand the request to the front."""
         self.connection.set_close_callback(self._closed)
+        self._awaits_body = requesthead.awaits_body(headers)
         try:
-            self.head = parse_head(start_line, headers)
-        except BadRequestError as error:
+            self.head = requesthead.parse_head(start_line, headers)
+        except requesthead.BadRequestError as error:
             self.front.bad_request(self, error)
             return
         self.front.request_arrived(self)
@@ -232,8 +67,8 @@
         if self.is_answered:
             self._discard(len(chunk))
             return None
-        if self.body.total + len(chunk) > MAX_BODY_BYTES:
-            reason = f"the body is over {MAX_BODY_BYTES} bytes"
+        if self.body.total + len(chunk) > requesthead.MAX_BODY_BYTES:
+            reason = f"the body is over {requesthead.MAX_BODY_BYTES} bytes"
             self.front.caller_gone(self, is_body_cut=True)
             self.answer(413, outcome.Verdict.NOT_RUN, reason)
             return None
@@ -266,16 +101,32 @@
 
     # Response
 
-    def start_response(self, status, headers):
-        """Send the head of an upstream's response."""
-        if self.is_gone:
-            return
-        fields = httputil.HTTPHeaders()
-        for header in headers:
-            if header.name.lower() not in _HOP_BY_HOP:
-                fields.add(header.name, header.value)
-        self._add_common(fields, outcome.Verdict.RAN)
-        self._write_head(status, fields)
+    def prepare_response(self, head):
+        """Check the head of an upstream's response and keep it for `start_response`.
+
+        Raises
+        ------
+        ValueError
+            If it cannot be sent as it is.
+        """
+        if not 200 <= head.status <= 599:
+            raise ValueError(f"status {head.status}")
+        self.response_status = head.status
+        self._fields = requesthead.response_fields(head.headers, requesthead.HOP_BY_HOP)
+
+    def start_response(self):
+        """Send the prepared head, together with the body's first bytes if they wait.
+
+        One write for both halves the packets of a short response.
+        """
+        self._add_common(self._fields, outcome.Verdict.RAN)
+        asyncio.get_running_loop().call_soon(self._flush_head)
+
+    def _flush_head(self, data=None):
+        fields, self._fields = self._fields, None
+        if fields is not None and not self.is_gone:
+            return self._write_head(self.response_status, fields, data)
+        return None
 
     def write(self, data):
         """Send a piece of the response's body.
@@ -285,22 +136,27 @@
         asyncio.Future or None
             To wait for while the connection takes no more.
         """
-        if self.is_gone or not data:
+        if self.is_gone or self.is_answered or not data:
             return None
-        if self.head.method == "HEAD" or self._status in (204, 304):
+        if self.head.method == "HEAD" or self.response_status in (204, 304):
             return None
-        pending = self.connection.write(data)
+        if self._fields is not None:
+            pending = self._flush_head(data)
+        else:
+            pending = self.connection.write(data)
         return pending if self.connection.stream.writing() else None
 
     def finish_response(self):
         """End a whole response."""
         self.is_answered = True
         self.body.break_off()
-        if not self.is_gone:
-            try:
-                self.connection.finish()
-            except httputil.HTTPOutputError:
-                self.cut()
+        if self.is_gone:
+            return
+        try:
+            self._flush_head()
+            self.connection.finish()
+        except httputil.HTTPOutputError:
+            self.cut()
 
     def cut(self):
         """Close the connection so that the caller sees an unfinished response.
@@ -323,16 +179,14 @@
         if retry_after_ms:
             fields["Retry-After"] = str(math.ceil(retry_after_ms / 1000))
         if status == 405:
-            fields["Allow"] = ", ".join(sorted(_METHODS))
+            fields["Allow"] = ", ".join(sorted(requesthead.METHODS))
         self._add_common(fields, verdict)
         self._answer_whole(status, fields, text.encode())
 
     def replay(self, response):
         """Answer with a stored response, a `messages.KeyReply`."""
-        fields = httputil.HTTPHeaders()
-        for header in response.headers:
-            if header.name.lower() not in _HOP_BY_HOP | {"content-length"}:
-                fields.add(header.name, header.value)
+        skipped = requesthead.HOP_BY_HOP | {"content-length"}
+        fields = requesthead.response_fields(response.headers, skipped)
         self._add_common(fields, outcome.Verdict.RAN)
         self._answer_whole(response.status, fields, response.body)
 
@@ -346,15 +200,12 @@
             fields["Content-Length"] = str(len(data))
         is_head = self.head is not None and self.head.method == "HEAD"
         self._write_head(status, fields, data if has_body and not is_head else None)
-        if self.body.is_ended or not self._awaits_body():
+        if self.body.is_ended or not self._awaits_body:
             self.connection.finish()
             return
         self._is_body_dropped = True
         self.front.call_later(DISCARD_LIMIT_S, self._end_discarding)
 
-    def _awaits_body(self):
-        return self.head is not None and self.head.has_body
-
     def _discard(self, size):
         self._discarded += size
         if self._discarded > MAX_DISCARDED_BYTES:
@@ -373,10 +224,9 @@
             fields["Connection"] = "close"
 
     def _write_head(self, status, fields, data=None):
-        self._status = status
         try:
             phrase = http.HTTPStatus(status).phrase
         except ValueError:
             phrase = "Unknown"
         line = httputil.ResponseStartLine("HTTP/1.1", status, phrase)
-        self.connection.write_headers(line, fields, data)
+        return self.connection.write_headers(line, fields, data)
--- a/sardinegauge/claimcalls.py
+++ b/sardinegauge/claimcalls.py
@@ -129,7 +129,9 @@
         )
         reply = None
         try:
-            exchange, _ = self.links.open_exchange(effect.upstream, query)
+            exchange, _ = self.links.open_exchange(
+                effect.upstream, effect.incarnation, query
+            )
             try:
                 reply = await exchange.receive(KEY_QUERY_LIMIT_S)
             finally:
--- a/sardinegauge/entry.py
+++ b/sardinegauge/entry.py
@@ -206,7 +206,8 @@
     if request.stage == entrystate.RESPONDING and not request.is_answered:
         return []  # The deadline bounds the time to the head of the response.
     if request.stage == entrystate.SENT or request.stage == entrystate.RESPONDING:
-        if event.now_ms - request.sent_at_ms >= MIN_TIMEOUT_FAILURE_MS:
+        waited_ms = event.now_ms - request.sent_at_ms
+        if event.is_body_whole and waited_ms >= MIN_TIMEOUT_FAILURE_MS:
             request.upstream.fail(event.now_ms)
         if request.worst is outcome.Verdict.NOT_RUN:
             request.worst = outcome.Verdict.MAY_HAVE_RUN
@@ -226,6 +227,21 @@
     return entrystate.give_up(state, request, "not sent within the deadline")
 
 
+def _caller_stalled(state, request, event):
+    """Give up a request whose body does not arrive."""
+    if request.is_answered:
+        return []
+    reason = "the body stopped arriving"
+    if request.stage == entrystate.RESPONDING:
+        effects = [_cancel(request, reason)]
+        return effects + _end(state, request, entryevents.Cut, reason=reason)
+    if request.stage == entrystate.SENT:
+        request.worst = outcome.Verdict.MAY_HAVE_RUN
+        effects = [_cancel(request, reason)]
+        return effects + entrystate.give_up(state, request, reason, 408)
+    return entrystate.give_up(state, request, reason, 408)
+
+
 def _cancel(request, reason):
     return entryevents.Cancel(
         number=request.number, attempt=request.attempt, reason=reason
@@ -265,6 +281,7 @@
     entryevents.WaitPassed: _wait_passed,
     entryevents.DeadlinePassed: _deadline_passed,
     entryevents.CallerGone: _caller_gone,
+    entryevents.CallerStalled: _caller_stalled,
     entryevents.ClaimAnswered: entryclaims.claim_answered,
     entryevents.ClaimReleased: entryclaims.claim_released,
     entryevents.KeyAnswered: entryclaims.key_answered,
--- a/sardinegauge/entryclaims.py
+++ b/sardinegauge/entryclaims.py
@@ -19,7 +19,6 @@
 MAX_ROUNDS = 12
 RETRY_MIN_MS = 50
 RETRY_MAX_MS = 400
-MAX_KEPT_BODY_BYTES = 64 * 1024
 
 
 def claim_answered(state, request, event):
@@ -40,18 +39,29 @@
         return entrystate.give_up(
             state, request, reason, 400, verdict=outcome.Verdict.NOT_RUN
         )
-    existing = value.value.get("claim")
-    if existing is None:
-        return _claimed(state, request, event, value.value["claim_index"])
-    is_settled = existing["state"] == "settled"
-    if existing["entry"] == request.call.token and not is_settled:
-        # The answer to the first proposal was lost; the claim is this call's own.
-        return _claimed(state, request, event, existing["claim_index"])
-    if is_settled:
-        return _replay(state, request, _response_of(existing))
+    found = value.value.get("claim", value.value)
+    is_new = value.value.get("is_new", "state" not in found)
+    if is_new or _is_own(request, found):
+        return _claimed(state, request, event, found["claim_index"])
+    if found["state"] == "settled":
+        return _replay(state, request, _response_of(found))
     if request.is_answered:
         return entrystate.drop(state, request)
-    return _query(state, request, existing)
+    return _query(state, request, found)
+
+
+def _is_own(request, found):
+    """Tell whether an open claim is this call's own, its first answer having been lost.
+
+    A claim that this call made earlier for another upstream is not meant: only the
+    upstream that a claim names may run the request.
+    """
+    return (
+        found["state"] == "open"
+        and found.get("entry") == request.call.token
+        and found["upstream"] == request.upstream.name
+        and found["incarnation"] == request.incarnation
+    )
 
 
 def _retry_claim(state, request, event):
@@ -111,6 +121,7 @@
     request.stage = entrystate.QUERYING
     request.claim_index = existing["claim_index"]
     request.claim_upstream = upstream.name
+    request.incarnation = incarnation
     return _ask(request)
 
 
@@ -122,6 +133,7 @@
             key=request.call.key,
             claim_index=request.claim_index,
             upstream=request.claim_upstream,
+            incarnation=request.incarnation,
         )
     ]
 
@@ -163,25 +175,31 @@
 
 
 def _release(request, is_awaited):
-    claim_index, request.claim_index = request.claim_index, 0
     return [
         entryevents.ReleaseClaim(
             number=request.number,
             tenant=request.call.tenant,
             key=request.call.key,
-            claim_index=claim_index,
+            claim_index=request.claim_index,
             is_awaited=is_awaited,
         )
     ]
 
 
 def claim_released(state, request, event):
-    """Start again; the next claim shows whether the release took effect."""
+    """Start again once it is certain that the claim is gone.
+
+    A release whose answer was lost may still be applied. It is proposed again until it
+    is answered: otherwise it could free a claim under which the request runs.
+    """
     if request.stage != entrystate.RELEASING:
         return []
-    request.claim_rounds += 1
     if request.claim_rounds >= MAX_ROUNDS:
-        return entrystate.give_up(state, request, "the claim could not be made")
+        return entrystate.give_up(state, request, "the claim could not be released")
+    if not isinstance(event.answer, outcome.Answered):
+        return [_wait(request, event.seed)]
+    request.claim_rounds += 1
+    request.claim_index = 0
     return entryattempts.start(state, request, event.now_ms, event.seed)
 
 
@@ -208,6 +226,8 @@
         return entryattempts.claim(request)
     if request.stage == entrystate.QUERYING:
         return _ask(request)
+    if request.stage == entrystate.RELEASING:
+        return _release(request, is_awaited=True)
     return []
 
 
--- a/sardinegauge/entryevents.py
+++ b/sardinegauge/entryevents.py
@@ -120,7 +120,17 @@
 
 
 class DeadlinePassed(RequestEvent):
-    """The deadline of a request passed."""
+    """The deadline of a request passed.
+
+    Unless `is_body_whole`, the caller itself may be what is late.
+    """
+
+    __slots__ = ("is_body_whole",)
+    _defaults = {"is_body_whole": True}
+
+
+class CallerStalled(RequestEvent):
+    """The caller sent nothing of its body for too long."""
 
     __slots__ = ()
 
@@ -254,6 +264,10 @@
 
 
 class QueryKey(RequestEffect):
-    """Ask an agent what became of a key, and fence it if it has not run there."""
+    """Ask an agent what became of a key, and fence it if it has not run there.
+
+    Only the incarnation that was claimed knows: a later one would fence a key that
+    ran before its time.
+    """
 
-    __slots__ = ("tenant", "key", "claim_index", "upstream")
+    __slots__ = ("tenant", "key", "claim_index", "upstream", "incarnation")
--- a/sardinegauge/entryhttp.py
+++ b/sardinegauge/entryhttp.py
@@ -14,6 +14,8 @@
 MAX_SERVER_HEADER_BYTES = 64 * 1024
 # Body limits are checked by `callerhttp`, which can answer with a status.
 MAX_SERVER_BODY_BYTES = 1 << 40
+# Calls to reserved paths are buffered whole.
+MAX_RESERVED_BODY_BYTES = 4 << 20
 STREAM_BUFFER_BYTES = 256 * 1024
 
 
@@ -51,9 +53,10 @@
     def headers_received(self, start_line, headers):
         path = start_line.path
         if path.startswith(RESERVED_PREFIXES):
+            self.connection.set_max_body_size(MAX_RESERVED_BODY_BYTES)
             self.delegate = self.front.reserved.start_request(None, self.connection)
         else:
-            self.delegate = callerhttp.Caller(self.front.app, self.connection)
+            self.delegate = callerhttp.Caller(self.front.app.requests, self.connection)
         return self.delegate.headers_received(start_line, headers)
 
     def data_received(self, chunk):
--- a/sardinegauge/forwarding.py
+++ b/sardinegauge/requestattempt.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from tornado import httputil, iostream
+from tornado import httputil
 
 from sardinegauge import agentlinks, background, errors, messages, outcome, requestbody
 
@@ -13,6 +13,7 @@
 CREDIT_PORTION_BYTES = WINDOW_BYTES // 2
 # Longest silence of an agent within a response, and of a caller that takes one.
 STALL_LIMIT_S = 30.0
+GONE_CHECK_S = 0.25
 MAX_KEPT_BODY_BYTES = 64 * 1024
 
 
@@ -69,7 +70,9 @@
             With the verdict, if there is no whole response.
         """
         try:
-            exchange, self._lock = self.links.open_exchange(self.upstream, self.head)
+            exchange, self._lock = self.links.open_exchange(
+                self.upstream, self.head.incarnation, self.head
+            )
         except errors.LinkClosedError as error:
             raise AttemptError(outcome.Verdict.NOT_RUN, str(error)) from error
         sender = None
@@ -144,10 +147,16 @@
         head = await self._receive(exchange, timeout_s)
         if isinstance(head, messages.Refusal):
             raise AttemptError(_verdict_of(head.verdict), head.reason, head)
-        if not isinstance(head, messages.ResponseHead) or not 200 <= head.status <= 599:
+        if not isinstance(head, messages.ResponseHead):
             _abort(exchange, "response expected")
-            reason = "the upstream sent no valid response"
+            reason = f"the agent sent {type(head).__name__} in place of a response"
             raise AttemptError(outcome.Verdict.MAY_HAVE_RUN, reason)
+        try:
+            self.caller.prepare_response(head)
+        except ValueError as error:
+            _abort(exchange, "malformed response")
+            reason = f"the upstream's response is malformed: {error}"
+            raise AttemptError(outcome.Verdict.RAN, reason) from error
         self._on_head(head)
         await self._take_body(exchange)
         if self._kept is None:
@@ -190,12 +199,22 @@
         try:
             pending = self.caller.write(data)
             if pending is not None:
-                await asyncio.wait_for(pending, STALL_LIMIT_S)
-        except iostream.StreamClosedError:
-            pass
+                await self._flushed(pending)
         except httputil.HTTPOutputError as error:
             raise AttemptError(outcome.Verdict.RAN, str(error)) from error
 
+    async def _flushed(self, pending):
+        """Wait until the caller's connection took the bytes, or is gone.
+
+        The future of a write stays open when its connection closes, so the absence of
+        the caller is checked beside it.
+        """
+        for _ in range(int(STALL_LIMIT_S / GONE_CHECK_S)):
+            await asyncio.wait((pending,), timeout=GONE_CHECK_S)
+            if pending.done() or self.caller.is_gone:
+                return
+        raise AttemptError(outcome.Verdict.RAN, "the caller takes no data")
+
 
 def _abort(exchange, reason):
     try:
