--- /dev/null
+++ b/sardinegauge/admission.py
@@ -0,0 +1,165 @@
+"""Room of one upstream: what its tasks reserve and the requests it carries."""
+
+import collections
+
+from sardinegauge import messages, record
+
+DEFAULT_QUEUE = 32
+MAX_TRACKED_SERVICES = 64
+# Weight of the newest duration in the moving mean of a service.
+DURATION_WEIGHT = 0.1
+
+
+class Waiting(record.Record):
+    """One request in the queue; `deadline_ms` is a point in time."""
+
+    __slots__ = ("request", "service", "deadline_ms")
+
+
+class Admission:
+    """Reservations of tasks and requests in flight, all within `room`.
+
+    A task keeps its reservation until its stop is confirmed, and a request its
+    connection until the upstream's connection is closed, so stopping work counts.
+
+    Examples
+    --------
+    >>> room = messages.Room(cores=4, memory_mb=100, tasks=2, connections=1)
+    >>> admission = Admission(room, queue=1)
+    >>> admission.reserve(messages.TaskOrder(task="a", cores=3, memory_mb=10))
+    ''
+    >>> admission.reserve(messages.TaskOrder(task="b", cores=3, memory_mb=10))
+    'no room for cores'
+    >>> [admission.offer(0, n, "shop", 100) for n in (1, 2, 3)]
+    ['admitted', 'waiting', 'queue is full']
+    """
+
+    ADMITTED = "admitted"
+    WAITING = "waiting"
+
+    def __init__(self, room, queue=DEFAULT_QUEUE):
+        self.room = room
+        self.queue = queue
+        self.order_by_task = {}
+        self.service_by_request = {}
+        self.waiting = collections.deque()
+        self.limits_by_service = {}
+        self.mean_ms_by_service = {}
+
+    def reserved(self):
+        """Return what all tasks reserve together, as a `messages.Room`."""
+        orders = self.order_by_task.values()
+        return messages.Room(
+            cores=sum(order.cores for order in orders),
+            memory_mb=sum(order.memory_mb for order in orders),
+            accelerators=sum(order.accelerators for order in orders),
+            tasks=len(self.order_by_task),
+            connections=sum(order.connections for order in orders),
+        )
+
+    def reserve(self, order):
+        """Reserve for a task; return the reason if there is no room, else ``""``.
+
+        A second call for the same task replaces its reservation if the new one fits.
+        """
+        previous = self.order_by_task.pop(order.task, None)
+        used = self.reserved()
+        reason = ""
+        for name in ("cores", "memory_mb", "accelerators", "connections"):
+            total = getattr(used, name) + getattr(order, name)
+            # Sums of fractions of a core are not exact in binary.
+            if total > getattr(self.room, name) + 1e-6:
+                reason = f"no room for {name}"
+        if used.tasks + 1 > self.room.tasks:
+            reason = "no room for tasks"
+        if not reason:
+            self.order_by_task[order.task] = order
+        elif previous is not None:
+            self.order_by_task[order.task] = previous
+        return reason
+
+    def release_task(self, task):
+        """Give back a task's reservation after its end was confirmed."""
+        self.order_by_task.pop(task, None)
+
+    def set_limits(self, services):
+        """Take the `services` table of the configuration document."""
+        self.limits_by_service = services
+
+    def offer(self, now_ms, request, service, deadline_ms):
+        """Admit a request, queue it, or return the reason of its refusal."""
+        if now_ms >= deadline_ms:
+            return "deadline has passed"
+        if not self.waiting and self._has_connection(service):
+            self.service_by_request[request] = service
+            return self.ADMITTED
+        if len(self.waiting) >= self._queue_limit(service):
+            return "queue is full"
+        if now_ms + self._expected_wait_ms(service) >= deadline_ms:
+            return "deadline cannot be met"
+        self.waiting.append(
+            Waiting(request=request, service=service, deadline_ms=deadline_ms)
+        )
+        return self.WAITING
+
+    def finish(self, request, duration_ms):
+        """Give back a request's connection and note its duration."""
+        service = self.service_by_request.pop(request, None)
+        if service is None:
+            return
+        mean_ms = self.mean_ms_by_service.get(service)
+        if mean_ms is None:
+            if len(self.mean_ms_by_service) >= MAX_TRACKED_SERVICES:
+                self.mean_ms_by_service.pop(next(iter(self.mean_ms_by_service)))
+            mean_ms = duration_ms
+        self.mean_ms_by_service[service] = (
+            mean_ms + (duration_ms - mean_ms) * DURATION_WEIGHT
+        )
+
+    def forget_waiting(self, request):
+        """Take a request out of the queue; tell whether it was there."""
+        for item in self.waiting:
+            if item.request == request:
+                self.waiting.remove(item)
+                return True
+        return False
+
+    def admit_waiting(self, now_ms):
+        """Move requests from the queue; return lists of admitted and late ones.
+
+        A request is late when its remaining time is shorter than the mean duration
+        of its service. Requests of a service at its own limit do not hold up others.
+        """
+        admitted, late, kept = [], [], collections.deque()
+        for item in self.waiting:
+            mean_ms = self.mean_ms_by_service.get(item.service, 0)
+            if now_ms + mean_ms >= item.deadline_ms:
+                late.append(item.request)
+            elif self._has_connection(item.service):
+                self.service_by_request[item.request] = item.service
+                admitted.append(item.request)
+            else:
+                kept.append(item)
+        self.waiting = kept
+        return admitted, late
+
+    def _limit(self, service, name, default):
+        limits = self.limits_by_service.get(service)
+        return limits.get(name, default) if limits else default
+
+    def _has_connection(self, service):
+        if len(self.service_by_request) >= self.room.connections:
+            return False
+        limit = self._limit(service, "concurrency", None)
+        if limit is None:
+            return True
+        running = sum(1 for name in self.service_by_request.values() if name == service)
+        return running < limit
+
+    def _queue_limit(self, service):
+        return min(self.queue, self._limit(service, "queue", self.queue))
+
+    def _expected_wait_ms(self, service):
+        mean_ms = self.mean_ms_by_service.get(service, 0)
+        rounds = (len(self.waiting) + 1) / max(1, self.room.connections)
+        return rounds * mean_ms + mean_ms
--- /dev/null
+++ b/sardinegauge/agent.py
@@ -0,0 +1,631 @@
+"""Reducer of the agent: lease, tasks, admission, request keys, configuration, drain.
+
+`reduce(state, event)` changes the state and returns a list of effects. Times in events
+are milliseconds of CLOCK_BOOTTIME. Effects on the worker are those of `taskhost`.
+"""
+
+import json
+
+from sardinegauge import admission, messages, record, requestkeys, taskhost
+
+HEARTBEAT_INTERVAL_MS = 1000
+# Changes within this time share one heartbeat.
+CHANGE_GAP_MS = 50
+HEARTBEAT_TIMEOUT_MS = 1000
+# Wait before the next replica is tried when none is known to lead.
+RETRY_GAP_MS = 100
+MAX_OUTSTANDING = 8
+# Section 8: a confirmation is valid for 5 s from when its heartbeat was sent.
+CONFIRMATION_MS = 5000
+# Longest lease that a worker may still hold of an earlier agent: 10 s and 1 s of drift.
+OLD_LEASE_MS = 11_000
+WORKER_POLL_MS = 1000
+# Phases are about to change while a task starts or stops, so they are asked for sooner.
+WORKER_QUICK_POLL_MS = 200
+RENEW_INTERVAL_MS = 2000
+RETRY_AFTER_MS = 1000
+EXPIRE_INTERVAL_MS = 60_000
+
+
+class SendHeartbeat(record.Record):
+    """Send a heartbeat to the replica at `address`."""
+
+    __slots__ = ("address", "heartbeat")
+
+
+class RenewTasks(record.Record):
+    """Extend the worker's leases of (task, epoch) pairs."""
+
+    __slots__ = ("tasks", "lease_until_ms")
+
+
+class AskTasks(record.Record):
+    """Ask the worker for its table of tasks."""
+
+    __slots__ = ()
+
+
+class ForwardRequest(record.Record):
+    """Send an admitted request to the upstream."""
+
+    __slots__ = ("request",)
+
+
+class RefuseRequest(record.Record):
+    """Refuse a request with the verdict not-run."""
+
+    __slots__ = ("request", "reason", "retry_after_ms")
+
+
+class ReplayRequest(record.Record):
+    """Answer a repeated key: with its stored response, or with an `Abort`.
+
+    `entry` is a `requestkeys.Entry` whose body is kept, or None; then `verdict` and
+    `reason` go into the `Abort`.
+    """
+
+    __slots__ = ("request", "entry", "verdict", "reason")
+    _defaults = {"entry": None, "verdict": "", "reason": ""}
+
+
+class AnswerKeyQuery(record.Record):
+    """Answer a key query, identified by the number of its event."""
+
+    __slots__ = ("query", "reply")
+
+
+class ConfigurationChanged(record.Record):
+    """A newer configuration is in force."""
+
+    __slots__ = ("version",)
+
+
+class Drained(record.Record):
+    """Nothing is in flight and no task is live; the process may stop."""
+
+    __slots__ = ()
+
+
+class Tick(record.Record):
+    """Time passes; also brings heartbeats, polls and retries."""
+
+    __slots__ = ("now_ms",)
+
+
+class DirectiveReceived(record.Record):
+    """A directive came from a replica, as a reply or as a push (sequence 0)."""
+
+    __slots__ = ("now_ms", "address", "directive")
+
+
+class HeartbeatFailed(record.Record):
+    """A heartbeat was not answered: link closed, none open, or no answer in time."""
+
+    __slots__ = ("now_ms", "address", "sequence")
+
+
+class RequestArrived(record.Record):
+    """An entry opened an exchange; `request` is its number in this process."""
+
+    __slots__ = ("now_ms", "request", "head")
+
+
+class RequestGone(record.Record):
+    """The caller of a request left; nothing of it may start any more."""
+
+    __slots__ = ("now_ms", "request")
+
+
+class RequestEnded(record.Record):
+    """An admitted request ended and its upstream connection is closed.
+
+    `verdict` is an `outcome.Verdict` value as text; `body` is None when it was cut or
+    is over the limit for stored responses.
+    """
+
+    __slots__ = ("now_ms", "request", "verdict", "status", "headers", "body")
+    _defaults = {"status": 0, "headers": list, "body": None}
+
+
+class KeyQueried(record.Record):
+    """An entry asks about a key; `query` is its number in this process."""
+
+    __slots__ = ("now_ms", "query", "message")
+
+
+class WorkerSeen(record.Record):
+    """The worker's table, or None when it did not answer."""
+
+    __slots__ = ("now_ms", "asked_ms", "statuses")
+
+
+class StartAnswered(record.Record):
+    """The worker took or refused a start."""
+
+    __slots__ = ("now_ms", "task", "epoch", "is_taken", "reason")
+
+
+class CheckpointAnswered(record.Record):
+    """The worker saved a checkpoint; empty when it could not."""
+
+    __slots__ = ("now_ms", "task", "epoch", "checkpoint")
+
+
+class StopAnswered(record.Record):
+    """The worker confirmed that a task ended, in the phase given."""
+
+    __slots__ = ("now_ms", "task", "epoch", "phase")
+
+
+class WorkerCallFailed(record.Record):
+    """A call for a task got no answer, and whether it took effect is unknown."""
+
+    __slots__ = ("now_ms", "task", "epoch")
+
+
+class UpstreamChanged(record.Record):
+    """The upstream became reachable or not, or is leaving by its settings."""
+
+    __slots__ = ("now_ms", "is_leaving")
+
+
+class DrainAsked(record.Record):
+    """The process shall stop; tasks left at `evict_at_ms` are evicted by the agent."""
+
+    __slots__ = ("now_ms", "evict_at_ms")
+
+
+class Identity(record.Record):
+    """What the agent announces of itself; `services` are those it always serves."""
+
+    __slots__ = (
+        "upstream",
+        "incarnation",
+        "address",
+        "failure_domain",
+        "rack",
+        "services",
+        "room",
+    )
+    _defaults = {"failure_domain": "", "rack": "", "services": list}
+
+
+class Request(record.Record):
+    """One request between its arrival and its end."""
+
+    __slots__ = ("head", "admitted_ms", "deadline_ms")
+    _defaults = {"admitted_ms": 0}
+
+    @property
+    def key(self):
+        """Tenant, key and claim index, or None for a request without a claim."""
+        head = self.head
+        if not head.key or not head.claim_index:
+            return None
+        return head.tenant, head.key, head.claim_index
+
+
+class State:
+    """The agent's state.
+
+    Parameters
+    ----------
+    identity : Identity
+        Announced in every heartbeat.
+    replicas : list of str
+        Addresses of the state processes, tried in turn until one leads.
+    now_ms : int
+        Time of the start.
+    has_worker : bool
+        Whether there is a worker API. Then nothing is announced until the worker
+        runs no task of an earlier agent, or their leases must have ended.
+    queue : int
+        Bound of the queue of waiting requests.
+    """
+
+    def __init__(self, identity, replicas, now_ms, has_worker, queue):
+        self.identity = identity
+        self.replicas = list(replicas)
+        self.leader = self.replicas[0]
+        self.has_worker = has_worker
+        self.admission = admission.Admission(identity.room, queue)
+        self.host = taskhost.TaskHost(self.admission)
+        self.keys = requestkeys.RequestKeys()
+        self.by_request = {}
+        self.announce_ms = now_ms + OLD_LEASE_MS if has_worker else now_ms
+        self.sequence = 0
+        self.sent_ms_by_sequence = {}
+        self.applied_sequence = 0
+        self.next_heartbeat_ms = now_ms
+        self.sent_ms = 0
+        self.announced = None
+        self.lease_until_ms = 0
+        self.confirmed_until_ms = 0
+        self.config_version = 0
+        self.is_upstream_leaving = False
+        self.is_draining = False
+        self.evict_at_ms = 0
+        self.is_drained = False
+        self.next_poll_ms = now_ms
+        self.next_renew_ms = now_ms
+        self.next_expire_ms = now_ms + EXPIRE_INTERVAL_MS
+        self.loads = []
+
+    @property
+    def is_closed(self):
+        """Tell whether new work is refused because the upstream is leaving."""
+        return self.is_draining or self.is_upstream_leaving
+
+    def may_serve(self, now_ms):
+        """Tell whether a configuration is in force, which new requests need."""
+        return now_ms < self.confirmed_until_ms
+
+
+def reduce(state, event):
+    """Apply one event; return the effects in the order of their execution."""
+    effects = _HANDLERS[type(event)](state, event)
+    now_ms = event.now_ms
+    effects += state.host.start_next(now_ms, state.lease_until_ms, state.is_closed)
+    effects += _heartbeat_if_due(state, now_ms)
+    return effects
+
+
+# Heartbeats
+
+
+def _heartbeat_if_due(state, now_ms):
+    if now_ms < state.announce_ms or now_ms < state.sent_ms + CHANGE_GAP_MS:
+        return []
+    is_changed = state.announced != (state.host.revision, state.is_closed)
+    if not is_changed and now_ms < state.next_heartbeat_ms:
+        return []
+    if is_changed and state.next_heartbeat_ms - now_ms > HEARTBEAT_INTERVAL_MS:
+        return []
+    return [_heartbeat(state, now_ms)]
+
+
+def _heartbeat(state, now_ms):
+    state.sequence += 1
+    state.sent_ms = now_ms
+    state.next_heartbeat_ms = now_ms + HEARTBEAT_INTERVAL_MS
+    state.announced = (state.host.revision, state.is_closed)
+    state.sent_ms_by_sequence[state.sequence] = now_ms
+    while len(state.sent_ms_by_sequence) > MAX_OUTSTANDING:
+        del state.sent_ms_by_sequence[next(iter(state.sent_ms_by_sequence))]
+    state.host.note_reported(state.sequence)
+    identity = state.identity
+    heartbeat = messages.Heartbeat(
+        upstream=identity.upstream,
+        incarnation=identity.incarnation,
+        address=identity.address,
+        failure_domain=identity.failure_domain,
+        rack=identity.rack,
+        services=identity.services,
+        room=identity.room,
+        draining=state.is_closed,
+        config_version=state.config_version,
+        sequence=state.sequence,
+        tasks=state.host.reports(),
+        loads=state.loads,
+    )
+    return SendHeartbeat(address=state.leader, heartbeat=heartbeat)
+
+
+def _on_heartbeat_failed(state, event):
+    state.sent_ms_by_sequence.pop(event.sequence, None)
+    if event.address == state.leader:
+        _follow_leader(state, event.now_ms, "")
+    return []
+
+
+def _follow_leader(state, now_ms, leader):
+    """Send the next heartbeat to the named leader, or to the next replica in turn."""
+    if leader and leader != state.leader:
+        state.leader = leader
+        state.next_heartbeat_ms = now_ms
+        return
+    addresses = state.replicas
+    known = state.leader in addresses
+    position = addresses.index(state.leader) + 1 if known else 0
+    state.leader = addresses[position % len(addresses)]
+    state.next_heartbeat_ms = max(now_ms, state.sent_ms + RETRY_GAP_MS)
+
+
+# Directives
+
+
+def _on_directive(state, event):
+    directive = event.directive
+    if directive.sequence == 0:
+        return _on_push(state, event)
+    sent_ms = state.sent_ms_by_sequence.pop(directive.sequence, None)
+    if not directive.confirmed:
+        if event.address == state.leader:
+            _follow_leader(state, event.now_ms, directive.leader)
+        return []
+    if sent_ms is None or directive.sequence <= state.applied_sequence:
+        return []
+    state.applied_sequence = directive.sequence
+    state.leader = event.address
+    state.lease_until_ms = max(state.lease_until_ms, sent_ms + directive.lease_ms)
+    state.confirmed_until_ms = max(state.confirmed_until_ms, sent_ms + CONFIRMATION_MS)
+    effects = _take_configuration(state, directive)
+    effects += _apply_table(state, event, directive.sequence)
+    return effects
+
+
+def _on_push(state, event):
+    """Follow a push of the leader; it renews nothing, and absence means nothing."""
+    if event.address != state.leader or not state.applied_sequence:
+        return []
+    return _apply_table(state, event, 0)
+
+
+def _apply_table(state, event, answered_sequence):
+    return state.host.apply(
+        event.now_ms,
+        event.directive.tasks,
+        answered_sequence,
+        state.lease_until_ms,
+        state.is_closed,
+    )
+
+
+def _take_configuration(state, directive):
+    """Put a newer configuration in force; a lower version is never applied."""
+    if directive.config_version <= state.config_version or not directive.config:
+        return []
+    try:
+        document = json.loads(directive.config)
+    except ValueError:
+        return []
+    state.config_version = directive.config_version
+    state.admission.set_limits(document.get("services", {}))
+    return [ConfigurationChanged(version=state.config_version)]
+
+
+# Time
+
+
+def _on_tick(state, event):
+    now_ms = event.now_ms
+    effects = []
+    if now_ms >= state.lease_until_ms:
+        effects += state.host.stop_all(now_ms, "lease ended")
+    effects += state.host.retry(now_ms, state.lease_until_ms)
+    effects += _poll_worker(state, now_ms)
+    effects += _renew_tasks(state, now_ms)
+    effects += _admit_waiting(state, now_ms)
+    if now_ms >= state.next_expire_ms:
+        state.next_expire_ms = now_ms + EXPIRE_INTERVAL_MS
+        state.keys.expire(now_ms)
+    effects += _continue_drain(state, now_ms)
+    return effects
+
+
+def _poll_worker(state, now_ms):
+    is_idle = not state.host.live_count and now_ms >= state.announce_ms
+    if not state.has_worker or is_idle or now_ms < state.next_poll_ms:
+        return []
+    settled = state.host.is_settled() and now_ms >= state.announce_ms
+    state.next_poll_ms = now_ms + (WORKER_POLL_MS if settled else WORKER_QUICK_POLL_MS)
+    return [AskTasks()]
+
+
+def _renew_tasks(state, now_ms):
+    if now_ms < state.next_renew_ms or now_ms >= state.lease_until_ms:
+        return []
+    state.next_renew_ms = now_ms + RENEW_INTERVAL_MS
+    tasks = [
+        (hosted.order.task, hosted.order.epoch)
+        for hosted in state.host.by_task.values()
+        if not hosted.is_ended
+    ]
+    if not tasks:
+        return []
+    return [RenewTasks(tasks=tasks, lease_until_ms=state.lease_until_ms)]
+
+
+# Worker
+
+
+def _on_worker_seen(state, event):
+    if event.statuses is None:
+        return []
+    effects = state.host.seen(event.now_ms, event.statuses, event.asked_ms)
+    if event.now_ms < state.announce_ms and not effects:
+        state.announce_ms = event.now_ms
+    return effects
+
+
+def _on_start_answered(state, event):
+    return state.host.start_answered(
+        event.now_ms, event.task, event.epoch, event.is_taken, event.reason
+    )
+
+
+def _on_checkpoint_answered(state, event):
+    return state.host.checkpoint_answered(
+        event.now_ms, event.task, event.epoch, event.checkpoint
+    )
+
+
+def _on_stop_answered(state, event):
+    return state.host.stop_answered(event.now_ms, event.task, event.epoch, event.phase)
+
+
+def _on_worker_call_failed(state, event):
+    return state.host.call_failed(event.now_ms, event.task, event.epoch)
+
+
+# Requests
+
+
+def _on_request(state, event):
+    head = event.head
+    now_ms = event.now_ms
+    request = Request(head=head, deadline_ms=now_ms + head.deadline_ms)
+    if head.incarnation != state.identity.incarnation:
+        return [_refusal(event.request, "another incarnation is meant")]
+    if request.key is not None:
+        entry_state = state.keys.state(*request.key)
+        if entry_state != requestkeys.UNKNOWN:
+            return [_replay(state, event.request, request, entry_state)]
+    if state.is_closed:
+        return [_refusal(event.request, "draining")]
+    if not state.may_serve(now_ms):
+        return [_refusal(event.request, "no confirmed configuration")]
+    answer = state.admission.offer(
+        now_ms, event.request, head.service, request.deadline_ms
+    )
+    if answer not in (admission.Admission.ADMITTED, admission.Admission.WAITING):
+        return [_refusal(event.request, answer)]
+    if request.key is not None:
+        state.keys.begin(now_ms, *request.key)
+    state.by_request[event.request] = request
+    if answer == admission.Admission.WAITING:
+        return []
+    request.admitted_ms = now_ms
+    return [ForwardRequest(request=event.request)]
+
+
+def _refusal(request, reason):
+    return RefuseRequest(request=request, reason=reason, retry_after_ms=RETRY_AFTER_MS)
+
+
+def _replay(state, number, request, entry_state):
+    entry = state.keys.get(*request.key)
+    if entry_state == requestkeys.FINISHED and entry.is_body_kept:
+        return ReplayRequest(request=number, entry=entry)
+    verdict = {
+        requestkeys.FINISHED: "ran",
+        requestkeys.FENCED: "not-run",
+    }.get(entry_state, "may-have-run")
+    return ReplayRequest(
+        request=number, verdict=verdict, reason=f"the key is {entry_state}"
+    )
+
+
+def _on_request_gone(state, event):
+    """Take a waiting request out of the queue; an admitted one ends by itself."""
+    if not state.admission.forget_waiting(event.request):
+        return []
+    _release_key(state, state.by_request.pop(event.request))
+    return [_refusal(event.request, "the caller left")]
+
+
+def _on_request_ended(state, event):
+    request = state.by_request.pop(event.request, None)
+    if request is None:
+        return []
+    state.admission.finish(event.request, event.now_ms - request.admitted_ms)
+    if request.key is not None:
+        if event.verdict == "not-run":
+            _release_key(state, request)
+        elif event.verdict == "ran":
+            state.keys.finish(
+                event.now_ms, *request.key, event.status, event.headers, event.body
+            )
+        else:
+            state.keys.cut(event.now_ms, *request.key)
+    return _admit_waiting(state, event.now_ms) + _continue_drain(state, event.now_ms)
+
+
+def _release_key(state, request):
+    if request.key is not None:
+        state.keys.release(*request.key)
+
+
+def _admit_waiting(state, now_ms):
+    if not state.admission.waiting:
+        return []
+    if not state.may_serve(now_ms):
+        return _refuse_waiting(state, "no confirmed configuration")
+    admitted, late = state.admission.admit_waiting(now_ms)
+    effects = []
+    for number in late:
+        _release_key(state, state.by_request.pop(number))
+        effects.append(_refusal(number, "deadline cannot be met"))
+    for number in admitted:
+        state.by_request[number].admitted_ms = now_ms
+        effects.append(ForwardRequest(request=number))
+    return effects
+
+
+def _refuse_waiting(state, reason):
+    effects = []
+    for item in state.admission.waiting:
+        _release_key(state, state.by_request.pop(item.request))
+        effects.append(_refusal(item.request, reason))
+    state.admission.waiting.clear()
+    return effects
+
+
+def _on_key_query(state, event):
+    message = event.message
+    key = (message.tenant, message.key, message.claim_index)
+    if message.fence:
+        found = state.keys.fence(event.now_ms, *key)
+    else:
+        found = state.keys.state(*key)
+    reply = messages.KeyReply(state=found)
+    entry = state.keys.get(*key)
+    if found == requestkeys.FINISHED:
+        reply.status = entry.status
+        reply.headers = entry.headers
+        reply.body = entry.body
+        reply.is_body_kept = entry.is_body_kept
+    return [AnswerKeyQuery(query=event.query, reply=reply)]
+
+
+# Leaving
+
+
+def _on_upstream_changed(state, event):
+    state.is_upstream_leaving = event.is_leaving
+    if event.is_leaving:
+        return _refuse_waiting(state, "the upstream is leaving")
+    return []
+
+
+def _on_drain(state, event):
+    state.is_draining = True
+    state.evict_at_ms = event.evict_at_ms
+    effects = _refuse_waiting(state, "draining")
+    return effects + _continue_drain(state, event.now_ms)
+
+
+def _continue_drain(state, now_ms):
+    """Evict what the leader left at the bound; report when nothing is left."""
+    if not state.is_draining or state.is_drained:
+        return []
+    effects = []
+    if now_ms >= state.evict_at_ms:
+        effects += state.host.evict_all(now_ms)
+    is_told = state.applied_sequence and state.announced == (
+        state.host.revision,
+        True,
+    )
+    is_told = is_told or now_ms >= state.evict_at_ms
+    if is_told and not state.host.live_count and not state.by_request:
+        state.is_drained = True
+        effects.append(Drained())
+    return effects
+
+
+_HANDLERS = {
+    Tick: _on_tick,
+    DirectiveReceived: _on_directive,
+    HeartbeatFailed: _on_heartbeat_failed,
+    RequestArrived: _on_request,
+    RequestGone: _on_request_gone,
+    RequestEnded: _on_request_ended,
+    KeyQueried: _on_key_query,
+    WorkerSeen: _on_worker_seen,
+    StartAnswered: _on_start_answered,
+    CheckpointAnswered: _on_checkpoint_answered,
+    StopAnswered: _on_stop_answered,
+    WorkerCallFailed: _on_worker_call_failed,
+    UpstreamChanged: _on_upstream_changed,
+    DrainAsked: _on_drain,
+}
--- /dev/null
+++ b/sardinegauge/agentapp.py
@@ -0,0 +1,518 @@
+"""Application of the agent: links, timers, the upstream's connections and its pages."""
+
+import argparse
+import asyncio
+import os
+import random
+import sys
+
+from tornado import netutil
+
+from sardinegauge import (
+    agent,
+    application,
+    background,
+    clock,
+    errors,
+    forwarding,
+    httpcall,
+    link,
+    logs,
+    messages,
+    metrics,
+    pages,
+    settings,
+    taskhost,
+    worker,
+)
+
+TICK_S = 0.1
+HEARTBEAT_TIMEOUT_S = agent.HEARTBEAT_TIMEOUT_MS / 1000
+PROBE_INTERVAL_S = 0.5
+# Section 9: an upstream that refuses connections for this long is leaving.
+UNREACHABLE_LIMIT_MS = 1000
+# Left of the drain limit for evictions without orders of the leader.
+OWN_EVICTION_S = 6.0
+MAX_DIALERS = 16
+
+KNOWN_SETTINGS = [
+    settings.Setting(name="name", kind="text"),
+    settings.Setting(name="listen", kind="address"),
+    settings.Setting(name="advertise", kind="address", default=""),
+    settings.Setting(name="metrics_listen", kind="address", default=""),
+    settings.Setting(name="failure_domain", kind="text", default=""),
+    settings.Setting(name="rack", kind="text", default=""),
+    settings.Setting(
+        name="log_level",
+        kind="text",
+        default="info",
+        choices=("debug", "info", "warning", "error"),
+    ),
+    settings.Setting(name="drain_limit_s", kind="number", default=30.0, minimum=0),
+    settings.Setting(name="state", kind="addresses"),
+    settings.Setting(name="upstream", kind="address"),
+    settings.Setting(name="worker", kind="address", default=""),
+    settings.Setting(name="services", kind="texts", default=[]),
+    settings.Setting(name="cores", kind="number", default=0, minimum=0),
+    settings.Setting(name="memory_mb", kind="integer", default=0, minimum=0),
+    settings.Setting(name="accelerators", kind="integer", default=0, minimum=0),
+    settings.Setting(name="task_slots", kind="integer", default=8, minimum=0),
+    settings.Setting(name="connections", kind="integer", default=64, minimum=1),
+    settings.Setting(name="queue", kind="integer", default=32, minimum=0, maximum=1024),
+    settings.Setting(name="leaving", kind="flag", default=False),
+]
+
+
+class AgentApplication(application.Application, link.Handler):
+    """Owns the sockets of one agent and executes its reducer's effects."""
+
+    def __init__(self, loaded, path):
+        super().__init__("agent")
+        self.settings = loaded
+        self.path = path
+        self.drain_limit_s = loaded.drain_limit_s
+        self.worker = worker.HttpWorker(loaded.worker) if loaded.worker else None
+        self.metrics = metrics.Metrics()
+        self.state = None
+        self.hello = None
+        self.server = None
+        self.pages = None
+        self.dialer_by_address = {}
+        self.forward_by_request = {}
+        self.exchange_by_query = {}
+        self.next_number = 1
+        self.unreachable_since_ms = None
+        self.is_leaving = loaded.leaving
+        self.is_asking_tasks = False
+        self.drained = None
+        self.requests = self.metrics.histogram(
+            "agent_request_seconds", "Time at the upstream.", ("tenant", "class")
+        )
+
+    # Life cycle
+
+    async def on_start(self):
+        """Listen, start the links to the replicas and the timers."""
+        loaded = self.settings
+        incarnation = f"{loaded.name}-{random.SystemRandom().getrandbits(48):012x}"
+        address = loaded.advertise or loaded.listen
+        identity = agent.Identity(
+            upstream=loaded.name,
+            incarnation=incarnation,
+            address=address,
+            failure_domain=loaded.failure_domain,
+            rack=loaded.rack,
+            services=loaded.services,
+            room=messages.Room(
+                cores=float(loaded.cores),
+                memory_mb=loaded.memory_mb,
+                accelerators=loaded.accelerators,
+                tasks=loaded.task_slots if self.worker else 0,
+                connections=loaded.connections,
+            ),
+        )
+        self.hello = messages.Hello(
+            role="agent",
+            name=loaded.name,
+            identity=incarnation,
+            address=address,
+            protocol=link.PROTOCOL,
+        )
+        self.state = agent.State(
+            identity,
+            loaded.state,
+            clock.monotonic_ms(),
+            self.worker is not None,
+            loaded.queue,
+        )
+        self.server = link.LinkServer(self, self.hello)
+        host, port = link.split_address(loaded.listen)
+        self.server.add_sockets(netutil.bind_sockets(port, host))
+        if loaded.metrics_listen:
+            self.pages = pages.PageServer(
+                {"/-/health": self.health_page, "/-/metrics": self.metrics_page}
+            )
+            host, port = link.split_address(loaded.metrics_listen)
+            self.pages.add_sockets(netutil.bind_sockets(port, host))
+        for replica in loaded.state:
+            self.dialer(replica)
+        await self.probe(clock.monotonic_ms())
+        self.every(TICK_S, self.tick)
+        self.every(PROBE_INTERVAL_S, self.probe)
+
+    async def on_stop(self):
+        """Close all links and connections."""
+        for dialer in self.dialer_by_address.values():
+            dialer.stop()
+        if self.server is not None:
+            self.server.close_links()
+        if self.pages is not None:
+            await self.pages.close()
+
+    # Events and effects
+
+    def handle(self, event):
+        """Reduce one event and execute the effects."""
+        for effect in agent.reduce(self.state, event):
+            self.execute(effect)
+
+    def execute(self, effect):
+        """Execute one effect; effects that wait run in the background."""
+        method = _METHODS[type(effect)]
+        result = method(self, effect)
+        if result is not None:
+            background.spawn(result)
+
+    def tick(self, now_ms):
+        """Let time pass in the reducer."""
+        self.handle(agent.Tick(now_ms=now_ms))
+
+    # Links
+
+    def dialer(self, address):
+        """Return the dialer to a replica, started at its first use."""
+        dialer = self.dialer_by_address.get(address)
+        if dialer is None:
+            dialer = link.Dialer(address, self, self.hello)
+            self.dialer_by_address[address] = dialer
+            dialer.start()
+        return dialer
+
+    def on_message(self, link, message):
+        """Take a pushed directive of a replica."""
+        if isinstance(message, messages.Directive):
+            address = self.address_of(link)
+            if address:
+                self.directive(address, message)
+
+    def address_of(self, link):
+        """Return the address that was dialled for a link, or ``""``."""
+        for address, dialer in self.dialer_by_address.items():
+            if dialer.link is link:
+                return address
+        return ""
+
+    def directive(self, address, message):
+        """Pass a directive to the reducer."""
+        self.handle(
+            agent.DirectiveReceived(
+                now_ms=clock.monotonic_ms(), address=address, directive=message
+            )
+        )
+
+    def on_exchange(self, exchange, message):
+        """Take a request or a key query of an entry."""
+        number = self.next_number
+        self.next_number += 1
+        now_ms = clock.monotonic_ms()
+        if isinstance(message, messages.RequestHead):
+            self.forward_by_request[number] = forwarding.Forward(
+                exchange, message, lambda: self.gone(number)
+            )
+            self.handle(
+                agent.RequestArrived(now_ms=now_ms, request=number, head=message)
+            )
+        elif isinstance(message, messages.KeyQuery):
+            self.exchange_by_query[number] = exchange
+            self.handle(agent.KeyQueried(now_ms=now_ms, query=number, message=message))
+        else:
+            exchange.close()
+
+    async def send_heartbeat(self, effect):
+        """Send a heartbeat and pass on its answer."""
+        sequence = effect.heartbeat.sequence
+        try:
+            dialer = self.dialer(effect.address)
+            if not dialer.is_open:
+                raise errors.LinkClosedError("no link")
+            answer = await dialer.link.request(effect.heartbeat, HEARTBEAT_TIMEOUT_S)
+        except (errors.LinkClosedError, TimeoutError):
+            self.handle(
+                agent.HeartbeatFailed(
+                    now_ms=clock.monotonic_ms(),
+                    address=effect.address,
+                    sequence=sequence,
+                )
+            )
+            return
+        if isinstance(answer, messages.Directive):
+            self.directive(effect.address, answer)
+
+    # Requests
+
+    def gone(self, number):
+        """Note that a caller left."""
+        self.handle(agent.RequestGone(now_ms=clock.monotonic_ms(), request=number))
+
+    async def forward_request(self, effect):
+        """Send an admitted request to the upstream and report its end."""
+        number = effect.request
+        forward = self.forward_by_request[number]
+        started_ms = clock.monotonic_ms()
+        verdict = forwarding.MAY_HAVE_RUN
+        try:
+            verdict = await forward.run(
+                self.settings.upstream, self.response_head, self.state.may_serve
+            )
+            self.reachable(True)
+        except httpcall.ConnectError:
+            verdict = forwarding.NOT_RUN
+            self.reachable(False)
+        finally:
+            del self.forward_by_request[number]
+            now_ms = clock.monotonic_ms()
+            head = forward.head
+            kind = "idempotent" if head.idempotent else "non_idempotent"
+            self.requests.labels(head.tenant, kind).observe(
+                (now_ms - started_ms) / 1000
+            )
+            self.handle(
+                agent.RequestEnded(
+                    now_ms=now_ms,
+                    request=number,
+                    verdict=verdict,
+                    status=forward.status,
+                    headers=forward.headers,
+                    body=forward.stored,
+                )
+            )
+
+    def response_head(self, status, headers):
+        """Build a response head with the present load."""
+        return messages.ResponseHead(
+            status=status,
+            headers=headers,
+            in_flight=len(self.state.admission.service_by_request),
+            queued=len(self.state.admission.waiting),
+        )
+
+    def refuse_request(self, effect):
+        """Refuse a request."""
+        self.forward_by_request.pop(effect.request).refuse(
+            effect.reason,
+            effect.retry_after_ms,
+            self.state.is_closed,
+            len(self.state.admission.service_by_request),
+        )
+
+    def replay_request(self, effect):
+        """Answer a repeated key."""
+        forward = self.forward_by_request.pop(effect.request)
+        if effect.entry is not None:
+            forward.replay(effect.entry)
+        else:
+            forward.abort(effect.verdict, effect.reason)
+            forward.close()
+
+    def answer_key_query(self, effect):
+        """Answer a key query."""
+        exchange = self.exchange_by_query.pop(effect.query)
+        try:
+            exchange.send(effect.reply)
+        except errors.LinkClosedError:
+            pass
+        exchange.close()
+
+    # Worker
+
+    async def call_worker(self, task, epoch, call, to_event):
+        """Make one call for a task and report its answer or its failure."""
+        try:
+            answer = await call
+        except worker.WorkerError as error:
+            self.log.warning("worker_call_failed", task=task, error=str(error))
+            event, fields = agent.WorkerCallFailed, {}
+        else:
+            event, fields = to_event(answer)
+        if event is not None:
+            self.handle(
+                event(now_ms=clock.monotonic_ms(), task=task, epoch=epoch, **fields)
+            )
+
+    def start_task(self, effect):
+        """Start a task at the worker."""
+        order = effect.order
+        return self.call_worker(
+            order.task,
+            order.epoch,
+            self.worker.start(order, effect.lease_until_ms),
+            _start_event,
+        )
+
+    def checkpoint_task(self, effect):
+        """Have a task's progress saved."""
+        return self.call_worker(
+            effect.task,
+            effect.epoch,
+            self.worker.checkpoint(effect.task, effect.epoch),
+            lambda answer: (agent.CheckpointAnswered, {"checkpoint": answer}),
+        )
+
+    def throttle_task(self, effect):
+        """Limit a task's cores."""
+        return self.call_worker(
+            effect.task,
+            effect.epoch,
+            self.worker.throttle(effect.task, effect.epoch, effect.share),
+            lambda answer: (None, {}),
+        )
+
+    def stop_task(self, effect):
+        """Stop a task at the worker."""
+        return self.call_worker(
+            effect.task,
+            effect.epoch,
+            self.worker.stop(effect.task, effect.epoch),
+            lambda answer: (agent.StopAnswered, {"phase": answer}),
+        )
+
+    async def renew_tasks(self, effect):
+        """Extend the worker's leases; a lost call is repeated by the next one."""
+        try:
+            await self.worker.renew(effect.tasks, effect.lease_until_ms)
+        except worker.WorkerError as error:
+            self.log.warning("renew_failed", error=str(error))
+
+    async def ask_tasks(self, effect):
+        """Ask the worker for its table, one call at a time."""
+        if self.is_asking_tasks:
+            return
+        self.is_asking_tasks = True
+        asked_ms = clock.monotonic_ms()
+        try:
+            statuses = await self.worker.tasks()
+        except worker.WorkerError as error:
+            self.log.warning("tasks_failed", error=str(error))
+            statuses = None
+        finally:
+            self.is_asking_tasks = False
+        self.handle(
+            agent.WorkerSeen(
+                now_ms=clock.monotonic_ms(), asked_ms=asked_ms, statuses=statuses
+            )
+        )
+
+    def task_ended(self, effect):
+        """Log the end of a task."""
+        self.log.info(
+            "task_ended",
+            task=effect.order.task,
+            epoch=effect.order.epoch,
+            phase=effect.phase,
+            reason=effect.reason,
+        )
+
+    # Leaving
+
+    async def probe(self, now_ms):
+        """Connect to the upstream once, to notice that it refuses connections."""
+        try:
+            stream = await httpcall.connect(self.settings.upstream)
+            stream.close()
+            self.reachable(True)
+        except httpcall.ConnectError:
+            self.reachable(False)
+
+    def reachable(self, is_reachable):
+        """Note the result of a connection to the upstream."""
+        now_ms = clock.monotonic_ms()
+        if is_reachable:
+            self.unreachable_since_ms = None
+        elif self.unreachable_since_ms is None:
+            self.unreachable_since_ms = now_ms
+        self.note_leaving(now_ms)
+
+    def note_leaving(self, now_ms):
+        """Tell the reducer when the upstream begins or ends to be leaving."""
+        since_ms = self.unreachable_since_ms
+        is_leaving = self.is_leaving or (
+            since_ms is not None and now_ms - since_ms >= UNREACHABLE_LIMIT_MS
+        )
+        if is_leaving != self.state.is_upstream_leaving:
+            self.log.info("upstream_changed", leaving=is_leaving)
+            self.handle(agent.UpstreamChanged(now_ms=now_ms, is_leaving=is_leaving))
+
+    async def on_reload(self):
+        """Read `leaving` from the settings file again; the rest needs a restart."""
+        try:
+            loaded = settings.load(self.path, KNOWN_SETTINGS)
+        except errors.SettingsError as error:
+            self.log.error("reload_failed", error=str(error))
+            return
+        self.is_leaving = loaded.leaving
+        self.note_leaving(clock.monotonic_ms())
+
+    async def on_drain(self):
+        """Refuse new work and wait until nothing is in flight."""
+        self.drained = asyncio.Event()
+        now_ms = clock.monotonic_ms()
+        own_s = max(0.0, self.drain_limit_s - OWN_EVICTION_S)
+        self.handle(
+            agent.DrainAsked(now_ms=now_ms, evict_at_ms=now_ms + int(own_s * 1000))
+        )
+        await self.drained.wait()
+
+    def note_drained(self, effect):
+        """Let the drain end."""
+        self.drained.set()
+
+    def note_configuration(self, effect):
+        """Log that a configuration is in force."""
+        self.log.info("configuration_changed", version=effect.version)
+
+    # Pages
+
+    def health_page(self):
+        """Return the health page: 200 when requests are taken, else 503."""
+        state = self.state
+        if state.is_closed:
+            return 503, "text/plain", b"leaving\n"
+        if not state.may_serve(clock.monotonic_ms()):
+            return 503, "text/plain", b"no confirmed configuration\n"
+        return 200, "text/plain", b"ok\n"
+
+    def metrics_page(self):
+        """Return the metrics page."""
+        return 200, metrics.CONTENT_TYPE, self.metrics.page()
+
+
+def _start_event(answer):
+    if answer is None:
+        return None, {}
+    return agent.StartAnswered, {"is_taken": not answer, "reason": answer}
+
+
+_METHODS = {
+    agent.SendHeartbeat: AgentApplication.send_heartbeat,
+    agent.RenewTasks: AgentApplication.renew_tasks,
+    agent.AskTasks: AgentApplication.ask_tasks,
+    agent.ForwardRequest: AgentApplication.forward_request,
+    agent.RefuseRequest: AgentApplication.refuse_request,
+    agent.ReplayRequest: AgentApplication.replay_request,
+    agent.AnswerKeyQuery: AgentApplication.answer_key_query,
+    agent.ConfigurationChanged: AgentApplication.note_configuration,
+    agent.Drained: AgentApplication.note_drained,
+    taskhost.Start: AgentApplication.start_task,
+    taskhost.Checkpoint: AgentApplication.checkpoint_task,
+    taskhost.Throttle: AgentApplication.throttle_task,
+    taskhost.Stop: AgentApplication.stop_task,
+    taskhost.Ended: AgentApplication.task_ended,
+}
+
+
+def main():
+    """Run the agent with the settings file of ``--settings``."""
+    parser = argparse.ArgumentParser(prog="sardinegauge-agent")
+    parser.add_argument("--settings", required=True, metavar="FILE")
+    options = parser.parse_args()
+    try:
+        loaded = settings.load(options.settings, KNOWN_SETTINGS)
+    except errors.UserError as error:
+        print(f"sardinegauge-agent: {error}", file=sys.stderr)
+        return error.exit_status
+    logs.configure(loaded.log_level)
+    return AgentApplication(loaded, os.path.abspath(options.settings)).run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/sardinegauge/worker.py
@@ -0,0 +1,171 @@
+"""The platform's worker API: an abstract base class and its HTTP form."""
+
+import abc
+
+from sardinegauge import clock, httpcall, record, taskhost
+
+CALL_TIMEOUT_S = 1.0
+# Saving progress takes longer than other calls; retries of the agent allow for it.
+CHECKPOINT_TIMEOUT_S = 5.0
+STOP_TIMEOUT_S = 5.0
+MAX_REASON_LENGTH = 200
+
+
+class TaskStatus(record.Record):
+    """What the worker reports of one task; `memory_mb` in MB, `progress` 0 to 1."""
+
+    __slots__ = (
+        "task",
+        "epoch",
+        "phase",
+        "reason",
+        "cores",
+        "memory_mb",
+        "progress",
+    )
+    _defaults = {"reason": "", "cores": 0.0, "memory_mb": 0, "progress": 0.0}
+
+
+class WorkerError(Exception):
+    """A call was not answered; whether it took effect is unknown."""
+
+
+class Worker(abc.ABC):
+    """Calls to the worker beside this agent.
+
+    Every call names the task and its epoch; the worker refuses older epochs. Times
+    of leases are points of CLOCK_BOOTTIME in ms. A call whose lease has expired by
+    the time it would be written is not made. All calls raise `WorkerError` when there
+    is no answer.
+    """
+
+    @abc.abstractmethod
+    async def start(self, order, lease_until_ms):
+        """Start a task; return ``""``, or the reason why it was not taken.
+
+        Returns None if the lease expired before the call was written.
+        """
+
+    @abc.abstractmethod
+    async def renew(self, tasks, lease_until_ms):
+        """Extend the lease of tasks, given as (task, epoch) pairs."""
+
+    @abc.abstractmethod
+    async def checkpoint(self, task, epoch):
+        """Save a task's progress; return the checkpoint, ``""`` if there is none."""
+
+    @abc.abstractmethod
+    async def throttle(self, task, epoch, share):
+        """Limit a task to a share of its cores."""
+
+    @abc.abstractmethod
+    async def stop(self, task, epoch):
+        """Stop a task; return the phase in which it ended."""
+
+    @abc.abstractmethod
+    async def tasks(self):
+        """Return the table of tasks as a list of `TaskStatus`."""
+
+
+class HttpWorker(Worker):
+    """Speaks the worker API over HTTP with JSON bodies.
+
+    A lease is sent as the time left (`lease_ms`) with the CLOCK_BOOTTIME of sending
+    (`sent_ms`), so that a worker that reads the call late can subtract the delay.
+    """
+
+    def __init__(self, address):
+        self.address = address
+
+    async def _call(self, method, name, make_body, timeout_s=CALL_TIMEOUT_S):
+        try:
+            return await httpcall.call_json(
+                self.address, method, f"/worker/{name}", make_body, timeout_s
+            )
+        except (
+            httpcall.ConnectError,
+            httpcall.TruncatedError,
+            TimeoutError,
+            ValueError,
+        ) as error:
+            raise WorkerError(f"{name}: {error or 'no answer in time'}") from error
+
+    async def start(self, order, lease_until_ms):
+        """See `Worker.start`."""
+
+        def body():
+            return _with_lease(
+                {
+                    "task": order.task,
+                    "epoch": order.epoch,
+                    "command": order.command,
+                    "checkpoint": order.checkpoint,
+                    "cores": order.cores,
+                    "memory_mb": order.memory_mb,
+                    "accelerators": order.accelerators,
+                    "throttle": order.throttle,
+                },
+                lease_until_ms,
+            )
+
+        status, answer = await self._call("POST", "start", body)
+        if status == 0:
+            return None
+        if status == 200:
+            return ""
+        reason = str(answer.get("reason", f"status {status}"))
+        return reason[:MAX_REASON_LENGTH]
+
+    async def renew(self, tasks, lease_until_ms):
+        """See `Worker.renew`."""
+        named = [{"task": task, "epoch": epoch} for task, epoch in tasks]
+        await self._call(
+            "POST", "renew", lambda: _with_lease({"tasks": named}, lease_until_ms)
+        )
+
+    async def checkpoint(self, task, epoch):
+        """See `Worker.checkpoint`."""
+        status, answer = await self._call(
+            "POST",
+            "checkpoint",
+            lambda: {"task": task, "epoch": epoch},
+            CHECKPOINT_TIMEOUT_S,
+        )
+        return str(answer.get("checkpoint", "")) if status == 200 else ""
+
+    async def throttle(self, task, epoch, share):
+        """See `Worker.throttle`."""
+        await self._call(
+            "POST",
+            "throttle",
+            lambda: {"task": task, "epoch": epoch, "share": share},
+        )
+
+    async def stop(self, task, epoch):
+        """See `Worker.stop`; a task or epoch unknown to the worker has stopped.
+
+        The worker remembers the epoch, so that a start still on its way is refused.
+        """
+        status, answer = await self._call(
+            "POST", "stop", lambda: {"task": task, "epoch": epoch}, STOP_TIMEOUT_S
+        )
+        if status in (404, 409):
+            return taskhost.STOPPED
+        if status != 200:
+            raise WorkerError(f"stop: status {status}")
+        return answer.get("phase", taskhost.STOPPED)
+
+    async def tasks(self):
+        """See `Worker.tasks`."""
+        status, answer = await self._call("GET", "tasks", None)
+        if status != 200:
+            raise WorkerError(f"tasks: status {status}")
+        return [TaskStatus(**item) for item in answer.get("tasks", ())]
+
+
+def _with_lease(fields, lease_until_ms):
+    """Add the time left, or return None when the lease has expired."""
+    now_ms = clock.monotonic_ms()
+    if now_ms >= lease_until_ms:
+        return None
+    return {**fields, "lease_ms": lease_until_ms - now_ms, "sent_ms": now_ms}
