Join the parts into one path of processes and fix a hang at stop

Cause: an agent logged "stopped" and was killed 40 s later. asyncio.wait_for of Python 3.11 drops a cancellation that arrives when its future is done, so a link that was just connecting outlived its dialer and asyncio.run waited for it. A leak of the listening socket was ruled out: the pages were closed.

Change: timeouts are asyncio.timeout blocks, and one timer per link watches for silence in place of a timeout around each read; member roles and the configuration version appear where the operators' calls and the metrics pages need them.

--- a/sardinegauge/agentapp.py
+++ b/sardinegauge/agentapp.py
@@ -88,6 +88,9 @@
         self.requests = self.metrics.histogram(
             "agent_request_seconds", "Time at the upstream.", ("tenant", "class")
         )
+        self.version = self.metrics.gauge(
+            "configuration_version", "Configuration version in force."
+        )
 
     # Life cycle
 
@@ -458,6 +461,7 @@
 
     def note_configuration(self, effect):
         """Log that a configuration is in force."""
+        self.version.set(effect.version)
         self.log.info("configuration_changed", version=effect.version)
 
     # Pages
--- a/sardinegauge/calls.py
+++ b/sardinegauge/calls.py
@@ -1,7 +1,5 @@
 """The table of the operators' calls: message classes, commands and query kinds."""
 
-import json
-
 import json5
 
 from sardinegauge import commands, record
@@ -125,9 +123,13 @@
     return value
 
 
-def _configuration_reply(value):
-    """Give the document as JSON text, as the schema has it."""
-    return {**value, "document": json.dumps(value.get("document", {}), indent=2)}
+def _members_reply(value):
+    """Show each member's role in the group in place of its two flags."""
+    rows = []
+    for member in value["members"]:
+        role = "voter" if member["is_voter"] else "learner"
+        rows.append({**member, "role": "leader" if member["is_leader"] else role})
+    return {"members": rows}
 
 
 def _change(name, to_command):
@@ -157,12 +159,7 @@
     _change("DeclareService", _declare_service),
     _change("DrainUpstream", _drain_upstream),
     _change("ChangeMember", _change_member),
-    _read(
-        "GetConfiguration",
-        schema.GetConfigurationReply,
-        "configuration",
-        to_reply=_configuration_reply,
-    ),
+    _read("GetConfiguration", schema.GetConfigurationReply, "configuration"),
     _read(
         "ListJobs",
         schema.ListJobsReply,
@@ -173,7 +170,7 @@
     _read("ListServices", schema.ListServicesReply, "services"),
     _read("ListUpstreams", schema.ListUpstreamsReply, "upstreams"),
     _read("ListTenants", schema.ListTenantsReply, "tenants"),
-    _read("ListMembers", schema.ListMembersReply, "members"),
+    _read("ListMembers", schema.ListMembersReply, "members", to_reply=_members_reply),
     _read(
         "ListAudit",
         schema.ListAuditReply,
--- a/sardinegauge/httpcall.py
+++ b/sardinegauge/httpcall.py
@@ -57,7 +57,8 @@
         _client = tcpclient.TCPClient()
     host, port = link.split_address(address)
     try:
-        stream = await asyncio.wait_for(_client.connect(host, port), CONNECT_TIMEOUT_S)
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            stream = await _client.connect(host, port)
     except (TimeoutError, OSError, iostream.StreamClosedError) as error:
         raise ConnectError(f"{address}: {error or 'no answer'}") from error
     stream.set_nodelay(True)
--- a/sardinegauge/link.py
+++ b/sardinegauge/link.py
@@ -6,9 +6,11 @@
 
 import abc
 import asyncio
+import contextlib
 import logging
 import random
 import struct
+import time
 
 from tornado import iostream, tcpclient, tcpserver
 
@@ -90,7 +92,8 @@
             If nothing arrives within `timeout_s` seconds.
         """
         if self._queue.empty():
-            message = await asyncio.wait_for(self._queue.get(), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                message = await self._queue.get()
         else:
             message = self._queue.get_nowait()
         if message is None:
@@ -123,6 +126,7 @@
         self._outbound_by_correlation = {}
         self._inbound_by_correlation = {}
         self._is_open = False
+        self._heard_at_s = time.monotonic()
 
     @property
     def peer_name(self):
@@ -147,7 +151,8 @@
         pinger = None
         try:
             self.send_frame(codec.Frame(message=self.hello))
-            first = await self._read_frame()
+            async with asyncio.timeout(SILENCE_LIMIT_S):
+                first = await self._read_frame()
             if not isinstance(first.message, messages.Hello):
                 raise errors.WireError("the first frame is no hello")
             self.peer = first.message
@@ -166,14 +171,12 @@
             self.close()
 
     async def _read_frame(self):
-        head = await asyncio.wait_for(
-            self.stream.read_bytes(_LENGTH.size), SILENCE_LIMIT_S
-        )
-        (length,) = _LENGTH.unpack(head)
+        (length,) = _LENGTH.unpack(await self.stream.read_bytes(_LENGTH.size))
         if length > MAX_FRAME_BYTES:
             raise errors.WireError(f"frame of {length} bytes is over the limit")
-        data = await asyncio.wait_for(self.stream.read_bytes(length), SILENCE_LIMIT_S)
+        data = await self.stream.read_bytes(length)
         self.bytes_received += _LENGTH.size + length
+        self._heard_at_s = time.monotonic()
         return codec.decode(data)
 
     def _dispatch(self, frame):
@@ -199,9 +202,22 @@
         self.handler.on_exchange(exchange, message)
 
     async def _ping(self):
-        while True:
+        """Ping the peer and close the link when nothing was heard for too long.
+
+        One timer for a link is cheaper than a timeout around each read.
+        """
+        last_wake_s = time.monotonic()
+        while self.is_open:
             await asyncio.sleep(PING_INTERVAL_S)
-            self.send_frame(codec.Frame(message=messages.Ping()))
+            now_s = time.monotonic()
+            # A process that was frozen itself has not heard what waits in its socket.
+            was_frozen = now_s - last_wake_s > SILENCE_LIMIT_S
+            last_wake_s = now_s
+            if now_s - self._heard_at_s > SILENCE_LIMIT_S and not was_frozen:
+                self.close()
+                return
+            with contextlib.suppress(errors.LinkClosedError):
+                self.send_frame(codec.Frame(message=messages.Ping()))
 
     def send(self, message):
         """Send a one-way message; see `Exchange.send` for errors."""
@@ -298,6 +314,10 @@
 class Dialer:
     """Keeps one link to an address, reconnecting with jittered backoff.
 
+    Timeouts are `asyncio.timeout` blocks: `asyncio.wait_for` of Python 3.11 loses a
+    cancellation that arrives when its future is done, which left a stopped process
+    with a link that never ended.
+
     Parameters
     ----------
     address : str
@@ -344,10 +364,10 @@
         """Connect and run the link; tell whether it ever opened."""
         host, port = split_address(self.address)
         try:
-            stream = await asyncio.wait_for(
-                self._client.connect(host, port, max_buffer_size=2 * MAX_FRAME_BYTES),
-                CONNECT_TIMEOUT_S,
-            )
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                stream = await self._client.connect(
+                    host, port, max_buffer_size=2 * MAX_FRAME_BYTES
+                )
         except (TimeoutError, OSError, iostream.StreamClosedError):
             return False
         stream.max_write_buffer_size = MAX_SEND_BUFFER_BYTES
--- a/sardinegauge/operatorapi.py
+++ b/sardinegauge/operatorapi.py
@@ -169,8 +169,8 @@
             self.set_header("Retry-After", str(RETRY_AFTER_S))
             self._fail(503, getattr(result, "reason", "") or "no leader is known")
             return
-        if result.value is None or "error" in result.value:
-            self._fail(404, (result.value or {}).get("error", "not found"))
+        if not result.value:
+            self._fail(404, "not found")
             return
         reply = call.reply()
         value = call.to_reply(result.value)
--- a/tests/fleet/demo.py
+++ b/tests/fleet/demo.py
@@ -53,7 +53,7 @@
         replies.append(
             await fleet.fetch(
                 entry,
-                "/ordering/echo?id=order-1",
+                "/ordering/echo?order=order-1",
                 method="POST",
                 body=b"one hide",
                 headers={"Idempotency-Key": "order-1", "Sardinegauge-Tenant": "karri"},
@@ -119,8 +119,7 @@
 async def configuration_versions(fleet):
     versions = {}
     for name in fleet.entry_names + fleet.agent_names:
-        path = "/-/metrics" if name in fleet.entry_names else "/metrics"
-        page = await fleet.fetch(name, path, request_timeout=2.0)
+        page = await fleet.fetch(name, "/-/metrics", request_timeout=2.0)
         found = re.search(
             rb"^sardinegauge_configuration_version (\S+)", page.body or b"", re.M
         )
--- a/tests/fleet/fleet.py
+++ b/tests/fleet/fleet.py
@@ -146,7 +146,7 @@
         await init.start()
         if await init.child.wait() != 0:
             raise RuntimeError(f"init of {name} failed, see {init.log_path}")
-        self._add(name, "sardinegauge.stateapp", "run", "--settings", path)
+        self._add(name, "sardinegauge.stateapp", "--settings", path)
 
     def _http(self, name):
         if name not in self.http_by_name:
@@ -158,8 +158,10 @@
         process = self._add(
             name,
             "tests.fleet.upstream",
-            "--listen",
-            self._http(name),
+            "--port",
+            self._http(name).rpartition(":")[2],
+            "--worker-port",
+            self._http(f"{agent}-platform").rpartition(":")[2],
             "--events",
             str(self.events_file(agent)),
             "--name",
@@ -178,7 +180,7 @@
             "rack": f"rack-{index // 3 + 1}",
             "state": self.state_addresses,
             "upstream": upstream,
-            "worker": upstream,
+            "worker": self._http(f"{name}-platform"),
             "services": ["ordering"],
             "cores": 16,
             "memory_mb": 60_000,
