Test the agreement under faults in virtual time and fix what it found

Cause: a bag of messages that arrive late, twice or never showed four faults. Refused pipelined requests were each answered by a new pipeline, so refusals multiplied without end. A member whose log holds an old leader's tail was taken for one with an outdated folder, because only the conflict index was compared, and stayed out of date for good. A replica with an older copy of its folder could still win an election by the vote of one that lacked the same entries. Late heartbeats were counted as answers to a probe.

Change: a leader probes with one request until one succeeds and knows late refusals by the request's previous index; AppendReply gets prevIndex and lastIndex. A voter refuses a candidate whose log ends before any index it knows to be acknowledged, and such a replica starts no election.

--- a/sardinegauge/elections.py
+++ b/sardinegauge/elections.py
@@ -14,7 +14,7 @@
 def start_pre_vote(state):
     """Ask whether an election could be won, without disturbing the term."""
     state.reset_election_timer()
-    if not state.is_voter:
+    if not state.is_voter or is_stale(state, state.identity, state.log.last_index):
         return
     state.role = raftstate.PRECANDIDATE
     state.leader = ""
@@ -53,6 +53,10 @@
 
 def _is_up_to_date(state, request):
     own = (state.log.last_term, state.log.last_index)
+    # Acknowledged indexes are committed, so a shorter log lacks committed entries: it
+    # comes from an older copy of a data folder.
+    if request.last_index < max(state.acknowledged.values(), default=0):
+        return False
     return (request.last_term, request.last_index) >= own
 
 
--- a/sardinegauge/messages.py
+++ b/sardinegauge/messages.py
@@ -123,6 +123,8 @@
         "match_index",
         "conflict_index",
         "read_round",
+        "prev_index",
+        "last_index",
     )
     _defaults = {
         "term": 0,
@@ -131,6 +133,8 @@
         "match_index": 0,
         "conflict_index": 0,
         "read_round": 0,
+        "prev_index": 0,
+        "last_index": 0,
     }
 
 
--- a/sardinegauge/raftstate.py
+++ b/sardinegauge/raftstate.py
@@ -112,6 +112,7 @@
     __slots__ = (
         "ack_ms",
         "in_flight",
+        "is_probing",
         "match_index",
         "next_index",
         "read_round",
@@ -122,6 +123,8 @@
     def __init__(self, next_index, now_ms):
         self.match_index = 0
         self.next_index = next_index
+        # Until a request succeeded, only one is in flight, since all would fail.
+        self.is_probing = True
         self.in_flight = collections.deque()  # Last index of each unanswered request.
         self.ack_ms = now_ms
         self.sent_ms = now_ms
--- a/sardinegauge/replication.py
+++ b/sardinegauge/replication.py
@@ -58,7 +58,7 @@
         while (
             progress.snapshot_offset is None
             and progress.next_index <= state.log.last_index
-            and len(progress.in_flight) < MAX_IN_FLIGHT
+            and len(progress.in_flight) < (1 if progress.is_probing else MAX_IN_FLIGHT)
         ):
             _send_entries(state, identity, progress)
 
@@ -68,7 +68,8 @@
     for identity, progress in state.progress.items():
         if progress.in_flight and state.now_ms - progress.sent_ms > RESEND_MS:
             progress.in_flight.clear()
-            progress.next_index = progress.match_index + 1
+            if not progress.is_probing:
+                progress.next_index = progress.match_index + 1
         if progress.snapshot_offset is not None:
             if state.now_ms - progress.sent_ms > RESEND_MS:
                 _send_chunk(state, identity, progress)
@@ -88,8 +89,10 @@
         return
     entries = state.log.batch(progress.next_index, MAX_BATCH_ENTRIES, MAX_BATCH_BYTES)
     _send_append(state, identity, progress.next_index - 1, entries)
-    progress.next_index += len(entries)
-    progress.in_flight.append(progress.next_index - 1)
+    progress.in_flight.append(entries[-1].index)
+    # A probe stays in place, so that its refusal is recognized.
+    if not progress.is_probing:
+        progress.next_index += len(entries)
     progress.sent_ms = state.now_ms
 
 
@@ -155,7 +158,7 @@
         return
     if reply.success:
         _advance(state, reply.member, progress, reply.match_index)
-    elif elections.is_stale(state, reply.member, reply.conflict_index - 1):
+    elif elections.is_stale(state, reply.member, reply.last_index):
         state.send(
             reply.member,
             messages.StaleMember(
@@ -165,14 +168,32 @@
             ),
         )
     elif progress.snapshot_offset is None:
-        progress.in_flight.clear()
-        wanted = min(reply.conflict_index, progress.next_index)
-        progress.next_index = max(progress.match_index + 1, wanted)
+        _take_back(progress, reply)
     confirm_reads(state)
     replicate(state)
 
 
+def _take_back(progress, reply):
+    """Probe at an earlier index, unless the refusal is late.
+
+    Without this check each refusal of a pipelined request would start a new pipeline,
+    and refusals would multiply.
+    """
+    if progress.is_probing:
+        is_late = reply.prev_index != progress.next_index - 1
+    else:
+        is_late = reply.prev_index <= progress.match_index
+    wanted = max(progress.match_index + 1, min(reply.conflict_index, reply.prev_index))
+    if is_late or wanted >= progress.next_index:
+        return
+    progress.is_probing = True
+    progress.in_flight.clear()
+    progress.next_index = wanted
+
+
 def _advance(state, identity, progress, match_index):
+    if match_index > progress.match_index or not progress.in_flight:
+        progress.is_probing = False
     progress.match_index = max(progress.match_index, match_index)
     progress.next_index = max(progress.next_index, progress.match_index + 1)
     while progress.in_flight and progress.in_flight[0] <= match_index:
@@ -286,7 +307,10 @@
 def on_append_request(state, request):
     """Append a leader's entries where they continue the log; see `messages`."""
     reply = messages.AppendReply(
-        term=state.term, member=state.identity, read_round=request.read_round
+        term=state.term,
+        member=state.identity,
+        read_round=request.read_round,
+        prev_index=request.prev_index,
     )
     if not _accept_leader(state, request):
         reply.read_round = 0
@@ -298,6 +322,7 @@
     conflict_index = _conflict(state, request)
     if conflict_index:
         reply.conflict_index = conflict_index
+        reply.last_index = state.log.last_index
         _persist_acknowledged(state)
         state.send_durable(request.leader, reply)
         return
--- a/sardinegauge/wire.capnp
+++ b/sardinegauge/wire.capnp
@@ -97,6 +97,8 @@
   matchIndex @3 :UInt64;
   conflictIndex @4 :UInt64;
   readRound @5 :UInt64;
+  prevIndex @6 :UInt64;  # of the request answered, so that late refusals are known
+  lastIndex @7 :UInt64;  # of the member's log, on a refusal
 }
 
 struct SnapshotChunk {
--- a/tests/statefleet.py
+++ b/tests/statefleet.py
@@ -6,8 +6,16 @@
 import socket
 import types
 
-from sardinegauge import messages, outcome, record, replica, settings, stateapp
-from sardinegauge import stateclient, storage
+from sardinegauge import (
+    messages,
+    outcome,
+    record,
+    replica,
+    settings,
+    stateapp,
+    stateclient,
+    storage,
+)
 
 
 class FakeMachine:
--- /dev/null
+++ b/tests/test_raft.py
@@ -0,0 +1,268 @@
+"""Guards the safety of the agreement against lost, late and doubled messages."""
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from sardinegauge import membership, raft, raftstate, replication
+from tests import raftsim
+
+CALM = {
+    "drop": 0.0,
+    "duplicate": 0.0,
+    "crash": 0.0,
+    "isolate": 0.0,
+    "freeze": 0.0,
+    "lose": 0.0,
+}
+
+
+@pytest.fixture(autouse=True)
+def small_limits(monkeypatch):
+    """Make short logs need snapshots, chunks and several batches."""
+    monkeypatch.setattr(raft, "TRAILING_ENTRIES", 3)
+    monkeypatch.setattr(replication, "MAX_BATCH_ENTRIES", 3)
+    monkeypatch.setattr(replication, "SNAPSHOT_CHUNK_BYTES", 200)
+
+
+def make_group():
+    """Return a simulator with a leader, and that leader."""
+    simulator = raftsim.Simulator()
+    simulator.run(3000)
+    (leader,) = simulator.leaders()
+    return simulator, leader
+
+
+def others(simulator, node):
+    return [other for other in simulator.nodes.values() if other is not node]
+
+
+@hypothesis.settings(
+    max_examples=60,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=[hypothesis.HealthCheck.function_scoped_fixture],
+)
+@hypothesis.given(
+    seed=strategies.integers(0, 2**32),
+    drop=strategies.sampled_from([0.0, 0.05, 0.3]),
+    duplicate=strategies.sampled_from([0.0, 0.1]),
+    crash=strategies.sampled_from([0.0, 0.002, 0.01]),
+    isolate=strategies.sampled_from([0.0, 0.002, 0.01]),
+    freeze=strategies.sampled_from([0.0, 0.002]),
+    lose=strategies.sampled_from([0.0, 0.0005]),
+)
+def test_nothing_committed_is_lost_under_faults(seed, **faults):
+    simulator = raftsim.Simulator(seed)
+    for number in range(4000):
+        simulator.step(faults)
+        if number % 500 == 0:
+            simulator.check_log_matching()
+    simulator.check_log_matching()
+    simulator.run_calm(8000)
+    if faults["lose"]:
+        return  # Two folders lost before a repair leave no quorum; nothing is wrong.
+    (leader,) = simulator.leaders()
+    body = simulator.propose(leader)
+    answered = simulator.reads_answered
+    simulator.read(leader)
+    simulator.run_calm(1000)
+    assert simulator.reads_answered > answered
+    for node in simulator.nodes.values():
+        assert node.applied[-1][2] == body
+        assert len(node.applied) == len(simulator.committed)
+
+
+def test_cut_off_leader_steps_down_and_answers_no_read():
+    simulator, old = make_group()
+    old.is_isolated = True
+    simulator.read(old)
+    simulator.run(500)
+    assert old.state.role == raftstate.LEADER
+    simulator.run(200)
+    assert old.state.role == raftstate.FOLLOWER
+    simulator.run(2000)
+    (new,) = simulator.leaders()
+    simulator.propose(new)
+    answered = simulator.reads_answered
+    simulator.read(old)
+    simulator.run_calm(2000)
+    assert simulator.reads_answered == answered
+    assert old.state.term == new.state.term
+    assert old.applied == new.applied
+
+
+def test_frozen_leader_answers_no_stale_read():
+    simulator, old = make_group()
+    simulator.read(old)
+    simulator.run(100)
+    answered = simulator.reads_answered
+    assert answered
+    old.is_frozen = True
+    simulator.run(2500)
+    (new,) = [n for n in simulator.leaders() if n is not old]
+    simulator.propose(new)
+    simulator.run(200)
+    old.is_frozen = False
+    simulator.read(old)  # Before the thawed leader hears of anything else.
+    simulator.run(500)
+    assert simulator.reads_answered == answered
+    assert old.state.role == raftstate.FOLLOWER
+
+
+def test_returning_replica_does_not_disturb_the_leader():
+    simulator, leader = make_group()
+    term = leader.state.term
+    apart = others(simulator, leader)[0]
+    apart.is_isolated = True
+    simulator.run(10_000)
+    assert apart.state.term == term
+    simulator.run_calm(2000)
+    assert simulator.leaders() == [leader]
+    assert leader.state.term == term
+
+
+def test_vote_counts_only_after_it_is_durable():
+    simulator = raftsim.Simulator()
+    node = simulator.nodes["a"]
+    request = raft.messages.VoteRequest(
+        term=2, candidate="b", last_index=9, last_term=1
+    )
+    simulator.feed(node, raft.Received(now_ms=0, message=request))
+    assert simulator.bag == []
+    simulator.write(node, len(node.writes))
+    assert simulator.bag[0][2].granted
+    simulator.crash(node)
+    rival = request.replace(candidate="c")
+    simulator.feed(node, raft.Received(now_ms=0, message=rival))
+    assert not simulator.bag[1][2].granted
+
+
+def test_entries_are_acknowledged_only_when_durable():
+    simulator, leader = make_group()
+    follower = others(simulator, leader)[0]
+    simulator.propose(leader)
+    for position in range(len(simulator.bag) - 1, -1, -1):
+        simulator.deliver(position)
+    last = leader.state.log.last_index
+    replies = [
+        message.match_index
+        for name, _, message in simulator.bag
+        if name == follower.name and isinstance(message, raft.messages.AppendReply)
+    ]
+    assert all(index < last for index in replies)
+    assert leader.state.commit_index < last
+
+
+def test_lost_folder_gets_a_new_identity_and_replaces_the_old_one():
+    simulator, leader = make_group()
+    lost, last = others(simulator, leader)
+    for _ in range(30):
+        simulator.propose(leader)
+    simulator.run(500)
+    simulator.lose_folder(lost)
+    simulator.run(4000)
+    identities = {lost.identity, last.identity, leader.identity}
+    assert set(leader.state.members) == identities
+    assert all(member.is_voter for member in leader.state.members.values())
+    # The second loss comes right after the repair of the first.
+    simulator.lose_folder(last)
+    simulator.run(4000)
+    assert set(leader.state.members) == {
+        lost.identity,
+        last.identity,
+        leader.identity,
+    }
+    assert len(lost.applied) == len(last.applied) == len(simulator.committed)
+
+
+def test_learner_with_a_new_name_waits_for_the_operator():
+    simulator, leader = make_group()
+    node = raftsim.Node("d", raftsim.Disk())
+    node.boot(simulator.now_ms)
+    simulator.nodes["d"] = node
+    simulator.run(3000)
+    assert not leader.state.members["d"].is_voter
+    assert node.applied == leader.applied
+    assert raft.change_problem(leader.state, "promote", "d") == ""
+    event = raft.MemberChangeAsked(
+        now_ms=simulator.now_ms, identity="d", action="promote"
+    )
+    simulator.feed(leader, event)
+    assert raft.is_change_pending(leader.state)
+    simulator.run(500)
+    assert leader.state.members["d"].is_voter
+
+
+def test_older_copy_of_a_folder_does_not_vote_and_rejoins():
+    simulator, leader = make_group()
+    stale, behind = others(simulator, leader)
+    copy = stale.disk.copy()
+    behind.is_isolated = True
+    for _ in range(5):
+        simulator.propose(leader)
+    simulator.run(500)
+    committed = leader.state.commit_index
+    # The third replica hears what the others acknowledged, but not the entries.
+    simulator.bag.clear()
+    behind.is_isolated = False
+    table = [
+        raft.messages.MemberIndex(member=member, index=index)
+        for member, index in leader.state.acknowledged.items()
+    ]
+    message = raft.messages.AppendRequest(
+        term=leader.state.term,
+        leader=leader.identity,
+        prev_index=committed,
+        prev_term=leader.state.term,
+        acknowledged=table,
+    )
+    event = raft.Received(now_ms=simulator.now_ms, message=message)
+    simulator.feed(behind, event)
+    simulator.write(behind, len(behind.writes))
+    simulator.crash(behind)
+    simulator.bag.clear()
+    leader.is_isolated = True
+    stale.disk = copy
+    stale.boot(simulator.now_ms)
+    simulator.run(5000)
+    assert not [n for n in simulator.leaders() if n is not leader]
+    simulator.run_calm(6000)
+    assert simulator.rejoins == 1
+    assert stale.identity != stale.name
+    assert len(stale.applied) == len(simulator.committed) > committed
+
+
+def test_replica_far_behind_is_brought_up_by_a_snapshot():
+    simulator, leader = make_group()
+    behind = others(simulator, leader)[0]
+    behind.is_isolated = True
+    for _ in range(50):
+        simulator.propose(leader)
+    simulator.run(500)
+    simulator.take_snapshot(leader)
+    assert leader.state.log.base_index > behind.state.log.last_index
+    simulator.run_calm(1000)
+    assert behind.state.snapshot.index == leader.state.snapshot.index
+    assert behind.applied == leader.applied
+    simulator.crash(behind)
+    simulator.run_calm(1000)
+    assert behind.applied == leader.applied
+
+
+def test_handover_needs_no_election_timeout():
+    simulator, leader = make_group()
+    simulator.propose(leader)
+    simulator.feed(leader, raft.TransferAsked(now_ms=simulator.now_ms))
+    simulator.run(100)
+    (new,) = simulator.leaders()
+    assert new is not leader
+
+
+def test_quorum_counts_voters_only():
+    table = {
+        name: membership.Member(identity=name, name=name, address="", is_voter=voter)
+        for name, voter in (("a", True), ("b", True), ("c", True), ("d", False))
+    }
+    assert not membership.is_quorum(table, {"a", "d"})
+    assert membership.quorum_value(table, {"a": 5, "d": 5}) == 0
--- a/tests/test_stateapp.py
+++ b/tests/test_stateapp.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from sardinegauge import commands, messages, outcome, replica
+from sardinegauge import commands, outcome
 from tests import statefleet
 
 
