--- a/sardinegauge/segments.py
+++ b/sardinegauge/segments.py
@@ -105,27 +105,32 @@
         self._is_dirty = False
 
     def load(self):
-        """Read all segments and return their entries in order.
+        """Read all segments and return their entries in order; change no file.
 
-        A torn last record of the last segment is cut off.
+        A torn last record of the last segment is left out.
 
         Raises
         ------
         DataFolderError
-            If anything else is damaged; no file has been changed then.
+            If anything else is damaged.
         """
+        if not os.path.isdir(self.folder):
+            raise errors.DataFolderError(self.folder, 0, "the folder is missing")
         names = sorted(n for n in os.listdir(self.folder) if n.endswith(_SUFFIX))
         if not names:
             raise errors.DataFolderError(self.folder, 0, "no log segment")
         entries = []
         for name in names:
             entries += self._load_segment(name, is_last=name == names[-1])
+        return entries
+
+    def open_last(self):
+        """Open the last segment for writing and cut off a torn last record."""
         last = self.segments[-1]
         self._open(last)
         if os.fstat(self._number).st_size > last.size:
             log.warning("torn_tail_cut file=%s offset=%d", last.path, last.size)
             self._cut(last, last.size)
-        return entries
 
     def _load_segment(self, name, is_last):
         path = os.path.join(self.folder, name)
--- a/sardinegauge/storage.py
+++ b/sardinegauge/storage.py
@@ -127,6 +127,7 @@
         snapshot = self._load_snapshot()
         entries = self.segments.load()
         log_part = self._join(snapshot, entries)
+        self.segments.open_last()
         self._remove_temporary()
         return Stored(
             term=hard["term"],
--- a/sardinegauge/writer.py
+++ b/sardinegauge/writer.py
@@ -70,6 +70,8 @@
         return batch
 
     def _execute(self, batch):
+        if not batch:
+            return
         # Hard state goes first: entries of a term are never stored before the term.
         for effect in reversed(batch):
             if isinstance(effect, raftstate.Persist):
--- a/tests/raftsim.py
+++ b/tests/raftsim.py
@@ -187,6 +187,8 @@
                 self.feed(node, raft.Received(now_ms=self.now_ms, message=message))
 
     def write(self, node, count):
+        if node.is_frozen:
+            return
         done, node.writes = node.writes[:count], node.writes[count:]
         sequence = max((node.disk.write(effect) for effect in done), default=0)
         if sequence:
