--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -140,6 +140,18 @@
     assert session.finals[1].verdict is MAY_HAVE_RUN
 
 
+def test_end_of_an_earlier_attempt_does_not_complete_a_later_one():
+    session = Session()
+    session.arrive(1)
+    session.fail(session.sends[0], MAY_HAVE_RUN)
+    session.wake()
+    session.give(
+        entryevents.HeadReceived, number=1, attempt=2, status=200, in_flight=1, queued=0
+    )
+    session.give(entryevents.AttemptFinished, number=1, attempt=1)
+    assert not session.finals
+
+
 def test_streaming_body_is_not_sent_twice():
     session = Session()
     session.arrive(1)
@@ -171,6 +183,8 @@
     confirmed_ms = session.state.confirmed_until_ms
     session.now_ms += 1_000
     session.poll(document={"tenants": {}}, version=6)
+    session.poll(document={"tenants": {}}, version=6, directory_version=7)
+    session.poll(document={"tenants": {}}, version=7, directory_version=6)
     assert session.state.config_version == 7
     assert session.state.configuration["tenants"]["karri"]["max_concurrent"] == 2
     assert session.state.confirmed_until_ms == confirmed_ms
