Test the HTTP surface of the entry

Cause: framing, limits, truncation, streaming and drain had no tests. One of them showed that a cancelled attempt went on: asyncio.wait_for of Python 3.11 swallows a cancellation that meets a message, so a body cut by its caller was not aborted at the agent.

Change: link.Exchange.receive uses asyncio.timeout. Tests of the HTTP surface against fake agents: malformed input, response order, truncated and malformed responses, large bodies, slow senders and readers, limits, drain, metrics.

--- a/sardinegauge/link.py
+++ b/sardinegauge/link.py
@@ -90,7 +90,10 @@
             If nothing arrives within `timeout_s` seconds.
         """
         if self._queue.empty():
-            message = await asyncio.wait_for(self._queue.get(), timeout_s)
+            # asyncio.wait_for of Python 3.11 swallows a cancellation that meets a
+            # message, and the cancelled exchange would go on.
+            async with asyncio.timeout(timeout_s):
+                message = await self._queue.get()
         else:
             message = self._queue.get_nowait()
         if message is None:
--- a/tests/entryfakes.py
+++ b/tests/entryfakes.py
@@ -10,6 +10,7 @@
     background,
     commands,
     entryapp,
+    errors,
     link,
     messages,
     outcome,
@@ -59,6 +60,10 @@
         background.spawn(self._serve(exchange, message))
 
     async def _serve(self, exchange, message):
+        with contextlib.suppress(errors.LinkClosedError):
+            await self._answer(exchange, message)
+
+    async def _answer(self, exchange, message):
         try:
             if isinstance(message, messages.KeyQuery):
                 self.key_queries.append(message)
--- a/tests/test_entryapp.py
+++ b/tests/test_entryapp.py
@@ -2,39 +2,444 @@
 
 import asyncio
 import json
+import random
+import tracemalloc
 
-from tornado import httpclient
+from tornado import httpclient, simple_httpclient
 
+from sardinegauge import errors, messages, requestfront
 from tests import entryfakes
 
 
 async def fetch(app, path, **options):
-    client = httpclient.AsyncHTTPClient()
-    return await client.fetch(app.base + path, raise_error=False, **options)
+    client = simple_httpclient.SimpleAsyncHTTPClient(
+        force_instance=True, max_clients=1000
+    )
+    options = {"raise_error": False, "request_timeout": 20, **options}
+    return await client.fetch(app.base + path, **options)
+
+
+async def talk(app, data, limit_s=10):
+    """Send raw bytes; return all that comes until the entry closes."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", app.port)
+    writer.write(data)
+    async with asyncio.timeout(limit_s):
+        try:
+            answer = await reader.read()
+        except ConnectionResetError:
+            answer = b"reset"
+    writer.close()
+    return answer
+
+
+def run(test, *agents, state=None, **changes):
+    """Run `test(app)` against an entry with agents; return its result."""
+
+    async def main():
+        fake = state or entryfakes.FakeState(agent() for agent in agents)
+        async with entryfakes.running(fake, **changes) as app:
+            app.agents = fake.agents
+            app.fake = fake
+            async with asyncio.timeout(40):
+                return await test(app)
+
+    return asyncio.run(main())
+
+
+def agent(behave=None, name="u1", **options):
+    return lambda: entryfakes.FakeAgent(name, behave, **options)
+
+
+def verdict(response):
+    return response.headers["Sardinegauge-Verdict"]
 
 
 def test_request_reaches_the_agent_and_its_whole_response_returns():
-    async def run():
-        agent = entryfakes.FakeAgent()
-        async with entryfakes.running(entryfakes.FakeState([agent])) as app:
-            response = await fetch(
-                app, "/shop/a?b=1", method="POST", body=b"x" * 200_000
-            )
-        return agent, response
+    async def test(app):
+        response = await fetch(
+            app,
+            "/shop/a?b=1",
+            method="POST",
+            body=b"x" * 200_000,
+            headers={"Connection": "X-Hop", "X-Hop": "1", "X-End": "2"},
+        )
+        return response, *app.agents[0].received[0]
 
-    agent, response = asyncio.run(run())
+    response, head, body = run(test, agent())
     assert (response.code, response.body) == (200, b"/shop/a?b=1")
-    assert response.headers["Sardinegauge-Verdict"] == "ran"
-    head, body = agent.received[0]
+    assert verdict(response) == "ran"
     assert (head.service, head.incarnation, body) == ("shop", "i1", b"x" * 200_000)
+    names = {header.name for header in head.headers}
+    assert "X-End" in names and not names & {"X-Hop", "Connection"}
 
 
 def test_unserved_service_is_refused_at_once_as_not_run():
-    async def run():
-        async with entryfakes.running(entryfakes.FakeState()) as app:
-            return await fetch(app, "/nothing")
-
-    response = asyncio.run(run())
-    assert response.code == 503
-    assert response.headers["Retry-After"] == "1"
+    response = run(lambda app: fetch(app, "/nothing"))
+    assert (response.code, response.headers["Retry-After"]) == (503, "1")
     assert json.loads(response.body)["verdict"] == "not-run"
+
+
+def test_unconfirmed_entry_takes_no_request_and_is_not_ready():
+    state = entryfakes.FakeState()
+    state.is_confirmed = False
+
+    async def test(app):
+        paths = ("/shop/a", "/-/ready", "/-/health")
+        return [(await fetch(app, path)).code for path in paths]
+
+    assert run(test, state=state) == [503, 503, 200]
+
+
+def test_each_of_many_callers_gets_its_own_response():
+    async def slow(agent, exchange, head, body):
+        await asyncio.sleep(random.uniform(0, 0.05))
+        entryfakes.send_response(exchange, head.path.encode() + body)
+
+    async def test(app):
+        async def one(number):
+            response = await fetch(
+                app, f"/shop/{number}", method="POST", body=b"#%d" % number
+            )
+            return response.body == b"/shop/%d#%d" % (number, number)
+
+        return await asyncio.gather(*(one(number) for number in range(300)))
+
+    assert all(run(test, agent(slow), agent(slow, "u2")))
+
+
+def test_pipelined_requests_are_answered_in_their_order():
+    async def slow_first(agent, exchange, head, body):
+        await asyncio.sleep(0.05 if head.path.endswith("1") else 0)
+        entryfakes.send_response(exchange, head.path.encode())
+
+    requests = b"GET /shop/1 HTTP/1.1\r\nHost: a\r\n\r\n"
+    requests += b"GET /shop/2 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+    answer = run(lambda app: talk(app, requests), agent(slow_first))
+    assert 0 < answer.index(b"/shop/1") < answer.index(b"/shop/2")
+
+
+def _raw(head, body=b""):
+    return head.replace("\n", "\r\n").encode() + body
+
+
+MALFORMED = [
+    ("GET shop HTTP/1.1\nHost: a\n\n", b"400"),
+    ("nonsense\n\n", b"400"),
+    ("GET /shop HTTP/1.1\nHost: a\nbad header\n\n", b"400"),
+    ("GET / HTTP/1.1\nHost: a\n\n", b"404"),
+    ("GET /%2e%2e/x HTTP/1.1\nHost: a\n\n", b"404"),
+    ("TRACE /shop HTTP/1.1\nHost: a\n\n", b"405"),
+    ("CONNECT shop:80 HTTP/1.1\nHost: a\n\n", b"405"),
+    ("GET /shop HTTP/1.1\nHost: a\nSardinegauge-Deadline-Ms: 0\n\n", b"400"),
+    ("GET /shop HTTP/1.1\nHost: a\nSardinegauge-Deadline-Ms: soon\n\n", b"400"),
+    ("GET /shop HTTP/1.1\nHost: a\nSardinegauge-Tenant: a b\n\n", b"400"),
+    ("GET /shop HTTP/1.1\nHost: a\nSardinegauge-Idempotent: maybe\n\n", b"400"),
+    ("POST /shop HTTP/1.1\nHost: a\nIdempotency-Key: \n\n", b"400"),
+    ("POST /shop HTTP/1.1\nHost: a\nContent-Length: -1\n\n", b"400"),
+    ("POST /shop HTTP/1.1\nHost: a\nContent-Length: 9999999999\n\n", b"413"),
+    (
+        "POST /shop HTTP/1.1\nHost: a\nContent-Length: 3\n"
+        "Transfer-Encoding: chunked\n\n0\n\n",
+        b"400",
+    ),
+    ("POST /shop HTTP/1.1\nHost: a\nTransfer-Encoding: chunked\n\nzz\n", b"400"),
+    ("GET /shop/" + "a" * 9_000 + " HTTP/1.1\nHost: a\n\n", b"414"),
+    ("GET /shop HTTP/1.1\nHost: a\nX: " + "a" * 20_000 + "\n\n", b"431"),
+]
+
+
+def test_malformed_input_gets_a_clear_status_and_no_trace():
+    async def test(app):
+        answers = []
+        for head, _ in MALFORMED:
+            data = _raw(head).replace(b"Host: a", b"Host: a\r\nConnection: close")
+            answers.append(await talk(app, data))
+        return answers, list(app.agents[0].heads)
+
+    answers, heads = run(test, agent())
+    for (head, status), answer in zip(MALFORMED, answers, strict=True):
+        assert answer.startswith(b"HTTP/1.1 " + status), (head[:60], answer[:200])
+        assert b"Traceback" not in answer
+    assert not heads
+
+
+def test_slow_sender_is_timed_out(monkeypatch):
+    monkeypatch.setattr(requestfront, "BODY_STALL_S", 0.2)
+    head = "POST /shop HTTP/1.1\nHost: a\nContent-Length: 9\nConnection: close\n\nabc"
+    answer = run(lambda app: talk(app, _raw(head)), agent())
+    assert answer.startswith(b"HTTP/1.1 408"), answer
+    assert b"not-run" in answer
+
+
+def test_body_cut_by_the_caller_never_counts_as_whole():
+    async def test(app):
+        _, writer = await asyncio.open_connection("127.0.0.1", app.port)
+        head = "POST /shop HTTP/1.1\nHost: a\nContent-Length: 900000\n\n"
+        writer.write(_raw(head, b"x" * 500_000))
+        await entryfakes.until(lambda: app.agents[0].heads)
+        writer.close()
+        await entryfakes.until(lambda: app.agents[0].aborts)
+        await entryfakes.until(lambda: not app.state.requests)
+        return app.agents[0].received
+
+    assert run(test, agent()) == []
+
+
+def test_truncated_response_closes_the_connection_unfinished():
+    async def short(agent, exchange, head, body):
+        headers = []
+        if "sized" in head.path:
+            headers = [messages.Header(name="Content-Length", value="10")]
+        entryfakes.send_response(exchange, b"12345", headers=headers, length=10)
+
+    async def cut(agent, exchange, head, body):
+        exchange.send(messages.ResponseHead(status=200))
+        exchange.send(messages.BodyChunk(data=b"12345"))
+        await asyncio.sleep(0.05)
+        agent.server.close_links()
+
+    async def test(app):
+        answers = []
+        for version in ("1.0", "1.1"):
+            for path in ("sized", "chunked"):
+                head = f"GET /shop/{path} HTTP/{version}\nHost: a\n"
+                answers.append(await talk(app, _raw(head + "Connection: close\n\n")))
+        return answers
+
+    for answer in run(test, agent(short)) + run(test, agent(cut)):
+        is_unfinished = answer == b"reset" or not answer.endswith(b"\r\n0\r\n\r\n")
+        assert is_unfinished and b"1234567890" not in answer
+        # Where the connection's end ends the response, only a reset shows the cut.
+        if b"Content-Length" not in answer and b"chunked" not in answer:
+            assert answer == b"reset", answer
+
+
+def test_malformed_response_is_no_stack_trace_and_ran():
+    async def bad(agent, exchange, head, body):
+        headers = [messages.Header(name="X", value="a\r\nSet-Cookie: b")]
+        entryfakes.send_response(exchange, b"", headers=headers)
+
+    response = run(lambda app: fetch(app, "/shop"), agent(bad))
+    assert (response.code, verdict(response)) == (502, "ran")
+    assert b"Traceback" not in response.body
+
+
+def test_head_and_empty_responses_keep_their_framing():
+    async def behave(agent, exchange, head, body):
+        status = 204 if head.path.endswith("empty") else 200
+        headers = [messages.Header(name="Content-Length", value="5")]
+        entryfakes.send_response(
+            exchange, b"", status, headers if status == 200 else ()
+        )
+
+    requests = b"HEAD /shop HTTP/1.1\r\nHost: a\r\n\r\n"
+    requests += b"GET /shop/empty HTTP/1.1\r\nHost: a\r\n\r\n"
+    requests += b"HEAD /none HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+    answer = run(lambda app: talk(app, requests), agent(behave))
+    heads = answer.split(b"\r\n\r\n")
+    assert [head[:12] for head in heads] == [
+        b"HTTP/1.1 200",
+        b"HTTP/1.1 204",
+        b"HTTP/1.1 503",
+        b"",
+    ]
+
+
+def test_refused_request_moves_to_another_upstream():
+    async def test(app):
+        codes = [
+            (await fetch(app, "/shop", method="POST", body=b"x")).code
+            for _ in range(10)
+        ]
+        return codes, [len(agent.received) for agent in app.agents]
+
+    codes, counts = run(test, agent(entryfakes.refuse(draining=True)), agent(name="u2"))
+    assert codes == [200] * 10
+    assert counts[0] <= 1 and counts[1] == 10
+
+
+def test_lost_order_is_not_sent_again_and_a_lost_lookup_is():
+    async def test(app):
+        order = await fetch(app, "/shop", method="POST", body=b"x")
+        lookup = await fetch(app, "/shop")
+        return order, lookup, [len(agent.received) for agent in app.agents]
+
+    order, lookup, counts = run(
+        test, agent(entryfakes.abort("may-have-run")), agent(name="u2")
+    )
+    assert lookup.code == 200
+    if counts[0] > 1 or order.code == 504:
+        assert (order.code, verdict(order)) == (504, "may-have-run")
+        assert "Retry-After" not in order.headers
+
+
+def test_agent_lost_under_a_request_is_answered_long_before_the_deadline():
+    async def vanish(agent, exchange, head, body):
+        agent.server.close_links()
+
+    async def test(app):
+        return await fetch(app, "/shop", method="POST", body=b"x", request_timeout=3)
+
+    response = run(test, agent(vanish))
+    assert (response.code, verdict(response)) == (504, "may-have-run")
+
+
+def test_deadline_is_answered_at_once_and_the_agent_told():
+    async def never(agent, exchange, head, body):
+        agent.aborts.append(await exchange.receive(10))
+
+    async def test(app):
+        headers = {"Sardinegauge-Deadline-Ms": "100"}
+        response = await fetch(app, "/shop", headers=headers, request_timeout=3)
+        await entryfakes.until(lambda: app.agents[0].aborts)
+        return response, app.agents[0].aborts[0]
+
+    response, told = run(test, agent(never))
+    assert (response.code, verdict(response)) == (504, "may-have-run")
+    assert isinstance(told, messages.Abort)
+
+
+def test_large_bodies_stream_both_ways_in_bounded_memory():
+    size = 48 << 20
+
+    async def echo_size(agent, exchange, head, body):
+        left, window = body, 256 * 1024
+        exchange.send(messages.ResponseHead(status=200))
+        while left:
+            while window < 64 * 1024:
+                window += (await exchange.receive(10)).size
+            data = bytes(min(left, 64 * 1024))
+            await exchange.send(messages.BodyChunk(data=data))
+            left -= len(data)
+            window -= len(data)
+        exchange.send(messages.BodyEnd(length=body))
+
+    async def test(app):
+        app.agents[0].keeps_bodies = False
+
+        async def produce(write):
+            for _ in range(size // (1 << 20)):
+                await write(bytes(1 << 20))
+
+        received = 0
+
+        def count(chunk):
+            nonlocal received
+            received += len(chunk)
+
+        tracemalloc.start()
+        client = simple_httpclient.SimpleAsyncHTTPClient(
+            force_instance=True, max_body_size=1 << 30
+        )
+        request = httpclient.HTTPRequest(
+            app.base + "/shop",
+            method="POST",
+            body_producer=produce,
+            streaming_callback=count,
+            request_timeout=60,
+            headers={"Content-Length": str(size), "Sardinegauge-Deadline-Ms": "60000"},
+        )
+        response = await client.fetch(request, raise_error=False)
+        peak = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        return response.code, received, peak
+
+    code, received, peak = run(test, agent(echo_size))
+    assert (code, received) == (200, size)
+    assert peak < 12 << 20, f"{peak} bytes held for bodies of {size}"
+
+
+def test_reader_that_takes_nothing_holds_the_agent_back():
+    sent = 0
+
+    async def endless(agent, exchange, head, body):
+        nonlocal sent
+        window = 256 * 1024
+        exchange.send(messages.ResponseHead(status=200))
+        try:
+            while True:
+                while window < 64 * 1024:
+                    message = await exchange.receive(10)
+                    if isinstance(message, messages.Abort):
+                        return
+                    window += message.size
+                await exchange.send(messages.BodyChunk(data=bytes(64 * 1024)))
+                sent += 64 * 1024
+                window -= 64 * 1024
+        except (errors.LinkClosedError, TimeoutError):
+            pass
+
+    async def test(app):
+        _, writer = await asyncio.open_connection("127.0.0.1", app.port, limit=1024)
+        writer.write(b"GET /shop HTTP/1.1\r\nHost: a\r\n\r\n")
+        before = -1
+        while before != sent or not sent:
+            before = sent
+            await asyncio.sleep(0.3)
+        writer.close()
+        await entryfakes.until(lambda: not app.state.requests)
+        return before
+
+    # What stays in flight is bounded by the window and the kernel's socket buffers.
+    assert run(test, agent(endless)) < 16 << 20
+
+
+def test_request_over_the_concurrency_limit_is_refused_at_once():
+    release = asyncio.Event()
+
+    async def hold(agent, exchange, head, body):
+        await release.wait()
+        entryfakes.send_response(exchange, b"held")
+
+    async def test(app):
+        held = [asyncio.ensure_future(fetch(app, "/shop")) for _ in range(3)]
+        await entryfakes.until(lambda: len(app.agents[0].received) == 3)
+        refused = await fetch(app, "/shop", request_timeout=3)
+        release.set()
+        return [r.code for r in await asyncio.gather(*held)], refused
+
+    codes, refused = run(test, agent(hold), max_concurrent=3)
+    assert codes == [200] * 3
+    assert (refused.code, verdict(refused)) == (503, "not-run")
+
+
+def test_drain_finishes_requests_in_flight_and_refuses_new_ones():
+    release = asyncio.Event()
+
+    async def hold(agent, exchange, head, body):
+        await release.wait()
+        entryfakes.send_response(exchange, b"whole" * 200_000)
+
+    async def test(app):
+        held = [asyncio.ensure_future(fetch(app, "/shop")) for _ in range(8)]
+        await entryfakes.until(lambda: len(app.agents[0].received) == 8)
+        reader, writer = await asyncio.open_connection("127.0.0.1", app.port)
+        drain = asyncio.ensure_future(app.on_drain())
+        await entryfakes.until(lambda: app.state.is_draining)
+        writer.write(b"GET /shop HTTP/1.1\r\nHost: a\r\n\r\n")
+        refused = await reader.readuntil(b"\r\n\r\n")
+        assert not drain.done()
+        release.set()
+        await drain
+        await app.on_stop()
+        writer.close()
+        return [(r.code, len(r.body)) for r in await asyncio.gather(*held)], refused
+
+    answers, refused = run(test, agent(hold))
+    assert answers == [(200, 1_000_000)] * 8
+    assert refused.startswith(b"HTTP/1.1 503") and b"not-run" in refused
+
+
+def test_metrics_page_names_tenants_of_the_configuration_only():
+    state = entryfakes.FakeState(document={"tenants": {"karri": {}}})
+
+    async def test(app):
+        for tenant in ("karri", "unheard-of"):
+            await fetch(app, "/shop", headers={"Sardinegauge-Tenant": tenant})
+        return (await fetch(app, "/-/metrics")).body.decode()
+
+    page = run(test, state=state)
+    assert 'sardinegauge_request_seconds_count{class="idempotent",tenant="karri"}' in (
+        page
+    )
+    assert "unheard-of" not in page
