--- a/tests/entryfakes.py
+++ b/tests/entryfakes.py
@@ -210,7 +210,7 @@
                     command.to_dict(), claim_index=self.index, state="open"
                 )
                 return outcome.Accepted(value={"claim_index": self.index})
-            if claim["digest"] != command.digest:
+            if claim["digest"] not in (None, command.digest):
                 return outcome.Conflict(version=0, operator="")
             return outcome.Accepted(value={"claim": dict(claim)})
         if claim is None or claim["claim_index"] != command.claim_index:
--- a/tests/test_entryapp.py
+++ b/tests/test_entryapp.py
@@ -259,18 +259,26 @@
 
 
 def test_lost_order_is_not_sent_again_and_a_lost_lookup_is():
+    lost = []
+
+    async def lose_first(agent, exchange, head, body):
+        if head.method not in lost:
+            lost.append(head.method)
+            await entryfakes.abort("may-have-run")(agent, exchange, head, body)
+        else:
+            await entryfakes.answer_ok(agent, exchange, head, body)
+
     async def test(app):
         order = await fetch(app, "/shop", method="POST", body=b"x")
         lookup = await fetch(app, "/shop")
-        return order, lookup, [len(agent.received) for agent in app.agents]
+        heads = [head.method for agent in app.agents for head in agent.heads]
+        return order, lookup, sorted(heads)
 
-    order, lookup, counts = run(
-        test, agent(entryfakes.abort("may-have-run")), agent(name="u2")
-    )
+    order, lookup, heads = run(test, agent(lose_first), agent(lose_first, "u2"))
+    assert (order.code, verdict(order)) == (504, "may-have-run")
+    assert "Retry-After" not in order.headers
     assert lookup.code == 200
-    if counts[0] > 1 or order.code == 504:
-        assert (order.code, verdict(order)) == (504, "may-have-run")
-        assert "Retry-After" not in order.headers
+    assert heads == ["GET", "GET", "POST"]
 
 
 def test_agent_lost_under_a_request_is_answered_long_before_the_deadline():
