--- a/sardinegauge/link.py
+++ b/sardinegauge/link.py
@@ -92,6 +92,8 @@
             If nothing arrives within `timeout_s` seconds.
         """
         if self._queue.empty():
+            # asyncio.wait_for of Python 3.11 swallows a cancellation that meets a
+            # message, and the cancelled exchange would go on.
             async with asyncio.timeout(timeout_s):
                 message = await self._queue.get()
         else:
