Split the agent's requests off and drop what its memory budget excludes

Change: the agent logs and counts without structlog and prometheus_client (plainlogs, plainmetrics), links and HTTP calls connect without the resolver and its threads, difflib is imported only for a faulty settings file, and the timers wake less often. Requests and keys move to requesttable. KeyQuery may name the incarnation of the claim, since a restarted agent knows nothing of earlier keys. Properties in virtual time cover leases, epochs, room, keys and answers.

--- a/sardinegauge/admission.py
+++ b/sardinegauge/admission.py
@@ -6,6 +6,8 @@
 
 DEFAULT_QUEUE = 32
 MAX_TRACKED_SERVICES = 64
+ADMITTED = "admitted"
+WAITING = "waiting"
 # Weight of the newest duration in the moving mean of a service.
 DURATION_WEIGHT = 0.1
 
@@ -34,9 +36,6 @@
     ['admitted', 'waiting', 'queue is full']
     """
 
-    ADMITTED = "admitted"
-    WAITING = "waiting"
-
     def __init__(self, room, queue=DEFAULT_QUEUE):
         self.room = room
         self.queue = queue
@@ -92,7 +91,7 @@
             return "deadline has passed"
         if not self.waiting and self._has_connection(service):
             self.service_by_request[request] = service
-            return self.ADMITTED
+            return ADMITTED
         if len(self.waiting) >= self._queue_limit(service):
             return "queue is full"
         if now_ms + self._expected_wait_ms(service) >= deadline_ms:
@@ -100,7 +99,7 @@
         self.waiting.append(
             Waiting(request=request, service=service, deadline_ms=deadline_ms)
         )
-        return self.WAITING
+        return WAITING
 
     def finish(self, request, duration_ms):
         """Give back a request's connection and note its duration."""
--- a/sardinegauge/agent.py
+++ b/sardinegauge/agent.py
@@ -6,7 +6,7 @@
 
 import json
 
-from sardinegauge import admission, messages, record, requestkeys, taskhost
+from sardinegauge import admission, messages, record, requesttable, taskhost
 
 HEARTBEAT_INTERVAL_MS = 1000
 # Changes within this time share one heartbeat.
@@ -23,7 +23,9 @@
 # Phases are about to change while a task starts or stops, so they are asked for sooner.
 WORKER_QUICK_POLL_MS = 200
 RENEW_INTERVAL_MS = 2000
-RETRY_AFTER_MS = 1000
+# Entries poll every 500 ms; until then they learn of the drain by a refusal, which is
+# an accurate not-run, while a closed link would leave the outcome unknown.
+DRAIN_LINGER_MS = 1500
 EXPIRE_INTERVAL_MS = 60_000
 
 
@@ -45,35 +47,6 @@
     __slots__ = ()
 
 
-class ForwardRequest(record.Record):
-    """Send an admitted request to the upstream."""
-
-    __slots__ = ("request",)
-
-
-class RefuseRequest(record.Record):
-    """Refuse a request with the verdict not-run."""
-
-    __slots__ = ("request", "reason", "retry_after_ms")
-
-
-class ReplayRequest(record.Record):
-    """Answer a repeated key: with its stored response, or with an `Abort`.
-
-    `entry` is a `requestkeys.Entry` whose body is kept, or None; then `verdict` and
-    `reason` go into the `Abort`.
-    """
-
-    __slots__ = ("request", "entry", "verdict", "reason")
-    _defaults = {"entry": None, "verdict": "", "reason": ""}
-
-
-class AnswerKeyQuery(record.Record):
-    """Answer a key query, identified by the number of its event."""
-
-    __slots__ = ("query", "reply")
-
-
 class ConfigurationChanged(record.Record):
     """A newer configuration is in force."""
 
@@ -123,8 +96,16 @@
     is over the limit for stored responses.
     """
 
-    __slots__ = ("now_ms", "request", "verdict", "status", "headers", "body")
-    _defaults = {"status": 0, "headers": list, "body": None}
+    __slots__ = (
+        "now_ms",
+        "request",
+        "verdict",
+        "duration_ms",
+        "status",
+        "headers",
+        "body",
+    )
+    _defaults = {"duration_ms": 0.0, "status": 0, "headers": list, "body": None}
 
 
 class KeyQueried(record.Record):
@@ -190,21 +171,6 @@
     _defaults = {"failure_domain": "", "rack": "", "services": list}
 
 
-class Request(record.Record):
-    """One request between its arrival and its end."""
-
-    __slots__ = ("head", "admitted_ms", "deadline_ms")
-    _defaults = {"admitted_ms": 0}
-
-    @property
-    def key(self):
-        """Tenant, key and claim index, or None for a request without a claim."""
-        head = self.head
-        if not head.key or not head.claim_index:
-            return None
-        return head.tenant, head.key, head.claim_index
-
-
 class State:
     """The agent's state.
 
@@ -218,7 +184,8 @@
         Time of the start.
     has_worker : bool
         Whether there is a worker API. Then nothing is announced until the worker
-        runs no task of an earlier agent, or their leases must have ended.
+        runs no task of an earlier agent, or their leases must have ended. Otherwise
+        the leader could place these tasks elsewhere while they still run here.
     queue : int
         Bound of the queue of waiting requests.
     """
@@ -230,14 +197,13 @@
         self.has_worker = has_worker
         self.admission = admission.Admission(identity.room, queue)
         self.host = taskhost.TaskHost(self.admission)
-        self.keys = requestkeys.RequestKeys()
-        self.by_request = {}
+        self.requests = requesttable.RequestTable(identity.incarnation, self.admission)
         self.announce_ms = now_ms + OLD_LEASE_MS if has_worker else now_ms
         self.sequence = 0
         self.sent_ms_by_sequence = {}
         self.applied_sequence = 0
         self.next_heartbeat_ms = now_ms
-        self.sent_ms = 0
+        self.sent_ms = now_ms - HEARTBEAT_INTERVAL_MS
         self.announced = None
         self.lease_until_ms = 0
         self.confirmed_until_ms = 0
@@ -249,7 +215,8 @@
         self.next_poll_ms = now_ms
         self.next_renew_ms = now_ms
         self.next_expire_ms = now_ms + EXPIRE_INTERVAL_MS
-        self.loads = []
+        self.change_sequence = 0
+        self.linger_until_ms = 0
 
     @property
     def is_closed(self):
@@ -263,8 +230,15 @@
 
 def reduce(state, event):
     """Apply one event; return the effects in the order of their execution."""
-    effects = _HANDLERS[type(event)](state, event)
     now_ms = event.now_ms
+    effects = []
+    # The process may have been frozen, so the lease is checked before anything else.
+    if now_ms >= state.lease_until_ms and state.host.live_count:
+        effects += state.host.stop_all(now_ms, "lease ended")
+    effects += _HANDLERS[type(event)](state, event)
+    effects += state.requests.admit_waiting(now_ms, _closed_reason(state, now_ms))
+    if state.is_draining and not state.is_drained:
+        effects += _continue_drain(state, now_ms)
     effects += state.host.start_next(now_ms, state.lease_until_ms, state.is_closed)
     effects += _heartbeat_if_due(state, now_ms)
     return effects
@@ -276,19 +250,29 @@
 def _heartbeat_if_due(state, now_ms):
     if now_ms < state.announce_ms or now_ms < state.sent_ms + CHANGE_GAP_MS:
         return []
-    is_changed = state.announced != (state.host.revision, state.is_closed)
-    if not is_changed and now_ms < state.next_heartbeat_ms:
-        return []
-    if is_changed and state.next_heartbeat_ms - now_ms > HEARTBEAT_INTERVAL_MS:
+    is_changed = state.announced != _announcement(state)
+    if now_ms < state.next_heartbeat_ms and not (is_changed and state.applied_sequence):
         return []
-    return [_heartbeat(state, now_ms)]
+    return [_heartbeat(state, now_ms, is_changed)]
 
 
-def _heartbeat(state, now_ms):
+def _announcement(state):
+    """Return what must be told to the leader at once when it changes."""
+    return state.host.revision, state.is_closed
+
+
+def has_unsent_change(state):
+    """Tell whether a change waits for `CHANGE_GAP_MS` to pass."""
+    return state.applied_sequence > 0 and state.announced != _announcement(state)
+
+
+def _heartbeat(state, now_ms, is_changed):
     state.sequence += 1
+    if is_changed:
+        state.change_sequence = state.sequence
     state.sent_ms = now_ms
     state.next_heartbeat_ms = now_ms + HEARTBEAT_INTERVAL_MS
-    state.announced = (state.host.revision, state.is_closed)
+    state.announced = _announcement(state)
     state.sent_ms_by_sequence[state.sequence] = now_ms
     while len(state.sent_ms_by_sequence) > MAX_OUTSTANDING:
         del state.sent_ms_by_sequence[next(iter(state.sent_ms_by_sequence))]
@@ -306,7 +290,7 @@
         config_version=state.config_version,
         sequence=state.sequence,
         tasks=state.host.reports(),
-        loads=state.loads,
+        loads=state.requests.take_loads(),
     )
     return SendHeartbeat(address=state.leader, heartbeat=heartbeat)
 
@@ -390,16 +374,12 @@
 def _on_tick(state, event):
     now_ms = event.now_ms
     effects = []
-    if now_ms >= state.lease_until_ms:
-        effects += state.host.stop_all(now_ms, "lease ended")
     effects += state.host.retry(now_ms, state.lease_until_ms)
     effects += _poll_worker(state, now_ms)
     effects += _renew_tasks(state, now_ms)
-    effects += _admit_waiting(state, now_ms)
     if now_ms >= state.next_expire_ms:
         state.next_expire_ms = now_ms + EXPIRE_INTERVAL_MS
-        state.keys.expire(now_ms)
-    effects += _continue_drain(state, now_ms)
+        state.requests.keys.expire(now_ms)
     return effects
 
 
@@ -461,121 +441,32 @@
 # Requests
 
 
-def _on_request(state, event):
-    head = event.head
-    now_ms = event.now_ms
-    request = Request(head=head, deadline_ms=now_ms + head.deadline_ms)
-    if head.incarnation != state.identity.incarnation:
-        return [_refusal(event.request, "another incarnation is meant")]
-    if request.key is not None:
-        entry_state = state.keys.state(*request.key)
-        if entry_state != requestkeys.UNKNOWN:
-            return [_replay(state, event.request, request, entry_state)]
+def _closed_reason(state, now_ms):
+    """Return why no new request is taken, or ``""``."""
     if state.is_closed:
-        return [_refusal(event.request, "draining")]
-    if not state.may_serve(now_ms):
-        return [_refusal(event.request, "no confirmed configuration")]
-    answer = state.admission.offer(
-        now_ms, event.request, head.service, request.deadline_ms
-    )
-    if answer not in (admission.Admission.ADMITTED, admission.Admission.WAITING):
-        return [_refusal(event.request, answer)]
-    if request.key is not None:
-        state.keys.begin(now_ms, *request.key)
-    state.by_request[event.request] = request
-    if answer == admission.Admission.WAITING:
-        return []
-    request.admitted_ms = now_ms
-    return [ForwardRequest(request=event.request)]
+        return "draining"
+    # Section 8: without a confirmation a newer configuration may be in force.
+    if now_ms >= state.confirmed_until_ms:
+        return "no confirmed configuration"
+    return ""
 
 
-def _refusal(request, reason):
-    return RefuseRequest(request=request, reason=reason, retry_after_ms=RETRY_AFTER_MS)
-
-
-def _replay(state, number, request, entry_state):
-    entry = state.keys.get(*request.key)
-    if entry_state == requestkeys.FINISHED and entry.is_body_kept:
-        return ReplayRequest(request=number, entry=entry)
-    verdict = {
-        requestkeys.FINISHED: "ran",
-        requestkeys.FENCED: "not-run",
-    }.get(entry_state, "may-have-run")
-    return ReplayRequest(
-        request=number, verdict=verdict, reason=f"the key is {entry_state}"
+def _on_request(state, event):
+    return state.requests.arrived(
+        event.now_ms, event.request, event.head, _closed_reason(state, event.now_ms)
     )
 
 
 def _on_request_gone(state, event):
-    """Take a waiting request out of the queue; an admitted one ends by itself."""
-    if not state.admission.forget_waiting(event.request):
-        return []
-    _release_key(state, state.by_request.pop(event.request))
-    return [_refusal(event.request, "the caller left")]
+    return state.requests.gone(event.request)
 
 
 def _on_request_ended(state, event):
-    request = state.by_request.pop(event.request, None)
-    if request is None:
-        return []
-    state.admission.finish(event.request, event.now_ms - request.admitted_ms)
-    if request.key is not None:
-        if event.verdict == "not-run":
-            _release_key(state, request)
-        elif event.verdict == "ran":
-            state.keys.finish(
-                event.now_ms, *request.key, event.status, event.headers, event.body
-            )
-        else:
-            state.keys.cut(event.now_ms, *request.key)
-    return _admit_waiting(state, event.now_ms) + _continue_drain(state, event.now_ms)
-
-
-def _release_key(state, request):
-    if request.key is not None:
-        state.keys.release(*request.key)
-
-
-def _admit_waiting(state, now_ms):
-    if not state.admission.waiting:
-        return []
-    if not state.may_serve(now_ms):
-        return _refuse_waiting(state, "no confirmed configuration")
-    admitted, late = state.admission.admit_waiting(now_ms)
-    effects = []
-    for number in late:
-        _release_key(state, state.by_request.pop(number))
-        effects.append(_refusal(number, "deadline cannot be met"))
-    for number in admitted:
-        state.by_request[number].admitted_ms = now_ms
-        effects.append(ForwardRequest(request=number))
-    return effects
-
-
-def _refuse_waiting(state, reason):
-    effects = []
-    for item in state.admission.waiting:
-        _release_key(state, state.by_request.pop(item.request))
-        effects.append(_refusal(item.request, reason))
-    state.admission.waiting.clear()
-    return effects
+    return state.requests.ended(event.now_ms, event.request, event)
 
 
 def _on_key_query(state, event):
-    message = event.message
-    key = (message.tenant, message.key, message.claim_index)
-    if message.fence:
-        found = state.keys.fence(event.now_ms, *key)
-    else:
-        found = state.keys.state(*key)
-    reply = messages.KeyReply(state=found)
-    entry = state.keys.get(*key)
-    if found == requestkeys.FINISHED:
-        reply.status = entry.status
-        reply.headers = entry.headers
-        reply.body = entry.body
-        reply.is_body_kept = entry.is_body_kept
-    return [AnswerKeyQuery(query=event.query, reply=reply)]
+    return state.requests.queried(event.now_ms, event.query, event.message)
 
 
 # Leaving
@@ -583,31 +474,29 @@
 
 def _on_upstream_changed(state, event):
     state.is_upstream_leaving = event.is_leaving
-    if event.is_leaving:
-        return _refuse_waiting(state, "the upstream is leaving")
     return []
 
 
 def _on_drain(state, event):
     state.is_draining = True
     state.evict_at_ms = event.evict_at_ms
-    effects = _refuse_waiting(state, "draining")
-    return effects + _continue_drain(state, event.now_ms)
+    state.linger_until_ms = event.now_ms + DRAIN_LINGER_MS
+    return []
 
 
 def _continue_drain(state, now_ms):
     """Evict what the leader left at the bound; report when nothing is left."""
-    if not state.is_draining or state.is_drained:
-        return []
     effects = []
-    if now_ms >= state.evict_at_ms:
+    is_late = now_ms >= state.evict_at_ms
+    if is_late:
         effects += state.host.evict_all(now_ms)
-    is_told = state.applied_sequence and state.announced == (
-        state.host.revision,
-        True,
+    is_told = (
+        state.announced == _announcement(state)
+        and state.applied_sequence >= state.change_sequence
     )
-    is_told = is_told or now_ms >= state.evict_at_ms
-    if is_told and not state.host.live_count and not state.by_request:
+    is_empty = not state.host.live_count and not state.requests.by_request
+    is_over = now_ms >= state.linger_until_ms or is_late
+    if is_empty and is_over and (is_told or is_late):
         state.is_drained = True
         effects.append(Drained())
     return effects
--- a/sardinegauge/agentapp.py
+++ b/sardinegauge/agentapp.py
@@ -5,6 +5,7 @@
 import os
 import random
 import sys
+import time
 
 from tornado import netutil
 
@@ -17,22 +18,27 @@
     forwarding,
     httpcall,
     link,
-    logs,
     messages,
-    metrics,
     pages,
+    plainlogs,
+    plainmetrics,
+    requesttable,
     settings,
     taskhost,
     worker,
 )
 
-TICK_S = 0.1
+# Each wake-up costs about 0.1 ms; leases and retries need no finer step.
+TICK_S = 0.25
 HEARTBEAT_TIMEOUT_S = agent.HEARTBEAT_TIMEOUT_MS / 1000
-PROBE_INTERVAL_S = 0.5
+CHANGE_GAP_S = agent.CHANGE_GAP_MS / 1000
+PROBE_INTERVAL_S = 1.0
+# After a refused connection, until the upstream counts as leaving.
+QUICK_PROBE_S = 0.25
 # Section 9: an upstream that refuses connections for this long is leaving.
 UNREACHABLE_LIMIT_MS = 1000
-# Left of the drain limit for evictions without orders of the leader.
-OWN_EVICTION_S = 6.0
+# Share of the drain limit after which the agent evicts without orders.
+OWN_EVICTION_SHARE = 0.6
 MAX_DIALERS = 16
 
 KNOWN_SETTINGS = [
@@ -72,7 +78,7 @@
         self.path = path
         self.drain_limit_s = loaded.drain_limit_s
         self.worker = worker.HttpWorker(loaded.worker) if loaded.worker else None
-        self.metrics = metrics.Metrics()
+        self.metrics = plainmetrics.Metrics()
         self.state = None
         self.hello = None
         self.server = None
@@ -82,15 +88,27 @@
         self.exchange_by_query = {}
         self.next_number = 1
         self.unreachable_since_ms = None
+        self.was_reachable = False
         self.is_leaving = loaded.leaving
         self.is_asking_tasks = False
         self.drained = None
-        self.requests = self.metrics.histogram(
+        self.wake_timer = None
+        self.request_times = self.metrics.histogram(
             "agent_request_seconds", "Time at the upstream.", ("tenant", "class")
         )
+        self.task_times = self.metrics.histogram(
+            "agent_task_seconds", "Time from start to end.", ("tenant", "class")
+        )
+        self.refusals = self.metrics.counter(
+            "agent_refusals_total", "Requests refused.", ("reason",)
+        )
 
     # Life cycle
 
+    def make_logger(self, name):
+        """See `application.Application`."""
+        return plainlogs.get_logger(name)
+
     async def on_start(self):
         """Listen, start the links to the replicas and the timers."""
         loaded = self.settings
@@ -136,12 +154,14 @@
             self.pages.add_sockets(netutil.bind_sockets(port, host))
         for replica in loaded.state:
             self.dialer(replica)
-        await self.probe(clock.monotonic_ms())
+        await self.probe()
         self.every(TICK_S, self.tick)
-        self.every(PROBE_INTERVAL_S, self.probe)
+        self.prober = background.spawn(self.probe_forever())
 
     async def on_stop(self):
         """Close all links and connections."""
+        if self.prober is not None:
+            self.prober.cancel()
         for dialer in self.dialer_by_address.values():
             dialer.stop()
         if self.server is not None:
@@ -155,6 +175,14 @@
         """Reduce one event and execute the effects."""
         for effect in agent.reduce(self.state, event):
             self.execute(effect)
+        if self.wake_timer is None and agent.has_unsent_change(self.state):
+            loop = asyncio.get_running_loop()
+            self.wake_timer = loop.call_later(CHANGE_GAP_S, self.wake)
+
+    def wake(self):
+        """Let a change go out that came too soon after a heartbeat."""
+        self.wake_timer = None
+        self.tick(clock.monotonic_ms())
 
     def execute(self, effect):
         """Execute one effect; effects that wait run in the background."""
@@ -248,7 +276,7 @@
         """Send an admitted request to the upstream and report its end."""
         number = effect.request
         forward = self.forward_by_request[number]
-        started_ms = clock.monotonic_ms()
+        started_s = time.perf_counter()
         verdict = forwarding.MAY_HAVE_RUN
         try:
             verdict = await forward.run(
@@ -260,17 +288,16 @@
             self.reachable(False)
         finally:
             del self.forward_by_request[number]
-            now_ms = clock.monotonic_ms()
+            duration_s = time.perf_counter() - started_s
             head = forward.head
             kind = "idempotent" if head.idempotent else "non_idempotent"
-            self.requests.labels(head.tenant, kind).observe(
-                (now_ms - started_ms) / 1000
-            )
+            self.request_times.observe(duration_s, head.tenant, kind)
             self.handle(
                 agent.RequestEnded(
-                    now_ms=now_ms,
+                    now_ms=clock.monotonic_ms(),
                     request=number,
                     verdict=verdict,
+                    duration_ms=duration_s * 1000,
                     status=forward.status,
                     headers=forward.headers,
                     body=forward.stored,
@@ -282,17 +309,22 @@
         return messages.ResponseHead(
             status=status,
             headers=headers,
-            in_flight=len(self.state.admission.service_by_request),
+            in_flight=self.in_flight(),
             queued=len(self.state.admission.waiting),
         )
 
+    def in_flight(self):
+        """Return the number of admitted requests."""
+        return len(self.state.admission.service_by_request)
+
     def refuse_request(self, effect):
         """Refuse a request."""
+        self.refusals.add(1, effect.reason)
         self.forward_by_request.pop(effect.request).refuse(
             effect.reason,
             effect.retry_after_ms,
             self.state.is_closed,
-            len(self.state.admission.service_by_request),
+            self.in_flight(),
         )
 
     def replay_request(self, effect):
@@ -393,18 +425,30 @@
         )
 
     def task_ended(self, effect):
-        """Log the end of a task."""
+        """Log and count the end of a task."""
+        order = effect.order
+        self.task_times.observe(effect.ran_ms / 1000, order.tenant, order.task_class)
         self.log.info(
             "task_ended",
-            task=effect.order.task,
-            epoch=effect.order.epoch,
+            task=order.task,
+            epoch=order.epoch,
             phase=effect.phase,
             reason=effect.reason,
         )
 
     # Leaving
 
-    async def probe(self, now_ms):
+    async def probe_forever(self):
+        """Probe the upstream, faster while it is becoming unreachable."""
+        while True:
+            is_doubtful = (
+                self.unreachable_since_ms is not None
+                and not self.state.is_upstream_leaving
+            )
+            await asyncio.sleep(QUICK_PROBE_S if is_doubtful else PROBE_INTERVAL_S)
+            await self.probe()
+
+    async def probe(self):
         """Connect to the upstream once, to notice that it refuses connections."""
         try:
             stream = await httpcall.connect(self.settings.upstream)
@@ -417,9 +461,11 @@
         """Note the result of a connection to the upstream."""
         now_ms = clock.monotonic_ms()
         if is_reachable:
+            self.was_reachable = True
             self.unreachable_since_ms = None
         elif self.unreachable_since_ms is None:
-            self.unreachable_since_ms = now_ms
+            # An upstream that was never reached counts as leaving at once.
+            self.unreachable_since_ms = now_ms if self.was_reachable else 0
         self.note_leaving(now_ms)
 
     def note_leaving(self, now_ms):
@@ -446,10 +492,8 @@
         """Refuse new work and wait until nothing is in flight."""
         self.drained = asyncio.Event()
         now_ms = clock.monotonic_ms()
-        own_s = max(0.0, self.drain_limit_s - OWN_EVICTION_S)
-        self.handle(
-            agent.DrainAsked(now_ms=now_ms, evict_at_ms=now_ms + int(own_s * 1000))
-        )
+        wait_ms = int(self.drain_limit_s * OWN_EVICTION_SHARE * 1000)
+        self.handle(agent.DrainAsked(now_ms=now_ms, evict_at_ms=now_ms + wait_ms))
         await self.drained.wait()
 
     def note_drained(self, effect):
@@ -473,7 +517,7 @@
 
     def metrics_page(self):
         """Return the metrics page."""
-        return 200, metrics.CONTENT_TYPE, self.metrics.page()
+        return 200, plainmetrics.CONTENT_TYPE, self.metrics.page()
 
 
 def _start_event(answer):
@@ -486,10 +530,10 @@
     agent.SendHeartbeat: AgentApplication.send_heartbeat,
     agent.RenewTasks: AgentApplication.renew_tasks,
     agent.AskTasks: AgentApplication.ask_tasks,
-    agent.ForwardRequest: AgentApplication.forward_request,
-    agent.RefuseRequest: AgentApplication.refuse_request,
-    agent.ReplayRequest: AgentApplication.replay_request,
-    agent.AnswerKeyQuery: AgentApplication.answer_key_query,
+    requesttable.ForwardRequest: AgentApplication.forward_request,
+    requesttable.RefuseRequest: AgentApplication.refuse_request,
+    requesttable.ReplayRequest: AgentApplication.replay_request,
+    requesttable.AnswerKeyQuery: AgentApplication.answer_key_query,
     agent.ConfigurationChanged: AgentApplication.note_configuration,
     agent.Drained: AgentApplication.note_drained,
     taskhost.Start: AgentApplication.start_task,
@@ -510,7 +554,7 @@
     except errors.UserError as error:
         print(f"sardinegauge-agent: {error}", file=sys.stderr)
         return error.exit_status
-    logs.configure(loaded.log_level)
+    plainlogs.configure(loaded.log_level)
     return AgentApplication(loaded, os.path.abspath(options.settings)).run()
 
 
--- a/sardinegauge/application.py
+++ b/sardinegauge/application.py
@@ -5,7 +5,7 @@
 import signal
 import sys
 
-from sardinegauge import background, clock, errors, logs
+from sardinegauge import background, clock, errors
 
 DEFAULT_DRAIN_LIMIT_S = 30.0
 
@@ -24,11 +24,18 @@
 
     def __init__(self, name):
         self.name = name
-        self.log = logs.get_logger(name)
+        self.log = self.make_logger(name)
         self._stop_asked = None
         self._drain_skipped = None
         self._timers = []
 
+    def make_logger(self, name):
+        """Return the logger of this process."""
+        # The agent has another logger, and importing structlog costs it 5 MB.
+        from sardinegauge import logs
+
+        return logs.get_logger(name)
+
     @abc.abstractmethod
     async def on_start(self):
         """Open sockets and files and start timers."""
--- a/sardinegauge/httpcall.py
+++ b/sardinegauge/httpcall.py
@@ -8,7 +8,7 @@
 import asyncio
 import json
 
-from tornado import http1connection, httputil, iostream, tcpclient
+from tornado import http1connection, httputil, iostream
 
 from sardinegauge import link
 
@@ -33,8 +33,6 @@
     chunk_size=CHUNK_BYTES, max_body_size=MAX_RESPONSE_BYTES
 )
 
-_client = None
-
 
 class ConnectError(Exception):
     """No connection could be made, so nothing was written."""
@@ -52,12 +50,8 @@
     ConnectError
         If the peer refuses or does not answer within `CONNECT_TIMEOUT_S`.
     """
-    global _client
-    if _client is None:
-        _client = tcpclient.TCPClient()
-    host, port = link.split_address(address)
     try:
-        stream = await asyncio.wait_for(_client.connect(host, port), CONNECT_TIMEOUT_S)
+        stream = await link.connect(address, CONNECT_TIMEOUT_S)
     except (TimeoutError, OSError, iostream.StreamClosedError) as error:
         raise ConnectError(f"{address}: {error or 'no answer'}") from error
     stream.set_nodelay(True)
--- a/sardinegauge/link.py
+++ b/sardinegauge/link.py
@@ -8,9 +8,10 @@
 import asyncio
 import logging
 import random
+import socket
 import struct
 
-from tornado import iostream, tcpclient, tcpserver
+from tornado import iostream, tcpserver
 
 from sardinegauge import background, codec, errors, messages
 
@@ -309,7 +310,6 @@
         self.hello = hello
         self.link = None
         self._task = None
-        self._client = tcpclient.TCPClient()
 
     @property
     def is_open(self):
@@ -337,11 +337,9 @@
 
     async def _connect_once(self):
         """Connect and run the link; tell whether it ever opened."""
-        host, port = split_address(self.address)
         try:
-            stream = await asyncio.wait_for(
-                self._client.connect(host, port, max_buffer_size=2 * MAX_FRAME_BYTES),
-                CONNECT_TIMEOUT_S,
+            stream = await connect(
+                self.address, CONNECT_TIMEOUT_S, max_buffer_size=2 * MAX_FRAME_BYTES
             )
         except (TimeoutError, OSError, iostream.StreamClosedError):
             return False
@@ -351,6 +349,29 @@
         return self.link.peer is not None
 
 
+async def connect(address, timeout_s, **stream_options):
+    """Return a connected stream to a numeric ``ip:port`` address.
+
+    Numeric addresses need no resolver, whose threads cost the agent memory.
+
+    Raises
+    ------
+    TimeoutError, OSError, tornado.iostream.StreamClosedError
+        If there is no connection within `timeout_s` seconds.
+    """
+    host, port = split_address(address)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    stream = iostream.IOStream(
+        socket.socket(family, socket.SOCK_STREAM), **stream_options
+    )
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await stream.connect((host, port))
+    except BaseException:
+        stream.close()
+        raise
+
+
 def split_address(address):
     """Return host and port of an ``ip:port`` address.
 
--- a/sardinegauge/messages.py
+++ b/sardinegauge/messages.py
@@ -599,8 +599,15 @@
         "key",
         "claim_index",
         "fence",
+        "incarnation",
     )
-    _defaults = {"tenant": "", "key": "", "claim_index": 0, "fence": False}
+    _defaults = {
+        "tenant": "",
+        "key": "",
+        "claim_index": 0,
+        "fence": False,
+        "incarnation": "",
+    }
 
 
 class KeyReply(record.Record):
--- /dev/null
+++ b/sardinegauge/plainlogs.py
@@ -0,0 +1,79 @@
+"""The lines of `logs` by the standard library alone, for the agent.
+
+structlog with what it imports costs 5 MB of resident memory, and the agent's budget is
+32 MB. Keys, their order and their quoting are the same as in `logs`.
+"""
+
+import logging
+import sys
+import time
+
+_SECRET_KEYS = frozenset({"token", "authorization", "tokens"})
+
+
+def configure(level="info"):
+    """Set up logging of this process at a level such as ``"info"``."""
+    logging.basicConfig(
+        stream=sys.stderr, level=getattr(logging, level.upper()), format="%(message)s"
+    )
+
+
+def render(level, process, event, fields):
+    """Return one line of key=value pairs.
+
+    Examples
+    --------
+    >>> line = render("info", "agent", "task_ended", {"task": "t1", "token": "x"})
+    >>> line.partition(" ")[2]
+    "level='info' process='agent' event='task_ended' task='t1' token='hidden'"
+    """
+    now = time.time()
+    stamp = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(now))
+    pairs = {
+        "timestamp": f"{stamp}.{int(now % 1 * 1e6):06d}Z",
+        "level": level,
+        "process": process,
+        "event": event,
+        **fields,
+    }
+    for key in pairs.keys() & _SECRET_KEYS:
+        pairs[key] = "hidden"
+    return " ".join(f"{key}={value!r}" for key, value in pairs.items())
+
+
+class Logger:
+    """Writes events of one process; fields are keyword arguments."""
+
+    def __init__(self, process):
+        self.process = process
+        self._logger = logging.getLogger(f"sardinegauge.{process}")
+
+    def debug(self, event, **fields):
+        """Write an event at the level debug."""
+        self._write(logging.DEBUG, "debug", event, fields)
+
+    def info(self, event, **fields):
+        """Write an event at the level info."""
+        self._write(logging.INFO, "info", event, fields)
+
+    def warning(self, event, **fields):
+        """Write an event at the level warning."""
+        self._write(logging.WARNING, "warning", event, fields)
+
+    def error(self, event, **fields):
+        """Write an event at the level error."""
+        self._write(logging.ERROR, "error", event, fields)
+
+    def exception(self, event, **fields):
+        """Write an event at the level error with the present exception."""
+        self._write(logging.ERROR, "error", event, fields, exc_info=True)
+
+    def _write(self, number, level, event, fields, exc_info=False):
+        if self._logger.isEnabledFor(number):
+            line = render(level, self.process, event, fields)
+            self._logger.log(number, "%s", line, exc_info=exc_info)
+
+
+def get_logger(process):
+    """Return a logger whose every line names the process."""
+    return Logger(process)
--- a/sardinegauge/settings.py
+++ b/sardinegauge/settings.py
@@ -1,6 +1,5 @@
 """Settings files: JSON with comments, checked in full before a process starts."""
 
-import difflib
 import ipaddress
 
 import json5
@@ -104,6 +103,9 @@
 
 
 def _unknown_key(key, by_name):
+    # Only a faulty file needs it, and it costs the agent 0.6 MB.
+    import difflib
+
     close = difflib.get_close_matches(key, by_name, n=1)
     hint = f"; did you mean {close[0]}?" if close else ""
     return f"{key}: unknown key{hint}"
--- a/sardinegauge/wire.capnp
+++ b/sardinegauge/wire.capnp
@@ -319,6 +319,7 @@
   key @1 :Text;
   claimIndex @2 :UInt64;
   fence @3 :Bool;  # forbid the key from ever running under this claim
+  incarnation @4 :Text;  # of the claim; another one answers "cut"; empty: not checked
 }
 
 struct KeyReply {
--- /dev/null
+++ b/tests/test_agent.py
@@ -0,0 +1,376 @@
+"""Guards the agent's reducer in virtual time, against a model of the worker."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sardinegauge import agent, messages, requesttable, taskhost, worker
+from tests.agentkit import order
+
+LEASE_MS = 10_000
+ROOM = messages.Room(cores=4, memory_mb=1000, tasks=2, connections=2)
+
+
+def new_state(has_worker=False, queue=2):
+    identity = agent.Identity(
+        upstream="u1", incarnation="u1-1", address="127.0.0.1:1", room=ROOM
+    )
+    return agent.State(identity, ["s1", "s2"], 0, has_worker, queue)
+
+
+def of(kind, effects):
+    return [effect for effect in effects if isinstance(effect, kind)]
+
+
+def reply(state, now_ms, sequence, orders=(), address="s1", **fields):
+    defaults = {"confirmed": True, "lease_ms": LEASE_MS, "tasks": list(orders)}
+    directive = messages.Directive(sequence=sequence, **{**defaults, **fields})
+    event = agent.DirectiveReceived(now_ms=now_ms, address=address, directive=directive)
+    return agent.reduce(state, event)
+
+
+def ready_state(now_ms=0):
+    """Return a state whose first heartbeat, sent at `now_ms`, was confirmed."""
+    state = new_state()
+    agent.reduce(state, agent.Tick(now_ms=now_ms))
+    reply(state, now_ms, 1)
+    return state
+
+
+def arrive(state, number, now_ms=0, deadline_ms=1000, **fields):
+    head = messages.RequestHead(
+        service="shop", incarnation="u1-1", deadline_ms=deadline_ms, **fields
+    )
+    return agent.reduce(
+        state, agent.RequestArrived(now_ms=now_ms, request=number, head=head)
+    )
+
+
+class World:
+    """Model of leader, network and worker around one reducer.
+
+    Calls wait in `calls` and are carried out in any order; a stop of an unknown epoch
+    is remembered, as `worker.HttpWorker.stop` demands.
+    """
+
+    def __init__(self):
+        self.state = new_state()
+        self.now_ms = 0
+        self.lease_until_ms = 0
+        self.calls = []
+        self.sent = []
+        self.orders = {}
+        self.running = {}
+        self.stopped = set()
+        self.started = set()
+
+    def reduce(self, kind, **fields):
+        event = kind(now_ms=self.now_ms, **fields)
+        for effect in agent.reduce(self.state, event):
+            if isinstance(effect, agent.SendHeartbeat):
+                self.sent.append((self.now_ms, effect.heartbeat.sequence))
+            elif isinstance(effect, (taskhost.Start, taskhost.Stop)):
+                self.calls.append(effect)
+            elif isinstance(effect, taskhost.Checkpoint):
+                self.calls.append(effect)
+
+    def step(self, name, number, pick):
+        getattr(self, name)(number, pick)
+        for key, until_ms in list(self.running.items()):
+            if self.now_ms >= until_ms:
+                del self.running[key]  # The worker's own check of the lease.
+            else:
+                assert self.now_ms < self.lease_until_ms, "runs past its lease"
+        names = [task for task, _ in self.running]
+        assert len(set(names)) == len(names), "two epochs at once"
+        cores = sum(self.state.host.by_task[t].order.cores for t in names)
+        assert cores <= ROOM.cores, "room exceeded"
+        assert len(names) <= ROOM.tasks, "slots exceeded"
+
+    def wait(self, number, pick):
+        self.now_ms += number * 97
+        self.reduce(agent.Tick)
+
+    def freeze(self, number, pick):
+        self.now_ms += number * 997
+
+    def assign(self, number, pick):
+        task = "abc"[pick % 3]
+        old = self.orders.get(task)
+        epoch = old.epoch + 1 if old else 1
+        self.orders[task] = order(task, epoch, cores=1.0 + number % 3)
+
+    def remove(self, number, pick):
+        task = "abc"[pick % 3]
+        if task in self.orders:
+            action = ("evict", "stop")[number % 2]
+            self.orders[task] = self.orders[task].replace(action=action)
+
+    def answer(self, number, pick):
+        if not self.sent:
+            return
+        sent_ms, sequence = self.sent.pop(pick % len(self.sent))
+        if sequence > self.state.applied_sequence:
+            until_ms = sent_ms + LEASE_MS
+            self.lease_until_ms = max(self.lease_until_ms, until_ms)
+        directive = messages.Directive(
+            confirmed=True,
+            sequence=sequence,
+            lease_ms=LEASE_MS,
+            tasks=list(self.orders.values()),
+        )
+        self.reduce(agent.DirectiveReceived, address="s1", directive=directive)
+
+    def push(self, number, pick):
+        directive = messages.Directive(confirmed=True, tasks=list(self.orders.values()))
+        self.reduce(agent.DirectiveReceived, address="s1", directive=directive)
+
+    def call(self, number, pick):
+        """Carry out one waiting call; an odd number loses its answer."""
+        if not self.calls:
+            return
+        call = self.calls.pop(pick % len(self.calls))
+        if isinstance(call, taskhost.Start):
+            key = (call.order.task, call.order.epoch)
+            if self.now_ms >= call.lease_until_ms or key in self.stopped:
+                return
+            if key not in self.started:
+                self.started.add(key)
+                self.running[key] = call.lease_until_ms
+            event, fields = agent.StartAnswered, {"is_taken": True, "reason": ""}
+        else:
+            key = (call.task, call.epoch)
+            if isinstance(call, taskhost.Stop):
+                self.running.pop(key, None)
+                self.stopped.add(key)
+                event, fields = agent.StopAnswered, {"phase": "stopped"}
+            else:
+                event, fields = agent.CheckpointAnswered, {"checkpoint": "c"}
+        if number % 2:
+            event, fields = agent.WorkerCallFailed, {}
+        self.reduce(event, task=key[0], epoch=key[1], **fields)
+
+    def look(self, number, pick):
+        statuses = [
+            worker.TaskStatus(task=task, epoch=epoch, phase="running")
+            for task, epoch in self.running
+        ]
+        self.reduce(agent.WorkerSeen, asked_ms=self.now_ms, statuses=statuses)
+
+
+STEPS = st.tuples(
+    st.sampled_from(
+        "wait freeze assign remove answer answer push call call call look".split()
+    ),
+    st.integers(0, 12),
+    st.integers(0, 5),
+)
+
+
+@settings(max_examples=300, deadline=None)
+@given(st.lists(STEPS, max_size=60))
+def test_lease_epochs_and_room_hold_in_any_order(steps):
+    """Guards against tasks past their lease, double epochs and overcommitment."""
+    world = World()
+    for step in (("wait", 1, 0), ("answer", 0, 0), *steps):
+        world.step(*step)
+
+
+class Requests:
+    """Random requests, key queries and ends against one reducer."""
+
+    def __init__(self):
+        self.state = ready_state()
+        self.now_ms = 0
+        self.next_number = 1
+        self.open = {}
+        self.in_flight = []
+        self.finals = {}
+        self.ran = set()
+        self.fenced = set()
+
+    def take(self, effects):
+        for effect in effects:
+            if isinstance(effect, requesttable.ForwardRequest):
+                key = self.open[effect.request]
+                assert key not in self.ran, "a key ran twice"
+                assert key not in self.fenced, "a fenced key ran"
+                self.in_flight.append(effect.request)
+            elif isinstance(
+                effect, (requesttable.RefuseRequest, requesttable.ReplayRequest)
+            ):
+                self.finish(effect.request)
+            elif isinstance(effect, requesttable.AnswerKeyQuery):
+                if effect.reply.state == "fenced":
+                    self.fenced.add(self.queried)
+                if effect.reply.state == "unknown":
+                    assert self.queried not in self.ran, "a key that ran is unknown"
+        assert len(self.in_flight) <= ROOM.connections, "connections exceeded"
+
+    def finish(self, number):
+        assert number not in self.finals, "two final answers"
+        self.finals[number] = True
+
+    def arrive(self, pick, number):
+        key = ("karri", "ab"[pick % 2], 1 + pick % 3)
+        self.open[self.next_number] = key
+        self.next_number += 1
+        tenant, name, index = key
+        self.take(
+            arrive(
+                self.state,
+                self.next_number - 1,
+                self.now_ms,
+                number * 100,
+                tenant=tenant,
+                key=name,
+                claim_index=index,
+            )
+        )
+
+    def end(self, pick, number):
+        if not self.in_flight:
+            return
+        request = self.in_flight.pop(pick % len(self.in_flight))
+        verdict = ("not-run", "may-have-run", "ran")[number % 3]
+        if verdict != "not-run":
+            self.ran.add(self.open[request])
+        self.finish(request)
+        event = agent.RequestEnded(
+            now_ms=self.now_ms, request=request, verdict=verdict, body=b"x"
+        )
+        self.take(agent.reduce(self.state, event))
+
+    def query(self, pick, number):
+        self.queried = ("karri", "ab"[pick % 2], 1 + pick % 3)
+        tenant, name, index = self.queried
+        message = messages.KeyQuery(
+            tenant=tenant, key=name, claim_index=index, fence=number % 2 == 0
+        )
+        event = agent.KeyQueried(now_ms=self.now_ms, query=1, message=message)
+        self.take(agent.reduce(self.state, event))
+
+    def wait(self, pick, number):
+        self.now_ms += number * 60
+        self.take(agent.reduce(self.state, agent.Tick(now_ms=self.now_ms)))
+
+    def gone(self, pick, number):
+        event = agent.RequestGone(now_ms=self.now_ms, request=1 + pick)
+        self.take(agent.reduce(self.state, event))
+
+
+@settings(max_examples=300, deadline=None)
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from("arrive arrive arrive end end query wait gone".split()),
+            st.integers(0, 5),
+            st.integers(0, 12),
+        ),
+        max_size=40,
+    )
+)
+def test_a_key_runs_once_and_each_request_has_one_answer(steps):
+    """Guards against doubled orders, false not-run and lost or doubled answers."""
+    world = Requests()
+    for name, pick, number in steps:
+        getattr(world, name)(pick, number)
+    while world.in_flight:
+        world.end(0, 2)
+    agent.reduce(world.state, agent.Tick(now_ms=world.now_ms + 10_000))
+    late = agent.reduce(world.state, agent.Tick(now_ms=world.now_ms + 10_001))
+    world.take(late)
+    assert not world.state.requests.by_request
+    assert not world.state.admission.waiting
+
+
+def test_no_request_without_a_confirmation_of_the_last_5_s():
+    """Guards against serving under a configuration that may be outdated."""
+    state = new_state()
+    assert of(requesttable.RefuseRequest, arrive(state, 1))
+    reply(state, 900, 1)
+    assert of(requesttable.ForwardRequest, arrive(state, 2, now_ms=4999))
+    # The 5 s count from the sending of the heartbeat, not from its answer.
+    refused = of(requesttable.RefuseRequest, arrive(state, 3, now_ms=5000))
+    assert refused[0].reason == "no confirmed configuration"
+
+
+def test_configuration_never_reverts():
+    """Guards against a late directive of an old leader."""
+    state = ready_state()
+    agent.reduce(state, agent.Tick(now_ms=1000))
+    limits = b'{"services": {"shop": {"concurrency": 1, "queue": 0}}}'
+    reply(state, 1001, 2, config_version=7, config=limits)
+    agent.reduce(state, agent.Tick(now_ms=2000))
+    reply(state, 2001, 3, config_version=6, config=b"{}")
+    assert state.config_version == 7
+    arrive(state, 1, now_ms=2002)
+    refused = of(requesttable.RefuseRequest, arrive(state, 2, now_ms=2002))
+    assert refused[0].reason == "queue is full"
+
+
+def test_waiting_request_is_refused_when_its_deadline_cannot_be_met():
+    """Guards against requests that wait in vain while they could run elsewhere."""
+    state = ready_state()
+    for number in (1, 2):
+        arrive(state, number)
+    ended = agent.RequestEnded(now_ms=0, request=1, verdict="ran", duration_ms=400.0)
+    agent.reduce(state, ended)
+    arrive(state, 3)
+    assert arrive(state, 4, deadline_ms=900) == []
+    assert of(requesttable.RefuseRequest, arrive(state, 5, deadline_ms=300))
+    effects = agent.reduce(state, agent.Tick(now_ms=501))
+    assert [e.request for e in of(requesttable.RefuseRequest, effects)] == [4]
+
+
+def test_a_task_is_not_stopped_by_a_table_older_than_its_start():
+    """Guards against a reply that crosses a push with a new task."""
+    state = ready_state()
+    sent = of(agent.SendHeartbeat, agent.reduce(state, agent.Tick(now_ms=1000)))
+    push = messages.Directive(confirmed=True, tasks=[order("a")])
+    event = agent.DirectiveReceived(now_ms=1010, address="s1", directive=push)
+    assert of(taskhost.Start, agent.reduce(state, event))
+    effects = reply(state, 1020, sent[0].heartbeat.sequence)
+    assert not of(taskhost.Stop, effects)
+
+
+def test_an_ended_epoch_never_starts_again():
+    """Guards against a late push of a deposed leader."""
+    state = ready_state()
+    agent.reduce(state, agent.Tick(now_ms=1000))
+    reply(state, 1001, 2, [order("a", epoch=3)])
+    for kind, fields in (
+        (agent.StartAnswered, {"is_taken": True, "reason": ""}),
+        (agent.StopAnswered, {"phase": "finished"}),
+    ):
+        agent.reduce(state, kind(now_ms=1002, task="a", epoch=3, **fields))
+    agent.reduce(state, agent.Tick(now_ms=2100))
+    reply(state, 2101, state.sequence)
+    assert not state.host.by_task
+    agent.reduce(state, agent.Tick(now_ms=3200))
+    effects = reply(state, 3201, state.sequence, [order("a", epoch=3)])
+    assert not of(taskhost.Start, effects)
+
+
+def test_nothing_is_announced_while_an_earlier_agents_tasks_run():
+    """Guards against a restart that lets the leader place a running task again."""
+    state = new_state(has_worker=True)
+    effects = agent.reduce(state, agent.Tick(now_ms=10))
+    assert of(agent.AskTasks, effects) and not of(agent.SendHeartbeat, effects)
+    left = [worker.TaskStatus(task="a", epoch=1, phase="running")]
+    seen = agent.WorkerSeen(now_ms=20, asked_ms=10, statuses=left)
+    effects = agent.reduce(state, seen)
+    assert of(taskhost.Stop, effects) and not of(agent.SendHeartbeat, effects)
+    seen = agent.WorkerSeen(now_ms=40, asked_ms=30, statuses=[])
+    assert of(agent.SendHeartbeat, agent.reduce(state, seen))
+
+
+def test_heartbeats_follow_the_leader():
+    """Guards against an agent that stays with a follower or a dead leader."""
+    state = new_state()
+    first = of(agent.SendHeartbeat, agent.reduce(state, agent.Tick(now_ms=0)))
+    assert first[0].address == "s1"
+    effects = reply(state, 60, 1, confirmed=False, leader="s9")
+    assert [e.address for e in of(agent.SendHeartbeat, effects)] == ["s9"]
+    failed = agent.HeartbeatFailed(now_ms=200, address="s9", sequence=2)
+    effects = agent.reduce(state, failed)
+    assert [e.address for e in of(agent.SendHeartbeat, effects)] == ["s1"]
