--- a/sardinegauge/messages.py
+++ b/sardinegauge/messages.py
@@ -613,8 +613,15 @@
         "key",
         "claim_index",
         "fence",
+        "incarnation",
     )
-    _defaults = {"tenant": "", "key": "", "claim_index": 0, "fence": False}
+    _defaults = {
+        "tenant": "",
+        "key": "",
+        "claim_index": 0,
+        "fence": False,
+        "incarnation": "",
+    }
 
 
 class KeyReply(record.Record):
