Add policies of the scheduler and a driver with fake workers (in progress)

Cause: the thin scheduler knew only least-loaded placement on declared sizes. Change: estimates, learned interference, preemption, quarantine, quotas, pacing, reasons, explanations, drains; driver over fake workers.

--- a/sardinegauge/capacity.py
+++ b/sardinegauge/capacity.py
@@ -2,7 +2,7 @@
 
 import bisect
 
-from sardinegauge import record
+from sardinegauge import pacing, record
 
 # Workers are grouped by whole free cores; larger workers share the last group.
 CORE_BUCKETS = 128
@@ -13,7 +13,6 @@
 DRAWS = 64
 # Sizes remembered as "fits nowhere" until room is freed.
 BLOCKED_SIZES = 64
-EPSILON = 1e-6
 
 
 class Demand(record.Record):
@@ -41,6 +40,7 @@
         "room_cores",
         "room_memory_mb",
         "slots",
+        "starting",
         "upstream",
     )
 
@@ -48,7 +48,7 @@
         """Tell whether one more task of this demand has room."""
         return (
             self.slots >= 1
-            and self.cores + EPSILON >= demand.cores
+            and self.cores >= demand.cores
             and self.memory_mb >= demand.memory_mb
             and self.accelerators >= demand.accelerators
             and self.connections >= demand.connections
@@ -95,6 +95,7 @@
 class FreeRoom:
     """Room left on all workers.
 
+    `held_by_upstream` names the unit for which a worker is kept free of others.
     `planned_by_upstream` holds the assignments that were proposed and are not yet
     applied, by task, so that two proposals never count on the same room.
     """
@@ -105,6 +106,7 @@
         "by_upstream",
         "general",
         "held_by_upstream",
+        "largest",
         "planned_by_upstream",
     )
 
@@ -115,8 +117,10 @@
         self.planned_by_upstream = {}
         self.blocked_by_size = {}
         self.held_by_upstream = {}
+        # Cores and MB of the largest worker seen, which bound estimates.
+        self.largest = (0.0, 0)
 
-    def refresh(self, worker):
+    def refresh(self, worker, task_by_id):
         """Recompute one worker's room from the machine's record of it."""
         free = self.by_upstream.get(worker.upstream)
         if free is None:
@@ -132,14 +136,25 @@
         free.accelerators = room.accelerators - reserved.accelerators
         free.connections = room.connections - reserved.connections
         free.slots = room.tasks - reserved.tasks
+        free.starting = sum(
+            1 for id in worker.task_ids if task_by_id[id].state == "assigned"
+        )
         for planned in self.planned_by_upstream.get(worker.upstream, {}).values():
             self._subtract(free, planned)
+        self.largest = (
+            max(self.largest[0], room.cores),
+            max(self.largest[1], room.memory_mb),
+        )
         free.is_usable = not (
             worker.is_lost or worker.is_draining or worker.is_quarantined
         )
         self._index(free)
+        self.note_change(worker.upstream)
+
+    def note_change(self, upstream):
+        """Let demands that fitted nowhere try this worker again."""
         for changed in self.blocked_by_size.values():
-            changed.add(worker.upstream)
+            changed.add(upstream)
 
     def plan(self, task_id, assignment):
         """Count a proposed assignment against its worker's room."""
@@ -157,19 +172,24 @@
             if not planned:
                 del self.planned_by_upstream[upstream]
 
-    def candidates(self, demand, random, limit=CANDIDATES, task_id=None):
+    def candidates(self, demand, random, limit=CANDIDATES, holder=None, held=()):
         """Return up to `limit` workers with room for the demand.
 
         All workers that fit are returned when there are at most `limit` workers, so
         that small fleets are planned exactly; larger ones are sampled at random.
+        Workers in `held`, which are kept for `holder`, come first when they fit.
         """
+        for upstream in sorted(held):
+            free = self.by_upstream[upstream]
+            if self._fits(free, demand, holder):
+                return [free]
         size = demand.key()
         changed = self.blocked_by_size.get(size)
         if changed is not None:
             found = [
                 free
                 for upstream in sorted(changed)
-                if self._fits(free := self.by_upstream[upstream], demand, task_id)
+                if self._fits(free := self.by_upstream[upstream], demand, holder)
             ][:limit]
             changed.clear()
             if found:
@@ -178,15 +198,15 @@
         buckets = self.accelerated if demand.accelerators else self.general
         lists = buckets.from_bucket(min(int(demand.cores), CORE_BUCKETS - 1))
         if len(buckets.place_by_upstream) > limit:
-            found = self._draw(lists, demand, random, limit, task_id)
+            found = self._draw(lists, demand, random, limit, holder)
             if len(found) >= limit // 4:
                 return found
-        found = self._walk(lists, demand, limit, task_id)
+        found = self._walk(lists, demand, limit, holder)
         if not found:
             self._block(size)
         return found
 
-    def _draw(self, lists, demand, random, limit, task_id):
+    def _draw(self, lists, demand, random, limit, holder):
         ends, total = [], 0
         for bucket in lists:
             total += len(bucket)
@@ -199,28 +219,30 @@
             where = bisect.bisect_right(ends, number)
             upstream = lists[where][number - ends[where]]
             free = self.by_upstream[upstream]
-            if self._fits(free, demand, task_id):
+            if self._fits(free, demand, holder):
                 found[upstream] = free
                 if len(found) == limit:
                     break
         return list(found.values())
 
-    def _walk(self, lists, demand, limit, task_id):
+    def _walk(self, lists, demand, limit, holder):
         found = []
         for bucket in lists:
             for upstream in bucket:
                 free = self.by_upstream[upstream]
-                if self._fits(free, demand, task_id):
+                if self._fits(free, demand, holder):
                     found.append(free)
                     if len(found) == limit:
                         return found
         return found
 
-    def _fits(self, free, demand, task_id):
+    def _fits(self, free, demand, holder):
         if not free.is_usable or not free.fits(demand):
             return False
-        holder = self.held_by_upstream.get(free.upstream)
-        return holder is None or holder == task_id
+        if free.starting >= pacing.STARTS_PER_WORKER:
+            return False
+        held_for = self.held_by_upstream.get(free.upstream)
+        return held_for is None or held_for == holder
 
     def _block(self, size):
         if len(self.blocked_by_size) >= BLOCKED_SIZES:
@@ -233,13 +255,14 @@
         free.accelerators -= planned.accelerators
         free.connections -= planned.connections
         free.slots -= 1
+        free.starting += 1
 
     def _index(self, free):
         if not free.is_usable or free.slots < 1:
             self.general.remove(free.upstream)
             self.accelerated.remove(free.upstream)
             return
-        number = max(0, min(int(free.cores + EPSILON), CORE_BUCKETS - 1))
+        number = max(0, min(int(free.cores), CORE_BUCKETS - 1))
         self.general.put(free.upstream, number)
         if free.accelerators > 0:
             self.accelerated.put(free.upstream, number)
--- /dev/null
+++ b/sardinegauge/explanations.py
@@ -0,0 +1,122 @@
+"""Text for `sardinegauge explain`: what is the case, and why it was decided so."""
+
+import collections
+import math
+
+
+def lines(state, id):
+    """Return lines about a task, job, service or worker, the reasons newest last."""
+    machine = state.machine
+    found = []
+    if id in machine.tasks.by_id:
+        found += _task(state, machine.tasks.by_id[id])
+    if id in machine.jobs.by_id:
+        found += _group(state, "job", machine.jobs.by_id[id])
+    if id in machine.services.by_name:
+        found += _group(state, "service", machine.services.by_name[id])
+    if id in machine.workers.by_upstream:
+        found += _worker(state, machine.workers.by_upstream[id])
+    found += state.reasons.lines(id, state.now_ms)
+    return found or [f"nothing is known of {id!r}"]
+
+
+def _task(state, task):
+    found = [
+        f"task {task.id} of {task.job or task.service}: {task.state}, "
+        f"{task.task_class}, tenant {task.tenant}, epoch {task.epoch}"
+    ]
+    if task.upstream:
+        found.append(
+            f"on {task.upstream}: {task.cores:g} cores and {task.memory_mb} MB "
+            "reserved, "
+            f"{task.declared_cores:g} cores and {task.declared_memory_mb} MB declared"
+        )
+    if task.id in state.throttle_by_task:
+        found.append(f"throttled to {state.throttle_by_task[task.id]:.0%} of its cores")
+    if task.failures:
+        places = ", ".join(task.failed_upstreams)
+        found.append(f"failed {task.failures} times, last on {places}")
+    if task.reason:
+        found.append(f"last reason in the log: {task.reason}")
+    if task.state == "pending":
+        found += _waiting(state, task)
+    return found
+
+
+def _waiting(state, task):
+    """Tell what a pending task waits for, counted over all workers."""
+    waited_s = max(0, state.age_ms(task.pending_since_ms)) // 1000
+    demand = state.demand_of(task)
+    if task.id in state.assignment_by_task:
+        assignment, _ = state.assignment_by_task[task.id]
+        return [f"assignment to {assignment.upstream} is being written to the log"]
+    counts = collections.Counter()
+    for free in state.free.by_upstream.values():
+        counts[_obstacle(state, free, demand)] += 1
+    parts = ", ".join(f"{count} {name}" for name, count in counts.most_common())
+    found = [
+        f"waits for {waited_s} s for {demand.cores:g} cores, {demand.memory_mb} MB, "
+        f"{demand.accelerators} accelerators, {demand.connections} connections; "
+        f"workers: {parts or 'none registered'}"
+    ]
+    if state.is_over_quota(task.tenant):
+        found.append(f"tenant {task.tenant} is over its quota and may only borrow")
+    return found
+
+
+def _obstacle(state, free, demand):
+    worker = state.machine.workers.by_upstream[free.upstream]
+    if worker.is_lost:
+        return "lost"
+    if worker.is_draining:
+        return "draining"
+    if worker.is_quarantined:
+        return "quarantined"
+    if free.slots < 1:
+        return "without a task slot"
+    if free.cores < demand.cores:
+        return "short of cores"
+    if free.memory_mb < demand.memory_mb:
+        return "short of memory"
+    if free.accelerators < demand.accelerators:
+        return "short of accelerators"
+    if free.connections < demand.connections:
+        return "short of connections"
+    if free.upstream in state.hold_by_upstream:
+        return f"kept for {state.hold_by_upstream[free.upstream].holder}"
+    return "with room"
+
+
+def _group(state, kind, record):
+    by_id = state.machine.tasks.by_id
+    counts = collections.Counter(by_id[id].state for id in record.task_ids)
+    parts = ", ".join(f"{count} {name}" for name, count in sorted(counts.items()))
+    name = record.id if kind == "job" else record.name
+    found = [f"{kind} {name} of tenant {record.tenant}: tasks {parts or 'none'}"]
+    if kind == "job" and record.reason:
+        found.append(f"{record.state}: {record.reason}")
+    return found
+
+
+def _worker(state, worker):
+    room, reserved = worker.room, worker.reserved
+    flags = [
+        name
+        for name in ("draining", "quarantined", "lost")
+        if getattr(worker, f"is_{name}")
+    ]
+    found = [
+        f"worker {worker.upstream} ({worker.failure_domain}, {worker.rack}): "
+        f"{', '.join(flags) or 'in use'}; reserved {reserved.cores:g} of "
+        f"{room.cores:g} cores, {reserved.memory_mb} of {room.memory_mb} MB, "
+        f"{reserved.tasks} of {room.tasks} tasks"
+    ]
+    if worker.reason:
+        found.append(f"last reason in the log: {worker.reason}")
+    view = state.views.get(worker.upstream)
+    for service, load in sorted(view.load_by_service.items()) if view else ():
+        found.append(
+            f"{service}: {load.rate_per_s:.0f} requests/s, p99 {load.p99_ms:.0f} ms, "
+            f"{math.exp(load.excess):.1f} times its usual p99"
+        )
+    return found
--- a/sardinegauge/heartbeats.py
+++ b/sardinegauge/heartbeats.py
@@ -1,19 +1,14 @@
 """Intake of heartbeats: announcements, leases, changed phases and usage."""
 
-from sardinegauge import commands
+from sardinegauge import commands, estimates, pacing, quarantine
 
 LEASE_MS = 10_000
 # The agent's clock may run this much slower than the leader's over one lease.
 DRIFT_MS = 1_000
-# Phases that an agent reports, by the states of the machine's task in which they are
-# news. A phase in any other state was already applied.
-NEWS_BY_PHASE = {
-    "running": ("assigned",),
-    "refused": ("assigned",),
-    "stopped": ("assigned", "running", "evicting", "cancelled", "failed"),
-    "finished": ("assigned", "running", "evicting", "cancelled", "failed"),
-    "failed": ("assigned", "running", "evicting", "cancelled"),
-}
+# A task that ran with a throttle under the last leader keeps it.
+FULL_SPEED = 0.999
+# Phases in which a task no longer runs; they are news until the task has no place.
+STOPPED_PHASES = frozenset({"stopped", "finished", "failed", "refused"})
 
 
 class Leases:
@@ -47,31 +42,46 @@
     """Return a `WorkerLost` for each lease that ended and is not yet proposed."""
     proposals = []
     for upstream, incarnation in state.leases.expired(now_ms):
+        if len(proposals) >= pacing.LOSSES_PER_TICK:
+            break
         worker = state.machine.workers.by_upstream.get(upstream)
-        if worker is None or worker.is_lost or worker.incarnation != incarnation:
+        if worker is None or worker.is_lost or not _holds(state, worker, incarnation):
             state.leases.forget(upstream, incarnation)
         elif ("lost", upstream, incarnation) not in state.in_flight:
             proposals.append(
                 commands.WorkerLost(upstream=upstream, incarnation=incarnation)
             )
+            state.reasons.note(
+                now_ms, [upstream], "lost: no heartbeat of {} for 11 s", incarnation
+            )
     return proposals
 
 
+def _holds(state, worker, incarnation):
+    """Tell whether an incarnation is the current one or left tasks behind."""
+    if worker.incarnation == incarnation:
+        return True
+    by_id = state.machine.tasks.by_id
+    return any(by_id[id].incarnation == incarnation for id in worker.task_ids)
+
+
 def registration(state, heartbeat):
     """Return a `RegisterWorker` when the announcement is news, else None.
 
-    A new incarnation waits until the lease of the old one has ended if that one holds
-    tasks, since the platform's worker may still run them.
+    The tasks of an older incarnation keep their places until their lease has ended,
+    since the platform's worker may still run them.
     """
     if ("register", heartbeat.upstream, heartbeat.incarnation) in state.in_flight:
         return None
     worker = state.machine.workers.by_upstream.get(heartbeat.upstream)
-    if worker is not None and not worker.is_lost:
-        if worker.incarnation == heartbeat.incarnation:
-            if _announced(worker) == _announced(heartbeat):
-                return None
-        elif worker.task_ids:
+    previous_may_run = False
+    if worker is not None:
+        if heartbeat.incarnation in worker.past_incarnations:
+            return None
+        is_same = worker.incarnation == heartbeat.incarnation
+        if is_same and not worker.is_lost and _is_announced(worker, heartbeat):
             return None
+        previous_may_run = not is_same and bool(worker.task_ids)
     return commands.RegisterWorker(
         upstream=heartbeat.upstream,
         incarnation=heartbeat.incarnation,
@@ -81,49 +91,66 @@
         services=list(heartbeat.services),
         room=heartbeat.room,
         draining=heartbeat.draining,
+        previous_may_run=previous_may_run,
     )
 
 
-def _announced(source):
-    room = source.room
+def _is_announced(worker, heartbeat):
     return (
-        source.address,
-        source.failure_domain,
-        source.rack,
-        list(source.services),
-        room.cores,
-        room.memory_mb,
-        room.accelerators,
-        room.tasks,
-        room.connections,
+        worker.address == heartbeat.address
+        and worker.failure_domain == heartbeat.failure_domain
+        and worker.rack == heartbeat.rack
+        and worker.services == heartbeat.services
+        and worker.announces_draining == heartbeat.draining
+        and worker.room == heartbeat.room
     )
 
 
-def phase_changes(state, heartbeat):
-    """Return a `ReportTasks` with the phases that are news, else None."""
-    by_id = state.machine.tasks.by_id
+def take_tasks(state, now_ms, heartbeat):
+    """Take the reports of all tasks; return the changes of phase that are news."""
+    by_id, run_by_task = state.machine.tasks.by_id, state.run_by_task
     changes = []
     for report in heartbeat.tasks:
         task = by_id.get(report.task)
         if task is None or task.epoch != report.epoch:
             continue
-        if task.state not in NEWS_BY_PHASE.get(report.phase, ()):
-            continue
-        if not task.upstream == heartbeat.upstream:
+        if task.upstream != heartbeat.upstream:
             continue
-        if ("report", report.task, report.epoch, report.phase) in state.in_flight:
+        phase = report.phase
+        if phase == "running":
+            run = run_by_task[report.task]
+            _take_usage(state, now_ms, task, run, report)
+            is_news = task.state == "assigned" or (
+                report.checkpoint and report.checkpoint != task.checkpoint
+            )
+        else:
+            is_news = phase in STOPPED_PHASES
+        if not is_news or ("report", task.id, task.epoch, phase) in state.in_flight:
             continue
         changes.append(
             commands.TaskChange(
                 task=report.task,
                 epoch=report.epoch,
-                phase=report.phase,
+                phase=phase,
                 reason=report.reason,
                 checkpoint=report.checkpoint,
             )
         )
-    if not changes:
-        return None
-    return commands.ReportTasks(
-        upstream=heartbeat.upstream, incarnation=heartbeat.incarnation, changes=changes
-    )
+    return changes
+
+
+def _take_usage(state, now_ms, task, run, report):
+    if report.throttle < FULL_SPEED and run.started_ms is None:
+        if task.task_class == "batch" and task.id not in state.throttle_by_task:
+            state.throttle_by_task[task.id] = report.throttle
+            state.watch(task.upstream, now_ms)
+    run.take(now_ms, report.cores, report.memory_mb, report.progress)
+    if now_ms - run.sampled_ms >= estimates.SAMPLE_MS:
+        throttle = state.throttle_by_task.get(task.id, 1.0)
+        state.sizes.learn_usage(now_ms, run, throttle)
+        state.resize_due[task.upstream] = True
+    elif report.memory_mb > task.memory_mb or run.usual_cores() > task.cores * 1.1:
+        state.resize_due[task.upstream] = True
+    if not run.is_proven and now_ms - run.started_ms >= quarantine.SUCCESS_AFTER_MS:
+        run.is_proven = True
+        state.proven.append((task.id, task.upstream))
--- a/sardinegauge/pending.py
+++ b/sardinegauge/pending.py
@@ -9,6 +9,8 @@
 # A unit that found no room is tried again after this time, so that a long queue costs
 # little per round. Room that is freed meanwhile is found at the next try.
 BACKOFF_MS = 500
+# Urgent work and services are tried again at the next tick.
+FAST_BACKOFF_MS = 100
 
 
 class Unit(record.Record):
@@ -28,6 +30,11 @@
     _defaults = {"not_before_ms": 0, "task_ids": dict}
 
 
+def backoff_ms(unit):
+    """Return how long a unit without a place waits for its next try."""
+    return BACKOFF_MS if unit.task_class == BATCH else FAST_BACKOFF_MS
+
+
 class PendingQueue:
     """Pending tasks as units; a task is queued or in flight, never both."""
 
@@ -76,3 +83,8 @@
         found = [unit for unit in units if unit.not_before_ms <= now_ms]
         found.sort(key=lambda unit: (unit.since_ms, unit.name))
         return found
+
+    def oldest_batch_ms(self):
+        """Return since when the oldest batch unit waits, or None."""
+        units = self.units_by_class[BATCH].values()
+        return min((unit.since_ms for unit in units), default=None)
--- a/sardinegauge/placement.py
+++ b/sardinegauge/placement.py
@@ -2,6 +2,21 @@
 
 import abc
 
+from sardinegauge import views
+
+# A job's task goes back to a worker where it failed only when nothing else has room.
+FAILED_HERE = 5.0
+# Failures of anything since the last success make a worker less attractive, so that
+# one that fails at once does not draw all pending tasks.
+FAILURE = 0.5
+# Workers with accelerators are left to tasks that need them.
+ACCELERATOR = 0.5
+# Weight of the share of used cores, beside slow-downs in multiples of a p99.
+BALANCE = 0.25
+# A batch task waits when its best place slows services down by this much at weights of
+# 1; it goes there all the same once it has waited for `DEFER_MS`.
+DEFER_HARM = 1.0
+
 
 class PlacementPolicy(abc.ABC):
     """Chooses one worker for a task among those that have room for it."""
@@ -22,15 +37,29 @@
             The room left on the worker before this task.
         """
 
-    def choose(self, state, task, demand, candidates):
-        """Return the best candidate, or None when all are refused."""
+    def penalty(self, state, task, free):
+        """Return the cost of past failures and of blocking accelerators."""
+        cost = FAILURE * state.ledger.recent_failures(free.upstream)
+        if free.upstream in task.failed_upstreams:
+            cost += FAILED_HERE
+        if free.accelerators > 0 and not task.accelerators:
+            cost += ACCELERATOR
+        return cost
+
+    def is_worth_waiting(self, state, task, score):
+        """Tell whether the task should rather wait than take the best place."""
+        return False
+
+    def choose(self, state, task, demand, candidates, may_wait=False):
+        """Return the best candidate, or None to let the task wait."""
         best, best_score = None, None
         for free in candidates:
             score = self.score(state, task, demand, free)
-            if score is None:
-                continue
+            score += self.penalty(state, task, free)
             if best is None or (score, free.upstream) < (best_score, best.upstream):
                 best, best_score = free, score
+        if may_wait and best and self.is_worth_waiting(state, task, best_score):
+            return None
         return best
 
 
@@ -58,3 +87,49 @@
         cores = (free.cores - demand.cores) / max(free.room_cores, 1e-9)
         memory = (free.memory_mb - demand.memory_mb) / max(free.room_memory_mb, 1)
         return max(cores, memory)
+
+
+class InterferenceAware(PlacementPolicy):
+    """Least harm to services by what was learned of their interference, then load.
+
+    For a batch task the harm is what it adds to the p99 of the worker's services; for
+    a service's replica it is what the batch work there does to the replica.
+    """
+
+    def score(self, state, task, demand, free):
+        """Return the weighted harm plus a share for the load."""
+        room_cores = max(free.room_cores, 1e-9)
+        load = 1.0 - (free.cores - demand.cores) / room_cores
+        view = state.views.get(free.upstream)
+        if view is None:
+            return BALANCE * load
+        if task.service:
+            harm = views.harm_to_service(state, view, task.service)
+        else:
+            group = (task.tenant, task.group)
+            harm = views.harm(state, view, group, demand.cores / room_cores)
+        return state.weights.tail_latency * harm + BALANCE * load
+
+    def is_worth_waiting(self, state, task, score):
+        """Let batch work wait where its harm outweighs its throughput."""
+        if task.task_class != "batch":
+            return False
+        return score - BALANCE > DEFER_HARM * state.weights.batch_throughput
+
+
+def narrow_to_spread(state, task, candidates):
+    """Keep the candidates that spread a service best, as far as its replicas allow.
+
+    Failure domains come first, then racks, then workers: the loss of a domain takes
+    more replicas than the loss of a rack.
+    """
+    counts = state.spread_by_service.get(task.service)
+    if not counts or not candidates:
+        return candidates
+    for place in ("failure_domain", "rack", "upstream"):
+        table = counts[place]
+        fewest = min(table.get(getattr(free, place), 0) for free in candidates)
+        candidates = [
+            free for free in candidates if table.get(getattr(free, place), 0) == fewest
+        ]
+    return candidates
--- /dev/null
+++ b/sardinegauge/reasons.py
@@ -0,0 +1,86 @@
+"""Bounded store of the reasons of decisions, by task, job, worker and service."""
+
+import collections
+
+from sardinegauge import record
+
+# Ids with reasons; the ones without news for longest are dropped first.
+MAX_IDS = 8_192
+MAX_REASONS_PER_ID = 8
+KEEP_MS = 3_600_000
+
+
+class Reason(record.Record):
+    """One decision about an id; `template` is filled with `values` when shown.
+
+    `count` and `last_ms` cover repetitions of the same decision.
+    """
+
+    __slots__ = ("count", "first_ms", "last_ms", "template", "values")
+
+    def text(self):
+        """Return the reason as one sentence."""
+        return self.template.format(*self.values)
+
+
+class Reasons:
+    """Reasons by id, newest last, bounded in number and age.
+
+    Examples
+    --------
+    >>> reasons = Reasons()
+    >>> reasons.note(1_000, ["t1"], "no room for {} cores", 4)
+    >>> reasons.note(3_000, ["t1"], "no room for {} cores", 4)
+    >>> reasons.lines("t1", 5_000)
+    ['2 s ago: no room for 4 cores (2 times in 2 s)']
+    """
+
+    __slots__ = ("reasons_by_id",)
+
+    def __init__(self):
+        self.reasons_by_id = {}
+
+    def note(self, now_ms, ids, template, *values):
+        """Keep one reason under each of the ids."""
+        for id in ids:
+            known = self.reasons_by_id.pop(id, None)
+            if known is None:
+                known = collections.deque(maxlen=MAX_REASONS_PER_ID)
+            # The id moves to the end, so the first one is always the oldest.
+            self.reasons_by_id[id] = known
+            last = known[-1] if known else None
+            if last and last.template == template and last.values == values:
+                last.count += 1
+                last.last_ms = now_ms
+                continue
+            known.append(
+                Reason(
+                    count=1,
+                    first_ms=now_ms,
+                    last_ms=now_ms,
+                    template=template,
+                    values=values,
+                )
+            )
+        while len(self.reasons_by_id) > MAX_IDS:
+            del self.reasons_by_id[next(iter(self.reasons_by_id))]
+
+    def expire(self, now_ms):
+        """Drop the ids without news for an hour."""
+        while self.reasons_by_id:
+            id, known = next(iter(self.reasons_by_id.items()))
+            if now_ms - known[-1].last_ms <= KEEP_MS:
+                return
+            del self.reasons_by_id[id]
+
+    def lines(self, id, now_ms):
+        """Return the reasons of an id as lines with their age, newest last."""
+        found = []
+        for reason in self.reasons_by_id.get(id, ()):
+            age_s = max(0, now_ms - reason.last_ms) // 1000
+            line = f"{age_s} s ago: {reason.text()}"
+            if reason.count > 1:
+                span_s = (reason.last_ms - reason.first_ms) // 1000
+                line += f" ({reason.count} times in {span_s} s)"
+            found.append(line)
+        return found
--- /dev/null
+++ b/sardinegauge/resizing.py
@@ -0,0 +1,84 @@
+"""Reservations of placed tasks follow their usage reports."""
+
+from sardinegauge import commands, estimates, preemption, views
+
+OUTGREW = "outgrew its reservation and its worker"
+# Above this share of used cores, tasks slow each other down.
+CROWDED_SHARE = 0.95
+
+
+def resize_due(state, now_ms, limit):
+    """Return commands that make reservations follow the usage reports.
+
+    A task that needs more than its worker has left is moved, once; after that it keeps
+    its reservation, since a second move would repeat the same finding.
+    """
+    cores_by_task, memory_mb_by_task, moved = {}, {}, []
+    for upstream in state.take_due_resizes(limit):
+        free = state.free.by_upstream.get(upstream)
+        if free is None:
+            continue
+        cores_left, memory_left = free.cores, free.memory_mb
+        for task_id in sorted(state.ids_by_upstream.get(upstream, ())):
+            task, run = (
+                state.machine.tasks.by_id[task_id],
+                state.run_by_task.get(task_id),
+            )
+            if run is None or task.state != "running":
+                continue
+            if ("resize", task_id) in state.in_flight:
+                continue
+            throttle = state.throttle_by_task.get(task_id, 1.0)
+            wanted = estimates.target(run, task, now_ms, throttle)
+            if wanted is None:
+                continue
+            cores, memory_mb = wanted
+            more_cores = max(0.0, cores - task.cores)
+            more_memory = max(0, memory_mb - task.memory_mb)
+            run.resized_ms = now_ms
+            if more_cores <= cores_left and more_memory <= memory_left:
+                cores_left -= more_cores
+                memory_left -= more_memory
+                cores_by_task[task_id] = cores
+                memory_mb_by_task[task_id] = memory_mb
+            elif more_memory <= memory_left and not _is_crowded(state, upstream):
+                # Cores in use by nobody are shared, so the task runs on all the same.
+                continue
+            elif _may_move(state, now_ms, task):
+                state.sizes.floor_by_task[task_id] = (cores, memory_mb)
+                state.pace.evictions.take()
+                moved.append(task)
+            else:
+                state.reasons.note(
+                    now_ms, [task_id], "uses more than reserved; no room to grow"
+                )
+    proposals = []
+    if cores_by_task:
+        proposals.append(
+            commands.ResizeTasks(
+                cores_by_task=cores_by_task, memory_mb_by_task=memory_mb_by_task
+            )
+        )
+    if moved:
+        proposals.append(preemption.evict(state, now_ms, moved, OUTGREW))
+    return proposals
+
+
+def _is_crowded(state, upstream):
+    """Tell whether the tasks of a worker use nearly all its cores by their reports."""
+    view = state.views.get(upstream)
+    if view is None:
+        return False
+    views.refresh_mix(state, view)
+    return view.used_share > CROWDED_SHARE
+
+
+def _may_move(state, now_ms, task):
+    if task.task_class != "batch" or ("evict", task.id, task.epoch) in state.in_flight:
+        return False
+    if (
+        task.id in state.sizes.floor_by_task
+        or task.evictions >= preemption.MAX_EVICTIONS
+    ):
+        return False
+    return state.pace.evictions.available() > 0
--- a/sardinegauge/scheduler.py
+++ b/sardinegauge/scheduler.py
@@ -5,21 +5,25 @@
 rebuilds from the machine and from heartbeats.
 """
 
-import random
-
 from sardinegauge import (
-    capacity,
     commands,
     directives,
+    drains,
+    explanations,
     heartbeats,
-    inflight,
-    pending,
-    placement,
+    makeroom,
     planning,
+    preemption,
+    quarantine,
     record,
+    resizing,
+    softstate,
+    views,
 )
 
-STARTS_PER_S = 210.0
+State = softstate.State
+# Workers whose reservations are checked in one second.
+RESIZES_PER_S = 200
 
 
 class LeadershipGained(record.Record):
@@ -68,42 +72,22 @@
     __slots__ = ("directive", "incarnation", "upstream")
 
 
-class State:
-    """Soft state of the scheduler; `machine` is read only."""
-
-    def __init__(self, machine, policy=None):
-        self.machine = machine
-        self.policy = policy or placement.LeastLoaded()
-        self.is_leader = False
-        self.reset(0)
-
-    def reset(self, term):
-        """Drop all soft state; the term seeds the random choices of this leader."""
-        self.term = term
-        self.random = random.Random(term)
-        self.leases = heartbeats.Leases()
-        self.in_flight = inflight.InFlight()
-        self.free = capacity.FreeRoom()
-        self.pending = pending.PendingQueue()
-        self.orders_by_upstream = {}
-        self.throttle_by_task = {}
-        self.upstream_by_task = {}
-        self.ids_by_upstream = {}
-        self.planned_upstream_by_task = {}
-        self.start_tokens = 0.0
-        self.tokens_at_ms = 0
-
-
 def reduce(state, event):
-    """Apply one event to the state and return the effects."""
+    """Apply one event to the state and return the effects.
+
+    `LeadershipGained` must come after the machine applied all entries of earlier
+    terms: directives built from an older machine would stop tasks that shall run.
+    """
+    if isinstance(event, CommandApplied):
+        _note_clocks(state, event)
     if isinstance(event, LeadershipGained):
         return _gain(state, event)
     if isinstance(event, LeadershipLost):
-        state.is_leader = False
-        state.reset(0)
+        state.reset(0, event.now_ms)
         return []
     if not state.is_leader:
         return []
+    state.now_ms = event.now_ms
     if isinstance(event, HeartbeatReceived):
         return _take_heartbeat(state, event.now_ms, event.heartbeat)
     if isinstance(event, CommandApplied):
@@ -113,65 +97,89 @@
     raise TypeError(f"unknown event {type(event).__name__}")
 
 
+def _note_clocks(state, event):
+    if event.command.at_ms > 0:
+        state.wall_offset_ms = event.command.at_ms - event.now_ms
+
+
 def _gain(state, event):
-    state.reset(event.term)
+    state.reset(event.term, event.now_ms)
     state.is_leader = True
-    state.tokens_at_ms = event.now_ms
-    for worker in state.machine.workers.by_upstream.values():
-        state.free.refresh(worker)
+    state.configure()
+    machine = state.machine
+    for worker in machine.workers.by_upstream.values():
+        state.refresh(worker.upstream)
         if not worker.is_lost:
             state.leases.renew(worker.upstream, worker.incarnation, event.now_ms)
-    for task_id in state.machine.tasks.by_id:
-        _sync_task(state, task_id)
+    for task_id, task in machine.tasks.by_id.items():
+        state.sync_task(task_id)
+        if task.upstream:
+            # Includes older incarnations, whose tasks keep their places until then.
+            state.leases.renew(task.upstream, task.incarnation, event.now_ms)
+        if task.state == "pending" and task.reason == resizing.OUTGREW:
+            state.sizes.floor_by_task[task_id] = (task.cores, task.memory_mb)
     return []
 
 
 def _take_heartbeat(state, now_ms, heartbeat):
     effects = []
-    worker = state.machine.workers.by_upstream.get(heartbeat.upstream)
+    upstream, incarnation = heartbeat.upstream, heartbeat.incarnation
     command = heartbeats.registration(state, heartbeat)
     if command is not None:
         effects.append(_propose(state, now_ms, command))
-    is_known = (
-        worker is not None
-        and not worker.is_lost
-        and worker.incarnation == heartbeat.incarnation
-    )
-    if not is_known:
-        directive = directives.build_empty(heartbeat.sequence, "not registered yet")
-        effects.append(_direct(heartbeat.upstream, heartbeat.incarnation, directive))
-        return effects
-    state.leases.renew(heartbeat.upstream, heartbeat.incarnation, now_ms)
-    command = heartbeats.phase_changes(state, heartbeat)
-    if command is not None:
+    worker = state.machine.workers.by_upstream.get(upstream)
+    if worker is None or worker.is_lost or worker.incarnation != incarnation:
+        reason = "not registered yet"
+        if worker is not None and incarnation in worker.past_incarnations:
+            reason = f"replaced by incarnation {worker.incarnation}"
+        directive = directives.build_empty(heartbeat.sequence, reason)
+        return [*effects, _direct(upstream, incarnation, directive)]
+    state.leases.renew(upstream, incarnation, now_ms)
+    changes = heartbeats.take_tasks(state, now_ms, heartbeat)
+    if changes:
+        command = commands.ReportTasks(
+            upstream=upstream, incarnation=incarnation, changes=changes
+        )
         effects.append(_propose(state, now_ms, command))
-    directive = directives.build(state, heartbeat.upstream, heartbeat.sequence)
-    effects.append(_direct(heartbeat.upstream, heartbeat.incarnation, directive))
+    view = state.views.get(upstream)
+    if view is None:
+        view = state.views[upstream] = views.WorkerView(upstream)
+    views.take_loads(state, now_ms, view, heartbeat)
+    directive = directives.build(state, upstream, heartbeat.sequence)
+    effects.append(_direct(upstream, incarnation, directive))
     return effects
 
 
 def _take_applied(state, event):
-    command = event.command
+    command, now_ms = event.command, event.now_ms
     state.in_flight.remove(command)
+    if isinstance(command, commands.SetConfiguration):
+        state.configure()
+        return []
+    judged = _judge_reports(state, now_ms, command, event.answer)
     task_ids = _touched_tasks(state, command, event.answer)
     touched = set()
     for task_id in task_ids:
-        touched.update(_sync_task(state, task_id))
-    upstream = getattr(command, "upstream", "")
-    if isinstance(command, _WORKER_COMMANDS) and upstream:
-        touched.add(upstream)
-    if isinstance(command, commands.RegisterWorker):
-        state.leases.renew(upstream, command.incarnation, event.now_ms)
+        touched.update(state.sync_task(task_id))
+    if isinstance(command, _WORKER_COMMANDS):
+        touched.add(command.upstream)
+    _note_worker(state, now_ms, command, event.answer)
+    for upstream in touched:
+        state.refresh(upstream)
+    effects = [_propose(state, now_ms, proposal) for proposal in judged]
+    if not isinstance(command, commands.ReportTasks):
+        # An agent that reported a change is answered with its next heartbeat.
+        effects += _push(state, touched)
+    return effects
+
+
+def _push(state, upstreams):
     effects = []
-    for upstream in sorted(touched):
-        _refresh(state, upstream)
+    for upstream in sorted(upstreams):
         worker = state.machine.workers.by_upstream.get(upstream)
-        if worker is None or worker.is_lost:
-            continue
-        if isinstance(command, commands.ReportTasks):
-            continue
-        directive = directives.build(state, upstream)
-        effects.append(_direct(upstream, worker.incarnation, directive))
+        if worker is not None and not worker.is_lost:
+            directive = directives.build(state, upstream)
+            effects.append(_direct(upstream, worker.incarnation, directive))
     return effects
 
 
@@ -183,6 +191,54 @@
 )
 
 
+def _note_worker(state, now_ms, command, answer):
+    """Keep leases, pace and reasons in line with an applied command."""
+    if isinstance(command, commands.RegisterWorker):
+        worker = state.machine.workers.by_upstream.get(command.upstream)
+        if worker is not None and worker.incarnation == command.incarnation:
+            state.leases.renew(command.upstream, command.incarnation, now_ms)
+    elif isinstance(command, commands.WorkerLost):
+        worker = state.machine.workers.by_upstream.get(command.upstream)
+        if worker is None or worker.is_lost:
+            state.views.pop(command.upstream, None)
+            state.pace.note_loss(now_ms)
+    elif isinstance(command, commands.AssignTasks):
+        skipped = getattr(answer, "value", {}).get("skipped", {})
+        for task_id, reason in skipped.items():
+            state.reasons.note(now_ms, [task_id], "not assigned: {}", reason)
+
+
+def _judge_reports(state, now_ms, command, answer):
+    """Learn from tasks that ended; return what follows for workers and jobs."""
+    if not isinstance(command, commands.ReportTasks):
+        return []
+    changed = set(getattr(answer, "ids", ()))
+    proposals = []
+    for change in command.changes:
+        task = state.machine.tasks.by_id.get(change.task)
+        if change.task not in changed or task is None:
+            continue
+        if change.phase in ("failed", "finished") and task.state == "pending":
+            worker = state.machine.workers.by_upstream.get(command.upstream)
+            if worker is not None and worker.is_quarantined:
+                quarantine.note_probe_failed(state, now_ms, command.upstream)
+            proposals += quarantine.judge(state, now_ms, task, command.upstream)
+            state.reasons.note(
+                now_ms,
+                [task.id, task.job or task.service, command.upstream],
+                "{} failed on {}: {}",
+                task.id,
+                command.upstream,
+                change.reason,
+            )
+        elif change.phase == "finished" and task.state == "finished":
+            run = state.run_by_task.get(task.id)
+            if run is not None:
+                state.sizes.learn_run_time(now_ms, run, task.run_time_s)
+            proposals += quarantine.note_success(state, now_ms, task, command.upstream)
+    return proposals
+
+
 def _touched_tasks(state, command, answer):
     machine = state.machine
     if isinstance(command, commands.AssignTasks):
@@ -202,9 +258,10 @@
     if isinstance(command, commands.FailJob):
         return _tasks_of_jobs(machine, [command.job])
     if isinstance(command, commands.DeclareService):
+        unit = state.pending.units_by_class["latency_critical"].get(command.name)
+        retired = [] if unit is None else list(unit.task_ids)
         service = machine.services.by_name.get(command.name)
-        known = [] if service is None else sorted(service.task_ids)
-        return known
+        return retired + ([] if service is None else list(service.task_ids))
     return []
 
 
@@ -213,67 +270,48 @@
     for job_id in job_ids:
         job = machine.jobs.by_id.get(job_id)
         if job is not None:
-            found.extend(sorted(job.task_ids))
+            found.extend(job.task_ids)
     return found
 
 
-def _sync_task(state, task_id):
-    """Bring the indexes in line with the machine's task; return touched upstreams."""
-    task = state.machine.tasks.by_id.get(task_id)
-    touched = []
-    planned = state.planned_upstream_by_task.pop(task_id, None)
-    if planned is not None:
-        state.free.unplan(planned, task_id)
-        touched.append(planned)
-    old = state.upstream_by_task.pop(task_id, "")
-    if old:
-        state.ids_by_upstream[old].discard(task_id)
-        touched.append(old)
-    if task is None:
-        state.pending.remove(task_id)
-        return touched
-    if task.upstream:
-        state.upstream_by_task[task_id] = task.upstream
-        state.ids_by_upstream.setdefault(task.upstream, set()).add(task_id)
-        touched.append(task.upstream)
-    if task.state == "pending":
-        state.pending.add(task)
-    else:
-        state.pending.remove(task_id)
-    return touched
-
-
-def _refresh(state, upstream):
-    worker = state.machine.workers.by_upstream.get(upstream)
-    directives.forget(state, upstream)
-    if worker is not None:
-        state.free.refresh(worker)
-
-
 def _tick(state, now_ms):
     for key in state.in_flight.expire(now_ms):
         if key[0] == "assign":
-            for upstream in _sync_task(state, key[1]):
-                _refresh(state, upstream)
+            state.undo_plan(key[1])
+    state.room_requests = 0
+    state.pace.refill(now_ms)
+    makeroom.expire_holds(state, now_ms)
     proposals = heartbeats.lost_workers(state, now_ms)
-    proposals += planning.plan(state, now_ms, _starts_budget(state, now_ms))
-    return [_propose(state, now_ms, command) for command in proposals]
-
-
-def _starts_budget(state, now_ms):
-    elapsed_ms = now_ms - state.tokens_at_ms
-    state.tokens_at_ms = now_ms
-    tokens = state.start_tokens + elapsed_ms * STARTS_PER_S / 1000.0
-    state.start_tokens = min(tokens, STARTS_PER_S / 2)
-    return int(state.start_tokens)
+    proposals += _credit_proven(state, now_ms)
+    if now_ms - state.reviewed_ms >= preemption.REVIEW_EVERY_MS:
+        state.reviewed_ms = now_ms
+        state.no_room_keys.clear()
+        state.reasons.expire(now_ms)
+        proposals += preemption.review_all(state, now_ms)
+        proposals += resizing.resize_due(state, now_ms, RESIZES_PER_S)
+        proposals += drains.move(state, now_ms)
+    proposals += planning.plan(state, now_ms)
+    effects = [_propose(state, now_ms, command) for command in proposals]
+    changed, state.changed_upstreams = state.changed_upstreams, set()
+    for upstream in changed:
+        directives.forget(state, upstream)
+    return effects + _push(state, changed)
+
+
+def _credit_proven(state, now_ms):
+    proven, state.proven = state.proven, []
+    proposals = []
+    for task_id, upstream in proven:
+        task = state.machine.tasks.by_id.get(task_id)
+        if task is not None:
+            proposals += quarantine.note_success(state, now_ms, task, upstream)
+    return proposals
 
 
 def _propose(state, now_ms, command):
     state.in_flight.add(now_ms, command)
     if isinstance(command, commands.AssignTasks):
-        state.start_tokens -= len(command.assignments)
-        for assignment in command.assignments:
-            state.planned_upstream_by_task[assignment.task] = assignment.upstream
+        state.pace.starts.take(len(command.assignments))
     return Propose(command=command)
 
 
@@ -282,5 +320,5 @@
 
 
 def explain(state, id):
-    """Return lines of text on what was decided about a task, job or worker."""
-    return []
+    """Return lines of text on what was decided about a task, job, service or worker."""
+    return explanations.lines(state, id)
--- /dev/null
+++ b/sardinegauge/views.py
@@ -0,0 +1,183 @@
+"""What the scheduler knows of each worker from heartbeats: load and mix of work."""
+
+import math
+
+from sardinegauge import interference
+
+# Weight of the newest p99 in the smoothed one.
+P99_WEIGHT = 0.4
+# Measurements describe the mix of about this long ago.
+LAG_MS = 6_000
+# Requests in one report below which its p99 is not acted upon.
+MIN_REQUESTS = 10
+# Time between two samples of one worker for the model, and the samples per second over
+# the whole fleet, which bound the model's share of the leader's processor time.
+OBSERVE_MS = 2_000
+OBSERVATIONS_PER_S = 300
+# Time for which a mix without news is trusted; usage changes without any start.
+MIX_MS = 3_000
+# A mean rate over a few reports, since one report covers a second only.
+RATE_WEIGHT = 0.4
+
+
+class Load:
+    """Load and latency of one service on one worker, as last reported."""
+
+    __slots__ = ("excess", "level", "p99_ms", "rate_per_s", "reported_ms", "requests")
+
+    def __init__(self):
+        self.rate_per_s = 0.0
+        self.p99_ms = 0.0
+        self.level = 0
+        self.requests = 0
+        # Smoothed logarithm of the measured p99 over its base.
+        self.excess = 0.0
+        self.reported_ms = None
+
+
+class WorkerView:
+    """Soft state of one worker.
+
+    `share_by_group` is the share of the worker's cores that each batch group uses now;
+    `lagged_by_group` is the same some seconds ago, which measurements belong to.
+    """
+
+    __slots__ = (
+        "heartbeat_ms",
+        "is_stale",
+        "lagged_by_group",
+        "load_by_service",
+        "mixed_ms",
+        "observed_ms",
+        "share_by_group",
+        "upstream",
+        "used_share",
+    )
+
+    def __init__(self, upstream):
+        self.upstream = upstream
+        self.load_by_service = {}
+        self.share_by_group = {}
+        self.lagged_by_group = {}
+        self.used_share = 0.0
+        self.is_stale = True
+        self.mixed_ms = 0
+        self.observed_ms = 0
+        self.heartbeat_ms = None
+
+
+def refresh_mix(state, view):
+    """Recompute a worker's mix of batch groups if it may have changed."""
+    if not view.is_stale and state.now_ms - view.mixed_ms < MIX_MS:
+        return
+    view.is_stale = False
+    view.mixed_ms = state.now_ms
+    free = state.free.by_upstream.get(view.upstream)
+    cores = max(free.room_cores, 1e-9) if free else 1.0
+    shares, used = {}, 0.0
+    for task_id in state.ids_by_upstream.get(view.upstream, ()):
+        run = state.run_by_task.get(task_id)
+        if run is None:
+            continue
+        share = run.cores_now / cores
+        used += share
+        if run.is_batch:
+            shares[run.group] = shares.get(run.group, 0.0) + share
+    view.share_by_group = shares
+    view.used_share = used
+
+
+def take_loads(state, now_ms, view, heartbeat):
+    """Take the service loads of a heartbeat; learn from them and watch hot workers."""
+    elapsed_ms = now_ms - (view.heartbeat_ms or now_ms - 1000)
+    view.heartbeat_ms = now_ms
+    if not heartbeat.loads:
+        view.load_by_service.clear()
+        return
+    refresh_mix(state, view)
+    drift = _follow_mix(view, elapsed_ms)
+    may_learn = now_ms - view.observed_ms >= state.observe_every_ms()
+    if may_learn:
+        view.observed_ms = now_ms
+    known = set()
+    for report in heartbeat.loads:
+        known.add(report.service)
+        load = view.load_by_service.get(report.service)
+        if load is None:
+            load = view.load_by_service[report.service] = Load()
+        _take_load(state, now_ms, view, load, report, elapsed_ms, drift, may_learn)
+    for service in [name for name in view.load_by_service if name not in known]:
+        del view.load_by_service[service]
+
+
+def _take_load(state, now_ms, view, load, report, elapsed_ms, drift, may_learn):
+    rate = report.requests * 1000.0 / max(elapsed_ms, 200)
+    if load.reported_ms is None:
+        load.rate_per_s = rate
+    load.rate_per_s += RATE_WEIGHT * (rate - load.rate_per_s)
+    load.reported_ms = now_ms
+    load.requests = report.requests
+    load.level = interference.level_of(load.rate_per_s)
+    if report.requests < MIN_REQUESTS or report.p99_ms <= 0.0:
+        load.excess *= 1.0 - P99_WEIGHT
+        return
+    load.p99_ms = report.p99_ms
+    model = state.model
+    if may_learn:
+        model.observe(
+            now_ms,
+            report.service,
+            load.level,
+            report.p99_ms,
+            report.requests,
+            view.lagged_by_group,
+            drift,
+        )
+    base = model.base(report.service, load.level)
+    if base is None:
+        return
+    excess = math.log(max(report.p99_ms, 1e-3)) - base
+    load.excess += P99_WEIGHT * (excess - load.excess)
+    if load.excess > state.preemption.HOT:
+        state.watch(view.upstream, now_ms)
+
+
+def _follow_mix(view, elapsed_ms):
+    """Move the lagged mix towards the current one; return how far apart they are."""
+    weight = 1.0 - math.exp(-elapsed_ms / LAG_MS)
+    lagged, current = view.lagged_by_group, view.share_by_group
+    drift = 0.0
+    for group in [*lagged, *(group for group in current if group not in lagged)]:
+        old, new = lagged.get(group, 0.0), current.get(group, 0.0)
+        drift += abs(new - old)
+        moved = old + weight * (new - old)
+        if moved < 0.003 and new == 0.0:
+            lagged.pop(group, None)
+        else:
+            lagged[group] = moved
+    return drift
+
+
+def harm(state, view, group, share):
+    """Return the slow-down that more work of a group adds to a worker's services.
+
+    The result is a sum over the services there, in multiples of their base p99.
+    """
+    if not view.load_by_service:
+        return 0.0
+    refresh_mix(state, view)
+    model, total = state.model, 0.0
+    for service, load in view.load_by_service.items():
+        effect = model.effect(service, group, load.level)
+        if effect <= 0.0:
+            continue
+        now = math.exp(model.excess(service, load.level, view.share_by_group))
+        total += now * math.expm1(min(effect * share, interference.MAX_EXCESS))
+    return total
+
+
+def harm_to_service(state, view, service):
+    """Return the slow-down of a service's new replica beside a worker's batch work."""
+    refresh_mix(state, view)
+    level = state.model.usual_level_by_service.get(service, 0)
+    return math.expm1(state.model.excess(service, level, view.share_by_group))
