Make throttling and evictions for interference pay for themselves

Cause: a throttled task does the same harm for longer. Change: a step must lower the harm by more than it lowers the speed, unless the worker is crowded; interference is concave in the share; work that does no harm takes the workers that suit nothing else; an urgent unit makes room for each of its tasks.

--- a/sardinegauge/interference.py
+++ b/sardinegauge/interference.py
@@ -1,12 +1,14 @@
 """Learned interference between services and batch groups, per load.
 
 The logarithm of a service's p99 on one worker is modelled as a base plus, for each
-batch group there, a coefficient times the share of the worker's cores that the group
-uses. Base and coefficients are sums of parts: the coefficient of one pair at one load
-is that of the group, plus what is special to the pair, plus what is special to the
-load. Each part starts at a prior with a variance, so a pair that was hardly seen
-shrinks towards its group, and a new group towards the general prior. Variances grow
-again with time and means return to the prior, so old findings decay.
+batch group there, a coefficient times the square root of the share of the worker's
+cores that the group uses: the first tasks of a group disturb shared caches and memory
+most, and more of the same add less. Base and coefficients are sums of parts: the
+coefficient of one pair at one load is that of the group, plus what is special to the
+pair, plus what is special to the load. Each part starts at a prior with a variance, so
+a pair that was hardly seen shrinks towards its group, and a new group towards the
+general prior. Variances grow again with time and means return to the prior, so old
+findings decay.
 """
 
 import math
@@ -48,6 +50,17 @@
     return min(MAX_LEVEL, round(math.log2(1.0 + max(0.0, rate_per_s))))
 
 
+def pressure_of(share):
+    """Return how much of a group's full effect it has at a share of the cores.
+
+    Examples
+    --------
+    >>> [pressure_of(share) for share in (0.0, 0.25, 1.0)]
+    [0.0, 0.5, 1.0]
+    """
+    return math.sqrt(share) if share > 0.0 else 0.0
+
+
 class Part:
     """One term of the model: mean and variance, with their prior."""
 
@@ -95,7 +108,7 @@
         """Return the coefficient of a pair at a load; never negative.
 
         It is the logarithm of the slow-down of the service's p99 if the group used
-        all cores of the worker.
+        all cores of the worker; at a share, it counts times `pressure_of` the share.
         """
         part_by_key = self.part_by_key
         part = part_by_key.get(("group", group))
@@ -114,7 +127,7 @@
         """Return the predicted logarithm of the slow-down under a mix of groups."""
         total = 0.0
         for group, share in share_by_group.items():
-            total += self.effect(service, group, level) * share
+            total += self.effect(service, group, level) * pressure_of(share)
         return min(total, MAX_EXCESS)
 
     def observe(
@@ -159,6 +172,7 @@
         for group, share in share_by_group.items():
             if share < 0.005:
                 continue
+            share = pressure_of(share)
             key = ("group", group)
             terms.append((get(key, PRIOR_EFFECT, GROUP_VARIANCE, now_ms), share))
             key = ("pair", service, group)
--- a/sardinegauge/makeroom.py
+++ b/sardinegauge/makeroom.py
@@ -38,7 +38,8 @@
 
 def for_unit(state, now_ms, unit):
     """Return commands that make room for an urgent unit or a service."""
-    if unit.name in state.held_for or state.room_requests >= REQUESTS_PER_ROUND:
+    held = state.held_for.get(unit.name, ())
+    if len(held) >= len(unit.task_ids) or state.room_requests >= REQUESTS_PER_ROUND:
         return []
     state.room_requests += 1
     return _make(state, now_ms, unit, borrowed_only=False)
@@ -84,6 +85,13 @@
         _release(state, upstream)
 
 
+def use_hold(state, upstream, holder):
+    """Give up the hold on a worker that its unit has just used."""
+    hold = state.hold_by_upstream.get(upstream)
+    if hold is not None and hold.holder == holder:
+        _release(state, upstream)
+
+
 def _hold(state, now_ms, upstream, unit, duration_ms, is_aged):
     state.hold_by_upstream[upstream] = Hold(unit.name, now_ms + duration_ms, is_aged)
     state.held_for.setdefault(unit.name, set()).add(upstream)
--- a/sardinegauge/placement.py
+++ b/sardinegauge/placement.py
@@ -2,7 +2,7 @@
 
 import abc
 
-from sardinegauge import views
+from sardinegauge import estimates, views
 
 # A job's task goes back to a worker where it failed only when nothing else has room.
 FAILED_HERE = 5.0
@@ -13,6 +13,13 @@
 ACCELERATOR = 0.5
 # Weight of the share of used cores, beside slow-downs in multiples of a p99.
 BALANCE = 0.25
+# Weight of the harm that other groups would do on a worker: it is taken by work that
+# does none there, and the workers that suit the others stay free.
+OTHERS = 0.4
+# Used cores beyond this share of a worker cost this much more, since waves of usage
+# would exceed its cores.
+FULL_SHARE = 0.8
+CROWDED = 8.0
 # A batch task waits when its best place slows services down by this much at weights of
 # 1; it goes there all the same once it has waited for `DEFER_MS`.
 DEFER_HARM = 1.0
@@ -106,8 +113,11 @@
         if task.service:
             harm = views.harm_to_service(state, view, task.service)
         else:
-            group = (task.tenant, task.group)
+            group = estimates.group_of(task)
             harm = views.harm(state, view, group, demand.cores / room_cores)
+            harm -= OTHERS * views.harm_of_others(state, view)
+            used = view.used_share + demand.cores / room_cores
+            load += CROWDED * max(0.0, used - FULL_SHARE)
         return state.weights.tail_latency * harm + BALANCE * load
 
     def is_worth_waiting(self, state, task, score):
--- a/sardinegauge/planning.py
+++ b/sardinegauge/planning.py
@@ -254,4 +254,5 @@
         reason or type(state.policy).__name__,
     )
     state.plan(task, assignment)
+    makeroom.use_hold(state, free.upstream, task.job or task.service)
     return assignment
--- a/sardinegauge/preemption.py
+++ b/sardinegauge/preemption.py
@@ -9,7 +9,7 @@
 import abc
 import math
 
-from sardinegauge import commands, views
+from sardinegauge import commands, interference, views
 
 DEFAULT_THROTTLE_STEPS = (0.6, 0.3)
 REVIEW_EVERY_MS = 1_000
@@ -21,13 +21,16 @@
 # whenever the worker became slow again after that.
 CALM_MS = 20_000
 MAX_CALM_MS = 320_000
-# A worker is slow for this long at the last throttle step before a task is evicted.
-EVICT_AFTER_MS = 25_000
+# A worker is slow for this long, and no throttle step helps, before an eviction.
+EVICT_AFTER_MS = 10_000
 # A step must be worth this much more than it costs, so that it is not undone at once.
 MARGIN = 1.3
 # Batch work that waits this long makes lost batch work this much dearer.
 LONG_QUEUE_MS = 60_000
 QUEUE_PRICE = 15.0
+# A throttled task runs for longer. On a worker with cores to spare, a step must lower
+# the harm by this much more than it lowers the task's speed.
+WORTH_SLOWER = 1.1
 # Tasks that end within this time are left alone.
 NEARLY_DONE_S = 20.0
 # Seconds of work that any eviction costs: checkpoint, restart, warm-up.
@@ -160,6 +163,8 @@
     def _best_step(self, state, view, slowest):
         free = state.free.by_upstream[view.upstream]
         slot = 1.0 / max(1, state.machine.workers.by_upstream[view.upstream].room.tasks)
+        views.refresh_mix(state, view)
+        is_crowded = view.used_share > views.CROWDED_SHARE
         best, best_ratio = None, 0.0
         for task, run in _batch_runs(state, view.upstream):
             throttle = state.throttle_by_task.get(task.id, 1.0)
@@ -169,6 +174,10 @@
             share = run.cores_now / max(free.room_cores, 1e-9)
             slower = 1.0 - lower / throttle
             relief = _relief(state, view, run.group, share * slower, slowest)
+            whole = _relief(state, view, run.group, share, slowest)
+            if not is_crowded and relief < whole * slower * WORTH_SLOWER:
+                # The task would do the same harm for longer.
+                continue
             gain = state.weights.tail_latency * relief
             # A throttled task loses its part of the worker, by cores or by slots.
             lost = slower * max(share, slot)
@@ -258,10 +267,12 @@
 def _relief(state, view, group, share, slowest):
     """Return by how much less work of a group would speed up the slow services."""
     relief = 0.0
+    before = view.share_by_group.get(group, 0.0)
+    less = interference.pressure_of(before) - interference.pressure_of(before - share)
     for service, load in view.load_by_service.items():
         effect = state.model.effect(service, group, load.level)
         measured = math.exp(max(0.0, min(load.excess, slowest)))
-        relief += measured * -math.expm1(-min(effect * share, 3.0))
+        relief += measured * -math.expm1(-min(effect * less, 3.0))
     return relief
 
 
--- a/sardinegauge/resizing.py
+++ b/sardinegauge/resizing.py
@@ -3,8 +3,6 @@
 from sardinegauge import commands, estimates, preemption, views
 
 OUTGREW = "outgrew its reservation and its worker"
-# Above this share of used cores, tasks slow each other down.
-CROWDED_SHARE = 0.95
 
 
 def resize_due(state, now_ms, limit):
@@ -70,7 +68,7 @@
     if view is None:
         return False
     views.refresh_mix(state, view)
-    return view.used_share > CROWDED_SHARE
+    return view.used_share > views.CROWDED_SHARE
 
 
 def _may_move(state, now_ms, task):
--- a/sardinegauge/softstate.py
+++ b/sardinegauge/softstate.py
@@ -75,6 +75,7 @@
         self.spread_by_service = {}
         self.run_by_task = {}
         self.views = {}
+        self.demands = views.Demands()
         self.orders_by_upstream = {}
         self.throttle_by_task = {}
         self.squeezed_by_task = {}
@@ -149,6 +150,10 @@
         self.planned_usage.add(task.tenant, assignment, 1)
         if task.service:
             self._spread(task.id, task.service, assignment.upstream)
+        else:
+            room_cores = self.free.by_upstream[assignment.upstream].room_cores
+            share = assignment.cores / max(room_cores, 1e-9)
+            self.demands.note(estimates.group_of(task), share)
 
     def undo_plan(self, task_id):
         """Take back an assignment; refresh its worker and queue the task again."""
--- a/sardinegauge/views.py
+++ b/sardinegauge/views.py
@@ -16,6 +16,13 @@
 OBSERVATIONS_PER_S = 300
 # Time for which a mix without news is trusted; usage changes without any start.
 MIX_MS = 3_000
+# Groups that count as usual, how often their order is made, and for how long a
+# worker's mean harm by them is kept.
+MAX_BUSIEST = 8
+DEMANDS_EVERY = 50
+OTHERS_MS = 5_000
+# Above this share of used cores, tasks slow each other down.
+CROWDED_SHARE = 0.95
 # A mean rate over a few reports, since one report covers a second only.
 RATE_WEIGHT = 0.4
 
@@ -49,7 +56,10 @@
         "load_by_service",
         "mixed_ms",
         "observed_ms",
+        "others_harm",
+        "others_ms",
         "share_by_group",
+        "slow_by_service",
         "upstream",
         "used_share",
     )
@@ -59,6 +69,9 @@
         self.load_by_service = {}
         self.share_by_group = {}
         self.lagged_by_group = {}
+        self.slow_by_service = {}
+        self.others_harm = 0.0
+        self.others_ms = None
         self.used_share = 0.0
         self.is_stale = True
         self.mixed_ms = 0
@@ -84,6 +97,7 @@
         if run.is_batch:
             shares[run.group] = shares.get(run.group, 0.0) + share
     view.share_by_group = shares
+    view.slow_by_service.clear()
     view.used_share = used
 
 
@@ -166,16 +180,74 @@
     if not view.load_by_service:
         return 0.0
     refresh_mix(state, view)
+    before = view.share_by_group.get(group, 0.0)
+    pressure_of = interference.pressure_of
+    added = pressure_of(before + share) - pressure_of(before)
     model, total = state.model, 0.0
     for service, load in view.load_by_service.items():
         effect = model.effect(service, group, load.level)
         if effect <= 0.0:
             continue
-        now = math.exp(model.excess(service, load.level, view.share_by_group))
-        total += now * math.expm1(min(effect * share, interference.MAX_EXCESS))
+        now = view.slow_by_service.get(service)
+        if now is None:
+            excess = model.excess(service, load.level, view.share_by_group)
+            now = view.slow_by_service[service] = math.exp(excess)
+        total += now * math.expm1(min(effect * added, interference.MAX_EXCESS))
     return total
 
 
+def harm_of_others(state, view):
+    """Return the mean harm that a usual task of the busiest groups would do here.
+
+    A worker where this is high suits a group that does no harm there, since it keeps
+    other workers free for the groups that do.
+    """
+    if not view.load_by_service:
+        return 0.0
+    if view.others_ms is None or state.now_ms - view.others_ms >= OTHERS_MS:
+        view.others_ms = state.now_ms
+        total = weights = 0.0
+        for group, (weight, share) in state.demands.busiest():
+            total += weight * harm(state, view, group, share)
+            weights += weight
+        view.others_harm = total / weights if weights else 0.0
+    return view.others_harm
+
+
+class Demands:
+    """Batch groups by how much was placed of them lately.
+
+    `table` holds for each group a decayed number of its placements and the mean share
+    of a worker that one of its tasks takes.
+    """
+
+    __slots__ = ("busiest_groups", "counted", "table")
+
+    def __init__(self):
+        self.table = {}
+        self.counted = 0
+        self.busiest_groups = []
+
+    def note(self, group, share):
+        """Count a placement; every so often old counts fade and the order is made."""
+        weight, mean = self.table.get(group, (0.0, share))
+        self.table[group] = (weight + 1.0, mean + (share - mean) * 0.2)
+        self.counted += 1
+        if self.counted % DEMANDS_EVERY == 0 or len(self.busiest_groups) < MAX_BUSIEST:
+            self._sort()
+
+    def busiest(self):
+        """Return the busiest groups with their weight and share."""
+        return [(group, self.table[group]) for group in self.busiest_groups]
+
+    def _sort(self):
+        if self.counted % DEMANDS_EVERY == 0:
+            faded = {key: (w * 0.7, share) for key, (w, share) in self.table.items()}
+            self.table = {key: pair for key, pair in faded.items() if pair[0] > 0.01}
+        ordered = sorted(self.table, key=lambda key: -self.table[key][0])
+        self.busiest_groups = ordered[:MAX_BUSIEST]
+
+
 def harm_to_service(state, view, service):
     """Return the slow-down of a service's new replica beside a worker's batch work."""
     refresh_mix(state, view)
--- a/tests/fleet/policies.py
+++ b/tests/fleet/policies.py
@@ -35,19 +35,20 @@
         "size": (0.75, 2.25),
     },
 }
-# Name: placement, preemption, sizes.
+# Name: placement, preemption, sizes. The baselines do without preemption, which suits
+# them better than the simple rule to evict the largest task.
 POLICIES = {
-    "random": (placement.RandomFit, preemption.EvictLargest, estimates.LearnedSizes),
-    "least": (placement.LeastLoaded, preemption.EvictLargest, estimates.LearnedSizes),
-    "best-fit": (placement.BestFit, preemption.EvictLargest, estimates.LearnedSizes),
-    "least, no preemption": (
+    "random": (placement.RandomFit, preemption.NoPreemption, estimates.LearnedSizes),
+    "least": (placement.LeastLoaded, preemption.NoPreemption, estimates.LearnedSizes),
+    "best-fit": (placement.BestFit, preemption.NoPreemption, estimates.LearnedSizes),
+    "least, evict largest": (
         placement.LeastLoaded,
-        preemption.NoPreemption,
+        preemption.EvictLargest,
         estimates.LearnedSizes,
     ),
-    "chosen, declared sizes": (
-        placement.InterferenceAware,
-        preemption.ThrottleFirst,
+    "least, declared sizes": (
+        placement.LeastLoaded,
+        preemption.NoPreemption,
         estimates.DeclaredSizes,
     ),
     "chosen, no preemption": (
