--- a/sardinegauge/agentapp.py
+++ b/sardinegauge/agentapp.py
@@ -102,8 +102,10 @@
         self.refusals = self.metrics.counter(
             "agent_refusals_total", "Requests refused.", ("reason",)
         )
-        self.version = self.metrics.gauge(
-            "configuration_version", "Configuration version in force."
+        self.metrics.gauge(
+            "configuration_version",
+            "Configuration version in force.",
+            lambda: self.state.config_version,
         )
 
     # Life cycle
@@ -505,7 +507,6 @@
 
     def note_configuration(self, effect):
         """Log that a configuration is in force."""
-        self.version.set(effect.version)
         self.log.info("configuration_changed", version=effect.version)
 
     # Pages
