--- a/sardinegauge/audit.py
+++ b/sardinegauge/audit.py
@@ -25,7 +25,9 @@
 
     def note(self, index, command, answer):
         """Add an accepted change."""
-        subject = ", ".join(answer.ids[:20]) or f"version {answer.version}"
+        subject = ", ".join(answer.ids[:20])
+        if answer.version:
+            subject = f"version {answer.version}"
         self.records.append(
             AuditRecord(
                 index=index,
--- a/sardinegauge/checks.py
+++ b/sardinegauge/checks.py
@@ -11,12 +11,16 @@
 
 MAX_TEXT_LENGTH = 1_000
 MAX_BODY_LENGTH = 1_000_000
+MAX_REASON_LENGTH = 300
 MAX_NUMBER = 1e9
 MAX_INTEGER = 2**53
 """Largest integer that JSON readers in other languages keep exact."""
 MAX_TASKS_PER_JOB = 10_000
 """One command must not stop the machine for longer than about a tenth of a second."""
 MAX_ITEMS = 100_000
+MAX_LEVELS = 20
+MAX_INTEGER_BITS = 1_024
+"""Python refuses to write integers of thousands of digits as text."""
 
 _NAME_MARKS = frozenset("._-")
 
@@ -68,6 +72,11 @@
     return check
 
 
+def clip(reason):
+    """Return a reason cut to what tables keep; agents may send any length."""
+    return reason[:MAX_REASON_LENGTH]
+
+
 def flag(value, path, problems):
     """Check for true or false."""
     if not isinstance(value, bool):
@@ -133,33 +142,33 @@
     return check
 
 
-def anything(value, path, problems):
-    """Accept every value; the command's handler checks it."""
-
-
-def choice(*allowed):
-    """Return a check for one of several texts."""
-
-    def check(value, path, problems):
-        if not isinstance(value, str) or value not in allowed:
-            problems.append([path, f"must be one of {', '.join(allowed)}"])
+def plain(value, path, problems, levels=MAX_LEVELS):
+    """Check for plain data of a few levels; its meaning is checked elsewhere.
 
-    return check
+    Deeper data would exceed the interpreter's recursion limit in some later step, and
+    a replica that fails while it applies the log can't go on.
+    """
+    if isinstance(value, (dict, list)):
+        if not levels:
+            problems.append([path, f"must have at most {MAX_LEVELS} levels"])
+            return
+        pairs = value.items() if isinstance(value, dict) else enumerate(value)
+        for key, entry in pairs:
+            if isinstance(value, dict) and not isinstance(key, str):
+                problems.append([path, "must have text keys"])
+            plain(entry, f"{path}.{key}", problems, levels - 1)
+    elif value is not None and not isinstance(value, (str, int, float)):
+        problems.append([path, "must be plain data"])
+    elif isinstance(value, int) and value.bit_length() > MAX_INTEGER_BITS:
+        problems.append([path, "must be a smaller number"])
 
 
 TEXT = text()
+SHORT_TEXT = text(100)
 OPTIONAL_TEXT = text(is_empty_allowed=True)
 COUNT = integer()
 SIZE = number()
-PHASES = (
-    "starting",
-    "running",
-    "stopping",
-    "stopped",
-    "finished",
-    "failed",
-    "refused",
-)
+LONG_TEXT = text(MAX_BODY_LENGTH, is_empty_allowed=True)
 
 _ROOM = fields(
     messages.Room,
@@ -182,25 +191,27 @@
         "memory_mb": COUNT,
         "accelerators": COUNT,
         "connections": COUNT,
-        "reason": OPTIONAL_TEXT,
+        "reason": LONG_TEXT,
     },
 )
 _EVICTION = fields(
-    commands.Eviction, {"task": TEXT, "epoch": COUNT, "reason": OPTIONAL_TEXT}
+    commands.Eviction, {"task": TEXT, "epoch": COUNT, "reason": LONG_TEXT}
 )
 _TASK_CHANGE = fields(
     commands.TaskChange,
     {
-        "task": TEXT,
+        # One odd change must not discard the others of its report, so any text passes
+        # here and the handler ignores what it doesn't know.
+        "task": LONG_TEXT,
         "epoch": COUNT,
-        "phase": choice(*PHASES),
-        "reason": OPTIONAL_TEXT,
+        "phase": LONG_TEXT,
+        "reason": LONG_TEXT,
         "checkpoint": OPTIONAL_TEXT,
     },
 )
 _HEADER = fields(
     messages.Header,
-    {"name": TEXT, "value": text(MAX_BODY_LENGTH, is_empty_allowed=True)},
+    {"name": TEXT, "value": LONG_TEXT},
 )
 _OPERATOR = {"operator": TEXT, "request_id": TEXT}
 _UPSTREAM = {"upstream": TEXT, "incarnation": TEXT}
@@ -211,28 +222,28 @@
     commands.SetConfiguration: {
         **_OPERATOR,
         "base_version": COUNT,
-        "document": anything,
+        "document": plain,
     },
     commands.SubmitJob: {
         **_OPERATOR,
         **_SIZES,
-        "name": TEXT,
-        "tenant": TEXT,
+        "name": SHORT_TEXT,
+        "tenant": SHORT_TEXT,
         "task_count": integer(1, MAX_TASKS_PER_JOB),
         "run_time_s": number(is_minimum_allowed=False),
         "urgent": flag,
         "gang": flag,
-        "command": text(MAX_BODY_LENGTH, is_empty_allowed=True),
+        "command": LONG_TEXT,
         "group": OPTIONAL_TEXT,
     },
     commands.DeclareService: {
         **_OPERATOR,
         **_SIZES,
         "name": name,
-        "tenant": TEXT,
+        "tenant": SHORT_TEXT,
         "replicas": integer(0, MAX_TASKS_PER_JOB),
         "connections": COUNT,
-        "command": text(MAX_BODY_LENGTH, is_empty_allowed=True),
+        "command": LONG_TEXT,
     },
     commands.CancelJobs: {**_OPERATOR, "jobs": items(TEXT)},
     commands.DrainUpstream: {**_OPERATOR, "draining": flag, "upstream": TEXT},
@@ -257,9 +268,9 @@
     commands.QuarantineWorker: {
         "upstream": TEXT,
         "quarantined": flag,
-        "reason": OPTIONAL_TEXT,
+        "reason": LONG_TEXT,
     },
-    commands.FailJob: {"job": TEXT, "reason": OPTIONAL_TEXT, "impossible": flag},
+    commands.FailJob: {"job": TEXT, "reason": LONG_TEXT, "impossible": flag},
     commands.MakeClaim: {
         **_CLAIM,
         **_UPSTREAM,
@@ -271,7 +282,7 @@
         "claim_index": COUNT,
         "status": integer(0, 999),
         "headers": items(_HEADER),
-        "body": text(MAX_BODY_LENGTH, is_empty_allowed=True),
+        "body": LONG_TEXT,
         "is_body_kept": flag,
     },
     commands.ReleaseClaim: {**_CLAIM, "claim_index": COUNT},
@@ -292,6 +303,9 @@
     [['upstream', 'must not be empty'], ['incarnation', 'must be text']]
     """
     problems = []
+    if type(command) not in _CHECKS:
+        # The registry also loads the bases of commands from their names.
+        return [["kind", f"{type(command).__name__} is not a command"]]
     for field, check in _CHECKS[type(command)]:
         check(getattr(command, field), field, problems)
     return problems
--- a/sardinegauge/claims.py
+++ b/sardinegauge/claims.py
@@ -2,6 +2,11 @@
 
 from sardinegauge import outcome, record, snapshots
 
+MAX_CLAIMS = 500_000
+"""Above this, new claims are refused: dropping one could run its request twice."""
+MAX_BODY_LENGTH = 64_000_000
+"""Characters of all stored bodies; above this, answers are stored without one."""
+
 
 class Claim(record.Record):
     """One request key of a tenant, claimed for one incarnation of an upstream.
@@ -53,10 +58,21 @@
 class Claims:
     """All claims by tenant and key, in the order they were made."""
 
-    __slots__ = ("by_key",)
+    __slots__ = ("body_length", "by_key")
 
     def __init__(self):
         self.by_key = {}
+        self.body_length = 0
+
+    def add(self, claim):
+        """Add a claim and count its body."""
+        self.by_key[claim.tenant, claim.key] = claim
+        self.body_length += len(claim.body)
+
+    def remove(self, claim):
+        """Drop a claim with its body."""
+        del self.by_key[claim.tenant, claim.key]
+        self.body_length -= len(claim.body)
 
     def to_snapshot(self):
         """Return the table as plain data."""
@@ -65,7 +81,7 @@
     def load_snapshot(self, data):
         """Rebuild the table."""
         for claim in snapshots.from_rows(Claim, data):
-            self.by_key[claim.tenant, claim.key] = claim
+            self.add(claim)
 
 
 def make(machine, index, command):
@@ -73,6 +89,8 @@
     key = (command.tenant, command.key)
     claim = machine.claims.by_key.get(key)
     is_new = claim is None
+    if is_new and len(machine.claims.by_key) >= MAX_CLAIMS:
+        return outcome.Impossible(reason=f"more than {MAX_CLAIMS} claims")
     if is_new:
         claim = Claim(
             tenant=command.tenant,
@@ -84,7 +102,7 @@
             claim_index=index,
             made_at_ms=command.at_ms,
         )
-        machine.claims.by_key[key] = claim
+        machine.claims.add(claim)
     elif claim.digest != command.digest:
         return outcome.Conflict(
             version=claim.claim_index,
@@ -115,8 +133,11 @@
         claim.state = "settled"
         claim.status = command.status
         claim.headers = [header.to_dict() for header in command.headers]
-        claim.body = command.body if command.is_body_kept else ""
-        claim.is_body_kept = command.is_body_kept
+        length = machine.claims.body_length + len(command.body)
+        claim.is_body_kept = command.is_body_kept and length <= MAX_BODY_LENGTH
+        if claim.is_body_kept:
+            claim.body = command.body
+            machine.claims.body_length = length
     return outcome.Accepted(value={**claim.to_answer(), "is_new": is_new})
 
 
@@ -127,7 +148,7 @@
         return outcome.Impossible(reason="no such claim")
     if claim.state != "open":
         return outcome.Impossible(reason="the claim is settled")
-    del machine.claims.by_key[claim.tenant, claim.key]
+    machine.claims.remove(claim)
     return outcome.Accepted()
 
 
@@ -139,11 +160,11 @@
     behind, some entries stay longer, never shorter, than asked.
     """
     expired = []
-    for key, claim in machine.claims.by_key.items():
+    for claim in machine.claims.by_key.values():
         if claim.made_at_ms >= command.before_ms:
             break
-        expired.append(key)
-    for key in expired:
-        del machine.claims.by_key[key]
+        expired.append(claim)
+    for claim in expired:
+        machine.claims.remove(claim)
     replies = machine.replies.expire(command.before_ms)
     return outcome.Accepted(value={"claims": len(expired), "replies": replies})
--- a/sardinegauge/configuration.py
+++ b/sardinegauge/configuration.py
@@ -94,7 +94,7 @@
 
 _DOCUMENT = _section(
     {
-        "tenants": _by_name(_section(_TENANT), checks.TEXT),
+        "tenants": _by_name(_section(_TENANT), checks.SHORT_TEXT),
         "services": _by_name(_section(_SERVICE), checks.name),
         "weights": _section(_WEIGHTS),
         "policy": _section(_POLICY),
--- a/sardinegauge/jobs.py
+++ b/sardinegauge/jobs.py
@@ -1,6 +1,6 @@
 """Batch jobs: submission, end, and the bounded memory of ended ones."""
 
-from sardinegauge import outcome, record, snapshots, tasks
+from sardinegauge import checks, outcome, record, snapshots, tasks
 
 MAX_ENDED_JOBS = 5_000
 """Ended jobs kept for operators: about seven hours at 17,000 jobs a day."""
@@ -87,6 +87,9 @@
             reason=f"no worker can hold a task of {command.cores:g} cores, "
             f"{command.memory_mb} MB and {command.accelerators} accelerators"
         )
+    count = len(machine.tasks.by_id) + command.task_count
+    if count > tasks.MAX_TASKS:
+        return outcome.Impossible(reason=f"more than {tasks.MAX_TASKS} tasks")
     job = Job(
         id=f"job-{index}",
         name=command.name,
@@ -169,7 +172,7 @@
     if job.has_ended:
         return outcome.Accepted()
     state = "impossible" if command.impossible else "failed"
-    _end(machine, job, state, command.at_ms, command.reason)
+    _end(machine, job, state, command.at_ms, checks.clip(command.reason))
     _forget_old(machine)
     return outcome.Accepted(ids=[job.id])
 
--- a/sardinegauge/lifecycle.py
+++ b/sardinegauge/lifecycle.py
@@ -2,7 +2,7 @@
 
 import math
 
-from sardinegauge import jobs, outcome, services, tasks
+from sardinegauge import checks, jobs, outcome, services, tasks
 
 STOPPED_PHASES = frozenset({"stopped", "finished", "failed", "refused"})
 
@@ -58,7 +58,7 @@
     task.memory_mb = assignment.memory_mb
     task.accelerators = assignment.accelerators
     task.connections = assignment.connections
-    task.reason = assignment.reason
+    task.reason = checks.clip(assignment.reason)
     task.changed_at_ms = at_ms
     machine.tasks.occupy(task, machine.workers.by_upstream[assignment.upstream])
     return before
@@ -104,7 +104,7 @@
             skipped[eviction.task] = f"epoch is {task.epoch}"
         else:
             task.state = "evicting"
-            task.reason = eviction.reason
+            task.reason = checks.clip(eviction.reason)
             task.changed_at_ms = command.at_ms
             _touch_service(machine, index, task)
             evicting.append(task.id)
@@ -166,13 +166,13 @@
     is_done = change.phase == "finished" and not task.service
     if not task.has_ended:
         if is_done:
-            machine.tasks.end(task, "finished", at_ms, change.reason)
+            machine.tasks.end(task, "finished", at_ms, checks.clip(change.reason))
         elif change.phase in ("failed", "finished"):
             # A service's task has no end of its own, so its exit is a failure.
             _count_failure(task)
         elif change.phase == "stopped" and task.state == "evicting":
             task.evictions += 1
-    _release(machine, index, at_ms, task, change.reason or change.phase)
+    _release(machine, index, at_ms, task, checks.clip(change.reason) or change.phase)
     if is_done and task.state == "finished":
         jobs.note_finished(machine, task, at_ms)
 
--- a/sardinegauge/machine.py
+++ b/sardinegauge/machine.py
@@ -85,6 +85,9 @@
 }
 
 
+_NEEDED_FOR_REPLY = ("operator", "request_id", "at_ms", "kind")
+
+
 def apply(machine, index, command):
     """Apply one committed command and return its answer.
 
@@ -108,21 +111,21 @@
         if problems:
             return outcome.Invalid(problems=problems)
         return _HANDLERS[type(command)](machine, index, command)
-    if any(path in ("operator", "request_id") for path, _ in problems):
-        # Without a usable request id there is nothing to store an answer under.
+    if any(path in _NEEDED_FOR_REPLY for path, _ in problems):
+        # Nothing to store an answer under, or to expire it by.
         return outcome.Invalid(problems=problems)
     return _apply_operators(machine, index, command, problems)
 
 
 def _apply_operators(machine, index, command, problems):
-    answer = machine.replies.find(command)
+    answer = machine.replies.find(command, problems)
     if answer is not None:
         return answer
     if problems:
         answer = outcome.Invalid(problems=problems)
     else:
         answer = _HANDLERS[type(command)](machine, index, command)
-    machine.replies.store(command, answer)
+    machine.replies.store(command, problems, answer)
     if isinstance(answer, outcome.Accepted):
         machine.audit.note(index, command, answer)
     return answer
--- a/sardinegauge/queries.py
+++ b/sardinegauge/queries.py
@@ -1,10 +1,15 @@
 """Reads of the machine as plain dicts, with the keys of ``schema/operator.proto``."""
 
+import itertools
 import json
 
 from sardinegauge import directory, tenants
 
 DEFAULT_AUDIT_LIMIT = 100
+MAX_AUDIT_LIMIT = 2_000
+MAX_LISTED_JOBS = 1_000
+MAX_LISTED_TASKS = 2_000
+"""An answer must fit a frame of 1 MiB, and a listed task takes up to 500 bytes."""
 
 
 def answer(machine, kind, arguments):
@@ -23,8 +28,9 @@
     Returns
     -------
     dict
-        Plain data; empty for a ``job`` or ``claim`` that is unknown. Lists of jobs
-        leave out the tasks of each job, which ``job`` has.
+        Plain data; empty for a ``job`` or ``claim`` that is unknown. ``jobs`` has the
+        newest `MAX_LISTED_JOBS` without their tasks, ``job`` and ``services`` have at
+        most `MAX_LISTED_TASKS` tasks; counts are complete.
 
     Raises
     ------
@@ -56,19 +62,23 @@
 def _jobs(machine, arguments):
     tenant = arguments.get("tenant")
     state = arguments.get("state")
-    chosen = [
+    chosen = (
         _job_summary(job)
-        for job in machine.jobs.by_id.values()
+        for job in reversed(machine.jobs.by_id.values())
         if (not tenant or job.tenant == tenant) and (not state or job.state == state)
-    ]
-    return {"jobs": chosen}
+    )
+    newest = list(itertools.islice(chosen, MAX_LISTED_JOBS))
+    return {"jobs": newest[::-1]}
 
 
 def _job(machine, arguments):
     job = machine.jobs.by_id.get(_text(arguments, "id"))
     if job is None:
         return {}
-    return {**_job_summary(job), "tasks": _tasks(machine, job.task_ids)}
+    return {
+        **_job_summary(job),
+        "tasks": _tasks(machine, job.task_ids[:MAX_LISTED_TASKS]),
+    }
 
 
 def _job_summary(job):
@@ -101,6 +111,8 @@
 
 
 def _services(machine, arguments):
+    by_name = machine.services.by_name
+    most = max(1, MAX_LISTED_TASKS // max(1, len(by_name)))
     return {
         "services": [
             {
@@ -111,9 +123,9 @@
                     machine.tasks.by_id[id].state == "running"
                     for id in service.task_ids
                 ),
-                "tasks": _tasks(machine, service.task_ids),
+                "tasks": _tasks(machine, service.task_ids[:most]),
             }
-            for _, service in sorted(machine.services.by_name.items())
+            for _, service in sorted(by_name.items())
         ]
     }
 
@@ -168,7 +180,7 @@
     limit = arguments.get("limit")
     if isinstance(limit, bool) or not isinstance(limit, int) or limit <= 0:
         limit = DEFAULT_AUDIT_LIMIT
-    records = list(machine.audit.records)[-limit:]
+    records = list(machine.audit.records)[-min(limit, MAX_AUDIT_LIMIT) :]
     return {"records": [item.to_dict() for item in reversed(records)]}
 
 
--- a/sardinegauge/replies.py
+++ b/sardinegauge/replies.py
@@ -6,6 +6,9 @@
 
 from sardinegauge import outcome, record, snapshots
 
+MAX_REPLIES = 50_000
+"""Two days of operators' calls at the target size, against a flood of them."""
+
 
 class Reply(record.Record):
     """The answer to one request id of one operator, as plain data.
@@ -24,24 +27,29 @@
     def __init__(self):
         self.by_request = {}
 
-    def find(self, command):
-        """Return the answer to a resent command, or None for a new one."""
+    def find(self, command, problems):
+        """Return the answer to a resent command, or None for a new one.
+
+        `problems` are those of the command's fields.
+        """
         reply = self.by_request.get((command.operator, command.request_id))
         if reply is None:
             return None
-        if reply.digest != _digest(command):
+        if reply.digest != _digest(command, problems):
             reason = "was used for another call"
             return outcome.Invalid(problems=[["request_id", reason]])
         return outcome.from_plain(copy.deepcopy(reply.answer))
 
-    def store(self, command, answer):
+    def store(self, command, problems, answer):
         """Keep the answer to a new command, whatever its outcome."""
+        if len(self.by_request) >= MAX_REPLIES:
+            del self.by_request[next(iter(self.by_request))]
         self.by_request[command.operator, command.request_id] = Reply(
             operator=command.operator,
             request_id=command.request_id,
-            digest=_digest(command),
+            digest=_digest(command, problems),
             answer=outcome.to_plain(answer),
-            made_at_ms=command.at_ms if isinstance(command.at_ms, int) else 0,
+            made_at_ms=command.at_ms,
         )
 
     def expire(self, before_ms):
@@ -65,8 +73,13 @@
             self.by_request[reply.operator, reply.request_id] = reply
 
 
-def _digest(command):
-    """Return a digest of what a command asks for, whenever it was taken."""
-    asked = {"kind": type(command).__name__, **command.to_dict(), "at_ms": 0}
-    data = json.dumps(asked, sort_keys=True, default=str).encode()
+def _digest(command, problems):
+    """Return a digest of what a command asks for, whenever it was taken.
+
+    A malformed command may hold data that no encoder takes, so its problems stand for
+    it.
+    """
+    fields = {} if problems else {**command.to_dict(), "at_ms": 0}
+    asked = [type(command).__name__, fields, problems]
+    data = json.dumps(asked, sort_keys=True).encode()
     return hashlib.sha256(data).hexdigest()[:32]
--- a/sardinegauge/services.py
+++ b/sardinegauge/services.py
@@ -66,6 +66,8 @@
             f"{command.memory_mb} MB, {command.accelerators} accelerators and "
             f"{command.connections} connections"
         )
+    if len(machine.tasks.by_id) + command.replicas > tasks.MAX_TASKS:
+        return outcome.Impossible(reason=f"more than {tasks.MAX_TASKS} tasks")
     if service is None:
         service = Service(
             **{name: getattr(command, name) for name in Service.__slots__[:-1]}
--- a/sardinegauge/tasks.py
+++ b/sardinegauge/tasks.py
@@ -9,6 +9,8 @@
 
 ENDED_STATES = frozenset({"finished", "failed", "cancelled", "impossible"})
 MAX_FAILED_UPSTREAMS = 10
+MAX_TASKS = 200_000
+"""Nearly ten times the target size; bounds the snapshot and the memory."""
 
 
 class Task(record.Record):
--- a/sardinegauge/workers.py
+++ b/sardinegauge/workers.py
@@ -2,7 +2,7 @@
 
 import math
 
-from sardinegauge import lifecycle, messages, outcome, record, snapshots
+from sardinegauge import checks, lifecycle, messages, outcome, record, snapshots
 
 MAX_PAST_INCARNATIONS = 16
 MAX_LOST_WORKERS = 1_000
@@ -360,5 +360,5 @@
     if worker is None:
         return outcome.Impossible(reason="no such upstream")
     worker.is_quarantined = command.quarantined
-    worker.reason = command.reason
+    worker.reason = checks.clip(command.reason)
     return outcome.Accepted(ids=[worker.upstream])
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -20,6 +20,7 @@
         self.machine = machine.Machine()
         self.index = 0
         self.requests = 0
+        self.last = None
 
     def do(self, kind, **fields):
         """Apply a command given by its class name."""
@@ -31,6 +32,7 @@
 
     def apply(self, command):
         self.index += 1
+        self.last = command
         return machine.apply(self.machine, self.index, command)
 
     def register(self, upstream="w1", incarnation="i1", **fields):
--- /dev/null
+++ b/tests/test_lifecycle.py
@@ -0,0 +1,134 @@
+"""Guards against tasks that run twice, resume twice, or take room there is not."""
+
+from sardinegauge import commands
+from tests import driver
+
+
+def running_task(d, **fields):
+    d.register()
+    id = d.submit(**fields) + ".0"
+    d.run(id)
+    return id
+
+
+def test_skipped_assignments_name_their_reason():
+    d = driver.Driver()
+    d.register()
+    for upstream in ("w2", "w3", "w4"):
+        d.register(upstream)
+    d.do("DrainUpstream", upstream="w2")
+    d.do("WorkerLost", upstream="w3", incarnation="i1")
+    id = d.submit() + ".0"
+
+    def reason(**fields):
+        answer = d.assign(id, **fields)
+        assert answer.ids == []
+        return answer.value["skipped"][id]
+
+    assert reason(epoch=2) == "epoch must be 1"
+    assert reason(upstream="w9") == "no such upstream"
+    assert reason(incarnation="i2") == "incarnation is i1"
+    assert reason(upstream="w2") == "worker is draining"
+    assert reason(upstream="w3") == "worker is lost"
+    assert reason(cores=4.5) == "no room: cores"
+    assert reason(memory_mb=4001) == "no room: memory_mb"
+    assert reason(accelerators=2) == "no room: accelerators"
+    assert reason(connections=65) == "no room: connections"
+    assert d.assign(id).ids == [id]
+    assert reason(upstream="w4", epoch=2) == "task is assigned"
+
+
+def test_quarantined_worker_holds_one_probe():
+    d = driver.Driver()
+    d.register()
+    d.do("QuarantineWorker", upstream="w1")
+    job = d.submit(task_count=2)
+    assert d.assign(f"{job}.0", f"{job}.1").ids == [f"{job}.0"]
+
+
+def test_room_counts_a_cancelled_task_until_it_stopped():
+    d = driver.Driver()
+    id = running_task(d)
+    d.assign(d.submit() + ".0", cores=3.0)
+    d.do("CancelJobs", jobs=[d.task(id).job])
+    waiting = d.submit() + ".0"
+    assert d.assign(waiting).value["skipped"] == {waiting: "no room: cores"}
+    d.report(id, "stopped")
+    assert d.task(id).state == "cancelled"
+    assert d.assign(waiting).ids == [waiting]
+
+
+def test_evicted_task_resumes_once_with_its_checkpoint():
+    d = driver.Driver()
+    id = running_task(d)
+    assert d.evict(id).ids == [id]
+    assert d.task(id).state == "evicting"
+    assert d.worker().task_ids == {id}
+    d.report(id, "stopped", checkpoint="c7")
+    assert (d.task(id).state, d.task(id).checkpoint) == ("pending", "c7")
+    assert d.report(id, "stopped", checkpoint="c6").value["late"] == [id]
+    d.assign(id)
+    assert d.report(id, "stopped", epoch=1, checkpoint="c6").value["late"] == [id]
+    task = d.task(id)
+    assert (task.state, task.epoch, task.evictions) == ("assigned", 2, 1)
+    assert task.checkpoint == "c7"
+
+
+def test_task_that_finishes_while_evicting_does_not_resume():
+    d = driver.Driver()
+    id = running_task(d)
+    d.evict(id)
+    d.report(id, "finished")
+    assert (d.task(id).state, d.task(id).evictions) == ("finished", 0)
+
+
+def test_failures_name_their_upstreams():
+    d = driver.Driver()
+    id = running_task(d)
+    d.report(id, "failed", reason="exit status 3")
+    task = d.task(id)
+    assert (task.state, task.failures, task.failed_upstreams) == ("pending", 1, ["w1"])
+    assert task.reason == "exit status 3"
+
+
+def test_gang_starts_whole_or_not():
+    d = driver.Driver()
+    d.register()
+    job = d.submit(task_count=3, gang=True, cores=1.5)
+    ids = d.job(job).task_ids
+    answer = d.assign(*ids, cores=1.5)
+    assert answer.ids == []
+    assert answer.value["skipped"][ids[0]] == "gang is not complete"
+    assert [d.task(id).epoch for id in ids] == [0, 0, 0]
+    assert d.worker().reserved.cores == 0.0
+    assert d.assign(*ids, cores=1.0).ids == ids
+    d.report(ids[0], "failed")
+    assert d.assign(ids[0]).ids == [ids[0]]
+
+
+def test_resize_stops_at_the_room_and_lists_the_excess():
+    d = driver.Driver()
+    d.register()
+    job = d.submit(task_count=3)
+    first, second, third = d.job(job).task_ids
+    d.assign(first, second, cores=2.0, memory_mb=1000)
+    answer = d.do(
+        "ResizeTasks",
+        cores_by_task={second: 3.5, first: 1.0, third: 1.0},
+        memory_mb_by_task={second: 5000},
+    )
+    assert answer.ids == [second, first]
+    assert answer.value["excess"] == {second: {"cores": 0.5, "memory_mb": 2000}}
+    assert answer.value["skipped"] == {third: "task is pending"}
+    assert (d.task(second).cores, d.task(second).memory_mb) == (3.0, 3000)
+
+
+def test_one_odd_change_does_not_discard_a_report():
+    # An agent repeats its report until it counts, so a refused one would come for ever.
+    d = driver.Driver()
+    id = running_task(d)
+    odd = commands.TaskChange(task="", epoch=0, phase="resting", reason="x" * 5000)
+    stop = commands.TaskChange(task=id, epoch=1, phase="stopped", reason="y" * 5000)
+    answer = d.do("ReportTasks", upstream="w1", incarnation="i1", changes=[odd, stop])
+    assert (answer.ids, answer.value["late"]) == ([id], [""])
+    assert len(d.task(id).reason) == 300
