--- a/sardinegauge/audit.py
+++ b/sardinegauge/audit.py
@@ -4,8 +4,8 @@
 
 from sardinegauge import record, snapshots
 
-MAX_RECORDS = 5_000
-"""About a day of changes at the target size, which has 5,400 a day."""
+MAX_RECORDS = 10_000
+"""About ten hours at the target size: 5,400 changes and 17,000 jobs a day."""
 MAX_SUBJECT_LENGTH = 200
 
 
--- a/sardinegauge/checks.py
+++ b/sardinegauge/checks.py
@@ -165,6 +165,7 @@
 
 TEXT = text()
 SHORT_TEXT = text(100)
+COMMAND_TEXT = text(10_000, is_empty_allowed=True)
 OPTIONAL_TEXT = text(is_empty_allowed=True)
 COUNT = integer()
 SIZE = number()
@@ -227,13 +228,15 @@
     commands.SubmitJob: {
         **_OPERATOR,
         **_SIZES,
+        # Callers that omit the size send 0, and such tasks would fill every slot.
+        "cores": number(is_minimum_allowed=False),
         "name": SHORT_TEXT,
         "tenant": SHORT_TEXT,
         "task_count": integer(1, MAX_TASKS_PER_JOB),
         "run_time_s": number(is_minimum_allowed=False),
         "urgent": flag,
         "gang": flag,
-        "command": LONG_TEXT,
+        "command": COMMAND_TEXT,
         "group": OPTIONAL_TEXT,
     },
     commands.DeclareService: {
@@ -243,7 +246,7 @@
         "tenant": SHORT_TEXT,
         "replicas": integer(0, MAX_TASKS_PER_JOB),
         "connections": COUNT,
-        "command": LONG_TEXT,
+        "command": COMMAND_TEXT,
     },
     commands.CancelJobs: {**_OPERATOR, "jobs": items(TEXT)},
     commands.DrainUpstream: {**_OPERATOR, "draining": flag, "upstream": TEXT},
--- a/sardinegauge/commands.py
+++ b/sardinegauge/commands.py
@@ -215,9 +215,8 @@
 class MakeClaim(Command):
     """Claim a request key for one upstream before the request is sent.
 
-    Answers: `Accepted` whose value has ``claim_index`` when the claim is new, or
-    ``claim`` with the existing claim's fields; `Conflict` if the key was used with
-    another digest.
+    Answers: `Accepted` whose value has the fields of the claim, new or existing, and
+    ``is_new``; `Conflict` if the key was used with another digest.
     """
 
     __slots__ = ("tenant", "key", "digest", "upstream", "incarnation", "entry")
--- a/sardinegauge/jobs.py
+++ b/sardinegauge/jobs.py
@@ -26,6 +26,7 @@
         "reason",
         "submitted_at_ms",
         "finished_count",
+        "command",
     )
     _defaults = {
         "state": "pending",
@@ -37,6 +38,7 @@
         "reason": "",
         "submitted_at_ms": 0,
         "finished_count": 0,
+        "command": "",
     }
 
     @property
@@ -99,6 +101,7 @@
         group=command.group or command.name,
         run_time_s=command.run_time_s,
         submitted_at_ms=command.at_ms,
+        command=command.command,
     )
     machine.jobs.by_id[job.id] = job
     for number in range(command.task_count):
@@ -120,7 +123,7 @@
         accelerators=command.accelerators,
         declared_cores=command.cores,
         declared_memory_mb=command.memory_mb,
-        command=command.command,
+        command=job.command,
         run_time_s=command.run_time_s,
         changed_at_ms=command.at_ms,
         pending_since_ms=command.at_ms,
--- a/sardinegauge/lifecycle.py
+++ b/sardinegauge/lifecycle.py
@@ -4,6 +4,16 @@
 
 from sardinegauge import checks, jobs, outcome, services, tasks
 
+_UNDONE = (
+    "epoch",
+    "cores",
+    "memory_mb",
+    "accelerators",
+    "connections",
+    "reason",
+    "changed_at_ms",
+    "pending_since_ms",
+)
 STOPPED_PHASES = frozenset({"stopped", "finished", "failed", "refused"})
 
 
@@ -51,7 +61,7 @@
 def _place(machine, assignment, at_ms):
     """Assign a task; return what an undo needs."""
     task = machine.tasks.by_id[assignment.task]
-    before = task.replace()
+    before = {name: getattr(task, name) for name in _UNDONE}
     task.state = "assigned"
     task.epoch = assignment.epoch
     task.cores = assignment.cores
@@ -74,17 +84,16 @@
         task_ids = machine.jobs.by_id[job_id].task_ids
         if any(id in machine.tasks.pending_by_id for id in task_ids):
             for id in ids:
-                _undo(machine, before_by_id.pop(id))
+                _undo(machine, id, before_by_id.pop(id))
                 skipped[id] = "gang is not complete"
 
 
-def _undo(machine, before):
-    task = machine.tasks.by_id[before.id]
+def _undo(machine, id, before):
+    task = machine.tasks.by_id[id]
     machine.tasks.vacate(task, machine.workers.by_upstream[task.upstream])
-    for name in ("epoch", "cores", "memory_mb", "accelerators", "connections"):
-        setattr(task, name, getattr(before, name))
-    machine.tasks.make_pending(task, before.changed_at_ms, before.reason)
-    task.pending_since_ms = before.pending_since_ms
+    machine.tasks.make_pending(task, 0, "")
+    for name, value in before.items():
+        setattr(task, name, value)
 
 
 def evict(machine, index, command):
--- a/sardinegauge/machine.py
+++ b/sardinegauge/machine.py
@@ -140,7 +140,7 @@
         "workers": machine.workers.to_snapshot(),
         "jobs": machine.jobs.to_snapshot(),
         "services": machine.services.to_snapshot(),
-        "tasks": machine.tasks.to_snapshot(),
+        "tasks": machine.tasks.to_snapshot(machine),
         "claims": machine.claims.to_snapshot(),
         "replies": machine.replies.to_snapshot(),
         "audit": machine.audit.to_snapshot(),
@@ -163,7 +163,7 @@
     machine.workers.load_snapshot(data["workers"], machine.tasks.ids_by_upstream)
     machine.jobs.load_snapshot(data["jobs"])
     machine.services.load_snapshot(data["services"])
-    machine.tasks.load_snapshot(data["tasks"], machine.workers)
+    machine.tasks.load_snapshot(data["tasks"], machine)
     machine.claims.load_snapshot(data["claims"])
     machine.replies.load_snapshot(data["replies"])
     machine.audit.load_snapshot(data["audit"])
--- a/sardinegauge/replies.py
+++ b/sardinegauge/replies.py
@@ -7,7 +7,8 @@
 from sardinegauge import outcome, record, snapshots
 
 MAX_REPLIES = 50_000
-"""Two days of operators' calls at the target size, against a flood of them."""
+"""Two days of operators' calls at the target size; above this the oldest go, so that a
+flood of calls doesn't fill the memory."""
 
 
 class Reply(record.Record):
--- a/sardinegauge/snapshots.py
+++ b/sardinegauge/snapshots.py
@@ -17,13 +17,20 @@
     """
     names = cls.field_names()
     get = operator.attrgetter(*names)
-    rows = [
-        [value.copy() if type(value) is list else value for value in get(item)]
-        for item in items
-    ]
+    rows = [list(get(item)) for item in items]
+    # Looking for lists in every value took as long as everything else.
+    for column in _list_columns(cls, names):
+        for row in rows:
+            row[column] = list(row[column])
     return {"fields": list(names), "rows": rows}
 
 
+def _list_columns(cls, names):
+    """Return the positions of fields whose default is a list."""
+    defaults = cls._defaults
+    return [n for n, name in enumerate(names) if defaults.get(name) is list]
+
+
 def from_rows(cls, data):
     """Build the records from the result of `to_rows`.
 
@@ -31,12 +38,15 @@
     older snapshot; fields unknown to the class are an error.
     """
     defaults = cls._defaults
+    lists = _list_columns(cls, data["fields"])
     missing = [name for name in cls.field_names() if name not in data["fields"]]
     items = []
     for row in data["rows"]:
         item = cls.__new__(cls)
         for name, value in zip(data["fields"], row):
-            setattr(item, name, value.copy() if type(value) is list else value)
+            setattr(item, name, value)
+        for column in lists:
+            setattr(item, data["fields"][column], list(row[column]))
         for name in missing:
             default = defaults[name]
             setattr(item, name, default() if callable(default) else default)
--- a/sardinegauge/tasks.py
+++ b/sardinegauge/tasks.py
@@ -106,7 +106,7 @@
         task.incarnation = worker.incarnation
         worker.task_ids.add(task.id)
         self._usage(task).add(task, 1)
-        worker.count_reserved(self.by_id)
+        worker.count(task, 1, self.by_id)
 
     def vacate(self, task, worker):
         """Take the place from a task."""
@@ -115,7 +115,7 @@
         worker.task_ids.discard(task.id)
         self._usage(task).add(task, -1)
         self._drop_empty_usage(task)
-        worker.count_reserved(self.by_id)
+        worker.count(task, -1, self.by_id)
 
     def make_pending(self, task, at_ms, reason):
         """Let a task without a place wait for one."""
@@ -138,10 +138,11 @@
         """Change the reservation of a placed task."""
         usage = self._usage(task)
         usage.add(task, -1)
+        worker.reserved.memory_mb += memory_mb - task.memory_mb
         task.cores = cores
         task.memory_mb = memory_mb
         usage.add(task, 1)
-        worker.count_reserved(self.by_id)
+        worker.count_cores(self.by_id)
 
     def _enter_pending(self, task):
         self.pending_by_id[task.id] = task
@@ -162,18 +163,37 @@
         if self.usage_by_tenant[task.tenant].is_empty:
             del self.usage_by_tenant[task.tenant]
 
-    def to_snapshot(self):
-        """Return the table as plain columns and rows."""
-        return snapshots.to_rows(Task, self.by_id.values())
-
-    def load_snapshot(self, data, workers):
-        """Rebuild the table and its indexes; workers are loaded already."""
+    def to_snapshot(self, machine):
+        """Return the table as plain columns and rows.
+
+        Tasks leave out the command of their job or service: 10,000 copies of a long
+        one would be most of the snapshot.
+        """
+        table = snapshots.to_rows(Task, self.by_id.values())
+        column = table["fields"].index("command")
+        for task, row in zip(self.by_id.values(), table["rows"]):
+            if task.command == _owner(machine, task).command:
+                row[column] = None
+        return table
+
+    def load_snapshot(self, data, machine):
+        """Rebuild the table and its indexes; the other tables are loaded already."""
+        workers = machine.workers
         for task in snapshots.from_rows(Task, data):
+            if task.command is None:
+                task.command = _owner(machine, task).command
             self.by_id[task.id] = task
             if task.state == "pending":
                 self._enter_pending(task)
             elif task.upstream:
-                workers.by_upstream[task.upstream].task_ids.add(task.id)
+                worker = workers.by_upstream[task.upstream]
+                worker.task_ids.add(task.id)
+                worker.count(task, 1, self.by_id)
                 self._usage(task).add(task, 1)
-        for worker in workers.by_upstream.values():
-            worker.count_reserved(self.by_id)
+
+
+def _owner(machine, task):
+    """Return the job or service of a task."""
+    if task.service:
+        return machine.services.by_name[task.service]
+    return machine.jobs.by_id[task.job]
--- a/sardinegauge/workers.py
+++ b/sardinegauge/workers.py
@@ -55,20 +55,24 @@
         "past_incarnations": list,
     }
 
-    def count_reserved(self, task_by_id):
-        """Set `reserved` to the sum over the tasks, which are about eight.
+    def count(self, task, sign, task_by_id):
+        """Count a task's reservation in (`sign` 1) or out (-1), after `task_ids`."""
+        reserved = self.reserved
+        reserved.memory_mb += sign * task.memory_mb
+        reserved.accelerators += sign * task.accelerators
+        reserved.connections += sign * task.connections
+        reserved.tasks = len(self.task_ids)
+        self.count_cores(task_by_id)
+
+    def count_cores(self, task_by_id):
+        """Sum the reserved cores over the tasks, which are about eight.
 
         A running sum of floats would depend on the order of past changes, and a
         replica restored from a snapshot would differ in the last digits. `fsum` is
         exact in any order.
         """
-        tasks = [task_by_id[id] for id in self.task_ids]
-        reserved = self.reserved
-        reserved.cores = math.fsum([task.cores for task in tasks])
-        reserved.memory_mb = sum([task.memory_mb for task in tasks])
-        reserved.accelerators = sum([task.accelerators for task in tasks])
-        reserved.connections = sum([task.connections for task in tasks])
-        reserved.tasks = len(tasks)
+        held = [task_by_id[id].cores for id in self.task_ids]
+        self.reserved.cores = math.fsum(held)
 
     def lacking(self, wanted, task_by_id):
         """Return the name of the first resource without room for an assignment.
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -4,13 +4,16 @@
 
 from sardinegauge import commands, machine, messages
 
-ROOM = {
-    "cores": 4.0,
-    "memory_mb": 4000,
-    "accelerators": 1,
-    "tasks": 8,
-    "connections": 64,
-}
+ROOM = dict(cores=4.0, memory_mb=4000, accelerators=1, tasks=8, connections=64)
+JOB = dict(name="sweep", tenant="irbid", cores=1.0, memory_mb=100)
+SERVICE = dict(name="quote", tenant="karri", cores=1.0, memory_mb=10)
+
+
+def announcement(room=(), **fields):
+    """Return the fields of a `RegisterWorker` command."""
+    usual = dict(upstream="w1", incarnation="i1", address="127.0.0.1:1")
+    place = dict(failure_domain="a", rack="a1")
+    return {**usual, **place, "room": messages.Room(**{**ROOM, **dict(room)}), **fields}
 
 
 class Driver:
@@ -23,49 +26,39 @@
         self.last = None
 
     def do(self, kind, **fields):
-        """Apply a command given by its class name."""
+        """Apply a command given by its class name; operators' ones get a new id."""
         cls = commands.REGISTRY.by_name[kind]
         if issubclass(cls, commands.OperatorCommand) and "request_id" not in fields:
             self.requests += 1
             fields = {"operator": "ana", "request_id": f"r{self.requests}", **fields}
-        return self.apply(cls(**{"at_ms": self.index, **fields}))
-
-    def apply(self, command):
+        self.last = cls(**{"at_ms": self.index, **fields})
         self.index += 1
-        self.last = command
-        return machine.apply(self.machine, self.index, command)
-
-    def register(self, upstream="w1", incarnation="i1", **fields):
-        room = messages.Room(**{**ROOM, **fields.pop("room", {})})
-        return self.do(
-            "RegisterWorker",
-            upstream=upstream,
-            incarnation=incarnation,
-            **{
-                "address": "127.0.0.1:1",
-                "failure_domain": "a",
-                "rack": "a1",
-                "room": room,
-                **fields,
-            },
-        )
+        return machine.apply(self.machine, self.index, self.last)
+
+    def register(self, upstream="w1", **fields):
+        return self.do("RegisterWorker", **announcement(upstream=upstream, **fields))
+
+    def lose(self, upstream="w1", incarnation="i1"):
+        return self.do("WorkerLost", upstream=upstream, incarnation=incarnation)
+
+    def drain(self, upstream="w1", draining=True):
+        return self.do("DrainUpstream", upstream=upstream, draining=draining)
+
+    def configure(self, base_version, document, **fields):
+        fields = {**fields, "base_version": base_version, "document": document}
+        return self.do("SetConfiguration", **fields)
 
     def submit(self, **fields):
-        defaults = {"name": "sweep", "tenant": "irbid", "cores": 1.0, "memory_mb": 100}
-        return self.do("SubmitJob", **{**defaults, **fields}).ids[0]
+        return self.do("SubmitJob", **{**JOB, **fields}).ids[0]
+
+    def declare(self, replicas, **fields):
+        return self.do("DeclareService", replicas=replicas, **{**SERVICE, **fields})
 
-    def assign(self, *ids, upstream="w1", incarnation="i1", **fields):
+    def assign(self, *ids, **fields):
+        usual = dict(upstream="w1", incarnation="i1", cores=1.0, memory_mb=100)
         chosen = [
             commands.Assignment(
-                **{
-                    "task": id,
-                    "epoch": self.task(id).epoch + 1,
-                    "upstream": upstream,
-                    "incarnation": incarnation,
-                    "cores": 1.0,
-                    "memory_mb": 100,
-                    **fields,
-                }
+                task=id, **{"epoch": self.task(id).epoch + 1, **usual, **fields}
             )
             for id in ids
         ]
@@ -76,12 +69,10 @@
         return self.do("EvictTasks", evictions=[eviction])
 
     def report(self, id, phase, upstream="w1", incarnation="i1", **fields):
-        change = commands.TaskChange(
-            **{"task": id, "epoch": self.task(id).epoch, "phase": phase, **fields}
-        )
-        return self.do(
-            "ReportTasks", upstream=upstream, incarnation=incarnation, changes=[change]
-        )
+        fields = {"epoch": self.task(id).epoch, **fields}
+        change = commands.TaskChange(task=id, phase=phase, **fields)
+        place = dict(upstream=upstream, incarnation=incarnation)
+        return self.do("ReportTasks", **place, changes=[change])
 
     def run(self, id, **place):
         self.assign(id, **place)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -78,7 +78,7 @@
     assert answers["accepted"] == outcome.Accepted(version=1)
     assert (answers["conflict"].version, answers["conflict"].operator) == (1, "ana")
     assert answers["invalid"].problems == [["document.x", "unknown key"]]
-    d.do("SetConfiguration", base_version=1, document={"policy": {}})
+    d.configure(1, document={"policy": {}})
     for id, (kind, fields) in sent.items():
         assert d.do(kind, operator="ana", request_id=id, **fields) == answers[id]
     assert d.machine.configuration.version == 2
@@ -91,8 +91,8 @@
 
 def test_audit_lists_accepted_changes_newest_first_and_is_bounded():
     d = driver.Driver()
-    d.do("SetConfiguration", base_version=0, document={})
-    d.do("SetConfiguration", base_version=0, document={})
+    d.configure(0, document={})
+    d.configure(0, document={})
     job = d.submit()
     records = queries.answer(d.machine, "audit", {"limit": 5})["records"]
     assert [
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -45,7 +45,7 @@
 @pytest.mark.parametrize("document", [None, [], 3, "{}"])
 def test_document_must_be_an_object(document):
     d = driver.Driver()
-    answer = d.do("SetConfiguration", base_version=0, document=document)
+    answer = d.configure(0, document=document)
     assert answer.problems == [["document", "must be an object"]]
     assert d.machine.configuration.version == 0
 
@@ -69,6 +69,18 @@
     assert problem[1] == f"must have at most {checks.MAX_LEVELS} levels"
 
 
+def test_every_bad_field_of_a_job_is_listed():
+    sizes = dict(
+        cores=0, memory_mb=1.5, task_count=0, run_time_s=float("inf"), urgent=1
+    )
+    d = driver.Driver()
+    answer = d.do("SubmitJob", **{**driver.JOB, **sizes}, command=None)
+    assert [path for path, _ in answer.problems] == [
+        *("cores", "memory_mb", "task_count", "run_time_s", "urgent", "command")
+    ]
+    assert d.machine.jobs.by_id == {}
+
+
 def test_base_of_commands_is_no_command():
     # The registry loads it by name, and a replica must survive it in the log.
     command = commands.REGISTRY.from_tagged(
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -4,11 +4,6 @@
 from tests import driver
 
 
-def declare(d, replicas, **fields):
-    defaults = {"name": "quote", "tenant": "k", "cores": 1.0, "memory_mb": 10}
-    return d.do("DeclareService", replicas=replicas, **{**defaults, **fields})
-
-
 def test_job_without_any_worker_that_fits_is_impossible():
     d = driver.Driver()
     assert isinstance(d.submit(accelerators=9), str), "no worker is known yet"
@@ -17,7 +12,7 @@
     for wanted in ({"cores": 4.1}, {"memory_mb": 4001}, {"accelerators": 2}):
         answer = d.do("SubmitJob", **{**sizes, **wanted})
         assert isinstance(answer, outcome.Impossible)
-    d.do("WorkerLost", upstream="w1", incarnation="i1")
+    d.lose()
     assert d.do("SubmitJob", **sizes).ids, "a lost worker may return"
 
 
@@ -62,13 +57,13 @@
 def test_service_creates_and_retires_its_tasks():
     d = driver.Driver()
     d.register()
-    declare(d, 3)
+    d.declare(3)
     service = d.machine.services.by_name["quote"]
     first, second, third = service.task_ids
     assert d.task(first).task_class == "latency_critical"
     d.run(first)
     d.run(second)
-    declare(d, 1, cores=2.0)
+    d.declare(1, cores=2.0)
     assert third not in d.machine.tasks.by_id
     assert d.task(second).state == "cancelled"
     assert (d.task(first).state, d.task(first).cores) == ("running", 1.0)
@@ -77,23 +72,23 @@
     d.report(first, "finished")
     assert (d.task(first).state, d.task(first).failures) == ("pending", 1)
     assert d.task(first).cores == 2.0, "a new start takes the new sizes"
-    declare(d, 0)
+    d.declare(0)
     assert d.machine.services.by_name == {}
     assert d.machine.tasks.by_id == {}
 
 
 def test_service_belongs_to_one_tenant():
     d = driver.Driver()
-    declare(d, 1)
-    answer = declare(d, 2, tenant="other")
-    assert answer.problems == [["tenant", "the service belongs to tenant k"]]
+    d.declare(1)
+    answer = d.declare(2, tenant="other")
+    assert answer.problems == [["tenant", "the service belongs to tenant karri"]]
 
 
 def test_tenants_show_quota_and_usage():
     d = driver.Driver()
     d.register()
     document = {"tenants": {"karri": {"cores": 8}}}
-    d.do("SetConfiguration", base_version=0, document=document)
+    d.configure(0, document=document)
     job = d.submit(task_count=2)
     d.run(f"{job}.0")
     shown = queries.answer(d.machine, "tenants", {})["tenants"]
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -16,8 +16,8 @@
     d.register()
     for upstream in ("w2", "w3", "w4"):
         d.register(upstream)
-    d.do("DrainUpstream", upstream="w2")
-    d.do("WorkerLost", upstream="w3", incarnation="i1")
+    d.drain("w2")
+    d.lose("w3")
     id = d.submit() + ".0"
 
     def reason(**fields):
@@ -38,6 +38,15 @@
     assert reason(upstream="w4", epoch=2) == "task is assigned"
 
 
+def test_reserved_cores_add_up_exactly():
+    # 0.1 + 0.2 + 0.3 is above 0.6 in floats, and other orders give other sums.
+    d = driver.Driver()
+    d.register(room={"cores": 0.6})
+    for cores in (0.1, 0.2, 0.3):
+        assert d.assign(d.submit(cores=0.1) + ".0", cores=cores).ids
+    assert d.worker().reserved.cores == 0.6
+
+
 def test_quarantined_worker_holds_one_probe():
     d = driver.Driver()
     d.register()
@@ -64,6 +73,7 @@
     assert d.evict(id).ids == [id]
     assert d.task(id).state == "evicting"
     assert d.worker().task_ids == {id}
+    assert d.assign(id).value["skipped"] == {id: "task is evicting"}
     d.report(id, "stopped", checkpoint="c7")
     assert (d.task(id).state, d.task(id).checkpoint) == ("pending", "c7")
     assert d.report(id, "stopped", checkpoint="c6").value["late"] == [id]
@@ -74,6 +84,15 @@
     assert task.checkpoint == "c7"
 
 
+def test_only_the_place_of_a_task_reports_it():
+    d = driver.Driver()
+    id = running_task(d)
+    d.register("w2")
+    for place in ({"upstream": "w2"}, {"incarnation": "i0"}, {"upstream": "w9"}):
+        assert d.report(id, "stopped", **place).value["late"] == [id]
+    assert d.task(id).state == "running"
+
+
 def test_task_that_finishes_while_evicting_does_not_resume():
     d = driver.Driver()
     id = running_task(d)
--- a/tests/test_machine_properties.py
+++ b/tests/test_machine_properties.py
@@ -14,37 +14,40 @@
 from sardinegauge import commands, machine, messages, outcome
 from tests import driver
 
-UPSTREAMS = ("w1", "w2", "w3")
 STOPS = ("stopped", "finished", "failed", "refused")
-small = st.integers(0, 3)
-upstreams = st.sampled_from(UPSTREAMS)
+PHASES = ("running", "starting", "running", "stopping", *STOPS)
+mostly = st.sampled_from((True, True, True, False))
+rarely = st.sampled_from((False, False, False, True))
+upstreams = st.sampled_from(("w1", "w2", "w3"))
 incarnations = st.sampled_from(("i1", "i2", "i3"))
-cores = st.sampled_from((0.1, 0.3, 1.0, 1.7, 5.0))
+cores = st.sampled_from((0.1, 0.3, 0.7, 1.0, 1.7, 5.0))
+offsets = st.sampled_from((0, 0, 0, -1, 1))
+known = st.sampled_from(("job-1", "job-2.0", "w1", "i1", "running", 10**400, "\ud800"))
+scalars = st.none() | st.booleans() | st.floats() | st.integers() | known
 junk = st.recursive(
-    st.none()
-    | st.booleans()
-    | st.floats()
-    | st.integers()
-    | st.text(max_size=3)
-    | st.sampled_from(("job-1", "job-2.0", "w1", "i1", "running", 10**400, "\ud800")),
+    scalars | st.text(max_size=3),
     lambda inner: (
         st.lists(inner, max_size=2)
         | st.dictionaries(st.text(max_size=3), inner, max_size=2)
         | st.builds(commands.TaskChange, task=inner, epoch=inner, phase=inner)
-        | st.builds(commands.Eviction, task=inner, epoch=inner)
         | st.builds(messages.Room, cores=inner, memory_mb=inner)
     ),
     max_leaves=4,
 )
 
 
+def parts(of):
+    """Return a snapshot without the index, which every command changes."""
+    return {**json.loads(json.dumps(machine.to_snapshot(of))), "index": 0}
+
+
 class RandomCommands(stateful.RuleBasedStateMachine):
     def __init__(self):
         super().__init__()
         self.driver = driver.Driver()
         self.machine = self.driver.machine
         self.twin = machine.Machine()
-        self.history = []
+        self.sent = []
         self.live_by_task = {}
         self.epoch_by_task = {}
         self.ended_by_id = {}
@@ -52,41 +55,43 @@
     def do(self, kind, **fields):
         """Apply a command here and to the twin, which must answer the same."""
         answer = self.driver.do(kind, **fields)
-        index, command = self.driver.index, self.driver.last
-        self.history.append((index, command))
-        assert machine.apply(self.twin, index, command) == answer
+        self.sent.append((self.driver.index, self.driver.last))
+        assert machine.apply(self.twin, *self.sent[-1]) == answer
         return answer
 
-    def task_id(self, data):
+    def workers(self):
+        return self.machine.workers.by_upstream
+
+    def draw_task(self, data, preferred=()):
+        """Draw a task, three times of four from the preferred ones if there are any."""
         ids = sorted(self.machine.tasks.by_id)
+        if preferred and data.draw(mostly):
+            ids = sorted(preferred)
         return data.draw(st.sampled_from(ids)) if ids else "job-0.0"
 
     @stateful.initialize()
     def start(self):
-        for upstream in UPSTREAMS[:2]:
-            self.register(upstream, "i1", False, False)
+        for upstream in ("w1", "w2"):
+            self.register(upstream, "i1", True, False, False)
+        self.submit(3, 0.3, False, False)
+        self.submit(2, 1.0, False, True)
+        self.declare("quote", 1, 0.3)
 
     @stateful.rule(
         upstream=upstreams,
         incarnation=incarnations,
-        draining=st.booleans(),
+        is_same=st.booleans(),
+        draining=rarely,
         may_run=st.booleans(),
     )
-    def register(self, upstream, incarnation, draining, may_run):
-        before = self.machine.workers.by_upstream.get(upstream)
-        before = before and before.incarnation
-        room = messages.Room(**driver.ROOM)
-        answer = self.do(
-            "RegisterWorker",
-            upstream=upstream,
-            incarnation=incarnation,
-            room=room,
-            address="",
-            failure_domain="a",
-            rack="a1",
-            draining=draining,
-            previous_may_run=may_run,
-        )
+    def register(self, upstream, incarnation, is_same, draining, may_run):
+        worker = self.workers().get(upstream)
+        before = worker.incarnation if worker else None
+        if is_same and before:
+            incarnation = before
+        place = driver.announcement(upstream=upstream, incarnation=incarnation)
+        flags = dict(draining=draining, previous_may_run=may_run)
+        answer = self.do("RegisterWorker", **place, **flags)
         is_replaced = before not in (None, incarnation)
         if isinstance(answer, outcome.Accepted) and is_replaced and not may_run:
             self.end_live(upstream, None)
@@ -96,175 +101,158 @@
             if at == upstream and incarnation in (None, by):
                 del self.live_by_task[id]
 
+    @stateful.precondition(lambda self: len(self.live_by_task) > 1)
     @stateful.rule(upstream=upstreams, incarnation=incarnations)
     def lose(self, upstream, incarnation):
-        worker = self.machine.workers.by_upstream.get(upstream)
+        worker = self.workers().get(upstream)
         is_newest = worker is not None and worker.incarnation == incarnation
-        if is_newest and worker.is_lost:
-            is_newest = False
         self.do("WorkerLost", upstream=upstream, incarnation=incarnation)
-        if worker is not None:
-            self.end_live(upstream, None if is_newest else incarnation)
+        self.end_live(upstream, None if is_newest else incarnation)
 
     @stateful.rule(
         count=st.integers(1, 4), size=cores, urgent=st.booleans(), gang=st.booleans()
     )
     def submit(self, count, size, urgent, gang):
-        self.do(
-            "SubmitJob",
-            name="sweep",
-            tenant="irbid",
-            task_count=count,
-            cores=size,
-            memory_mb=100,
-            urgent=urgent,
-            gang=gang,
-        )
+        sizes = dict(task_count=count, cores=size, urgent=urgent, gang=gang)
+        self.do("SubmitJob", **{**driver.JOB, **sizes})
 
-    @stateful.rule(name=st.sampled_from(("shelf", "quote")), replicas=small, size=cores)
+    @stateful.rule(
+        name=st.sampled_from(("shelf", "quote")), replicas=st.integers(0, 3), size=cores
+    )
     def declare(self, name, replicas, size):
-        self.do(
-            "DeclareService",
-            name=name,
-            tenant="karri",
-            replicas=replicas,
+        sizes = dict(name=name, replicas=replicas, cores=size)
+        self.do("DeclareService", **{**driver.SERVICE, **sizes})
+
+    @stateful.rule(upstream=upstreams, size=cores, count=st.integers(1, 6))
+    def assign_pending(self, upstream, size, count):
+        worker = self.workers().get(upstream)
+        place = (upstream, worker.incarnation if worker else "i1")
+        pending = sorted(self.machine.tasks.pending_by_id)[:count]
+        self.assign([self.assignment(id, 0, *place, size) for id in pending])
+
+    @stateful.rule(
+        data=st.data(), upstream=upstreams, incarnation=incarnations, size=cores
+    )
+    def assign_any(self, data, upstream, incarnation, size):
+        offset = data.draw(offsets)
+        ids = [self.draw_task(data) for _ in range(3)]
+        place = (offset, upstream, incarnation, size)
+        self.assign([self.assignment(id, *place) for id in ids])
+
+    def assignment(self, id, offset, upstream, incarnation, size):
+        return commands.Assignment(
+            task=id,
+            epoch=max(0, self.epoch_by_task.get(id, 0) + 1 + offset),
+            upstream=upstream,
+            incarnation=incarnation,
             cores=size,
-            memory_mb=10,
+            memory_mb=round(size * 1000),
+            accelerators=int(size == 0.3),
         )
 
-    @stateful.rule(data=st.data(), count=st.integers(1, 6), size=cores)
-    def assign(self, data, count, size):
-        chosen = []
-        for _ in range(count):
-            id = self.task_id(data)
-            known = self.machine.tasks.by_id.get(id)
-            stale = data.draw(st.sampled_from((0, 0, 0, 0, 1, -1)))
-            upstream = data.draw(upstreams)
-            worker = self.machine.workers.by_upstream.get(upstream)
-            assignment = commands.Assignment(
-                task=id,
-                epoch=max(0, (known.epoch if known else 0) + 1 + stale),
-                upstream=upstream,
-                incarnation=worker.incarnation if worker and not stale else "i1",
-                cores=size,
-                memory_mb=data.draw(st.sampled_from((10, 2000))),
-                accelerators=data.draw(st.sampled_from((0, 0, 1))),
-            )
-            chosen.append(assignment)
+    def assign(self, chosen):
         allowed = {
-            upstream
-            for upstream, worker in self.machine.workers.by_upstream.items()
+            (upstream, worker.incarnation)
+            for upstream, worker in self.workers().items()
             if not (worker.is_lost or worker.is_draining)
         }
-        answer = self.do("AssignTasks", assignments=chosen)
-        for id in answer.ids:
+        for id in self.do("AssignTasks", assignments=chosen).ids:
             task = self.machine.tasks.by_id[id]
             assert id not in self.live_by_task, "assigned while it may still run"
-            assert task.upstream in allowed
+            assert (task.upstream, task.incarnation) in allowed
             assert task.epoch > self.epoch_by_task[id]
             self.live_by_task[id] = (task.epoch, task.upstream, task.incarnation)
-            worker = self.machine.workers.by_upstream[task.upstream]
+            worker = self.workers()[task.upstream]
             assert not worker.is_quarantined or len(worker.task_ids) == 1
-        self.check_gangs(answer.ids)
-
-    def check_gangs(self, ids):
-        for id in ids:
-            job = self.machine.jobs.by_id.get(self.machine.tasks.by_id[id].job)
+            job = self.machine.jobs.by_id.get(task.job)
             if job is not None and job.is_gang:
-                states = [self.machine.tasks.by_id[i].state for i in job.task_ids]
-                assert "pending" not in states
+                assert not {*job.task_ids} & {*self.machine.tasks.pending_by_id}
 
-    @stateful.rule(data=st.data(), stale=st.sampled_from((0, 0, 0, -1, 1)))
-    def evict(self, data, stale):
-        id = self.task_id(data)
-        epoch = max(0, self.epoch_by_task.get(id, 0) + stale)
+    @stateful.precondition(lambda self: self.live_by_task)
+    @stateful.rule(data=st.data(), offset=offsets)
+    def evict(self, data, offset):
+        id = self.draw_task(data, self.live_by_task)
+        epoch = max(0, self.epoch_by_task.get(id, 0) + offset)
         self.do("EvictTasks", evictions=[commands.Eviction(task=id, epoch=epoch)])
 
-    @stateful.rule(
-        data=st.data(),
-        phase=st.sampled_from(("starting", "running", "running", "stopping", *STOPS)),
-        stale=st.sampled_from((0, 0, 0, 0, -1, 1)),
-        is_elsewhere=st.sampled_from((False, False, False, True)),
-    )
-    def report(self, data, phase, stale, is_elsewhere):
-        id = self.task_id(data)
+    @stateful.precondition(lambda self: self.live_by_task)
+    @stateful.rule(data=st.data(), phase=st.sampled_from(PHASES), is_elsewhere=rarely)
+    def report(self, data, phase, is_elsewhere):
+        id = self.draw_task(data, self.live_by_task)
         live = self.live_by_task.get(id, (self.epoch_by_task.get(id, 0), "w1", "i1"))
         epoch, upstream, incarnation = live
+        offset = data.draw(offsets)
         if is_elsewhere:
             upstream, incarnation = data.draw(upstreams), data.draw(incarnations)
-        worker = self.machine.workers.by_upstream.get(upstream)
-        accepted_from = {live[2], worker.incarnation if worker else None}
+        worker = self.workers().get(upstream)
+        reporters = {live[2], worker.incarnation if worker else None}
         is_current = id in self.live_by_task and upstream == live[1]
-        is_current = is_current and not stale and incarnation in accepted_from
-        before = self.machine.tasks.by_id.get(id)
-        was_evicting = before is not None and before.state == "evicting"
+        is_current = is_current and not offset and incarnation in reporters
+        task = self.machine.tasks.by_id.get(id)
+        was_evicting = task is not None and task.state == "evicting"
+        if was_evicting and data.draw(mostly):
+            phase = "stopped"
         change = commands.TaskChange(
-            task=id, epoch=max(0, epoch + stale), phase=phase, checkpoint="c" + phase
-        )
-        snapshot = self.driver.snapshot()
-        self.do(
-            "ReportTasks", upstream=upstream, incarnation=incarnation, changes=[change]
+            task=id, epoch=max(0, epoch + offset), phase=phase, checkpoint=f"c{epoch}"
         )
+        before = parts(self.machine)
+        place = dict(upstream=upstream, incarnation=incarnation)
+        self.do("ReportTasks", **place, changes=[change])
         if not is_current:
-            before, after = json.loads(snapshot), json.loads(self.driver.snapshot())
-            assert {**before, "index": 0} == {**after, "index": 0}
+            assert parts(self.machine) == before, "a late report changed something"
         elif phase in STOPS:
             del self.live_by_task[id]
             if was_evicting and phase == "stopped":
-                assert self.machine.tasks.by_id[id].state == "pending"
-                assert self.machine.tasks.by_id[id].checkpoint == "cstopped"
+                assert (task.state, task.checkpoint) == ("pending", f"c{epoch}")
 
+    @stateful.precondition(lambda self: self.live_by_task)
     @stateful.rule(data=st.data(), size=cores, memory_mb=st.integers(0, 5000))
     def resize(self, data, size, memory_mb):
-        ids = [self.task_id(data) for _ in range(2)]
-        self.do(
-            "ResizeTasks",
-            cores_by_task=dict.fromkeys(ids, size),
-            memory_mb_by_task={ids[0]: memory_mb},
-        )
-
-    @stateful.rule(upstream=upstreams, draining=st.booleans())
-    def drain(self, upstream, draining):
-        self.do("DrainUpstream", upstream=upstream, draining=draining)
-
-    @stateful.rule(upstream=upstreams, quarantined=st.booleans())
-    def quarantine(self, upstream, quarantined):
-        self.do("QuarantineWorker", upstream=upstream, quarantined=quarantined)
+        ids = [self.draw_task(data, self.live_by_task) for _ in range(2)]
+        sizes = dict.fromkeys(ids, size)
+        memory = {ids[0]: memory_mb}
+        self.do("ResizeTasks", cores_by_task=sizes, memory_mb_by_task=memory)
+
+    @stateful.rule(upstream=upstreams, is_on=rarely, is_drain=st.booleans())
+    def mark(self, upstream, is_on, is_drain):
+        if is_drain:
+            self.do("DrainUpstream", upstream=upstream, draining=is_on)
+        else:
+            self.do("QuarantineWorker", upstream=upstream, quarantined=is_on)
 
+    @stateful.precondition(lambda self: len(self.machine.jobs.by_id) > 1)
     @stateful.rule(data=st.data(), is_failed=st.booleans())
     def end_job(self, data, is_failed):
-        job = self.task_id(data).partition(".")[0]
+        job = self.draw_task(data).partition(".")[0]
         if is_failed:
             self.do("FailJob", job=job, reason="fails everywhere")
         else:
             self.do("CancelJobs", jobs=[job, job, "job-0"])
 
     @stateful.rule(
-        kind=st.sampled_from(("MakeClaim", "SettleClaim", "ReleaseClaim")),
-        key=small,
-        offset=small,
-        digest=st.sampled_from("de"),
+        kind=st.sampled_from(
+            ("MakeClaim", "SettleClaim", "SettleClaim", "ReleaseClaim")
+        ),
+        offset=offsets,
+        digest=st.sampled_from("dde"),
     )
-    def claim(self, kind, key, offset, digest):
-        fields = {"tenant": "karri", "key": f"k{key}"}
-        claim = self.machine.claims.by_key.get(("karri", f"k{key}"))
-        index = (claim.claim_index if claim else 0) + offset // 3
-        state = claim and claim.state
+    def claim(self, kind, offset, digest):
+        fields = {"tenant": "karri", "key": "k1"}
+        before = self.machine.claims.by_key.get(("karri", "k1"))
+        index = max(0, (before.claim_index if before else 0) + offset)
+        if before is not None:
+            before = before.replace()
         if kind == "MakeClaim":
             fields |= {"digest": digest, "upstream": "w1", "incarnation": "i1"}
-        elif kind == "SettleClaim":
-            fields |= {"claim_index": index, "status": 200 + offset}
         else:
             fields |= {"claim_index": index}
-        answer = self.do(kind, **fields)
-        after = self.machine.claims.by_key.get(("karri", f"k{key}"))
-        if state == "settled":
-            assert after == claim, "a settled claim changed"
-        elif state == "open" and after is None:
-            assert kind == "ReleaseClaim" and index == claim.claim_index
-        if kind == "MakeClaim" and claim is not None:
-            is_same = claim.digest == digest
-            assert isinstance(answer, outcome.Accepted if is_same else outcome.Conflict)
+        if kind == "SettleClaim":
+            fields |= {"status": self.driver.index % 1000}
+        self.do(kind, **fields)
+        after = self.machine.claims.by_key.get(("karri", "k1"))
+        if before is not None and after != before:
+            assert before.state == "open", "a settled claim changed"
+            assert kind != "MakeClaim" and index == before.claim_index
 
     @stateful.rule(age=st.integers(0, 100))
     def expire(self, age):
@@ -276,33 +264,27 @@
     def send_malformed(self, data, kind):
         cls = commands.REGISTRY.by_name[kind]
         fields = {name: data.draw(junk, label=name) for name in cls.field_names()}
-        before = machine.to_snapshot(self.machine)
-        answer = self.do(kind, **fields)
-        if isinstance(answer, outcome.Invalid):
-            after = machine.to_snapshot(self.machine)
-            for part in set(before) - {"index", "replies"}:
-                assert before[part] == after[part]
+        before = parts(self.machine)
+        if isinstance(self.do(kind, **fields), outcome.Invalid):
+            after = parts(self.machine)
+            assert {**after, "replies": 0} == {**before, "replies": 0}
 
     @stateful.rule(data=st.data())
     def resend(self, data):
-        sent = [c for _, c in self.history if isinstance(c, commands.OperatorCommand)]
-        if sent:
-            command = data.draw(st.sampled_from(sent)).replace(at_ms=10**6)
-            before = machine.to_snapshot(self.machine)
-            fields = command.to_dict()
-            if "document" not in fields and isinstance(command.request_id, str):
-                self.do(type(command).__name__, **fields)
-                after = machine.to_snapshot(self.machine)
-                is_stored = any(
-                    row[1] == command.request_id for row in before["replies"]["rows"]
-                )
-                assert not is_stored or {**before, "index": 0} == {**after, "index": 0}
+        requests = self.machine.replies.by_request
+        kept = [c for _, c in self.sent if getattr(c, "request_id", None) is not None]
+        kept = [c for c in kept if (str(c.operator), str(c.request_id)) in requests]
+        if kept:
+            command = data.draw(st.sampled_from(kept))
+            before = parts(self.machine)
+            self.do(type(command).__name__, **command.to_dict())
+            assert parts(self.machine) == before
 
     @stateful.rule()
     def restore_twin(self):
-        text = json.dumps(machine.to_snapshot(self.twin))
-        self.twin = machine.from_snapshot(json.loads(text))
-        assert json.dumps(machine.to_snapshot(self.twin)) == text
+        data = json.loads(json.dumps(machine.to_snapshot(self.twin)))
+        self.twin = machine.from_snapshot(data)
+        assert machine.to_snapshot(self.twin) == data
 
     @stateful.invariant()
     def places_match_the_model(self):
@@ -312,66 +294,54 @@
             if task.upstream
         }
         assert placed == self.live_by_task
-        held = [id for w in self.workers() for id in w.task_ids]
-        assert sorted(held) == sorted(placed)
-        for worker in self.workers():
-            assert (
-                worker.task_ids is self.machine.tasks.ids_by_upstream[worker.upstream]
-            )
-            assert all(placed[id][1] == worker.upstream for id in worker.task_ids)
-
-    def workers(self):
-        return self.machine.workers.by_upstream.values()
+        ids_by_upstream = {name: w.task_ids for name, w in self.workers().items()}
+        assert self.machine.tasks.ids_by_upstream == ids_by_upstream
+        for upstream, ids in ids_by_upstream.items():
+            assert ids == {id for id, place in placed.items() if place[1] == upstream}
 
     @stateful.invariant()
     def room_is_never_exceeded(self):
-        for worker in self.workers():
+        for worker in self.workers().values():
             held = [self.machine.tasks.by_id[id] for id in worker.task_ids]
-            assert worker.reserved == messages.Room(
-                cores=math.fsum(task.cores for task in held),
-                memory_mb=sum(task.memory_mb for task in held),
-                accelerators=sum(task.accelerators for task in held),
-                connections=sum(task.connections for task in held),
-                tasks=len(held),
-            )
-            for name in messages.Room.field_names():
-                assert getattr(worker.reserved, name) <= getattr(worker.room, name)
+            expected = {"tasks": len(held)}
+            for name in ("cores", "memory_mb", "accelerators", "connections"):
+                expected[name] = math.fsum(getattr(task, name) for task in held)
+            assert worker.reserved.to_dict() == expected
+            for name, amount in expected.items():
+                assert amount <= getattr(worker.room, name)
 
     @stateful.invariant()
     def states_and_indexes_agree(self):
-        pending_by_tenant = {}
-        for id, task in self.machine.tasks.by_id.items():
+        by_id = self.machine.tasks.by_id
+        for id, task in by_id.items():
             assert task.epoch >= self.epoch_by_task.get(id, 0)
             self.epoch_by_task[id] = task.epoch
-            is_pending = task.state == "pending"
-            assert is_pending == (id in self.machine.tasks.pending_by_id)
-            if is_pending:
-                assert not task.upstream
-                pending_by_tenant.setdefault(task.tenant, []).append(id)
-            elif not task.has_ended:
-                assert task.upstream
-            if task.has_ended:
-                assert self.ended_by_id.setdefault(id, task.state) == task.state
-        for tenant, usage in self.machine.tasks.usage_by_tenant.items():
-            assert usage.pending == len(pending_by_tenant.pop(tenant, ()))
-        assert not pending_by_tenant
+            assert (task.state == "pending") <= (not task.upstream)
+            assert bool(task.upstream) or task.has_ended or task.state == "pending"
+        pending = {id for id, task in by_id.items() if task.state == "pending"}
+        assert {*self.machine.tasks.pending_by_id} == pending
+        usages = self.machine.tasks.usage_by_tenant.values()
+        assert sum(usage.pending for usage in usages) == len(pending)
         for job in self.machine.jobs.by_id.values():
-            states = [self.machine.tasks.by_id[id].state for id in job.task_ids]
+            states = [by_id[id].state for id in job.task_ids]
             assert job.finished_count == states.count("finished")
             assert job.has_ended == all(s in machine.tasks.ENDED_STATES for s in states)
-            if job.has_ended:
-                assert self.ended_by_id.setdefault(job.id, job.state) == job.state
+        for item in (*by_id.values(), *self.machine.jobs.by_id.values()):
+            if item.has_ended or item.id in self.ended_by_id:
+                assert self.ended_by_id.setdefault(item.id, item.state) == item.state
 
     def teardown(self):
-        expected = self.driver.snapshot()
-        assert json.dumps(machine.to_snapshot(self.twin)) == expected
         again = machine.Machine()
-        for index, command in self.history:
+        for index, command in self.sent:
             machine.apply(again, index, command)
-        assert json.dumps(machine.to_snapshot(again)) == expected
+        assert parts(again) == parts(self.twin) == parts(self.machine)
 
 
+# Time on a busy VM says nothing about the machine, so no check of it may fail the test.
 RandomCommands.TestCase.settings = hypothesis.settings(
-    max_examples=150, stateful_step_count=60, deadline=None
+    max_examples=100,
+    stateful_step_count=60,
+    deadline=None,
+    suppress_health_check=[hypothesis.HealthCheck.too_slow],
 )
 TestRandomCommands = RandomCommands.TestCase
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -14,11 +14,11 @@
         d.run(id)
     d.do("CancelJobs", jobs=["job-0"])
     d.evict(third)
-    lost = d.do("WorkerLost", upstream="w1", incarnation="i1")
+    lost = d.lose()
     assert lost.ids == [first, second, third]
     assert {d.task(id).state for id in lost.ids} == {"pending"}
     assert {d.task(id).epoch for id in lost.ids} == {2}
-    assert d.do("WorkerLost", upstream="w1", incarnation="i1").ids == []
+    assert d.lose().ids == []
     assert d.report(first, "finished", epoch=1).value["late"] == [first]
 
 
@@ -47,7 +47,7 @@
     assert d.assign(waiting, incarnation="i2").ids == [waiting]
     d.report(first, "stopped", incarnation="i2")
     assert d.task(first).state == "pending"
-    assert d.do("WorkerLost", upstream="w1", incarnation="i1").ids == [second]
+    assert d.lose().ids == [second]
     assert d.task(waiting).state == "assigned"
     assert not d.worker().is_lost
 
@@ -55,12 +55,12 @@
 def test_operators_drain_outlives_a_restart_of_the_agent():
     d = driver.Driver()
     d.register()
-    d.do("DrainUpstream", upstream="w1")
+    d.drain()
     d.register(incarnation="i2")
     assert d.worker().is_draining
-    d.do("DrainUpstream", upstream="w1", draining=False)
+    d.drain(draining=False)
     assert not d.worker().is_draining
-    answer = d.do("DrainUpstream", upstream="w9")
+    answer = d.drain("w9")
     assert answer.problems == [["upstream", "no such upstream"]]
 
 
@@ -86,10 +86,10 @@
     assert directory.changes(d.machine, version) == (version, False, [])
     d.register("w1", services=["shelf"])
     assert directory.changes(d.machine, version)[2] == [], "nothing has changed"
-    d.do("DrainUpstream", upstream="w1")
+    d.drain()
     version, is_full, (changed,) = directory.changes(d.machine, version)
     assert (is_full, changed.upstream, changed.draining) == (False, "w1", True)
-    d.do("WorkerLost", upstream="w2", incarnation="i1")
+    d.lose("w2")
     changed = directory.changes(d.machine, version)[2]
     assert [(item.upstream, item.removed) for item in changed] == [("w2", True)]
     assert [item.upstream for item in directory.changes(d.machine, 0)[2]] == ["w1"]
@@ -99,7 +99,7 @@
 def test_upstream_serves_a_service_only_while_its_task_runs():
     d = driver.Driver()
     d.register()
-    d.do("DeclareService", name="quote", tenant="k", replicas=1, cores=1.0, memory_mb=1)
+    d.declare(1)
     (id,) = d.machine.services.by_name["quote"].task_ids
     seen = []
     version = 0
@@ -109,7 +109,7 @@
         lambda: d.evict(id),
         lambda: d.report(id, "stopped"),
         lambda: d.run(id),
-        lambda: d.do("WorkerLost", upstream="w1", incarnation="i1"),
+        lambda: d.lose(),
     ):
         step()
         version, _, changed = directory.changes(d.machine, version)
@@ -132,7 +132,7 @@
     d.register("w3")
     version = directory.changes(d.machine, 0)[0]
     for upstream in ("w1", "w2"):
-        d.do("WorkerLost", upstream=upstream, incarnation="i1")
+        d.lose(upstream)
     assert sorted(d.machine.workers.by_upstream) == ["w2", "w3"]
     _, is_full, listed = directory.changes(d.machine, version)
     assert is_full
