Add the format of histories and their checker

Cause: the fault runner needs one format for what callers, upstreams, workers and operators did, and a checker that knows the guarantees.

--- /dev/null
+++ b/sardinegauge/history.py
@@ -0,0 +1,190 @@
+"""Histories of a fleet under faults, and the checker of the guarantees.
+
+A history is a file of JSON lines. Each line is one record with its class name under
+``kind`` and the fields of the class below, for example::
+
+    {"kind":"RequestSent","at_ms":12,"request":"q1","token":"o1","idempotent":false}
+
+`write` makes such a line. The lines may come in any order: the checker sorts them by
+`at_ms`, which every writer takes from `clock.monotonic_ms` on the same VM. Whoever
+sends, serves or hosts writes what it did itself, never what it was told:
+
+- The caller writes `RequestSent` before it sends and `RequestAnswered` for each answer;
+  a request without an answer has no second record. `request` is unique for each
+  attempt and is sent as ``Sardinegauge-Request-Id``. `token` names the content: a
+  resend under the same idempotency key repeats it, everything else gets a new one.
+- The stub upstream writes `RequestExecuted` when it begins to execute, with the request
+  id and token it received and a digest of the response it will send, which differs for
+  each execution.
+- The stub worker writes `TaskStarted`, `TaskStopped` and, after each change, `VmLoad`.
+  The runner writes `WorkerDied` for a VM that it killed, before anything else starts.
+- The operator's side writes `OperatorAnswered` and `ConfigurationRead`, and each
+  process that acts on a configuration is sampled as `ConfigurationSeen`.
+- The runner writes `UpstreamLeaving`, `UpstreamReturned`, `FaultInjected` (its `target`
+  is the worker's name for a fault at a worker, its agent or its links), and at the end
+  one `HistoryEnded` with the state of every task as the fleet tells it. A retired task
+  of a service, which the fleet forgets, is written as ``cancelled``.
+
+The command ``python -m sardinegauge.history FILE`` prints each violation and ends with
+one line ``violations=N requests=N tasks=N``. The exit status is 0 without violations, 1
+with some, 2 if the file can't be read.
+"""
+
+import sys
+
+from sardinegauge import historychecks, record
+
+
+class HistoryRecord(record.Record):
+    """Base of all records; `at_ms` is when it happened."""
+
+    __slots__ = ("at_ms",)
+
+
+class RequestSent(HistoryRecord):
+    """A caller sends one attempt of a request."""
+
+    __slots__ = ("request", "token", "idempotent", "key")
+    _defaults = {"idempotent": False, "key": ""}
+
+
+class RequestAnswered(HistoryRecord):
+    """A caller got an answer: its verdict, and the digest of the body it received.
+
+    `response` is empty when the body is none of an upstream's, and `is_complete` is
+    false when the connection closed before the body ended.
+    """
+
+    __slots__ = ("request", "verdict", "status", "response", "is_complete")
+    _defaults = {"status": 0, "response": "", "is_complete": True}
+
+
+class RequestExecuted(HistoryRecord):
+    """A stub upstream executes a request; `response` is the digest of its answer."""
+
+    __slots__ = ("upstream", "request", "token", "response")
+
+
+class TaskStarted(HistoryRecord):
+    """A stub worker starts a task under an epoch, from a checkpoint or none."""
+
+    __slots__ = ("worker", "task", "epoch", "checkpoint")
+    _defaults = {"checkpoint": ""}
+
+
+class TaskStopped(HistoryRecord):
+    """A task no longer runs at a stub worker.
+
+    `reason` is ``finished``, ``failed``, ``evicted`` (with its checkpoint),
+    ``cancelled`` or ``lease``.
+    """
+
+    __slots__ = ("worker", "task", "epoch", "reason", "checkpoint")
+    _defaults = {"checkpoint": ""}
+
+
+class WorkerDied(HistoryRecord):
+    """A VM failed: none of its tasks runs from now on."""
+
+    __slots__ = ("worker",)
+
+
+class VmLoad(HistoryRecord):
+    """What a worker's tasks were given, and its room, after a change of either.
+
+    Both are objects with any of `cores`, `memory_mb`, `accelerators`, `tasks`.
+    """
+
+    __slots__ = ("worker", "load", "room")
+
+
+class UpstreamLeaving(HistoryRecord):
+    """An upstream was told to leave."""
+
+    __slots__ = ("upstream",)
+
+
+class UpstreamReturned(HistoryRecord):
+    """An upstream that was leaving serves again."""
+
+    __slots__ = ("upstream",)
+
+
+class OperatorAnswered(HistoryRecord):
+    """An operator got the answer to a changing call; resends repeat the request id."""
+
+    __slots__ = ("operator", "request_id", "call", "outcome", "version", "ids")
+    _defaults = {"version": 0, "ids": list}
+
+
+class ConfigurationRead(HistoryRecord):
+    """An operator read the configuration's version; the call was sent at `sent_ms`."""
+
+    __slots__ = ("sent_ms", "version")
+
+
+class ConfigurationSeen(HistoryRecord):
+    """A process that takes work acts on this version of the configuration."""
+
+    __slots__ = ("process", "version")
+
+
+class FaultInjected(HistoryRecord):
+    """A fault of the runner, which may excuse a resume from an older checkpoint."""
+
+    __slots__ = ("fault", "target")
+
+
+class HistoryEnded(HistoryRecord):
+    """The end: each task's state, and whether the fleet had time to settle."""
+
+    __slots__ = ("state_by_task", "is_settled")
+    _defaults = {"is_settled": True}
+
+
+REGISTRY = record.Registry.of_module(globals(), HistoryRecord)
+
+
+def write(file, item):
+    """Write one record to a text file as a line."""
+    file.write(REGISTRY.dumps(item).decode() + "\n")
+
+
+def load(path):
+    """Read the records of a history.
+
+    Raises
+    ------
+    ValueError
+        If a line is no record, with the number of the line.
+    """
+    records = []
+    with open(path, encoding="utf-8") as file:
+        for number, line in enumerate(file, start=1):
+            try:
+                records.append(REGISTRY.loads(line))
+            except (TypeError, ValueError) as error:
+                raise ValueError(f"line {number}: {error}") from error
+    return records
+
+
+def main(arguments):
+    """Check the history of a file; return the exit status."""
+    if len(arguments) != 1:
+        print("usage: python -m sardinegauge.history FILE", file=sys.stderr)
+        return 2
+    try:
+        history = historychecks.History(load(arguments[0]))
+    except (OSError, ValueError) as error:
+        print(f"{arguments[0]}: {error}", file=sys.stderr)
+        return 2
+    violations = historychecks.check(history)
+    for violation in violations:
+        print(f"{violation.at_ms} guarantee {violation.guarantee}: {violation.text}")
+    counts = f"requests={history.request_count} tasks={history.task_count}"
+    print(f"violations={len(violations)} {counts}")
+    return 1 if violations else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
