--- a/sardinegauge/jobs.py
+++ b/sardinegauge/jobs.py
@@ -1,6 +1,6 @@
 """Batch jobs: submission, end, and the bounded memory of ended ones."""
 
-from sardinegauge import outcome, record, snapshots, tasks
+from sardinegauge import checks, outcome, record, snapshots, tasks
 
 MAX_ENDED_JOBS = 5_000
 """Ended jobs kept for operators: about seven hours at 17,000 jobs a day."""
@@ -26,6 +26,7 @@
         "reason",
         "submitted_at_ms",
         "finished_count",
+        "command",
     )
     _defaults = {
         "state": "pending",
@@ -37,6 +38,7 @@
         "reason": "",
         "submitted_at_ms": 0,
         "finished_count": 0,
+        "command": "",
     }
 
     @property
@@ -87,6 +89,9 @@
             reason=f"no worker can hold a task of {command.cores:g} cores, "
             f"{command.memory_mb} MB and {command.accelerators} accelerators"
         )
+    count = len(machine.tasks.by_id) + command.task_count
+    if count > tasks.MAX_TASKS:
+        return outcome.Impossible(reason=f"more than {tasks.MAX_TASKS} tasks")
     job = Job(
         id=f"job-{index}",
         name=command.name,
@@ -96,6 +101,7 @@
         group=command.group or command.name,
         run_time_s=command.run_time_s,
         submitted_at_ms=command.at_ms,
+        command=command.command,
     )
     machine.jobs.by_id[job.id] = job
     for number in range(command.task_count):
@@ -117,7 +123,7 @@
         accelerators=command.accelerators,
         declared_cores=command.cores,
         declared_memory_mb=command.memory_mb,
-        command=command.command,
+        command=job.command,
         run_time_s=command.run_time_s,
         changed_at_ms=command.at_ms,
         pending_since_ms=command.at_ms,
@@ -169,7 +175,7 @@
     if job.has_ended:
         return outcome.Accepted()
     state = "impossible" if command.impossible else "failed"
-    _end(machine, job, state, command.at_ms, command.reason)
+    _end(machine, job, state, command.at_ms, checks.clip(command.reason))
     _forget_old(machine)
     return outcome.Accepted(ids=[job.id])
 
