Tighten the agent's properties in virtual time

Cause: with the room check, the lease check or the wait for an older epoch taken out, the properties still passed, since random steps rarely reached a running task.

Change: assignments are pushed at once, answers always find a heartbeat, the lease is compared with the one that the model granted, and reordered replies, foreign pushes and foreign incarnations have tests.

--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -55,6 +55,7 @@
     def __init__(self):
         self.state = new_state()
         self.now_ms = 0
+        self.reduced_ms = 0
         self.lease_until_ms = 0
         self.calls = []
         self.sent = []
@@ -62,9 +63,11 @@
         self.running = {}
         self.stopped = set()
         self.started = set()
+        self.cores_by_key = {}
 
     def reduce(self, kind, **fields):
         event = kind(now_ms=self.now_ms, **fields)
+        self.reduced_ms = self.now_ms
         for effect in agent.reduce(self.state, event):
             if isinstance(effect, agent.SendHeartbeat):
                 self.sent.append((self.now_ms, effect.heartbeat.sequence))
@@ -75,6 +78,10 @@
 
     def step(self, name, number, pick):
         getattr(self, name)(number, pick)
+        assert self.state.lease_until_ms <= self.lease_until_ms, "lease too long"
+        if self.now_ms >= self.lease_until_ms and self.now_ms == self.reduced_ms:
+            phases = {hosted.phase for hosted in self.state.host.by_task.values()}
+            assert not phases & {"starting", "running"}, "lease end did not stop"
         for key, until_ms in list(self.running.items()):
             if self.now_ms >= until_ms:
                 del self.running[key]  # The worker's own check of the lease.
@@ -82,7 +89,7 @@
                 assert self.now_ms < self.lease_until_ms, "runs past its lease"
         names = [task for task, _ in self.running]
         assert len(set(names)) == len(names), "two epochs at once"
-        cores = sum(self.state.host.by_task[t].order.cores for t in names)
+        cores = sum(self.cores_by_key[key] for key in self.running)
         assert cores <= ROOM.cores, "room exceeded"
         assert len(names) <= ROOM.tasks, "slots exceeded"
 
@@ -98,6 +105,7 @@
         old = self.orders.get(task)
         epoch = old.epoch + 1 if old else 1
         self.orders[task] = order(task, epoch, cores=1.0 + number % 3)
+        self.push(0, 0)
 
     def remove(self, number, pick):
         task = "abc"[pick % 3]
@@ -107,7 +115,7 @@
 
     def answer(self, number, pick):
         if not self.sent:
-            return
+            self.wait(11, 0)
         sent_ms, sequence = self.sent.pop(pick % len(self.sent))
         if sequence > self.state.applied_sequence:
             until_ms = sent_ms + LEASE_MS
@@ -125,7 +133,7 @@
         self.reduce(agent.DirectiveReceived, address="s1", directive=directive)
 
     def call(self, number, pick):
-        """Carry out one waiting call; an odd number loses its answer."""
+        """Carry out one waiting call; a number above 8 loses its answer."""
         if not self.calls:
             return
         call = self.calls.pop(pick % len(self.calls))
@@ -135,6 +143,7 @@
                 return
             if key not in self.started:
                 self.started.add(key)
+                self.cores_by_key[key] = call.order.cores
                 self.running[key] = call.lease_until_ms
             event, fields = agent.StartAnswered, {"is_taken": True, "reason": ""}
         else:
@@ -145,7 +154,7 @@
                 event, fields = agent.StopAnswered, {"phase": "stopped"}
             else:
                 event, fields = agent.CheckpointAnswered, {"checkpoint": "c"}
-        if number % 2:
+        if number > 8:
             event, fields = agent.WorkerCallFailed, {}
         self.reduce(event, task=key[0], epoch=key[1], **fields)
 
@@ -159,7 +168,7 @@
 
 STEPS = st.tuples(
     st.sampled_from(
-        "wait freeze assign remove answer answer push call call call look".split()
+        "wait freeze assign assign remove answer push call call call look".split()
     ),
     st.integers(0, 12),
     st.integers(0, 5),
@@ -167,7 +176,7 @@
 
 
 @settings(max_examples=300, deadline=None)
-@given(st.lists(STEPS, max_size=60))
+@given(st.lists(STEPS, min_size=20, max_size=60))
 def test_lease_epochs_and_room_hold_in_any_order(steps):
     """Guards against tasks past their lease, double epochs and overcommitment."""
     world = World()
@@ -364,6 +373,28 @@
     assert of(agent.SendHeartbeat, agent.reduce(state, seen))
 
 
+def test_older_replies_and_pushes_of_others_are_ignored():
+    """Guards against a table that was overtaken by a newer one."""
+    state = ready_state()
+    agent.reduce(state, agent.Tick(now_ms=1000))
+    agent.reduce(state, agent.Tick(now_ms=2000))
+    reply(state, 2001, 3)
+    assert not of(taskhost.Start, reply(state, 2002, 2, [order("a")]))
+    assert not of(taskhost.Start, reply(state, 2003, 0, [order("a")], address="s2"))
+    assert of(taskhost.Start, reply(state, 2004, 0, [order("a")]))
+
+
+def test_another_incarnation_neither_runs_nor_answers_for_a_key():
+    """Guards against a restarted agent that takes unknown keys for not-run."""
+    state = ready_state()
+    head = messages.RequestHead(incarnation="u1-0", deadline_ms=1000)
+    event = agent.RequestArrived(now_ms=0, request=1, head=head)
+    assert of(requesttable.RefuseRequest, agent.reduce(state, event))
+    query = messages.KeyQuery(key="a", claim_index=1, fence=True, incarnation="u1-0")
+    effects = agent.reduce(state, agent.KeyQueried(now_ms=0, query=1, message=query))
+    assert effects[0].reply.state == "cut"
+
+
 def test_heartbeats_follow_the_leader():
     """Guards against an agent that stays with a follower or a dead leader."""
     state = new_state()
