Test the agent over real sockets and renew worker leases by their length

Cause: cut bodies, claims, leaving, drain, lease end, a frozen agent and a restart were only covered in virtual time or not at all. The worker's lease was renewed every 2 s whatever its length, so a lease of 1.5 s ended between two renewals.

Change: leases are renewed at a fifth of their length; eleven tests run the agent's process against the stub and a fake leader.

--- a/sardinegauge/agent.py
+++ b/sardinegauge/agent.py
@@ -22,7 +22,8 @@
 WORKER_POLL_MS = 1000
 # Phases are about to change while a task starts or stops, so they are asked for sooner.
 WORKER_QUICK_POLL_MS = 200
-RENEW_INTERVAL_MS = 2000
+# The worker's leases are renewed at this share of the lease's length.
+RENEW_SHARE = 0.2
 # Entries poll every 500 ms; until then they learn of the drain by a refusal, which is
 # an accurate not-run, while a closed link would leave the outcome unknown.
 DRAIN_LINGER_MS = 1500
@@ -205,6 +206,7 @@
         self.next_heartbeat_ms = now_ms
         self.sent_ms = now_ms - HEARTBEAT_INTERVAL_MS
         self.announced = None
+        self.lease_ms = 0
         self.lease_until_ms = 0
         self.confirmed_until_ms = 0
         self.config_version = 0
@@ -331,6 +333,7 @@
         return []
     state.applied_sequence = directive.sequence
     state.leader = event.address
+    state.lease_ms = directive.lease_ms
     state.lease_until_ms = max(state.lease_until_ms, sent_ms + directive.lease_ms)
     state.confirmed_until_ms = max(state.confirmed_until_ms, sent_ms + CONFIRMATION_MS)
     effects = _take_configuration(state, directive)
@@ -395,7 +398,7 @@
 def _renew_tasks(state, now_ms):
     if now_ms < state.next_renew_ms or now_ms >= state.lease_until_ms:
         return []
-    state.next_renew_ms = now_ms + RENEW_INTERVAL_MS
+    state.next_renew_ms = now_ms + state.lease_ms * RENEW_SHARE
     tasks = [
         (hosted.order.task, hosted.order.epoch)
         for hosted in state.host.by_task.values()
--- a/tests/test_agentapp.py
+++ b/tests/test_agentapp.py
@@ -2,6 +2,11 @@
 
 import asyncio
 import json
+import signal
+import urllib.request
+
+import pytest
+from prometheus_client import parser
 
 from sardinegauge import messages
 from tests import agentkit
@@ -41,3 +46,207 @@
             await agentkit.until(lambda: not leader.last.tasks, "the task to be gone")
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("fault", ["size=100000&truncate=70000", "reset=1"])
+def test_cut_response_is_never_whole(tmp_path, fault):
+    """Guards against a truncated response that is forwarded as complete."""
+
+    async def run():
+        async with agentkit.Bench(tmp_path) as bench:
+            final, _head, _data = await bench.ask(bench.head(f"/shop/x?{fault}"))
+            assert isinstance(final, messages.Abort)
+            assert final.verdict == "may-have-run"
+
+    asyncio.run(run())
+
+
+def test_cut_request_body_is_not_executed_as_whole(tmp_path):
+    """Guards against an upstream that takes half a body for the whole."""
+
+    async def run():
+        async with agentkit.Bench(tmp_path) as bench:
+            head = bench.head("/shop/x?order=o1", method="POST", has_body=True)
+            exchange = bench.dialer.link.open_exchange(head)
+            final = await agentkit.converse(exchange, head, b"half", is_whole=False)
+            assert isinstance(final[0], messages.Abort)
+            assert bench.recorded("order") == []
+
+    asyncio.run(run())
+
+
+def test_claimed_request_runs_once_and_is_replayed(tmp_path):
+    """Guards against doubled orders when an entry resends or asks for a key."""
+
+    async def run():
+        async with agentkit.Bench(tmp_path) as bench:
+            claimed = bench.head(
+                "/shop/x?order=o1&delay_ms=300",
+                method="POST",
+                idempotent=False,
+                key="k1",
+                claim_index=7,
+            )
+            first = bench.dialer.link.open_exchange(claimed)
+            await agentkit.until(lambda: bench.recorded("order"), "the order to run")
+            again, _head, _data = await bench.ask(claimed)
+            assert (type(again), again.verdict) == (messages.Abort, "may-have-run")
+            # The entry leaves; its request still ends and its response is kept.
+            first.send(messages.Abort(verdict="may-have-run"))
+            query = messages.KeyQuery(tenant="karri", key="k1", claim_index=7)
+            reply = messages.KeyReply(state="running")
+            while reply.state == "running":
+                reply = await bench.dialer.link.request(query, 5)
+            assert (reply.state, reply.status) == ("finished", 200)
+            final, head, data = await bench.ask(claimed)
+            assert (type(final), head.status) == (messages.BodyEnd, 200)
+            assert data == reply.body
+            assert len(bench.recorded("order", order="o1")) == 1
+
+    asyncio.run(run())
+
+
+def test_upstream_that_refuses_connections_is_leaving(tmp_path):
+    """Guards against a false verdict, and new work for a dead upstream."""
+
+    async def run():
+        async with agentkit.Bench(tmp_path) as bench:
+            stub = bench.processes[0]
+            stub.kill()
+            stub.wait()
+            final, _head, _data = await bench.ask(bench.head())
+            assert final.verdict == "not-run"
+            await agentkit.until(lambda: bench.leader.last.draining, "leaving")
+            final, _head, _data = await bench.ask(bench.head())
+            assert (type(final), final.draining) == (messages.Refusal, True)
+
+    asyncio.run(run())
+
+
+def test_leaving_by_settings_and_back(tmp_path):
+    """Guards against a reload that is ignored or cannot be undone."""
+
+    async def run():
+        async with agentkit.Bench(tmp_path) as bench:
+            for leaving in (True, False):
+                bench.settings["leaving"] = leaving
+                bench.settings_path.write_text(json.dumps(bench.settings))
+                bench.agent.send_signal(signal.SIGHUP)
+                await agentkit.until(
+                    lambda wanted=leaving: bench.leader.last.draining == wanted,
+                    "the change",
+                )
+
+    asyncio.run(run())
+
+
+def test_drain_finishes_requests_and_evicts_tasks(tmp_path):
+    """Guards against a planned stop that interrupts a request or loses a task."""
+
+    async def run():
+        async with agentkit.Bench(tmp_path) as bench:
+            leader = bench.leader
+            leader.orders = [agentkit.order("t1", run_s=60)]
+            await agentkit.until(lambda: leader.phase("t1") == "running", "the task")
+            slow = asyncio.ensure_future(
+                bench.ask(bench.head("/shop/x?delay_ms=1500&order=o1"))
+            )
+            await agentkit.until(lambda: bench.recorded("order"), "the request")
+            bench.agent.send_signal(signal.SIGTERM)
+            await agentkit.until(lambda: leader.last.draining, "the drain")
+            final, _head, _data = await bench.ask(bench.head())
+            assert (final.verdict, final.draining) == ("not-run", True)
+            leader.orders = [agentkit.order("t1", action="evict")]
+            await agentkit.until(lambda: leader.phase("t1") == "stopped", "the stop")
+            saved = json.loads(leader.report("t1").checkpoint)
+            assert saved["epoch"] == 1
+            assert bench.agent.poll() is None
+            final, head, _data = await slow
+            assert (type(final), head.status) == (messages.BodyEnd, 200)
+            assert await asyncio.to_thread(bench.agent.wait, 10) == 0
+            assert len(bench.recorded("stop", task="t1")) == 1
+
+    asyncio.run(run())
+
+
+def test_lease_end_stops_tasks_while_the_leader_is_silent(tmp_path):
+    """Guards against a task that outlives its lease when the agent is cut off."""
+
+    async def run():
+        async with agentkit.Bench(tmp_path) as bench:
+            leader = bench.leader
+            leader.lease_ms = 2000
+            leader.orders = [agentkit.order("t1")]
+            await agentkit.until(lambda: leader.phase("t1") == "running", "the task")
+            leader.is_muted = True
+            await agentkit.until(
+                lambda: bench.recorded("stop") or bench.recorded("expire"), "the end"
+            )
+            leader.is_muted = False
+            await agentkit.until(lambda: leader.phase("t1") == "stopped", "the report")
+            assert len(bench.recorded("start")) == 1
+
+    asyncio.run(run())
+
+
+def test_frozen_agent_does_nothing_under_its_old_lease(tmp_path):
+    """Guards against a resumed process that acts on what it read before."""
+
+    async def run():
+        async with agentkit.Bench(tmp_path) as bench:
+            leader = bench.leader
+            leader.lease_ms = 1500
+            leader.orders = [agentkit.order("t1")]
+            await agentkit.until(lambda: leader.phase("t1") == "running", "the task")
+            bench.agent.send_signal(signal.SIGSTOP)
+            # The agent finds this push when it resumes, after its lease.
+            leader.orders = [agentkit.order("t1", epoch=2), agentkit.order("t2")]
+            leader.push()
+            await agentkit.until(lambda: bench.recorded("expire"), "the expiry")
+            leader.orders = []
+            bench.agent.send_signal(signal.SIGCONT)
+            await agentkit.until(lambda: not leader.last.tasks, "the end of the task")
+            assert len(bench.recorded("start")) == 1
+
+    asyncio.run(run())
+
+
+def test_restarted_agent_stops_tasks_of_the_earlier_one(tmp_path):
+    """Guards against an announcement while an unknown task still runs."""
+
+    async def run():
+        async with agentkit.Bench(tmp_path) as bench:
+            leader = bench.leader
+            leader.orders = [agentkit.order("t1")]
+            await agentkit.until(lambda: leader.phase("t1") == "running", "the task")
+            bench.agent.kill()
+            bench.agent.wait()
+            old = leader.last.incarnation
+            leader.orders = []
+            bench.start_agent()
+            await agentkit.until(lambda: leader.last.incarnation != old, "the new one")
+            assert len(bench.recorded("stop", task="t1")) == 1
+
+    asyncio.run(run())
+
+
+def test_pages(tmp_path):
+    """Guards against a metrics page that the usual parser cannot read."""
+
+    def fetch(url):
+        with urllib.request.urlopen(url, timeout=5) as response:
+            return response.read().decode()
+
+    async def run():
+        async with agentkit.Bench(tmp_path) as bench:
+            await bench.ask(bench.head())
+            base = f"http://{bench.pages}/-/"
+            assert await asyncio.to_thread(fetch, base + "health") == "ok\n"
+            page = await asyncio.to_thread(fetch, base + "metrics")
+            families = {f.name: f for f in parser.text_string_to_metric_families(page)}
+            family = families["sardinegauge_agent_request_seconds"]
+            counts = [s for s in family.samples if s.name.endswith("_count")]
+            assert counts[0].labels == {"tenant": "karri", "class": "idempotent"}
+            assert counts[0].value == 1
+
+    asyncio.run(run())
