Split the agent's modules and test eviction, credit and deadline

Change: records of tasks are in hostedtask, events and effects in agentevents, calls to the worker in workercalls. Three more tests over sockets.

--- a/sardinegauge/agent.py
+++ b/sardinegauge/agent.py
@@ -6,7 +6,7 @@
 
 import json
 
-from sardinegauge import admission, messages, record, requesttable, taskhost
+from sardinegauge import admission, agentevents, messages, requesttable, taskhost
 
 HEARTBEAT_INTERVAL_MS = 1000
 # Changes within this time share one heartbeat.
@@ -30,148 +30,6 @@
 EXPIRE_INTERVAL_MS = 60_000
 
 
-class SendHeartbeat(record.Record):
-    """Send a heartbeat to the replica at `address`."""
-
-    __slots__ = ("address", "heartbeat")
-
-
-class RenewTasks(record.Record):
-    """Extend the worker's leases of (task, epoch) pairs."""
-
-    __slots__ = ("tasks", "lease_until_ms")
-
-
-class AskTasks(record.Record):
-    """Ask the worker for its table of tasks."""
-
-    __slots__ = ()
-
-
-class ConfigurationChanged(record.Record):
-    """A newer configuration is in force."""
-
-    __slots__ = ("version",)
-
-
-class Drained(record.Record):
-    """Nothing is in flight and no task is live; the process may stop."""
-
-    __slots__ = ()
-
-
-class Tick(record.Record):
-    """Time passes; also brings heartbeats, polls and retries."""
-
-    __slots__ = ("now_ms",)
-
-
-class DirectiveReceived(record.Record):
-    """A directive came from a replica, as a reply or as a push (sequence 0)."""
-
-    __slots__ = ("now_ms", "address", "directive")
-
-
-class HeartbeatFailed(record.Record):
-    """A heartbeat was not answered: link closed, none open, or no answer in time."""
-
-    __slots__ = ("now_ms", "address", "sequence")
-
-
-class RequestArrived(record.Record):
-    """An entry opened an exchange; `request` is its number in this process."""
-
-    __slots__ = ("now_ms", "request", "head")
-
-
-class RequestGone(record.Record):
-    """The caller of a request left; nothing of it may start any more."""
-
-    __slots__ = ("now_ms", "request")
-
-
-class RequestEnded(record.Record):
-    """An admitted request ended and its upstream connection is closed.
-
-    `verdict` is an `outcome.Verdict` value as text; `body` is None when it was cut or
-    is over the limit for stored responses.
-    """
-
-    __slots__ = (
-        "now_ms",
-        "request",
-        "verdict",
-        "duration_ms",
-        "status",
-        "headers",
-        "body",
-    )
-    _defaults = {"duration_ms": 0.0, "status": 0, "headers": list, "body": None}
-
-
-class KeyQueried(record.Record):
-    """An entry asks about a key; `query` is its number in this process."""
-
-    __slots__ = ("now_ms", "query", "message")
-
-
-class WorkerSeen(record.Record):
-    """The worker's table, or None when it did not answer."""
-
-    __slots__ = ("now_ms", "asked_ms", "statuses")
-
-
-class StartAnswered(record.Record):
-    """The worker took or refused a start."""
-
-    __slots__ = ("now_ms", "task", "epoch", "is_taken", "reason")
-
-
-class CheckpointAnswered(record.Record):
-    """The worker saved a checkpoint; empty when it could not."""
-
-    __slots__ = ("now_ms", "task", "epoch", "checkpoint")
-
-
-class StopAnswered(record.Record):
-    """The worker confirmed that a task ended, in the phase given."""
-
-    __slots__ = ("now_ms", "task", "epoch", "phase")
-
-
-class WorkerCallFailed(record.Record):
-    """A call for a task got no answer, and whether it took effect is unknown."""
-
-    __slots__ = ("now_ms", "task", "epoch")
-
-
-class UpstreamChanged(record.Record):
-    """The upstream became reachable or not, or is leaving by its settings."""
-
-    __slots__ = ("now_ms", "is_leaving")
-
-
-class DrainAsked(record.Record):
-    """The process shall stop; tasks left at `evict_at_ms` are evicted by the agent."""
-
-    __slots__ = ("now_ms", "evict_at_ms")
-
-
-class Identity(record.Record):
-    """What the agent announces of itself; `services` are those it always serves."""
-
-    __slots__ = (
-        "upstream",
-        "incarnation",
-        "address",
-        "failure_domain",
-        "rack",
-        "services",
-        "room",
-    )
-    _defaults = {"failure_domain": "", "rack": "", "services": list}
-
-
 class State:
     """The agent's state.
 
@@ -294,7 +152,7 @@
         tasks=state.host.reports(),
         loads=state.requests.take_loads(),
     )
-    return SendHeartbeat(address=state.leader, heartbeat=heartbeat)
+    return agentevents.SendHeartbeat(address=state.leader, heartbeat=heartbeat)
 
 
 def _on_heartbeat_failed(state, event):
@@ -368,7 +226,7 @@
         return []
     state.config_version = directive.config_version
     state.admission.set_limits(document.get("services", {}))
-    return [ConfigurationChanged(version=state.config_version)]
+    return [agentevents.ConfigurationChanged(version=state.config_version)]
 
 
 # Time
@@ -392,7 +250,7 @@
         return []
     settled = state.host.is_settled() and now_ms >= state.announce_ms
     state.next_poll_ms = now_ms + (WORKER_POLL_MS if settled else WORKER_QUICK_POLL_MS)
-    return [AskTasks()]
+    return [agentevents.AskTasks()]
 
 
 def _renew_tasks(state, now_ms):
@@ -406,7 +264,7 @@
     ]
     if not tasks:
         return []
-    return [RenewTasks(tasks=tasks, lease_until_ms=state.lease_until_ms)]
+    return [agentevents.RenewTasks(tasks=tasks, lease_until_ms=state.lease_until_ms)]
 
 
 # Worker
@@ -501,23 +359,23 @@
     is_over = now_ms >= state.linger_until_ms or is_late
     if is_empty and is_over and (is_told or is_late):
         state.is_drained = True
-        effects.append(Drained())
+        effects.append(agentevents.Drained())
     return effects
 
 
 _HANDLERS = {
-    Tick: _on_tick,
-    DirectiveReceived: _on_directive,
-    HeartbeatFailed: _on_heartbeat_failed,
-    RequestArrived: _on_request,
-    RequestGone: _on_request_gone,
-    RequestEnded: _on_request_ended,
-    KeyQueried: _on_key_query,
-    WorkerSeen: _on_worker_seen,
-    StartAnswered: _on_start_answered,
-    CheckpointAnswered: _on_checkpoint_answered,
-    StopAnswered: _on_stop_answered,
-    WorkerCallFailed: _on_worker_call_failed,
-    UpstreamChanged: _on_upstream_changed,
-    DrainAsked: _on_drain,
+    agentevents.Tick: _on_tick,
+    agentevents.DirectiveReceived: _on_directive,
+    agentevents.HeartbeatFailed: _on_heartbeat_failed,
+    agentevents.RequestArrived: _on_request,
+    agentevents.RequestGone: _on_request_gone,
+    agentevents.RequestEnded: _on_request_ended,
+    agentevents.KeyQueried: _on_key_query,
+    agentevents.WorkerSeen: _on_worker_seen,
+    agentevents.StartAnswered: _on_start_answered,
+    agentevents.CheckpointAnswered: _on_checkpoint_answered,
+    agentevents.StopAnswered: _on_stop_answered,
+    agentevents.WorkerCallFailed: _on_worker_call_failed,
+    agentevents.UpstreamChanged: _on_upstream_changed,
+    agentevents.DrainAsked: _on_drain,
 }
--- a/sardinegauge/agentapp.py
+++ b/sardinegauge/agentapp.py
@@ -11,11 +11,13 @@
 
 from sardinegauge import (
     agent,
+    agentevents,
     application,
     background,
     clock,
     errors,
     forwarding,
+    hostedtask,
     httpcall,
     link,
     messages,
@@ -24,8 +26,8 @@
     plainmetrics,
     requesttable,
     settings,
-    taskhost,
     worker,
+    workercalls,
 )
 
 # Each wake-up costs about 0.1 ms; leases and retries need no finer step.
@@ -77,7 +79,11 @@
         self.settings = loaded
         self.path = path
         self.drain_limit_s = loaded.drain_limit_s
-        self.worker = worker.HttpWorker(loaded.worker) if loaded.worker else None
+        self.worker_calls = None
+        if loaded.worker:
+            self.worker_calls = workercalls.WorkerCalls(
+                worker.HttpWorker(loaded.worker), self.handle, self.log
+            )
         self.metrics = plainmetrics.Metrics()
         self.state = None
         self.hello = None
@@ -90,7 +96,6 @@
         self.unreachable_since_ms = None
         self.was_reachable = False
         self.is_leaving = loaded.leaving
-        self.is_asking_tasks = False
         self.drained = None
         self.wake_timer = None
         self.request_times = self.metrics.histogram(
@@ -114,7 +119,7 @@
         loaded = self.settings
         incarnation = f"{loaded.name}-{random.SystemRandom().getrandbits(48):012x}"
         address = loaded.advertise or loaded.listen
-        identity = agent.Identity(
+        identity = agentevents.Identity(
             upstream=loaded.name,
             incarnation=incarnation,
             address=address,
@@ -125,7 +130,7 @@
                 cores=float(loaded.cores),
                 memory_mb=loaded.memory_mb,
                 accelerators=loaded.accelerators,
-                tasks=loaded.task_slots if self.worker else 0,
+                tasks=loaded.task_slots if self.worker_calls else 0,
                 connections=loaded.connections,
             ),
         )
@@ -140,7 +145,7 @@
             identity,
             loaded.state,
             clock.monotonic_ms(),
-            self.worker is not None,
+            self.worker_calls is not None,
             loaded.queue,
         )
         self.server = link.LinkServer(self, self.hello)
@@ -186,14 +191,17 @@
 
     def execute(self, effect):
         """Execute one effect; effects that wait run in the background."""
-        method = _METHODS[type(effect)]
-        result = method(self, effect)
+        method = _METHODS.get(type(effect))
+        if method is not None:
+            result = method(self, effect)
+        else:
+            result = self.worker_calls.execute(effect)
         if result is not None:
             background.spawn(result)
 
     def tick(self, now_ms):
         """Let time pass in the reducer."""
-        self.handle(agent.Tick(now_ms=now_ms))
+        self.handle(agentevents.Tick(now_ms=now_ms))
 
     # Links
 
@@ -223,7 +231,7 @@
     def directive(self, address, message):
         """Pass a directive to the reducer."""
         self.handle(
-            agent.DirectiveReceived(
+            agentevents.DirectiveReceived(
                 now_ms=clock.monotonic_ms(), address=address, directive=message
             )
         )
@@ -238,11 +246,13 @@
                 exchange, message, lambda: self.gone(number)
             )
             self.handle(
-                agent.RequestArrived(now_ms=now_ms, request=number, head=message)
+                agentevents.RequestArrived(now_ms=now_ms, request=number, head=message)
             )
         elif isinstance(message, messages.KeyQuery):
             self.exchange_by_query[number] = exchange
-            self.handle(agent.KeyQueried(now_ms=now_ms, query=number, message=message))
+            self.handle(
+                agentevents.KeyQueried(now_ms=now_ms, query=number, message=message)
+            )
         else:
             exchange.close()
 
@@ -256,7 +266,7 @@
             answer = await dialer.link.request(effect.heartbeat, HEARTBEAT_TIMEOUT_S)
         except (errors.LinkClosedError, TimeoutError):
             self.handle(
-                agent.HeartbeatFailed(
+                agentevents.HeartbeatFailed(
                     now_ms=clock.monotonic_ms(),
                     address=effect.address,
                     sequence=sequence,
@@ -270,7 +280,9 @@
 
     def gone(self, number):
         """Note that a caller left."""
-        self.handle(agent.RequestGone(now_ms=clock.monotonic_ms(), request=number))
+        self.handle(
+            agentevents.RequestGone(now_ms=clock.monotonic_ms(), request=number)
+        )
 
     async def forward_request(self, effect):
         """Send an admitted request to the upstream and report its end."""
@@ -293,7 +305,7 @@
             kind = "idempotent" if head.idempotent else "non_idempotent"
             self.request_times.observe(duration_s, head.tenant, kind)
             self.handle(
-                agent.RequestEnded(
+                agentevents.RequestEnded(
                     now_ms=clock.monotonic_ms(),
                     request=number,
                     verdict=verdict,
@@ -345,84 +357,7 @@
             pass
         exchange.close()
 
-    # Worker
-
-    async def call_worker(self, task, epoch, call, to_event):
-        """Make one call for a task and report its answer or its failure."""
-        try:
-            answer = await call
-        except worker.WorkerError as error:
-            self.log.warning("worker_call_failed", task=task, error=str(error))
-            event, fields = agent.WorkerCallFailed, {}
-        else:
-            event, fields = to_event(answer)
-        if event is not None:
-            self.handle(
-                event(now_ms=clock.monotonic_ms(), task=task, epoch=epoch, **fields)
-            )
-
-    def start_task(self, effect):
-        """Start a task at the worker."""
-        order = effect.order
-        return self.call_worker(
-            order.task,
-            order.epoch,
-            self.worker.start(order, effect.lease_until_ms),
-            _start_event,
-        )
-
-    def checkpoint_task(self, effect):
-        """Have a task's progress saved."""
-        return self.call_worker(
-            effect.task,
-            effect.epoch,
-            self.worker.checkpoint(effect.task, effect.epoch),
-            lambda answer: (agent.CheckpointAnswered, {"checkpoint": answer}),
-        )
-
-    def throttle_task(self, effect):
-        """Limit a task's cores."""
-        return self.call_worker(
-            effect.task,
-            effect.epoch,
-            self.worker.throttle(effect.task, effect.epoch, effect.share),
-            lambda answer: (None, {}),
-        )
-
-    def stop_task(self, effect):
-        """Stop a task at the worker."""
-        return self.call_worker(
-            effect.task,
-            effect.epoch,
-            self.worker.stop(effect.task, effect.epoch),
-            lambda answer: (agent.StopAnswered, {"phase": answer}),
-        )
-
-    async def renew_tasks(self, effect):
-        """Extend the worker's leases; a lost call is repeated by the next one."""
-        try:
-            await self.worker.renew(effect.tasks, effect.lease_until_ms)
-        except worker.WorkerError as error:
-            self.log.warning("renew_failed", error=str(error))
-
-    async def ask_tasks(self, effect):
-        """Ask the worker for its table, one call at a time."""
-        if self.is_asking_tasks:
-            return
-        self.is_asking_tasks = True
-        asked_ms = clock.monotonic_ms()
-        try:
-            statuses = await self.worker.tasks()
-        except worker.WorkerError as error:
-            self.log.warning("tasks_failed", error=str(error))
-            statuses = None
-        finally:
-            self.is_asking_tasks = False
-        self.handle(
-            agent.WorkerSeen(
-                now_ms=clock.monotonic_ms(), asked_ms=asked_ms, statuses=statuses
-            )
-        )
+    # Tasks
 
     def task_ended(self, effect):
         """Log and count the end of a task."""
@@ -476,7 +411,9 @@
         )
         if is_leaving != self.state.is_upstream_leaving:
             self.log.info("upstream_changed", leaving=is_leaving)
-            self.handle(agent.UpstreamChanged(now_ms=now_ms, is_leaving=is_leaving))
+            self.handle(
+                agentevents.UpstreamChanged(now_ms=now_ms, is_leaving=is_leaving)
+            )
 
     async def on_reload(self):
         """Read `leaving` from the settings file again; the rest needs a restart."""
@@ -493,7 +430,7 @@
         self.drained = asyncio.Event()
         now_ms = clock.monotonic_ms()
         wait_ms = int(self.drain_limit_s * OWN_EVICTION_SHARE * 1000)
-        self.handle(agent.DrainAsked(now_ms=now_ms, evict_at_ms=now_ms + wait_ms))
+        self.handle(agentevents.DrainAsked(now_ms=now_ms, evict_at_ms=now_ms + wait_ms))
         await self.drained.wait()
 
     def note_drained(self, effect):
@@ -520,27 +457,15 @@
         return 200, plainmetrics.CONTENT_TYPE, self.metrics.page()
 
 
-def _start_event(answer):
-    if answer is None:
-        return None, {}
-    return agent.StartAnswered, {"is_taken": not answer, "reason": answer}
-
-
 _METHODS = {
-    agent.SendHeartbeat: AgentApplication.send_heartbeat,
-    agent.RenewTasks: AgentApplication.renew_tasks,
-    agent.AskTasks: AgentApplication.ask_tasks,
+    agentevents.SendHeartbeat: AgentApplication.send_heartbeat,
     requesttable.ForwardRequest: AgentApplication.forward_request,
     requesttable.RefuseRequest: AgentApplication.refuse_request,
     requesttable.ReplayRequest: AgentApplication.replay_request,
     requesttable.AnswerKeyQuery: AgentApplication.answer_key_query,
-    agent.ConfigurationChanged: AgentApplication.note_configuration,
-    agent.Drained: AgentApplication.note_drained,
-    taskhost.Start: AgentApplication.start_task,
-    taskhost.Checkpoint: AgentApplication.checkpoint_task,
-    taskhost.Throttle: AgentApplication.throttle_task,
-    taskhost.Stop: AgentApplication.stop_task,
-    taskhost.Ended: AgentApplication.task_ended,
+    agentevents.ConfigurationChanged: AgentApplication.note_configuration,
+    agentevents.Drained: AgentApplication.note_drained,
+    hostedtask.Ended: AgentApplication.task_ended,
 }
 
 
--- a/sardinegauge/requesttable.py
+++ b/sardinegauge/requesttable.py
@@ -113,7 +113,7 @@
         return [_refusal(number, "the caller left")]
 
     def ended(self, now_ms, number, ending):
-        """Take the end of an admitted request, given as an `agent.RequestEnded`."""
+        """Take the end of an admitted request, an `agentevents.RequestEnded`."""
         request = self.by_request.pop(number, None)
         if request is None:
             return []
--- a/sardinegauge/taskhost.py
+++ b/sardinegauge/taskhost.py
@@ -5,16 +5,7 @@
 until the leader's table no longer lists it.
 """
 
-from sardinegauge import messages, record
-
-STARTING = "starting"
-RUNNING = "running"
-STOPPING = "stopping"
-STOPPED = "stopped"
-FINISHED = "finished"
-FAILED = "failed"
-REFUSED = "refused"
-ENDED = frozenset({STOPPED, FINISHED, FAILED, REFUSED})
+from sardinegauge import hostedtask
 
 # A call that failed is repeated after the short time. The long one is above every
 # timeout of a call and covers a failure that was not reported.
@@ -26,86 +17,6 @@
 MAX_ENDED_EPOCHS = 4096
 
 
-class Start(record.Record):
-    """Start a task; void when executed at or after `lease_until_ms`."""
-
-    __slots__ = ("order", "lease_until_ms")
-
-
-class Checkpoint(record.Record):
-    """Have the worker save a task's progress; `attempt` counts from 1."""
-
-    __slots__ = ("task", "epoch", "attempt")
-
-
-class Throttle(record.Record):
-    """Limit a task to a share of its cores, 0 to 1."""
-
-    __slots__ = ("task", "epoch", "share")
-
-
-class Stop(record.Record):
-    """Stop a task; also makes the worker forget an ended one."""
-
-    __slots__ = ("task", "epoch")
-
-
-class Ended(record.Record):
-    """A task ended; for the log and the histograms. Times in ms."""
-
-    __slots__ = ("order", "phase", "reason", "ran_ms")
-
-
-class Hosted(record.Record):
-    """One task at this agent.
-
-    `reported_sequence` is the first heartbeat that reported the task in its present
-    kind (live or ended), 0 before; `called_ms` is when the last call to the worker
-    began; `retry_ms` is when it is repeated; `is_confirmed` says that the worker has
-    the task; `next_order` is a start that waits for the end of this epoch.
-    """
-
-    __slots__ = (
-        "order",
-        "phase",
-        "reason",
-        "checkpoint",
-        "cores",
-        "memory_mb",
-        "progress",
-        "throttle",
-        "is_checkpointing",
-        "checkpoint_tries",
-        "reported_sequence",
-        "started_ms",
-        "called_ms",
-        "retry_ms",
-        "is_confirmed",
-        "next_order",
-    )
-    _defaults = {
-        "phase": STARTING,
-        "reason": "",
-        "checkpoint": "",
-        "cores": 0.0,
-        "memory_mb": 0,
-        "progress": 0.0,
-        "throttle": 1.0,
-        "is_checkpointing": False,
-        "checkpoint_tries": 0,
-        "reported_sequence": 0,
-        "called_ms": 0,
-        "retry_ms": 0,
-        "is_confirmed": False,
-        "next_order": None,
-    }
-
-    @property
-    def is_ended(self):
-        """Tell whether the task holds nothing at the worker any more."""
-        return self.phase in ENDED
-
-
 class TaskHost:
     """The table of hosted tasks; every method returns a list of effects."""
 
@@ -123,12 +34,16 @@
 
     def is_settled(self):
         """Tell whether no task is about to change its phase."""
-        return all(h.is_ended or h.phase == RUNNING for h in self.by_task.values())
+        return all(
+            h.is_ended or h.phase == hostedtask.RUNNING for h in self.by_task.values()
+        )
 
     def reports(self):
         """Return the table of `messages.TaskReport`; the same list until a change."""
         if self._reports is None:
-            self._reports = [_report(hosted) for hosted in self.by_task.values()]
+            self._reports = [
+                hostedtask.report(hosted) for hosted in self.by_task.values()
+            ]
         return self._reports
 
     def note_reported(self, sequence):
@@ -183,21 +98,25 @@
             return self._stop(now_ms, hosted, "ordered")
         if order.action == "evict":
             return self._evict(now_ms, hosted)
-        if hosted.phase == STOPPING:
+        if hosted.phase == hostedtask.STOPPING:
             return []  # An older table may still say "run".
         if _sizes(order) != _sizes(hosted.order) and not self.admission.reserve(order):
             hosted.order = order
         if order.throttle != hosted.throttle:
             hosted.throttle = order.throttle
             self._changed()
-            return [Throttle(task=order.task, epoch=order.epoch, share=order.throttle)]
+            return [
+                hostedtask.Throttle(
+                    task=order.task, epoch=order.epoch, share=order.throttle
+                )
+            ]
         return []
 
     def _confirm_absent(self, now_ms, order):
         """Report a task as stopped that was ordered away and is not here."""
         if order.epoch <= self.ended_epoch_by_task.get(order.task, 0):
             return []
-        self._put(now_ms, order, STOPPED, "not here")
+        self._put(now_ms, order, hostedtask.STOPPED, "not here")
         return []
 
     def _start(self, now_ms, order, lease_until_ms, is_closed):
@@ -206,17 +125,17 @@
         if now_ms >= lease_until_ms:
             return []  # The next reply with a lease lists the task again.
         if is_closed:
-            self._put(now_ms, order, REFUSED, "draining")
+            self._put(now_ms, order, hostedtask.REFUSED, "draining")
             return []
         reason = self.admission.reserve(order)
         if reason:
-            self._put(now_ms, order, REFUSED, reason)
+            self._put(now_ms, order, hostedtask.REFUSED, reason)
             return []
-        hosted = self._put(now_ms, order, STARTING, "")
+        hosted = self._put(now_ms, order, hostedtask.STARTING, "")
         return [self._call_start(now_ms, hosted, lease_until_ms)]
 
     def _put(self, now_ms, order, phase, reason):
-        hosted = Hosted(
+        hosted = hostedtask.Hosted(
             order=order,
             phase=phase,
             reason=reason,
@@ -239,20 +158,20 @@
             return self._stop(now_ms, hosted, "not ordered")
         del self.by_task[hosted.order.task]
         self._changed()
-        if hosted.phase == REFUSED:
+        if hosted.phase == hostedtask.REFUSED:
             return []
-        return [Stop(task=hosted.order.task, epoch=hosted.order.epoch)]
+        return [hostedtask.Stop(task=hosted.order.task, epoch=hosted.order.epoch)]
 
     # Calls to the worker
 
     def _call_start(self, now_ms, hosted, lease_until_ms):
         _note_call(now_ms, hosted)
-        return Start(order=hosted.order, lease_until_ms=lease_until_ms)
+        return hostedtask.Start(order=hosted.order, lease_until_ms=lease_until_ms)
 
     def _stop(self, now_ms, hosted, reason):
-        if hosted.phase == STOPPING and not hosted.is_checkpointing:
+        if hosted.phase == hostedtask.STOPPING and not hosted.is_checkpointing:
             return []
-        hosted.phase = STOPPING
+        hosted.phase = hostedtask.STOPPING
         hosted.reason = hosted.reason or reason
         hosted.is_checkpointing = False
         self._changed()
@@ -260,12 +179,12 @@
 
     def _call_stop(self, now_ms, hosted):
         _note_call(now_ms, hosted)
-        return Stop(task=hosted.order.task, epoch=hosted.order.epoch)
+        return hostedtask.Stop(task=hosted.order.task, epoch=hosted.order.epoch)
 
     def _evict(self, now_ms, hosted):
-        if hosted.phase == STOPPING:
+        if hosted.phase == hostedtask.STOPPING:
             return []
-        hosted.phase = STOPPING
+        hosted.phase = hostedtask.STOPPING
         hosted.reason = "evicted"
         hosted.is_checkpointing = True
         self._changed()
@@ -275,7 +194,7 @@
         _note_call(now_ms, hosted)
         hosted.checkpoint_tries += 1
         order = hosted.order
-        return Checkpoint(
+        return hostedtask.Checkpoint(
             task=order.task, epoch=order.epoch, attempt=hosted.checkpoint_tries
         )
 
@@ -302,9 +221,9 @@
         for hosted in self.by_task.values():
             if now_ms < hosted.retry_ms:
                 continue
-            if hosted.phase == STARTING and now_ms < lease_until_ms:
+            if hosted.phase == hostedtask.STARTING and now_ms < lease_until_ms:
                 effects.append(self._call_start(now_ms, hosted, lease_until_ms))
-            elif hosted.phase == STOPPING:
+            elif hosted.phase == hostedtask.STOPPING:
                 effects += self._retry_stopping(now_ms, hosted)
         return effects
 
@@ -327,11 +246,11 @@
     def start_answered(self, now_ms, task, epoch, is_taken, reason):
         """Take the worker's answer to a start."""
         hosted = self._current(task, epoch)
-        if hosted is None or hosted.phase != STARTING:
+        if hosted is None or hosted.phase != hostedtask.STARTING:
             return []
         if not is_taken:
-            return self._end(now_ms, hosted, FAILED, reason)
-        hosted.phase = RUNNING
+            return self._end(now_ms, hosted, hostedtask.FAILED, reason)
+        hosted.phase = hostedtask.RUNNING
         hosted.is_confirmed = True
         self._changed()
         return []
@@ -368,19 +287,22 @@
                 # Without a confirmed start the call may still be on its way.
                 if hosted.is_confirmed:
                     effects += self._end(
-                        now_ms, hosted, STOPPED, hosted.reason or "lost by the worker"
+                        now_ms,
+                        hosted,
+                        hostedtask.STOPPED,
+                        hosted.reason or "lost by the worker",
                     )
             else:
                 effects += self._see(now_ms, hosted, status)
         for status in statuses:
             hosted = self.by_task.get(status.task)
             is_known = hosted is not None and hosted.order.epoch == status.epoch
-            if status.phase == RUNNING and (not is_known or hosted.is_ended):
-                effects.append(Stop(task=status.task, epoch=status.epoch))
+            if status.phase == hostedtask.RUNNING and (not is_known or hosted.is_ended):
+                effects.append(hostedtask.Stop(task=status.task, epoch=status.epoch))
         return effects
 
     def _see(self, now_ms, hosted, status):
-        if status.phase in ENDED:
+        if status.phase in hostedtask.ENDED:
             reason = hosted.reason or status.reason
             return self._end(now_ms, hosted, status.phase, reason)
         hosted.is_confirmed = True
@@ -388,8 +310,8 @@
         if usage != (hosted.cores, hosted.memory_mb, hosted.progress):
             hosted.cores, hosted.memory_mb, hosted.progress = usage
             self._reports = None
-        if hosted.phase == STARTING:
-            hosted.phase = RUNNING
+        if hosted.phase == hostedtask.STARTING:
+            hosted.phase = hostedtask.RUNNING
             self._changed()
         return []
 
@@ -401,7 +323,7 @@
 
     def _end(self, now_ms, hosted, phase, reason):
         order = hosted.order
-        hosted.phase = phase if phase in ENDED else STOPPED
+        hosted.phase = phase if phase in hostedtask.ENDED else hostedtask.STOPPED
         hosted.reason = reason
         hosted.cores, hosted.memory_mb = 0.0, 0
         hosted.is_checkpointing = False
@@ -410,7 +332,7 @@
         self._remember(order)
         self._changed()
         return [
-            Ended(
+            hostedtask.Ended(
                 order=order,
                 phase=hosted.phase,
                 reason=reason,
@@ -445,17 +367,3 @@
 
 def _sizes(order):
     return (order.cores, order.memory_mb, order.accelerators, order.connections)
-
-
-def _report(hosted):
-    return messages.TaskReport(
-        task=hosted.order.task,
-        epoch=hosted.order.epoch,
-        phase=hosted.phase,
-        reason=hosted.reason,
-        checkpoint=hosted.checkpoint,
-        cores=hosted.cores,
-        memory_mb=hosted.memory_mb,
-        progress=hosted.progress,
-        throttle=hosted.throttle,
-    )
--- a/sardinegauge/worker.py
+++ b/sardinegauge/worker.py
@@ -2,7 +2,7 @@
 
 import abc
 
-from sardinegauge import clock, httpcall, record, taskhost
+from sardinegauge import clock, hostedtask, httpcall, record
 
 CALL_TIMEOUT_S = 1.0
 # Saving progress takes longer than other calls; retries of the agent allow for it.
@@ -150,10 +150,10 @@
             "POST", "stop", lambda: {"task": task, "epoch": epoch}, STOP_TIMEOUT_S
         )
         if status in (404, 409):
-            return taskhost.STOPPED
+            return hostedtask.STOPPED
         if status != 200:
             raise WorkerError(f"stop: status {status}")
-        return answer.get("phase", taskhost.STOPPED)
+        return answer.get("phase", hostedtask.STOPPED)
 
     async def tasks(self):
         """See `Worker.tasks`."""
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -3,7 +3,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from sardinegauge import agent, messages, requesttable, taskhost, worker
+from sardinegauge import agent, agentevents, hostedtask, messages, requesttable, worker
 from tests.agentkit import order
 
 LEASE_MS = 10_000
@@ -11,7 +11,7 @@
 
 
 def new_state(has_worker=False, queue=2):
-    identity = agent.Identity(
+    identity = agentevents.Identity(
         upstream="u1", incarnation="u1-1", address="127.0.0.1:1", room=ROOM
     )
     return agent.State(identity, ["s1", "s2"], 0, has_worker, queue)
@@ -24,14 +24,16 @@
 def reply(state, now_ms, sequence, orders=(), address="s1", **fields):
     defaults = {"confirmed": True, "lease_ms": LEASE_MS, "tasks": list(orders)}
     directive = messages.Directive(sequence=sequence, **{**defaults, **fields})
-    event = agent.DirectiveReceived(now_ms=now_ms, address=address, directive=directive)
+    event = agentevents.DirectiveReceived(
+        now_ms=now_ms, address=address, directive=directive
+    )
     return agent.reduce(state, event)
 
 
 def ready_state(now_ms=0):
     """Return a state whose first heartbeat, sent at `now_ms`, was confirmed."""
     state = new_state()
-    agent.reduce(state, agent.Tick(now_ms=now_ms))
+    agent.reduce(state, agentevents.Tick(now_ms=now_ms))
     reply(state, now_ms, 1)
     return state
 
@@ -41,7 +43,7 @@
         service="shop", incarnation="u1-1", deadline_ms=deadline_ms, **fields
     )
     return agent.reduce(
-        state, agent.RequestArrived(now_ms=now_ms, request=number, head=head)
+        state, agentevents.RequestArrived(now_ms=now_ms, request=number, head=head)
     )
 
 
@@ -69,11 +71,11 @@
         event = kind(now_ms=self.now_ms, **fields)
         self.reduced_ms = self.now_ms
         for effect in agent.reduce(self.state, event):
-            if isinstance(effect, agent.SendHeartbeat):
+            if isinstance(effect, agentevents.SendHeartbeat):
                 self.sent.append((self.now_ms, effect.heartbeat.sequence))
-            elif isinstance(effect, (taskhost.Start, taskhost.Stop)):
+            elif isinstance(effect, (hostedtask.Start, hostedtask.Stop)):
                 self.calls.append(effect)
-            elif isinstance(effect, taskhost.Checkpoint):
+            elif isinstance(effect, hostedtask.Checkpoint):
                 self.calls.append(effect)
 
     def step(self, name, number, pick):
@@ -95,7 +97,7 @@
 
     def wait(self, number, pick):
         self.now_ms += number * 97
-        self.reduce(agent.Tick)
+        self.reduce(agentevents.Tick)
 
     def freeze(self, number, pick):
         self.now_ms += number * 997
@@ -126,18 +128,18 @@
             lease_ms=LEASE_MS,
             tasks=list(self.orders.values()),
         )
-        self.reduce(agent.DirectiveReceived, address="s1", directive=directive)
+        self.reduce(agentevents.DirectiveReceived, address="s1", directive=directive)
 
     def push(self, number, pick):
         directive = messages.Directive(confirmed=True, tasks=list(self.orders.values()))
-        self.reduce(agent.DirectiveReceived, address="s1", directive=directive)
+        self.reduce(agentevents.DirectiveReceived, address="s1", directive=directive)
 
     def call(self, number, pick):
         """Carry out one waiting call; a number above 8 loses its answer."""
         if not self.calls:
             return
         call = self.calls.pop(pick % len(self.calls))
-        if isinstance(call, taskhost.Start):
+        if isinstance(call, hostedtask.Start):
             key = (call.order.task, call.order.epoch)
             if self.now_ms >= call.lease_until_ms or key in self.stopped:
                 return
@@ -145,17 +147,17 @@
                 self.started.add(key)
                 self.cores_by_key[key] = call.order.cores
                 self.running[key] = call.lease_until_ms
-            event, fields = agent.StartAnswered, {"is_taken": True, "reason": ""}
+            event, fields = agentevents.StartAnswered, {"is_taken": True, "reason": ""}
         else:
             key = (call.task, call.epoch)
-            if isinstance(call, taskhost.Stop):
+            if isinstance(call, hostedtask.Stop):
                 self.running.pop(key, None)
                 self.stopped.add(key)
-                event, fields = agent.StopAnswered, {"phase": "stopped"}
+                event, fields = agentevents.StopAnswered, {"phase": "stopped"}
             else:
-                event, fields = agent.CheckpointAnswered, {"checkpoint": "c"}
+                event, fields = agentevents.CheckpointAnswered, {"checkpoint": "c"}
         if number > 8:
-            event, fields = agent.WorkerCallFailed, {}
+            event, fields = agentevents.WorkerCallFailed, {}
         self.reduce(event, task=key[0], epoch=key[1], **fields)
 
     def look(self, number, pick):
@@ -163,7 +165,7 @@
             worker.TaskStatus(task=task, epoch=epoch, phase="running")
             for task, epoch in self.running
         ]
-        self.reduce(agent.WorkerSeen, asked_ms=self.now_ms, statuses=statuses)
+        self.reduce(agentevents.WorkerSeen, asked_ms=self.now_ms, statuses=statuses)
 
 
 STEPS = st.tuples(
@@ -244,7 +246,7 @@
         if verdict != "not-run":
             self.ran.add(self.open[request])
         self.finish(request)
-        event = agent.RequestEnded(
+        event = agentevents.RequestEnded(
             now_ms=self.now_ms, request=request, verdict=verdict, body=b"x"
         )
         self.take(agent.reduce(self.state, event))
@@ -255,15 +257,15 @@
         message = messages.KeyQuery(
             tenant=tenant, key=name, claim_index=index, fence=number % 2 == 0
         )
-        event = agent.KeyQueried(now_ms=self.now_ms, query=1, message=message)
+        event = agentevents.KeyQueried(now_ms=self.now_ms, query=1, message=message)
         self.take(agent.reduce(self.state, event))
 
     def wait(self, pick, number):
         self.now_ms += number * 60
-        self.take(agent.reduce(self.state, agent.Tick(now_ms=self.now_ms)))
+        self.take(agent.reduce(self.state, agentevents.Tick(now_ms=self.now_ms)))
 
     def gone(self, pick, number):
-        event = agent.RequestGone(now_ms=self.now_ms, request=1 + pick)
+        event = agentevents.RequestGone(now_ms=self.now_ms, request=1 + pick)
         self.take(agent.reduce(self.state, event))
 
 
@@ -285,8 +287,8 @@
         getattr(world, name)(pick, number)
     while world.in_flight:
         world.end(0, 2)
-    agent.reduce(world.state, agent.Tick(now_ms=world.now_ms + 10_000))
-    late = agent.reduce(world.state, agent.Tick(now_ms=world.now_ms + 10_001))
+    agent.reduce(world.state, agentevents.Tick(now_ms=world.now_ms + 10_000))
+    late = agent.reduce(world.state, agentevents.Tick(now_ms=world.now_ms + 10_001))
     world.take(late)
     assert not world.state.requests.by_request
     assert not world.state.admission.waiting
@@ -306,10 +308,10 @@
 def test_configuration_never_reverts():
     """Guards against a late directive of an old leader."""
     state = ready_state()
-    agent.reduce(state, agent.Tick(now_ms=1000))
+    agent.reduce(state, agentevents.Tick(now_ms=1000))
     limits = b'{"services": {"shop": {"concurrency": 1, "queue": 0}}}'
     reply(state, 1001, 2, config_version=7, config=limits)
-    agent.reduce(state, agent.Tick(now_ms=2000))
+    agent.reduce(state, agentevents.Tick(now_ms=2000))
     reply(state, 2001, 3, config_version=6, config=b"{}")
     assert state.config_version == 7
     arrive(state, 1, now_ms=2002)
@@ -322,86 +324,96 @@
     state = ready_state()
     for number in (1, 2):
         arrive(state, number)
-    ended = agent.RequestEnded(now_ms=0, request=1, verdict="ran", duration_ms=400.0)
+    ended = agentevents.RequestEnded(
+        now_ms=0, request=1, verdict="ran", duration_ms=400.0
+    )
     agent.reduce(state, ended)
     arrive(state, 3)
     assert arrive(state, 4, deadline_ms=900) == []
     assert of(requesttable.RefuseRequest, arrive(state, 5, deadline_ms=300))
-    effects = agent.reduce(state, agent.Tick(now_ms=501))
+    effects = agent.reduce(state, agentevents.Tick(now_ms=501))
     assert [e.request for e in of(requesttable.RefuseRequest, effects)] == [4]
 
 
 def test_a_task_is_not_stopped_by_a_table_older_than_its_start():
     """Guards against a reply that crosses a push with a new task."""
     state = ready_state()
-    sent = of(agent.SendHeartbeat, agent.reduce(state, agent.Tick(now_ms=1000)))
+    sent = of(
+        agentevents.SendHeartbeat, agent.reduce(state, agentevents.Tick(now_ms=1000))
+    )
     push = messages.Directive(confirmed=True, tasks=[order("a")])
-    event = agent.DirectiveReceived(now_ms=1010, address="s1", directive=push)
-    assert of(taskhost.Start, agent.reduce(state, event))
+    event = agentevents.DirectiveReceived(now_ms=1010, address="s1", directive=push)
+    assert of(hostedtask.Start, agent.reduce(state, event))
     effects = reply(state, 1020, sent[0].heartbeat.sequence)
-    assert not of(taskhost.Stop, effects)
+    assert not of(hostedtask.Stop, effects)
 
 
 def test_an_ended_epoch_never_starts_again():
     """Guards against a late push of a deposed leader."""
     state = ready_state()
-    agent.reduce(state, agent.Tick(now_ms=1000))
+    agent.reduce(state, agentevents.Tick(now_ms=1000))
     reply(state, 1001, 2, [order("a", epoch=3)])
     for kind, fields in (
-        (agent.StartAnswered, {"is_taken": True, "reason": ""}),
-        (agent.StopAnswered, {"phase": "finished"}),
+        (agentevents.StartAnswered, {"is_taken": True, "reason": ""}),
+        (agentevents.StopAnswered, {"phase": "finished"}),
     ):
         agent.reduce(state, kind(now_ms=1002, task="a", epoch=3, **fields))
-    agent.reduce(state, agent.Tick(now_ms=2100))
+    agent.reduce(state, agentevents.Tick(now_ms=2100))
     reply(state, 2101, state.sequence)
     assert not state.host.by_task
-    agent.reduce(state, agent.Tick(now_ms=3200))
+    agent.reduce(state, agentevents.Tick(now_ms=3200))
     effects = reply(state, 3201, state.sequence, [order("a", epoch=3)])
-    assert not of(taskhost.Start, effects)
+    assert not of(hostedtask.Start, effects)
 
 
 def test_nothing_is_announced_while_an_earlier_agents_tasks_run():
     """Guards against a restart that lets the leader place a running task again."""
     state = new_state(has_worker=True)
-    effects = agent.reduce(state, agent.Tick(now_ms=10))
-    assert of(agent.AskTasks, effects) and not of(agent.SendHeartbeat, effects)
+    effects = agent.reduce(state, agentevents.Tick(now_ms=10))
+    assert of(agentevents.AskTasks, effects) and not of(
+        agentevents.SendHeartbeat, effects
+    )
     left = [worker.TaskStatus(task="a", epoch=1, phase="running")]
-    seen = agent.WorkerSeen(now_ms=20, asked_ms=10, statuses=left)
+    seen = agentevents.WorkerSeen(now_ms=20, asked_ms=10, statuses=left)
     effects = agent.reduce(state, seen)
-    assert of(taskhost.Stop, effects) and not of(agent.SendHeartbeat, effects)
-    seen = agent.WorkerSeen(now_ms=40, asked_ms=30, statuses=[])
-    assert of(agent.SendHeartbeat, agent.reduce(state, seen))
+    assert of(hostedtask.Stop, effects) and not of(agentevents.SendHeartbeat, effects)
+    seen = agentevents.WorkerSeen(now_ms=40, asked_ms=30, statuses=[])
+    assert of(agentevents.SendHeartbeat, agent.reduce(state, seen))
 
 
 def test_older_replies_and_pushes_of_others_are_ignored():
     """Guards against a table that was overtaken by a newer one."""
     state = ready_state()
-    agent.reduce(state, agent.Tick(now_ms=1000))
-    agent.reduce(state, agent.Tick(now_ms=2000))
+    agent.reduce(state, agentevents.Tick(now_ms=1000))
+    agent.reduce(state, agentevents.Tick(now_ms=2000))
     reply(state, 2001, 3)
-    assert not of(taskhost.Start, reply(state, 2002, 2, [order("a")]))
-    assert not of(taskhost.Start, reply(state, 2003, 0, [order("a")], address="s2"))
-    assert of(taskhost.Start, reply(state, 2004, 0, [order("a")]))
+    assert not of(hostedtask.Start, reply(state, 2002, 2, [order("a")]))
+    assert not of(hostedtask.Start, reply(state, 2003, 0, [order("a")], address="s2"))
+    assert of(hostedtask.Start, reply(state, 2004, 0, [order("a")]))
 
 
 def test_another_incarnation_neither_runs_nor_answers_for_a_key():
     """Guards against a restarted agent that takes unknown keys for not-run."""
     state = ready_state()
     head = messages.RequestHead(incarnation="u1-0", deadline_ms=1000)
-    event = agent.RequestArrived(now_ms=0, request=1, head=head)
+    event = agentevents.RequestArrived(now_ms=0, request=1, head=head)
     assert of(requesttable.RefuseRequest, agent.reduce(state, event))
     query = messages.KeyQuery(key="a", claim_index=1, fence=True, incarnation="u1-0")
-    effects = agent.reduce(state, agent.KeyQueried(now_ms=0, query=1, message=query))
+    effects = agent.reduce(
+        state, agentevents.KeyQueried(now_ms=0, query=1, message=query)
+    )
     assert effects[0].reply.state == "cut"
 
 
 def test_heartbeats_follow_the_leader():
     """Guards against an agent that stays with a follower or a dead leader."""
     state = new_state()
-    first = of(agent.SendHeartbeat, agent.reduce(state, agent.Tick(now_ms=0)))
+    first = of(
+        agentevents.SendHeartbeat, agent.reduce(state, agentevents.Tick(now_ms=0))
+    )
     assert first[0].address == "s1"
     effects = reply(state, 60, 1, confirmed=False, leader="s9")
-    assert [e.address for e in of(agent.SendHeartbeat, effects)] == ["s9"]
-    failed = agent.HeartbeatFailed(now_ms=200, address="s9", sequence=2)
+    assert [e.address for e in of(agentevents.SendHeartbeat, effects)] == ["s9"]
+    failed = agentevents.HeartbeatFailed(now_ms=200, address="s9", sequence=2)
     effects = agent.reduce(state, failed)
-    assert [e.address for e in of(agent.SendHeartbeat, effects)] == ["s1"]
+    assert [e.address for e in of(agentevents.SendHeartbeat, effects)] == ["s1"]
--- a/tests/test_agentapp.py
+++ b/tests/test_agentapp.py
@@ -250,3 +250,67 @@
             assert counts[0].value == 1
 
     asyncio.run(run())
+
+
+def test_evicted_task_resumes_from_its_checkpoint(tmp_path):
+    """Guards against a resume that loses or repeats the work done."""
+
+    async def run():
+        async with agentkit.Bench(tmp_path) as bench:
+            leader = bench.leader
+            leader.orders = [agentkit.order("t1", run_s=1.5, throttle=0.5)]
+            await agentkit.until(lambda: leader.phase("t1") == "running", "the task")
+            await agentkit.until(
+                lambda: leader.report("t1").progress > 0.2, "some progress"
+            )
+            leader.orders = [agentkit.order("t1", run_s=1.5, action="evict")]
+            leader.push()
+            await agentkit.until(lambda: leader.phase("t1") == "stopped", "the stop")
+            saved = leader.report("t1").checkpoint
+            leader.orders = [agentkit.order("t1", epoch=2, run_s=1.5, checkpoint=saved)]
+            leader.push()
+            await agentkit.until(lambda: leader.phase("t1") == "finished", "the end")
+            starts = bench.recorded("start", task="t1")
+            assert [s["epoch"] for s in starts] == [1, 2]
+            assert starts[1]["checkpoint"] == saved
+            assert json.loads(saved)["progress"] > 0.2
+
+    asyncio.run(run())
+
+
+def test_slow_entry_holds_the_response_back(tmp_path):
+    """Guards against unbounded buffers: without credit only the window is sent."""
+
+    async def run():
+        async with agentkit.Bench(tmp_path) as bench:
+            head = bench.head("/shop/x?size=3000000")
+            exchange = bench.dialer.link.open_exchange(head)
+            assert isinstance(await exchange.receive(5), messages.ResponseHead)
+            size = 0
+            with pytest.raises(TimeoutError):
+                while True:
+                    size += len((await exchange.receive(0.5)).data)
+            assert 192 * 1024 < size <= 256 * 1024
+            exchange.send(messages.Credit(size=3_000_000))
+            while True:
+                message = await exchange.receive(5)
+                if isinstance(message, messages.BodyEnd):
+                    break
+                size += len(message.data)
+            assert size == message.length == 3_000_000
+
+    asyncio.run(run())
+
+
+def test_deadline_is_answered_in_time(tmp_path):
+    """Guards against a caller that waits for an upstream beyond its deadline."""
+
+    async def run():
+        async with agentkit.Bench(tmp_path) as bench:
+            started = asyncio.get_running_loop().time()
+            head = bench.head("/shop/x?delay_ms=5000", deadline_ms=300)
+            final, _head, _data = await bench.ask(head)
+            assert final.verdict == "may-have-run"
+            assert asyncio.get_running_loop().time() - started < 2.5
+
+    asyncio.run(run())
