--- a/sardinegauge/history.py
+++ b/sardinegauge/history.py
@@ -59,6 +59,24 @@
     _defaults = {"status": 0, "response": "", "is_complete": True}
 
 
+class RequestInterrupted(HistoryRecord):
+    """The connection to an entry closed before a whole answer had arrived."""
+
+    __slots__ = ("request", "process", "sent_ms")
+
+
+class PlannedStop(HistoryRecord):
+    """A process was asked to stop at `at_ms` and ended by itself at `ended_ms`."""
+
+    __slots__ = ("process", "ended_ms")
+
+
+class StopFailed(HistoryRecord):
+    """A process that was asked to stop did not end by itself."""
+
+    __slots__ = ("process",)
+
+
 class RequestExecuted(HistoryRecord):
     """A stub upstream executes a request; `response` is the digest of its answer."""
 
--- a/sardinegauge/historychecks.py
+++ b/sardinegauge/historychecks.py
@@ -228,6 +228,18 @@
                 yield item.at_ms, 7, text + " it began to leave"
 
 
+def check_stops(history):
+    """A planned stop ends by itself and interrupts no request in flight."""
+    for item in history.by_kind["StopFailed"]:
+        yield item.at_ms, 8, f"{item.process} did not end by itself"
+    for stop in history.by_kind["PlannedStop"]:
+        for item in history.by_kind["RequestInterrupted"]:
+            is_within = stop.at_ms <= item.at_ms <= stop.ended_ms
+            if item.process == stop.process and is_within:
+                text = f"{item.request} was interrupted by the stop of {stop.process}"
+                yield item.at_ms, 8, text
+
+
 def check_configuration(history):
     """An accepted configuration is in force within seconds and never reverts."""
     accepted = [
@@ -283,6 +295,7 @@
     check_refusals,
     check_executions,
     check_leaving,
+    check_stops,
     check_configuration,
     check_operators,
 )
--- a/tests/fleet/demo.py
+++ b/tests/fleet/demo.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import re
 import sys
 import tempfile
 import time
@@ -120,10 +119,7 @@
     versions = {}
     for name in fleet.entry_names + fleet.agent_names:
         page = await fleet.fetch(name, "/-/metrics", request_timeout=2.0)
-        found = re.search(
-            rb"^sardinegauge_configuration_version (\S+)", page.body or b"", re.M
-        )
-        versions[name] = int(float(found.group(1))) if found else None
+        versions[name] = fleets.configuration_version(page.body or b"")
     return versions
 
 
--- a/tests/fleet/fleet.py
+++ b/tests/fleet/fleet.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import re
 import shutil
 import signal
 import sys
@@ -266,6 +267,12 @@
         return httpclient.HTTPResponse(request, 599, error=error)
 
 
+def configuration_version(page):
+    """Return the configuration version that a metrics page shows, or None."""
+    found = re.search(rb"^sardinegauge_configuration_version (\S+)", page, re.M)
+    return int(float(found.group(1))) if found else None
+
+
 async def wait_for(condition, limit_s, what):
     """Wait until an async condition holds."""
     end = asyncio.get_running_loop().time() + limit_s
--- a/tests/fleet/relay.py
+++ b/tests/fleet/relay.py
@@ -23,6 +23,10 @@
         """Drop what `source` sends to `target`; ``"*"`` stands for any process."""
         self._pairs.add((source, target))
 
+    def mend(self, source, target):
+        """End one cut."""
+        self._pairs.discard((source, target))
+
     def heal(self):
         """Let everything through again."""
         self._pairs.clear()
--- a/tests/fleet/upstream.py
+++ b/tests/fleet/upstream.py
@@ -36,6 +36,8 @@
         self.file = open(path, "a", buffering=1) if path else None
         self.name = name
         self.count_by_order = {}
+        self.executions = 0
+        self.started_ms = boot_ms()
 
     def write(self, event, **fields):
         if self.file is not None:
@@ -43,8 +45,12 @@
             self.file.write(json.dumps(fields) + "\n")
 
     def order(self, order, request_id):
+        """Record an execution and return its id, unique among all upstreams."""
         self.count_by_order[order] = self.count_by_order.get(order, 0) + 1
-        self.write("order", order=order, request_id=request_id)
+        self.executions += 1
+        execution = f"{self.name}-{self.started_ms}-{self.executions}"
+        self.write("order", order=order, request_id=request_id, execution=execution)
+        return execution
 
 
 class UpstreamHandler(web.RequestHandler):
@@ -56,7 +62,8 @@
         request_id = self.request.headers.get("Sardinegauge-Request-Id", "")
         order = self.get_query_argument("order", "")
         if order:
-            self.application.recorder.order(order, request_id)
+            execution = self.application.recorder.order(order, request_id)
+            self.set_header("Stub-Execution", execution)
         delay_ms = float(self.get_query_argument("delay_ms", "0"))
         if delay_ms:
             await asyncio.sleep(delay_ms / 1000)
@@ -245,6 +252,8 @@
                 task=task.task,
                 epoch=task.epoch,
                 checkpoint=body.get("checkpoint", ""),
+                cores=body.get("cores", 0),
+                memory_mb=body.get("memory_mb", 0),
             )
             self.finish({"phase": "running"})
 
@@ -280,6 +289,7 @@
     parser.add_argument("--name", default="")
     options = parser.parse_args()
     recorder = Recorder(options.events, options.name)
+    recorder.write("boot")
     upstream = web.Application(
         [(r"/-/orders", OrdersHandler), (r"/.*", UpstreamHandler)]
     )
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -19,6 +19,7 @@
     "false_not_run": 5,
     "duplicated_order": 6,
     "late_work_for_leaving": 7,
+    "interrupted_by_stop": 8,
     "stale_read": 9,
     "configuration_reverted": 9,
     "configuration_late": 9,
