--- a/sardinegauge/link.py
+++ b/sardinegauge/link.py
@@ -161,13 +161,15 @@
             self.close()
 
     async def _read_frame(self):
-        head = await asyncio.wait_for(
-            self.stream.read_bytes(_LENGTH.size), SILENCE_LIMIT_S
-        )
+        # asyncio.wait_for of Python 3.11 swallows a cancellation that meets the end of
+        # the stream, and a stopped dialer would connect again.
+        async with asyncio.timeout(SILENCE_LIMIT_S):
+            head = await self.stream.read_bytes(_LENGTH.size)
         (length,) = _LENGTH.unpack(head)
         if length > MAX_FRAME_BYTES:
             raise errors.WireError(f"frame of {length} bytes is over the limit")
-        data = await asyncio.wait_for(self.stream.read_bytes(length), SILENCE_LIMIT_S)
+        async with asyncio.timeout(SILENCE_LIMIT_S):
+            data = await self.stream.read_bytes(length)
         self.bytes_received += _LENGTH.size + length
         return codec.decode(data)
 
--- a/sardinegauge/replica.py
+++ b/sardinegauge/replica.py
@@ -109,7 +109,6 @@
         self.scheduler = None
         self.now_ms = now_ms
         self.wall_ms = 0
-        self.snapshot_entries = SNAPSHOT_ENTRIES
         self.gained_term = 0
         self.is_stopping = False
         self.proposals_by_index = {}
@@ -265,7 +264,7 @@
 
 
 def _take_snapshot(state):
-    if state.applied_index - state.raft.snapshot.index < state.snapshot_entries:
+    if state.applied_index - state.raft.snapshot.index < SNAPSHOT_ENTRIES:
         return
     plain = state.parts.machine.to_snapshot(state.machine)
     data = json.dumps(plain, separators=(",", ":")).encode()
--- a/sardinegauge/stateapp.py
+++ b/sardinegauge/stateapp.py
@@ -32,6 +32,9 @@
 # A member without a leader for this long asks whether it still is a member.
 LEADERLESS_MS = 3000
 HANDOVER_POLL_S = 0.02
+# Entries poll every 500 ms and agents every 1 s; until then they may still ask here
+# and must be told the new leader, since a closed link leaves their request in doubt.
+LINGER_S = 1.2
 
 KNOWN_SETTINGS = [
     settings.Setting(name="name", kind="text"),
@@ -164,11 +167,16 @@
 
     async def on_drain(self):
         """Hand the leadership over, so that no election timeout passes."""
+        was_leader = self.state.raft.role == raftstate.LEADER
         while self.state.raft.role == raftstate.LEADER:
             self._feed(replica.StopAsked(now_ms=clock.monotonic_ms()))
             if len(self.state.raft.members) < 2:
                 break
             await asyncio.sleep(HANDOVER_POLL_S)
+        if was_leader:
+            await asyncio.sleep(LINGER_S)
+        while self._exchanges_by_token:
+            await asyncio.sleep(HANDOVER_POLL_S)
 
     async def on_stop(self):
         """Close links, finish the writes and close the files."""
--- a/tests/statefleet.py
+++ b/tests/statefleet.py
@@ -183,6 +183,7 @@
         self.path = str(path)
         self.address_by_name = dict(zip(names, free_addresses(len(names))))
         self.apps = {}
+        self.metrics_by_name = {}
         self.client = stateclient.StateClient(
             list(self.address_by_name.values()),
             messages.Hello(role="entry", name="test"),
@@ -195,6 +196,11 @@
                 "listen": self.address_by_name[name],
                 "data_dir": self.folder(name),
                 "peers": list(self.address_by_name.values()),
+                **(
+                    {"metrics_listen": self.metrics_by_name[name]}
+                    if name in self.metrics_by_name
+                    else {}
+                ),
             },
             stateapp.KNOWN_SETTINGS,
             "test",
--- /dev/null
+++ b/tests/test_replica.py
@@ -0,0 +1,134 @@
+"""Guards the leases that a leader grants, with events in virtual time."""
+
+from sardinegauge import (
+    commands,
+    membership,
+    messages,
+    raft,
+    raftlog,
+    raftstate,
+    replica,
+    storage,
+)
+from tests import statefleet
+
+
+class Group:
+    """A group of one replica, whose writes become durable when asked."""
+
+    def __init__(self):
+        member = membership.Member(identity="a", name="a", address="127.0.0.1:1")
+        body = membership.dumps({"a": member})
+        entry = messages.LogEntry(index=1, term=1, kind="members", body=body)
+        stored = storage.Stored(term=1, log=raftlog.Log(entries=[entry]))
+        self.state = replica.State(
+            "a", member.address, stored, statefleet.parts(), now_ms=0
+        )
+        self.now_ms = 5000
+        self.sequence = 0
+        self.token = 0
+        self.replies = {}
+        self.pushes = []
+
+    def feed(self, event):
+        for effect in replica.reduce(self.state, event):
+            if isinstance(effect, raftstate.Persist):
+                self.sequence = effect.sequence
+            elif isinstance(effect, replica.Reply):
+                self.replies[effect.token] = effect.message
+            elif isinstance(effect, replica.Push):
+                self.pushes.append(effect.message)
+
+    def sync(self):
+        """Make writes durable until none is left."""
+        done = -1
+        while done != self.sequence:
+            done = self.sequence
+            self.feed(raft.Persisted(now_ms=self.now_ms, sequence=done))
+
+    def lead(self):
+        self.feed(raft.Tick(now_ms=self.now_ms, jitter=0.0))
+        self.sync()
+        assert self.state.is_leading
+
+    def ask(self, message):
+        self.token += 1
+        self.feed(
+            replica.Asked(
+                now_ms=self.now_ms, wall_ms=9, token=self.token, message=message
+            )
+        )
+        return self.token
+
+    def heartbeat(self, incarnation="i1", sequence=1):
+        return self.ask(
+            messages.Heartbeat(upstream="u", incarnation=incarnation, sequence=sequence)
+        )
+
+    def propose(self, command):
+        """Let the scheduler propose a command."""
+        self.state.scheduler.proposals.append(command)
+        self.feed(replica.SchedulerTick(now_ms=self.now_ms, wall_ms=9))
+
+
+def test_no_lease_is_renewed_while_the_loss_of_its_worker_is_logged():
+    group = Group()
+    group.lead()
+    assert group.replies[group.heartbeat()].lease_ms == 10_000
+    group.propose(commands.WorkerLost(upstream="u", incarnation="i1"))
+    token = group.heartbeat(sequence=2)
+    assert token not in group.replies
+    group.now_ms += 1000
+    group.feed(replica.SchedulerTick(now_ms=group.now_ms, wall_ms=9))
+    assert (group.replies[token].confirmed, group.replies[token].lease_ms) == (False, 0)
+    group.sync()
+    assert group.replies[group.heartbeat(sequence=3)].lease_ms == 10_000
+
+
+def test_heartbeat_before_the_first_entry_of_the_term_renews_nothing():
+    group = Group()
+    group.feed(raft.Tick(now_ms=group.now_ms, jitter=0.0))
+    assert not group.replies[group.heartbeat()].confirmed
+
+
+def test_table_of_another_incarnation_is_never_sent():
+    group = Group()
+    group.lead()
+    group.heartbeat(incarnation="old")
+    group.heartbeat(incarnation="new")
+    scheduler = group.state.scheduler
+    scheduler.incarnations["u"] = "old"
+    group.pushes.clear()
+    group.propose(commands.ExpireClaims(before_ms=0))
+    group.sync()
+    assert group.pushes == []
+
+
+def test_open_heartbeat_gets_an_answer_when_a_newer_one_arrives():
+    group = Group()
+    group.lead()
+    group.propose(commands.WorkerLost(upstream="u", incarnation="i1"))
+    first = group.heartbeat(sequence=1)
+    group.heartbeat(sequence=2)
+    assert not group.replies[first].confirmed
+    assert group.replies[first].sequence == 1
+
+
+def test_commands_are_stamped_with_the_leaders_wall_clock():
+    group = Group()
+    group.lead()
+    group.ask(messages.Propose(command=b'{"kind":"ExpireClaims","before_ms":1}'))
+    body = group.state.raft.log.entries[-1].body
+    assert commands.REGISTRY.loads(body).at_ms == 9
+
+
+def test_waiting_commands_are_in_doubt_after_the_leadership_is_lost():
+    group = Group()
+    group.lead()
+    body = b'{"kind":"ExpireClaims","before_ms":1}'
+    token = group.ask(messages.Propose(command=body))
+    request = messages.VoteRequest(term=9, candidate="b", last_index=9, last_term=8)
+    group.feed(raft.Received(now_ms=group.now_ms, message=request))
+    assert group.replies[token].verdict == "may-have-run"
+    late = group.ask(messages.Propose(command=body))
+    assert group.replies[late].verdict == "not-run"
