--- /dev/null
+++ b/tests/stateprocess.py
@@ -0,0 +1,8 @@
+"""One replica as a process with the small machine of `statefleet`."""
+
+from sardinegauge import stateapp
+from tests import statefleet
+
+if __name__ == "__main__":
+    stateapp.default_parts = statefleet.parts
+    stateapp.main()
