--- /dev/null
+++ b/sardinegauge/agentapp.py
@@ -0,0 +1,492 @@
+"""Application of the agent: links, timers, the upstream's connections and its pages."""
+
+import argparse
+import asyncio
+import os
+import random
+import sys
+import time
+
+from tornado import netutil
+
+from sardinegauge import (
+    agent,
+    agentevents,
+    application,
+    background,
+    clock,
+    errors,
+    forwarding,
+    hostedtask,
+    httpcall,
+    link,
+    messages,
+    pages,
+    plainlogs,
+    plainmetrics,
+    requesttable,
+    settings,
+    worker,
+    workercalls,
+)
+
+# Each wake-up costs about 0.1 ms; leases and retries need no finer step.
+TICK_S = 0.25
+HEARTBEAT_TIMEOUT_S = agent.HEARTBEAT_TIMEOUT_MS / 1000
+CHANGE_GAP_S = agent.CHANGE_GAP_MS / 1000
+PROBE_INTERVAL_S = 1.0
+# After a refused connection, until the upstream counts as leaving.
+QUICK_PROBE_S = 0.25
+# Section 9: an upstream that refuses connections for this long is leaving.
+UNREACHABLE_LIMIT_MS = 1000
+# Share of the drain limit after which the agent evicts without orders.
+OWN_EVICTION_SHARE = 0.6
+MAX_DIALERS = 16
+
+KNOWN_SETTINGS = [
+    settings.Setting(name="name", kind="text"),
+    settings.Setting(name="listen", kind="address"),
+    settings.Setting(name="advertise", kind="address", default=""),
+    settings.Setting(name="metrics_listen", kind="address", default=""),
+    settings.Setting(name="failure_domain", kind="text", default=""),
+    settings.Setting(name="rack", kind="text", default=""),
+    settings.Setting(
+        name="log_level",
+        kind="text",
+        default="info",
+        choices=("debug", "info", "warning", "error"),
+    ),
+    settings.Setting(name="drain_limit_s", kind="number", default=30.0, minimum=0),
+    settings.Setting(name="state", kind="addresses"),
+    settings.Setting(name="upstream", kind="address"),
+    settings.Setting(name="worker", kind="address", default=""),
+    settings.Setting(name="services", kind="texts", default=[]),
+    settings.Setting(name="cores", kind="number", default=0, minimum=0),
+    settings.Setting(name="memory_mb", kind="integer", default=0, minimum=0),
+    settings.Setting(name="accelerators", kind="integer", default=0, minimum=0),
+    settings.Setting(name="task_slots", kind="integer", default=8, minimum=0),
+    settings.Setting(name="connections", kind="integer", default=64, minimum=1),
+    settings.Setting(name="queue", kind="integer", default=32, minimum=0, maximum=1024),
+    settings.Setting(name="leaving", kind="flag", default=False),
+]
+
+
+class AgentApplication(application.Application, link.Handler):
+    """Owns the sockets of one agent and executes its reducer's effects."""
+
+    def __init__(self, loaded, path):
+        super().__init__("agent")
+        self.settings = loaded
+        self.path = path
+        self.drain_limit_s = loaded.drain_limit_s
+        self.worker_calls = None
+        if loaded.worker:
+            self.worker_calls = workercalls.WorkerCalls(
+                worker.HttpWorker(loaded.worker), self.handle, self.log
+            )
+        self.metrics = plainmetrics.Metrics()
+        self.state = None
+        self.hello = None
+        self.server = None
+        self.pages = None
+        self.dialer_by_address = {}
+        self.forward_by_request = {}
+        self.exchange_by_query = {}
+        self.next_number = 1
+        self.unreachable_since_ms = None
+        self.was_reachable = False
+        self.is_leaving = loaded.leaving
+        self.drained = None
+        self.wake_timer = None
+        self.request_times = self.metrics.histogram(
+            "agent_request_seconds", "Time at the upstream.", ("tenant", "class")
+        )
+        self.task_times = self.metrics.histogram(
+            "agent_task_seconds", "Time from start to end.", ("tenant", "class")
+        )
+        self.refusals = self.metrics.counter(
+            "agent_refusals_total", "Requests refused.", ("reason",)
+        )
+        self.metrics.gauge(
+            "configuration_version",
+            "Configuration version in force.",
+            lambda: self.state.config_version,
+        )
+
+    # Life cycle
+
+    def make_logger(self, name):
+        """See `application.Application`."""
+        return plainlogs.get_logger(name)
+
+    async def on_start(self):
+        """Listen, start the links to the replicas and the timers."""
+        loaded = self.settings
+        incarnation = f"{loaded.name}-{random.SystemRandom().getrandbits(48):012x}"
+        address = loaded.advertise or loaded.listen
+        identity = agentevents.Identity(
+            upstream=loaded.name,
+            incarnation=incarnation,
+            address=address,
+            failure_domain=loaded.failure_domain,
+            rack=loaded.rack,
+            services=loaded.services,
+            room=messages.Room(
+                cores=float(loaded.cores),
+                memory_mb=loaded.memory_mb,
+                accelerators=loaded.accelerators,
+                tasks=loaded.task_slots if self.worker_calls else 0,
+                connections=loaded.connections,
+            ),
+        )
+        self.hello = messages.Hello(
+            role="agent",
+            name=loaded.name,
+            identity=incarnation,
+            address=address,
+            protocol=link.PROTOCOL,
+        )
+        self.state = agent.State(
+            identity,
+            loaded.state,
+            clock.monotonic_ms(),
+            self.worker_calls is not None,
+            loaded.queue,
+        )
+        self.server = link.LinkServer(self, self.hello)
+        host, port = link.split_address(loaded.listen)
+        self.server.add_sockets(netutil.bind_sockets(port, host))
+        if loaded.metrics_listen:
+            self.pages = pages.PageServer(
+                {"/-/health": self.health_page, "/-/metrics": self.metrics_page}
+            )
+            host, port = link.split_address(loaded.metrics_listen)
+            self.pages.add_sockets(netutil.bind_sockets(port, host))
+        for replica in loaded.state:
+            self.dialer(replica)
+        await self.probe()
+        self.every(TICK_S, self.tick)
+        self.prober = background.spawn(self.probe_forever())
+
+    async def on_stop(self):
+        """Close all links and connections."""
+        if self.prober is not None:
+            self.prober.cancel()
+        for dialer in self.dialer_by_address.values():
+            dialer.stop()
+        if self.server is not None:
+            self.server.close_links()
+        if self.pages is not None:
+            await self.pages.close()
+
+    # Events and effects
+
+    def handle(self, event):
+        """Reduce one event and execute the effects."""
+        for effect in agent.reduce(self.state, event):
+            self.execute(effect)
+        if self.wake_timer is None and agent.has_unsent_change(self.state):
+            loop = asyncio.get_running_loop()
+            self.wake_timer = loop.call_later(CHANGE_GAP_S, self.wake)
+
+    def wake(self):
+        """Let a change go out that came too soon after a heartbeat."""
+        self.wake_timer = None
+        self.tick(clock.monotonic_ms())
+
+    def execute(self, effect):
+        """Execute one effect; effects that wait run in the background."""
+        method = _METHODS.get(type(effect))
+        if method is not None:
+            result = method(self, effect)
+        else:
+            result = self.worker_calls.execute(effect)
+        if result is not None:
+            background.spawn(result)
+
+    def tick(self, now_ms):
+        """Let time pass in the reducer."""
+        self.handle(agentevents.Tick(now_ms=now_ms))
+
+    # Links
+
+    def dialer(self, address):
+        """Return the dialer to a replica, started at its first use."""
+        dialer = self.dialer_by_address.get(address)
+        if dialer is None:
+            dialer = link.Dialer(address, self, self.hello)
+            self.dialer_by_address[address] = dialer
+            dialer.start()
+        return dialer
+
+    def on_message(self, link, message):
+        """Take a pushed directive of a replica."""
+        if isinstance(message, messages.Directive):
+            address = self.address_of(link)
+            if address:
+                self.directive(address, message)
+
+    def address_of(self, link):
+        """Return the address that was dialled for a link, or ``""``."""
+        for address, dialer in self.dialer_by_address.items():
+            if dialer.link is link:
+                return address
+        return ""
+
+    def directive(self, address, message):
+        """Pass a directive to the reducer."""
+        self.handle(
+            agentevents.DirectiveReceived(
+                now_ms=clock.monotonic_ms(), address=address, directive=message
+            )
+        )
+
+    def on_exchange(self, exchange, message):
+        """Take a request or a key query of an entry."""
+        number = self.next_number
+        self.next_number += 1
+        now_ms = clock.monotonic_ms()
+        if isinstance(message, messages.RequestHead):
+            self.forward_by_request[number] = forwarding.Forward(
+                exchange, message, lambda: self.gone(number)
+            )
+            self.handle(
+                agentevents.RequestArrived(now_ms=now_ms, request=number, head=message)
+            )
+        elif isinstance(message, messages.KeyQuery):
+            self.exchange_by_query[number] = exchange
+            self.handle(
+                agentevents.KeyQueried(now_ms=now_ms, query=number, message=message)
+            )
+        else:
+            exchange.close()
+
+    async def send_heartbeat(self, effect):
+        """Send a heartbeat and pass on its answer."""
+        sequence = effect.heartbeat.sequence
+        try:
+            dialer = self.dialer(effect.address)
+            if not dialer.is_open:
+                raise errors.LinkClosedError("no link")
+            answer = await dialer.link.request(effect.heartbeat, HEARTBEAT_TIMEOUT_S)
+        except (errors.LinkClosedError, TimeoutError):
+            self.handle(
+                agentevents.HeartbeatFailed(
+                    now_ms=clock.monotonic_ms(),
+                    address=effect.address,
+                    sequence=sequence,
+                )
+            )
+            return
+        if isinstance(answer, messages.Directive):
+            self.directive(effect.address, answer)
+
+    # Requests
+
+    def gone(self, number):
+        """Note that a caller left."""
+        self.handle(
+            agentevents.RequestGone(now_ms=clock.monotonic_ms(), request=number)
+        )
+
+    async def forward_request(self, effect):
+        """Send an admitted request to the upstream and report its end."""
+        number = effect.request
+        forward = self.forward_by_request[number]
+        started_s = time.perf_counter()
+        verdict = forwarding.MAY_HAVE_RUN
+        try:
+            verdict = await forward.run(
+                self.settings.upstream, self.response_head, self.state.may_serve
+            )
+            self.reachable(True)
+        except httpcall.ConnectError:
+            verdict = forwarding.NOT_RUN
+            self.reachable(False)
+        finally:
+            del self.forward_by_request[number]
+            duration_s = time.perf_counter() - started_s
+            head = forward.head
+            kind = "idempotent" if head.idempotent else "non_idempotent"
+            self.request_times.observe(duration_s, head.tenant, kind)
+            self.handle(
+                agentevents.RequestEnded(
+                    now_ms=clock.monotonic_ms(),
+                    request=number,
+                    verdict=verdict,
+                    duration_ms=duration_s * 1000,
+                    status=forward.status,
+                    headers=forward.headers,
+                    body=forward.stored,
+                )
+            )
+
+    def response_head(self, status, headers):
+        """Build a response head with the present load."""
+        return messages.ResponseHead(
+            status=status,
+            headers=headers,
+            in_flight=self.in_flight(),
+            queued=len(self.state.admission.waiting),
+        )
+
+    def in_flight(self):
+        """Return the number of admitted requests."""
+        return len(self.state.admission.service_by_request)
+
+    def refuse_request(self, effect):
+        """Refuse a request."""
+        self.refusals.add(1, effect.reason)
+        self.forward_by_request.pop(effect.request).refuse(
+            effect.reason,
+            effect.retry_after_ms,
+            self.state.is_closed,
+            self.in_flight(),
+        )
+
+    def replay_request(self, effect):
+        """Answer a repeated key."""
+        forward = self.forward_by_request.pop(effect.request)
+        if effect.entry is not None:
+            forward.replay(effect.entry)
+        else:
+            forward.abort(effect.verdict, effect.reason)
+            forward.close()
+
+    def answer_key_query(self, effect):
+        """Answer a key query."""
+        exchange = self.exchange_by_query.pop(effect.query)
+        try:
+            exchange.send(effect.reply)
+        except errors.LinkClosedError:
+            pass
+        exchange.close()
+
+    # Tasks
+
+    def task_ended(self, effect):
+        """Log and count the end of a task."""
+        order = effect.order
+        self.task_times.observe(effect.ran_ms / 1000, order.tenant, order.task_class)
+        self.log.info(
+            "task_ended",
+            task=order.task,
+            epoch=order.epoch,
+            phase=effect.phase,
+            reason=effect.reason,
+        )
+
+    # Leaving
+
+    async def probe_forever(self):
+        """Probe the upstream, faster while it is becoming unreachable."""
+        while True:
+            is_doubtful = (
+                self.unreachable_since_ms is not None
+                and not self.state.is_upstream_leaving
+            )
+            await asyncio.sleep(QUICK_PROBE_S if is_doubtful else PROBE_INTERVAL_S)
+            await self.probe()
+
+    async def probe(self):
+        """Connect to the upstream once, to notice that it refuses connections."""
+        try:
+            stream = await httpcall.connect(self.settings.upstream)
+            stream.close()
+            self.reachable(True)
+        except httpcall.ConnectError:
+            self.reachable(False)
+
+    def reachable(self, is_reachable):
+        """Note the result of a connection to the upstream."""
+        now_ms = clock.monotonic_ms()
+        if is_reachable:
+            self.was_reachable = True
+            self.unreachable_since_ms = None
+        elif self.unreachable_since_ms is None:
+            # An upstream that was never reached counts as leaving at once.
+            self.unreachable_since_ms = now_ms if self.was_reachable else 0
+        self.note_leaving(now_ms)
+
+    def note_leaving(self, now_ms):
+        """Tell the reducer when the upstream begins or ends to be leaving."""
+        since_ms = self.unreachable_since_ms
+        is_leaving = self.is_leaving or (
+            since_ms is not None and now_ms - since_ms >= UNREACHABLE_LIMIT_MS
+        )
+        if is_leaving != self.state.is_upstream_leaving:
+            self.log.info("upstream_changed", leaving=is_leaving)
+            self.handle(
+                agentevents.UpstreamChanged(now_ms=now_ms, is_leaving=is_leaving)
+            )
+
+    async def on_reload(self):
+        """Read `leaving` from the settings file again; the rest needs a restart."""
+        try:
+            loaded = settings.load(self.path, KNOWN_SETTINGS)
+        except errors.SettingsError as error:
+            self.log.error("reload_failed", error=str(error))
+            return
+        self.is_leaving = loaded.leaving
+        self.note_leaving(clock.monotonic_ms())
+
+    async def on_drain(self):
+        """Refuse new work and wait until nothing is in flight."""
+        self.drained = asyncio.Event()
+        now_ms = clock.monotonic_ms()
+        wait_ms = int(self.drain_limit_s * OWN_EVICTION_SHARE * 1000)
+        self.handle(agentevents.DrainAsked(now_ms=now_ms, evict_at_ms=now_ms + wait_ms))
+        await self.drained.wait()
+
+    def note_drained(self, effect):
+        """Let the drain end."""
+        self.drained.set()
+
+    def note_configuration(self, effect):
+        """Log that a configuration is in force."""
+        self.log.info("configuration_changed", version=effect.version)
+
+    # Pages
+
+    def health_page(self):
+        """Return the health page: 200 when requests are taken, else 503."""
+        state = self.state
+        if state.is_closed:
+            return 503, "text/plain", b"leaving\n"
+        if not state.may_serve(clock.monotonic_ms()):
+            return 503, "text/plain", b"no confirmed configuration\n"
+        return 200, "text/plain", b"ok\n"
+
+    def metrics_page(self):
+        """Return the metrics page."""
+        return 200, plainmetrics.CONTENT_TYPE, self.metrics.page()
+
+
+_METHODS = {
+    agentevents.SendHeartbeat: AgentApplication.send_heartbeat,
+    requesttable.ForwardRequest: AgentApplication.forward_request,
+    requesttable.RefuseRequest: AgentApplication.refuse_request,
+    requesttable.ReplayRequest: AgentApplication.replay_request,
+    requesttable.AnswerKeyQuery: AgentApplication.answer_key_query,
+    agentevents.ConfigurationChanged: AgentApplication.note_configuration,
+    agentevents.Drained: AgentApplication.note_drained,
+    hostedtask.Ended: AgentApplication.task_ended,
+}
+
+
+def main():
+    """Run the agent with the settings file of ``--settings``."""
+    parser = argparse.ArgumentParser(prog="sardinegauge-agent")
+    parser.add_argument("--settings", required=True, metavar="FILE")
+    options = parser.parse_args()
+    try:
+        loaded = settings.load(options.settings, KNOWN_SETTINGS)
+    except errors.UserError as error:
+        print(f"sardinegauge-agent: {error}", file=sys.stderr)
+        return error.exit_status
+    plainlogs.configure(loaded.log_level)
+    return AgentApplication(loaded, os.path.abspath(options.settings)).run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/sardinegauge/entryapp.py
@@ -0,0 +1,172 @@
+"""Application of the entry: HTTP server, links to agents, state client, timers."""
+
+import argparse
+import asyncio
+
+from sardinegauge import (
+    application,
+    background,
+    clock,
+    entry,
+    entryevents,
+    entryhttp,
+    entrymetrics,
+    errors,
+    link,
+    logs,
+    messages,
+    outcome,
+    requestfront,
+    settings,
+)
+
+POLL_INTERVAL_S = 0.5
+DRAIN_CHECK_S = 0.02
+
+KNOWN_SETTINGS = [
+    settings.Setting(name="name", kind="text", default="entry"),
+    settings.Setting(name="listen", kind="address", default=""),
+    settings.Setting(name="advertise", kind="address", default=""),
+    settings.Setting(name="metrics_listen", kind="address", default=""),
+    settings.Setting(name="failure_domain", kind="text", default=""),
+    settings.Setting(
+        name="log_level",
+        kind="text",
+        default="info",
+        choices=("debug", "info", "warning", "error"),
+    ),
+    settings.Setting(
+        name="drain_limit_s", kind="number", default=30.0, minimum=0, maximum=3600
+    ),
+    settings.Setting(
+        name="drain_notice_s",
+        kind="number",
+        default=1.0,
+        minimum=0,
+        maximum=60,
+        text="time in which requests are still taken after readiness is withdrawn",
+    ),
+    settings.Setting(name="state", kind="addresses"),
+    settings.Setting(name="http_listen", kind="address"),
+    settings.Setting(name="operator_tokens", kind="table", default={}),
+    settings.Setting(
+        name="max_concurrent", kind="integer", default=1000, minimum=1, maximum=100_000
+    ),
+    settings.Setting(
+        name="max_concurrent_per_tenant",
+        kind="integer",
+        default=400,
+        minimum=1,
+        maximum=100_000,
+    ),
+    settings.Setting(
+        name="retry_budget", kind="number", default=0.1, minimum=0, maximum=1
+    ),
+]
+
+
+class EntryApplication(application.Application):
+    """The entry process.
+
+    Parameters
+    ----------
+    config : settings.Settings
+        Checked settings, see `KNOWN_SETTINGS`.
+    state_client : stateclient.StateClient
+        Carries polls, proposals and queries; started and stopped by the application.
+    """
+
+    def __init__(self, config, state_client):
+        super().__init__(config.name)
+        self.config = config
+        self.drain_limit_s = config.drain_limit_s
+        self.metrics = entrymetrics.EntryMetrics()
+        self.state = entry.State(
+            config.max_concurrent, config.max_concurrent_per_tenant, config.retry_budget
+        )
+        self.client = state_client
+        self.requests = requestfront.RequestFront(
+            self.state, state_client, _hello(config), self.metrics, self.log
+        )
+        self.front = None
+        self.server = None
+        self.metrics_server = None
+
+    # Life cycle
+
+    async def on_start(self):
+        """Open the HTTP servers and begin to poll."""
+        self.client.start()
+        tokens = self.config.operator_tokens
+        reserved = entryhttp.reserved_routes(self, self.client, tokens)
+        self.front = entryhttp.Front(self, reserved)
+        self.server = entryhttp.serve(self.front, self.config.http_listen)
+        if self.config.metrics_listen:
+            self.metrics_server = entryhttp.serve(reserved, self.config.metrics_listen)
+        self.every(POLL_INTERVAL_S, self._poll_due)
+        background.spawn(self._poll())
+
+    async def on_drain(self):
+        """Withdraw readiness, then refuse new requests and finish those in flight."""
+        self.requests.is_draining = True
+        await asyncio.sleep(self.config.drain_notice_s)
+        self.requests.handle(entryevents.DrainBegan(now_ms=clock.monotonic_ms()))
+        self.server.stop()
+        while self.requests.is_busy or self.front.is_flushing:
+            await asyncio.sleep(DRAIN_CHECK_S)
+
+    async def on_stop(self):
+        """Close servers, links and the state client."""
+        for server in (self.server, self.metrics_server):
+            if server is not None:
+                server.stop()
+                await server.close_all_connections()
+        self.requests.stop()
+        self.client.stop()
+
+    def is_ready(self):
+        """Tell whether the load balancer may send requests here."""
+        if self.requests.is_draining:
+            return False
+        return self.state.is_ready(clock.monotonic_ms())
+
+    def _poll_due(self, now_ms):
+        self.requests.check_stalled()
+        background.spawn(self._poll())
+
+    async def _poll(self):
+        sent_ms = clock.monotonic_ms()
+        answer = await self.client.poll(
+            self.state.config_version, self.state.upstreams.version
+        )
+        if isinstance(answer, outcome.Answered):
+            self.requests.handle(
+                entryevents.PollAnswered(
+                    now_ms=clock.monotonic_ms(), sent_ms=sent_ms, reply=answer.value
+                )
+            )
+
+
+def _hello(config):
+    return messages.Hello(role="entry", name=config.name, protocol=link.PROTOCOL)
+
+
+def main():
+    """Run the entry process with ``--settings FILE``."""
+    # The module is on another branch until the branches are merged.
+    from sardinegauge import stateclient
+
+    parser = argparse.ArgumentParser(prog="sardinegauge-entry")
+    parser.add_argument("--settings", required=True, metavar="FILE")
+    arguments = parser.parse_args()
+    try:
+        config = settings.load(arguments.settings, KNOWN_SETTINGS)
+    except errors.SettingsError as error:
+        parser.exit(error.exit_status, f"sardinegauge-entry: {error}\n")
+    logs.configure(config.log_level)
+    client = stateclient.StateClient(config.state, _hello(config))
+    raise SystemExit(EntryApplication(config, client).run())
+
+
+if __name__ == "__main__":
+    main()
--- a/sardinegauge/link.py
+++ b/sardinegauge/link.py
@@ -6,11 +6,14 @@
 
 import abc
 import asyncio
+import contextlib
 import logging
 import random
+import socket
 import struct
+import time
 
-from tornado import iostream, tcpclient, tcpserver
+from tornado import iostream, tcpserver
 
 from sardinegauge import background, codec, errors, messages
 
@@ -90,7 +93,10 @@
             If nothing arrives within `timeout_s` seconds.
         """
         if self._queue.empty():
-            message = await asyncio.wait_for(self._queue.get(), timeout_s)
+            # asyncio.wait_for of Python 3.11 swallows a cancellation that meets a
+            # message, and the cancelled exchange would go on.
+            async with asyncio.timeout(timeout_s):
+                message = await self._queue.get()
         else:
             message = self._queue.get_nowait()
         if message is None:
@@ -123,6 +129,7 @@
         self._outbound_by_correlation = {}
         self._inbound_by_correlation = {}
         self._is_open = False
+        self._heard_at_s = time.monotonic()
 
     @property
     def peer_name(self):
@@ -136,13 +143,19 @@
         """Tell whether messages can be sent."""
         return self._is_open and not self.stream.closed()
 
+    @property
+    def exchange_count(self):
+        """Number of exchanges that this side opened and has not closed."""
+        return len(self._outbound_by_correlation)
+
     async def run(self):
         """Exchange hellos, then read frames until the link closes."""
         self.stream.set_nodelay(True)
         pinger = None
         try:
             self.send_frame(codec.Frame(message=self.hello))
-            first = await self._read_frame()
+            async with asyncio.timeout(SILENCE_LIMIT_S):
+                first = await self._read_frame()
             if not isinstance(first.message, messages.Hello):
                 raise errors.WireError("the first frame is no hello")
             self.peer = first.message
@@ -161,16 +174,12 @@
             self.close()
 
     async def _read_frame(self):
-        # asyncio.wait_for of Python 3.11 swallows a cancellation that meets the end of
-        # the stream, and a stopped dialer would connect again.
-        async with asyncio.timeout(SILENCE_LIMIT_S):
-            head = await self.stream.read_bytes(_LENGTH.size)
-        (length,) = _LENGTH.unpack(head)
+        (length,) = _LENGTH.unpack(await self.stream.read_bytes(_LENGTH.size))
         if length > MAX_FRAME_BYTES:
             raise errors.WireError(f"frame of {length} bytes is over the limit")
-        async with asyncio.timeout(SILENCE_LIMIT_S):
-            data = await self.stream.read_bytes(length)
+        data = await self.stream.read_bytes(length)
         self.bytes_received += _LENGTH.size + length
+        self._heard_at_s = time.monotonic()
         return codec.decode(data)
 
     def _dispatch(self, frame):
@@ -196,9 +205,22 @@
         self.handler.on_exchange(exchange, message)
 
     async def _ping(self):
-        while True:
+        """Ping the peer and close the link when nothing was heard for too long.
+
+        One timer for a link is cheaper than a timeout around each read.
+        """
+        last_wake_s = time.monotonic()
+        while self.is_open:
             await asyncio.sleep(PING_INTERVAL_S)
-            self.send_frame(codec.Frame(message=messages.Ping()))
+            now_s = time.monotonic()
+            # A process that was frozen itself has not heard what waits in its socket.
+            was_frozen = now_s - last_wake_s > SILENCE_LIMIT_S
+            last_wake_s = now_s
+            if now_s - self._heard_at_s > SILENCE_LIMIT_S and not was_frozen:
+                self.close()
+                return
+            with contextlib.suppress(errors.LinkClosedError):
+                self.send_frame(codec.Frame(message=messages.Ping()))
 
     def send(self, message):
         """Send a one-way message; see `Exchange.send` for errors."""
@@ -295,6 +317,10 @@
 class Dialer:
     """Keeps one link to an address, reconnecting with jittered backoff.
 
+    Timeouts are `asyncio.timeout` blocks: `asyncio.wait_for` of Python 3.11 loses a
+    cancellation that arrives when its future is done, which left a stopped process
+    with a link that never ended.
+
     Parameters
     ----------
     address : str
@@ -311,7 +337,6 @@
         self.hello = hello
         self.link = None
         self._task = None
-        self._client = tcpclient.TCPClient()
 
     @property
     def is_open(self):
@@ -339,11 +364,9 @@
 
     async def _connect_once(self):
         """Connect and run the link; tell whether it ever opened."""
-        host, port = split_address(self.address)
         try:
-            stream = await asyncio.wait_for(
-                self._client.connect(host, port, max_buffer_size=2 * MAX_FRAME_BYTES),
-                CONNECT_TIMEOUT_S,
+            stream = await connect(
+                self.address, CONNECT_TIMEOUT_S, max_buffer_size=2 * MAX_FRAME_BYTES
             )
         except (TimeoutError, OSError, iostream.StreamClosedError):
             return False
@@ -353,6 +376,29 @@
         return self.link.peer is not None
 
 
+async def connect(address, timeout_s, **stream_options):
+    """Return a connected stream to a numeric ``ip:port`` address.
+
+    Numeric addresses need no resolver, whose threads cost the agent memory.
+
+    Raises
+    ------
+    TimeoutError, OSError, tornado.iostream.StreamClosedError
+        If there is no connection within `timeout_s` seconds.
+    """
+    host, port = split_address(address)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    stream = iostream.IOStream(
+        socket.socket(family, socket.SOCK_STREAM), **stream_options
+    )
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await stream.connect((host, port))
+    except BaseException:
+        stream.close()
+        raise
+
+
 def split_address(address):
     """Return host and port of an ``ip:port`` address.
 
--- /dev/null
+++ b/sardinegauge/scheduler.py
@@ -0,0 +1,324 @@
+"""Reducer of the scheduler: machine and soft state in, commands and directives out.
+
+The leader's replica runs it. It reads the machine and never changes it. Whatever must
+survive the leader is proposed as a command; the rest is soft state, which a new leader
+rebuilds from the machine and from heartbeats.
+"""
+
+from sardinegauge import (
+    commands,
+    directives,
+    drains,
+    explanations,
+    heartbeats,
+    makeroom,
+    planning,
+    preemption,
+    quarantine,
+    record,
+    resizing,
+    softstate,
+    views,
+)
+
+State = softstate.State
+# Workers whose reservations are checked in one second.
+RESIZES_PER_S = 200
+
+
+class LeadershipGained(record.Record):
+    """This replica leads from now on; its machine holds all earlier terms' entries."""
+
+    __slots__ = ("now_ms", "term")
+
+
+class LeadershipLost(record.Record):
+    """This replica no longer leads."""
+
+    __slots__ = ("now_ms",)
+
+
+class HeartbeatReceived(record.Record):
+    """A `messages.Heartbeat` arrived from an agent."""
+
+    __slots__ = ("heartbeat", "now_ms")
+
+
+class CommandApplied(record.Record):
+    """The machine applied a command of the log and gave `answer`."""
+
+    __slots__ = ("answer", "command", "index", "now_ms")
+
+
+class Tick(record.Record):
+    """Time passes; expected every 100 ms."""
+
+    __slots__ = ("now_ms",)
+
+
+class Propose(record.Record):
+    """Effect: put a command into the log."""
+
+    __slots__ = ("command",)
+
+
+class Direct(record.Record):
+    """Effect: send a `messages.Directive` to an agent.
+
+    A directive with a sequence answers the heartbeat of that sequence; sequence 0
+    marks a push after a change, which renews no lease.
+    """
+
+    __slots__ = ("directive", "incarnation", "upstream")
+
+
+def reduce(state, event):
+    """Apply one event to the state and return the effects.
+
+    `LeadershipGained` must come after the machine applied all entries of earlier
+    terms: directives built from an older machine would stop tasks that shall run.
+    """
+    if isinstance(event, CommandApplied):
+        _note_clocks(state, event)
+    if isinstance(event, LeadershipGained):
+        return _gain(state, event)
+    if isinstance(event, LeadershipLost):
+        state.reset(0, event.now_ms)
+        return []
+    if not state.is_leader:
+        return []
+    state.now_ms = event.now_ms
+    if isinstance(event, HeartbeatReceived):
+        return _take_heartbeat(state, event.now_ms, event.heartbeat)
+    if isinstance(event, CommandApplied):
+        return _take_applied(state, event)
+    if isinstance(event, Tick):
+        return _tick(state, event.now_ms)
+    raise TypeError(f"unknown event {type(event).__name__}")
+
+
+def _note_clocks(state, event):
+    if event.command.at_ms > 0:
+        state.wall_offset_ms = event.command.at_ms - event.now_ms
+
+
+def _gain(state, event):
+    state.reset(event.term, event.now_ms)
+    state.is_leader = True
+    state.configure()
+    machine = state.machine
+    for worker in machine.workers.by_upstream.values():
+        state.refresh(worker.upstream)
+        if not worker.is_lost:
+            state.leases.renew(worker.upstream, worker.incarnation, event.now_ms)
+    for task_id, task in machine.tasks.by_id.items():
+        state.sync_task(task_id)
+        if task.upstream:
+            # Includes older incarnations, whose tasks keep their places until then.
+            state.leases.renew(task.upstream, task.incarnation, event.now_ms)
+        if task.state == "pending" and task.reason == resizing.OUTGREW:
+            state.sizes.floor_by_task[task_id] = (task.cores, task.memory_mb)
+    return []
+
+
+def _take_heartbeat(state, now_ms, heartbeat):
+    effects = []
+    upstream, incarnation = heartbeat.upstream, heartbeat.incarnation
+    command = heartbeats.registration(state, heartbeat)
+    if command is not None:
+        effects.append(_propose(state, now_ms, command))
+    worker = state.machine.workers.by_upstream.get(upstream)
+    if worker is None or worker.is_lost or worker.incarnation != incarnation:
+        reason = "not registered yet"
+        if worker is not None and incarnation in worker.past_incarnations:
+            reason = f"replaced by incarnation {worker.incarnation}"
+        directive = directives.build_empty(heartbeat.sequence, reason)
+        return [*effects, _direct(upstream, incarnation, directive)]
+    state.leases.renew(upstream, incarnation, now_ms)
+    changes = heartbeats.take_tasks(state, now_ms, heartbeat)
+    if changes:
+        command = commands.ReportTasks(
+            upstream=upstream, incarnation=incarnation, changes=changes
+        )
+        effects.append(_propose(state, now_ms, command))
+    view = state.views.get(upstream)
+    if view is None:
+        view = state.views[upstream] = views.WorkerView(upstream)
+    views.take_loads(state, now_ms, view, heartbeat)
+    directive = directives.build(state, upstream, heartbeat.sequence)
+    effects.append(_direct(upstream, incarnation, directive))
+    return effects
+
+
+def _take_applied(state, event):
+    command, now_ms = event.command, event.now_ms
+    state.in_flight.remove(command)
+    if isinstance(command, commands.SetConfiguration):
+        state.configure()
+        return []
+    judged = _judge_reports(state, now_ms, command, event.answer)
+    task_ids = _touched_tasks(state, command, event.answer)
+    touched = set()
+    for task_id in task_ids:
+        touched.update(state.sync_task(task_id))
+    if isinstance(command, _WORKER_COMMANDS):
+        touched.add(command.upstream)
+    _note_worker(state, now_ms, command, event.answer)
+    for upstream in touched:
+        state.refresh(upstream)
+    effects = [_propose(state, now_ms, proposal) for proposal in judged]
+    if not isinstance(command, commands.ReportTasks):
+        # An agent that reported a change is answered with its next heartbeat.
+        effects += _push(state, touched)
+    return effects
+
+
+def _push(state, upstreams):
+    effects = []
+    for upstream in sorted(upstreams):
+        worker = state.machine.workers.by_upstream.get(upstream)
+        if worker is not None and not worker.is_lost:
+            directive = directives.build(state, upstream)
+            effects.append(_direct(upstream, worker.incarnation, directive))
+    return effects
+
+
+_WORKER_COMMANDS = (
+    commands.RegisterWorker,
+    commands.WorkerLost,
+    commands.QuarantineWorker,
+    commands.DrainUpstream,
+)
+
+
+def _note_worker(state, now_ms, command, answer):
+    """Keep leases, pace and reasons in line with an applied command."""
+    if isinstance(command, commands.RegisterWorker):
+        worker = state.machine.workers.by_upstream.get(command.upstream)
+        if worker is not None and worker.incarnation == command.incarnation:
+            state.leases.renew(command.upstream, command.incarnation, now_ms)
+    elif isinstance(command, commands.WorkerLost):
+        worker = state.machine.workers.by_upstream.get(command.upstream)
+        if worker is None or worker.is_lost:
+            state.views.pop(command.upstream, None)
+            state.pace.note_loss(now_ms)
+    elif isinstance(command, commands.AssignTasks):
+        skipped = getattr(answer, "value", {}).get("skipped", {})
+        for task_id, reason in skipped.items():
+            state.reasons.note(now_ms, [task_id], "not assigned: {}", reason)
+
+
+def _judge_reports(state, now_ms, command, answer):
+    """Learn from tasks that ended; return what follows for workers and jobs."""
+    if not isinstance(command, commands.ReportTasks):
+        return []
+    changed = set(getattr(answer, "ids", ()))
+    proposals = []
+    for change in command.changes:
+        task = state.machine.tasks.by_id.get(change.task)
+        if change.task not in changed or task is None:
+            continue
+        if change.phase in ("failed", "finished") and task.state == "pending":
+            worker = state.machine.workers.by_upstream.get(command.upstream)
+            if worker is not None and worker.is_quarantined:
+                quarantine.note_probe_failed(state, now_ms, command.upstream)
+            proposals += quarantine.judge(state, now_ms, task, command.upstream)
+            state.reasons.note(
+                now_ms,
+                [task.id, task.job or task.service, command.upstream],
+                "{} failed on {}: {}",
+                task.id,
+                command.upstream,
+                change.reason,
+            )
+        elif change.phase == "finished" and task.state == "finished":
+            run = state.run_by_task.get(task.id)
+            if run is not None:
+                state.sizes.learn_run_time(now_ms, run, task.run_time_s)
+            proposals += quarantine.note_success(state, now_ms, task, command.upstream)
+    return proposals
+
+
+def _touched_tasks(state, command, answer):
+    machine = state.machine
+    if isinstance(command, commands.AssignTasks):
+        return [assignment.task for assignment in command.assignments]
+    if isinstance(command, commands.EvictTasks):
+        return [eviction.task for eviction in command.evictions]
+    if isinstance(command, commands.ReportTasks):
+        return [change.task for change in command.changes]
+    if isinstance(command, commands.ResizeTasks):
+        return list(command.cores_by_task)
+    if isinstance(command, (commands.WorkerLost, commands.RegisterWorker)):
+        return sorted(state.ids_by_upstream.get(command.upstream, ()))
+    if isinstance(command, commands.SubmitJob):
+        return _tasks_of_jobs(machine, getattr(answer, "ids", ()))
+    if isinstance(command, commands.CancelJobs):
+        return _tasks_of_jobs(machine, command.jobs)
+    if isinstance(command, commands.FailJob):
+        return _tasks_of_jobs(machine, [command.job])
+    if isinstance(command, commands.DeclareService):
+        unit = state.pending.units_by_class["latency_critical"].get(command.name)
+        retired = [] if unit is None else list(unit.task_ids)
+        service = machine.services.by_name.get(command.name)
+        return retired + ([] if service is None else list(service.task_ids))
+    return []
+
+
+def _tasks_of_jobs(machine, job_ids):
+    found = []
+    for job_id in job_ids:
+        job = machine.jobs.by_id.get(job_id)
+        if job is not None:
+            found.extend(job.task_ids)
+    return found
+
+
+def _tick(state, now_ms):
+    for key in state.in_flight.expire(now_ms):
+        if key[0] == "assign":
+            state.undo_plan(key[1])
+    state.room_requests = 0
+    state.pace.refill(now_ms)
+    makeroom.expire_holds(state, now_ms)
+    proposals = heartbeats.lost_workers(state, now_ms)
+    proposals += _credit_proven(state, now_ms)
+    if now_ms - state.reviewed_ms >= preemption.REVIEW_EVERY_MS:
+        state.reviewed_ms = now_ms
+        state.no_room_keys.clear()
+        state.reasons.expire(now_ms)
+        proposals += preemption.review_all(state, now_ms)
+        proposals += resizing.resize_due(state, now_ms, RESIZES_PER_S)
+        proposals += drains.move(state, now_ms)
+    proposals += planning.plan(state, now_ms)
+    effects = [_propose(state, now_ms, command) for command in proposals]
+    changed, state.changed_upstreams = state.changed_upstreams, set()
+    for upstream in changed:
+        directives.forget(state, upstream)
+    return effects + _push(state, changed)
+
+
+def _credit_proven(state, now_ms):
+    proven, state.proven = state.proven, []
+    proposals = []
+    for task_id, upstream in proven:
+        task = state.machine.tasks.by_id.get(task_id)
+        if task is not None:
+            proposals += quarantine.note_success(state, now_ms, task, upstream)
+    return proposals
+
+
+def _propose(state, now_ms, command):
+    state.in_flight.add(now_ms, command)
+    if isinstance(command, commands.AssignTasks):
+        state.pace.starts.take(len(command.assignments))
+    return Propose(command=command)
+
+
+def _direct(upstream, incarnation, directive):
+    return Direct(upstream=upstream, incarnation=incarnation, directive=directive)
+
+
+def explain(state, id):
+    """Return lines of text on what was decided about a task, job, service or worker."""
+    return explanations.lines(state, id)
