--- a/tests/fleet/upstream.py
+++ b/tests/fleet/upstream.py
@@ -73,15 +73,10 @@
             self.finish(self.request.body)
         else:
             body = self.request.body
-            self.finish(
-                {
-                    "request_id": request_id,
-                    "method": self.request.method,
-                    "path": self.request.uri,
-                    "length": len(body),
-                    "sha256": hashlib.sha256(body).hexdigest(),
-                }
-            )
+            digest = hashlib.sha256(body).hexdigest()
+            answer = {"request_id": request_id, "method": self.request.method}
+            answer |= {"path": self.request.uri, "length": len(body), "sha256": digest}
+            self.finish(answer)
 
     async def send_pattern(self, size):
         """Send `size` bytes, or close after `truncate` of them."""
@@ -137,9 +132,8 @@
         self.stepped_ms = now_ms
 
     def view(self):
-        lagging = boot_ms() - self.started_ms < USAGE_LAG_S * 1000
-        running = self.phase == "running"
-        used = running and not lagging
+        is_lagging = boot_ms() - self.started_ms < USAGE_LAG_S * 1000
+        used = self.phase == "running" and not is_lagging
         return {
             "task": self.task,
             "epoch": self.epoch,
@@ -240,21 +234,16 @@
                 self.refuse(409, "the lease has expired")
                 return
             worker.by_task[task.task] = task
-            worker.recorder.write(
-                "start",
-                task=task.task,
-                epoch=task.epoch,
-                checkpoint=body.get("checkpoint", ""),
-            )
+            fields = {key: body.get(key, "") for key in ("task", "epoch", "checkpoint")}
+            worker.recorder.write("start", **fields)
             self.finish({"phase": "running"})
 
     async def checkpoint(self, worker, task, body):
         await asyncio.sleep(task.checkpoint_s)
         task.step(boot_ms())
         saved = json.dumps({"progress": round(task.progress, 4), "epoch": task.epoch})
-        worker.recorder.write(
-            "checkpoint", task=task.task, epoch=task.epoch, checkpoint=saved
-        )
+        fields = {"task": task.task, "epoch": task.epoch, "checkpoint": saved}
+        worker.recorder.write("checkpoint", **fields)
         self.finish({"checkpoint": saved})
 
     async def throttle(self, worker, task, body):
