Give cores back to tasks that were throttled to make room

Change: throttling and evicting to make room are compared in core-seconds; throttled tasks get their cores back once there is room; batch work waits up to 60 s for a place with less harm.

--- a/sardinegauge/makeroom.py
+++ b/sardinegauge/makeroom.py
@@ -1,7 +1,8 @@
 """Room for urgent work, services, tenants within their quota and aged batch work.
 
-Room is made on the worker where it costs least: by throttling batch work there when
-only cores are short, else by the cheapest evictions. The worker is then held for the
+Room is made on the worker where it costs least: by throttling batch work there if only
+cores are short, or by evictions. Both are compared in core-seconds of lost work, times
+the weights of batch throughput and evictions. The worker is then held for the
 unit that asked, so that the room is not taken by others.
 """
 
@@ -11,6 +12,8 @@
 WORKERS_TRIED = 24
 # Requests for room that are answered in one round.
 REQUESTS_PER_ROUND = 4
+# Tasks are throttled for at most about this long to make room, as far as costs go.
+MAX_SQUEEZE_S = 600.0
 # A held worker is given up after this time; its tasks should have stopped long since.
 HOLD_MS = 30_000
 # A tenant within its quota waits this long before borrowed room is taken back.
@@ -175,16 +178,16 @@
         squeezed = None
         if state.preemption.may_squeeze:
             squeezed = _squeeze(state, free, demand)
+        choices = []
         if squeezed is not None:
-            # Throttling is always cheaper than an eviction.
-            cost, kind, found = -1.0 / (1.0 + len(squeezed)), "throttle", squeezed
-        else:
-            chosen = _victims(state, now_ms, free, demand, unit, borrowed_only)
-            if chosen is None or len(chosen[1]) > bucket.available():
-                continue
-            cost, kind, found = chosen[0], "evict", chosen[1]
-        if best is None or cost < best_cost:
-            best, best_cost, best_kind = (free, found), cost, kind
+            cost = _squeeze_cost(state, task, squeezed)
+            choices.append((cost, "throttle", squeezed))
+        victims = _victims(state, now_ms, free, demand, unit, borrowed_only)
+        if victims is not None and len(victims[1]) <= bucket.available():
+            choices.append((state.weights.evictions * victims[0], "evict", victims[1]))
+        for cost, kind, found in choices:
+            if best is None or cost < best_cost:
+                best, best_cost, best_kind = (free, found), cost, kind
     if best is None:
         state.no_room_keys.add(demand.key())
         return []
@@ -198,7 +201,7 @@
 
 
 def _victims(state, now_ms, free, demand, unit, borrowed_only):
-    """Return cost and tasks of the cheapest evictions that make room, or None."""
+    """Return cost in core-seconds and tasks of the cheapest evictions, or None."""
     by_id = state.machine.tasks.by_id
     costs = []
     for task_id in sorted(state.ids_by_upstream.get(free.upstream, ())):
@@ -214,7 +217,7 @@
             continue
         cost = state.preemption.victim_cost(state, now_ms, task)
         if cost is not None:
-            costs.append((cost, task_id))
+            costs.append((cost * task.cores, task_id))
     costs.sort()
     chosen, total = [], 0.0
     left = [free.cores, free.memory_mb, free.accelerators, free.connections, free.slots]
@@ -261,6 +264,14 @@
     return cores_by_task if missing <= 0 and cores_by_task else None
 
 
+def _squeeze_cost(state, task, cores_by_task):
+    """Return the core-seconds that throttled tasks lose while a task runs."""
+    by_id = state.machine.tasks.by_id
+    lost = sum(by_id[id].cores - cores for id, cores in cores_by_task.items())
+    run_s = state.sizes.expected_s(task) if task.job else MAX_SQUEEZE_S
+    return state.weights.batch_throughput * lost * min(run_s, MAX_SQUEEZE_S)
+
+
 def _throttle(state, now_ms, unit, free, cores_by_task):
     memory_mb_by_task = {}
     for task_id in cores_by_task:
--- a/sardinegauge/placement.py
+++ b/sardinegauge/placement.py
@@ -22,7 +22,7 @@
 CROWDED = 8.0
 # A batch task waits when its best place slows services down by this much at weights of
 # 1; it goes there all the same once it has waited for `DEFER_MS`.
-DEFER_HARM = 1.0
+DEFER_HARM = 0.4
 
 
 class PlacementPolicy(abc.ABC):
--- a/sardinegauge/planning.py
+++ b/sardinegauge/planning.py
@@ -16,11 +16,11 @@
 # One command stays far below the frame limit of 1 MiB.
 ASSIGNMENTS_PER_COMMAND = 64
 # Batch tasks that waited this long go ahead of younger batch tasks of any tenant.
-AGED_MS = 60_000
+AGED_MS = 90_000
 # Starts per round that go to aged batch work even when urgent work uses all others.
 AGED_STARTS = 1
 # A batch task waits at most this long for a place with less interference.
-DEFER_MS = 20_000
+DEFER_MS = 60_000
 
 
 class Round:
--- a/sardinegauge/preemption.py
+++ b/sardinegauge/preemption.py
@@ -308,34 +308,51 @@
 
 
 def release(state, now_ms, view, throttled):
-    """Undo one step of the throttled task that does the least harm.
-
-    A task whose reservation was cut to make room is released only when the room is
-    there again.
-    """
-    free = state.free.by_upstream[view.upstream]
-    best, best_ratio = None, None
+    """Undo one throttle step of the task that does the least harm."""
+    best, best_harm = None, None
     for task_id in throttled:
         run = state.run_by_task.get(task_id)
+        if run is None or task_id in state.squeezed_by_task:
+            continue
+        task_harm = views.harm(state, view, run.group, 0.1)
+        if best is None or task_harm < best_harm:
+            best, best_harm = state.machine.tasks.by_id[task_id], task_harm
+    if best is not None:
+        throttle = state.throttle_by_task[best.id]
+        higher = [step for step in state.throttle_steps if step > throttle + 1e-6]
+        set_throttle(state, best, min(higher, default=1.0))
+        state.reasons.note(now_ms, [best.id, view.upstream], "throttle released a step")
+    return []
+
+
+def restore(state, now_ms):
+    """Give tasks that were throttled to make room their cores back when there is room.
+
+    The throttle ends with the proposal already: the cores were free when it was made,
+    and a task that runs ahead of its reservation for one commit harms nobody for long.
+    """
+    cores_by_task, memory_mb_by_task, left_by_upstream = {}, {}, {}
+    for task_id, cores in list(state.squeezed_by_task.items()):
         task = state.machine.tasks.by_id[task_id]
-        missing = state.squeezed_by_task.get(task_id, task.cores) - task.cores
-        if run is None or missing > free.cores + 1e-6:
+        free = state.free.by_upstream[task.upstream]
+        is_held = task.upstream in state.hold_by_upstream
+        if is_held or ("resize", task_id) in state.in_flight:
             continue
-        ratio = views.harm(state, view, run.group, 0.1)
-        if best is None or ratio < best_ratio:
-            best, best_ratio = task, ratio
-    if best is None:
-        return []
-    throttle = state.throttle_by_task[best.id]
-    higher = [step for step in state.throttle_steps if step > throttle + 1e-6]
-    cores = state.squeezed_by_task.pop(best.id, None)
-    set_throttle(state, best, 1.0 if cores is not None else min(higher, default=1.0))
-    state.reasons.note(now_ms, [best.id, view.upstream], "throttle released one step")
-    if cores is None or cores <= best.cores:
+        left = left_by_upstream.get(task.upstream, free.cores)
+        missing = max(0.0, cores - task.cores)
+        if missing > left:
+            continue
+        left_by_upstream[task.upstream] = left - missing
+        del state.squeezed_by_task[task_id]
+        set_throttle(state, task, 1.0)
+        state.reasons.note(now_ms, [task_id], "throttle ended: there is room again")
+        cores_by_task[task_id] = max(cores, task.cores)
+        memory_mb_by_task[task_id] = task.memory_mb
+    if not cores_by_task:
         return []
     return [
         commands.ResizeTasks(
-            cores_by_task={best.id: cores}, memory_mb_by_task={best.id: best.memory_mb}
+            cores_by_task=cores_by_task, memory_mb_by_task=memory_mb_by_task
         )
     ]
 
@@ -384,7 +401,7 @@
 
 def review_all(state, now_ms):
     """Review every watched worker; the work is in proportion to their number."""
-    proposals = []
+    proposals = restore(state, now_ms)
     since_ms = state.pending.oldest_batch_ms()
     state.batch_wait_ms = 0 if since_ms is None else max(0, state.age_ms(since_ms))
     for upstream in sorted(state.guard_by_upstream):
