Order no task of an earlier incarnation of an agent to run

The leader keeps such tasks on the worker until the old lease has ended, and the directive for the new incarnation still listed them as "run". A repeated log entry was ruled out: each task had one assignment.

Change: a directive lists only tasks that were assigned to the worker's current incarnation.

--- a/sardinegauge/directives.py
+++ b/sardinegauge/directives.py
@@ -36,7 +36,11 @@
         return []
     by_id = state.machine.tasks.by_id
     held = [by_id[task_id] for task_id in sorted(worker.task_ids) if task_id in by_id]
-    return [_order(state, task) for task in held if task.upstream == upstream]
+    # Tasks of an earlier incarnation keep their room until its lease has ended, but
+    # the agent that follows has no record of them and would start the epoch again.
+    return [
+        _order(state, task) for task in held if task.incarnation == worker.incarnation
+    ]
 
 
 def _order(state, task):
--- a/tests/fleet/workload.py
+++ b/tests/fleet/workload.py
@@ -272,8 +272,10 @@
         sent_ms = clock.monotonic_ms()
         is_entry = name in self.fleet.entry_names
         ready = "/-/ready" if is_entry else "/-/health"
-        page = await self.fleet.fetch(name, "/-/metrics", request_timeout=1.0)
+        # A version only grows, so a page made after the health answer shows at least
+        # the version that was in force then.
         health = await self.fleet.fetch(name, ready, request_timeout=1.0)
+        page = await self.fleet.fetch(name, "/-/metrics", request_timeout=1.0)
         got_ms = clock.monotonic_ms()
         if page.code != 200 or health.code != 200 or process.child is not child:
             return
