Send head, body and end of a short response in one write

Cause: a profile of 1,500 requests showed 4 socket writes a request at 0.4 ms each on this machine, the largest single cost.

Change: link and exchange can send several frames at once, and a response's pieces under 16 KiB wait up to 1 ms for those that follow.

Measured: 20 tests pass; processor time of the agent a request stayed at 2.4 ms with 8 concurrent requests while other work ran, so the gain is within noise.

--- a/sardinegauge/forwarding.py
+++ b/sardinegauge/forwarding.py
@@ -19,6 +19,11 @@
 # can be stored.
 CLAIMED_GRACE_S = 30.0
 
+# Head, body and end of a short response go out in one write: each system call costs
+# more than the work on a message. Longer pieces are written at once.
+FLUSH_DELAY_S = 0.001
+FLUSH_BYTES = 16 * 1024
+
 NOT_RUN = outcome.Verdict.NOT_RUN.value
 MAY_HAVE_RUN = outcome.Verdict.MAY_HAVE_RUN.value
 RAN = outcome.Verdict.RAN.value
@@ -59,6 +64,8 @@
         self._is_body_broken = False
         self._wake = asyncio.Event()
         self._stream = None
+        self._outbox = []
+        self._flush_timer = None
         self._reader = background.spawn(self._read_entry())
 
     @property
@@ -144,9 +151,29 @@
         except errors.LinkClosedError:
             self.is_answered = True
 
+    def _send_soon(self, message):
+        """Queue a message for one write with those that follow at once."""
+        self._outbox.append(message)
+        if self._flush_timer is None:
+            loop = asyncio.get_running_loop()
+            self._flush_timer = loop.call_later(FLUSH_DELAY_S, self._flush)
+
+    def _flush(self):
+        if self._flush_timer is not None:
+            self._flush_timer.cancel()
+            self._flush_timer = None
+        batch, self._outbox = self._outbox, []
+        if not batch or self.is_answered:
+            return
+        try:
+            self.exchange.send_all(batch)
+        except errors.LinkClosedError:
+            self.is_answered = True
+
     def _answer(self, message):
         """Send the final answer, unless there was one."""
-        self._send(message)
+        self._outbox.append(message)
+        self._flush()
         self.is_answered = True
 
     def abort(self, verdict, reason):
@@ -168,9 +195,10 @@
 
     def replay(self, entry):
         """Answer with a stored response; it fits into the first window."""
-        self._send(messages.ResponseHead(status=entry.status, headers=entry.headers))
+        head = messages.ResponseHead(status=entry.status, headers=entry.headers)
+        self._outbox.append(head)
         if entry.body:
-            self._send(messages.BodyChunk(data=entry.body))
+            self._outbox.append(messages.BodyChunk(data=entry.body))
         self._answer(messages.BodyEnd(length=len(entry.body)))
         self.close()
 
@@ -234,7 +262,7 @@
         """See `httpcall.Receiver`."""
         self.status = status
         self.headers = [messages.Header(name=n, value=v) for n, v in headers]
-        self._send(self.make_head(status, self.headers))
+        self._send_soon(self.make_head(status, self.headers))
 
     async def on_chunk(self, data):
         """See `httpcall.Receiver`; waits for credit of the entry."""
@@ -247,4 +275,6 @@
             await self._wake.wait()
         self._window -= len(data)
         self.length += len(data)
-        self._send(messages.BodyChunk(data=data))
+        self._send_soon(messages.BodyChunk(data=data))
+        if len(data) >= FLUSH_BYTES:
+            self._flush()
--- a/sardinegauge/link.py
+++ b/sardinegauge/link.py
@@ -80,6 +80,19 @@
             )
         )
 
+    def send_all(self, batch):
+        """Queue several messages with one write to the socket; see `send`."""
+        return self.link.send_frames(
+            [
+                codec.Frame(
+                    correlation=self.correlation,
+                    is_reply=not self._is_initiator,
+                    message=message,
+                )
+                for message in batch
+            ]
+        )
+
     async def receive(self, timeout_s):
         """Return the peer's next message in this exchange.
 
@@ -205,13 +218,21 @@
 
     def send_frame(self, frame):
         """Write one frame; return the future of the socket write."""
-        data = codec.encode(frame)
+        return self.send_frames((frame,))
+
+    def send_frames(self, frames):
+        """Write several frames at once, which saves system calls."""
+        parts = []
+        for frame in frames:
+            data = codec.encode(frame)
+            parts += (_LENGTH.pack(len(data)), data)
+        data = b"".join(parts)
         try:
-            future = self.stream.write(_LENGTH.pack(len(data)) + data)
+            future = self.stream.write(data)
         except (iostream.StreamClosedError, iostream.StreamBufferFullError) as error:
             self.close()
             raise errors.LinkClosedError(str(error)) from error
-        self.bytes_sent += _LENGTH.size + len(data)
+        self.bytes_sent += len(data)
         # Most callers do not wait for the write; a failure shows as a closed link.
         future.add_done_callback(lambda done: done.exception())
         return future
