Reuse upstream connections for requests that may be repeated

Cause: connecting, closing and toggling TCP_NODELAY for each request cost more system calls than the request itself. The test of a frozen agent passed with both lease checks taken out, since the stub refused the late start.

Change: a pool of at most 8 idle connections for idempotent requests without a body and without a claim; a connection with unread bytes or an end of stream is not used again, and a reused one that closes before any response is replaced once. The grace timer of a left request is cancelled with it. The stub records a late start.

--- a/sardinegauge/agentapp.py
+++ b/sardinegauge/agentapp.py
@@ -97,6 +97,7 @@
         self.next_number = 1
         self.unreachable_since_ms = None
         self.was_reachable = False
+        self.pool = httpcall.Pool(loaded.upstream, loaded.connections)
         self.is_leaving = loaded.leaving
         self.drained = None
         self.wake_timer = None
@@ -169,6 +170,7 @@
         """Close all links and connections."""
         if self.prober is not None:
             self.prober.cancel()
+        self.pool.close()
         for dialer in self.dialer_by_address.values():
             dialer.stop()
         if self.server is not None:
@@ -294,11 +296,12 @@
         verdict = forwarding.MAY_HAVE_RUN
         try:
             verdict = await forward.run(
-                self.settings.upstream, self.response_head, self.state.may_serve
+                self.pool, self.response_head, self.state.may_serve
             )
             self.reachable(True)
         except httpcall.ConnectError:
-            verdict = forwarding.NOT_RUN
+            if not forward.is_written:
+                verdict = forwarding.NOT_RUN
             self.reachable(False)
         finally:
             del self.forward_by_request[number]
@@ -387,6 +390,7 @@
 
     async def probe(self):
         """Connect to the upstream once, to notice that it refuses connections."""
+        self.pool.purge()
         try:
             stream = await httpcall.connect(self.settings.upstream)
             stream.close()
--- a/sardinegauge/forwarding.py
+++ b/sardinegauge/forwarding.py
@@ -15,9 +15,9 @@
 
 WINDOW_BYTES = 256 * 1024
 CHUNK_BYTES = httpcall.CHUNK_BYTES
-# A claimed request whose caller left still gets this long to end, so that its response
-# can be stored.
-CLAIMED_GRACE_S = 30.0
+# A request that must not be repeated still gets this long to end after its caller
+# left, so that the upstream is not interrupted and a claimed response can be stored.
+GRACE_S = 30.0
 
 # Head, body and end of a short response go out in one write: each system call costs
 # more than the work on a message. Longer pieces are written at once.
@@ -66,6 +66,7 @@
         self._stream = None
         self._outbox = []
         self._flush_timer = None
+        self._grace_timer = None
         self._reader = background.spawn(self._read_entry())
 
     @property
@@ -117,14 +118,12 @@
         self.on_gone()
         if self._stream is None:
             return
-        if self.is_claimed and self._is_body_ended:
-            loop = asyncio.get_running_loop()
-            loop.call_later(CLAIMED_GRACE_S, self._stream.close)
-        elif self.head.idempotent or not self._is_body_ended:
+        may_repeat = self.head.idempotent and not self.is_claimed
+        if may_repeat or not self._is_body_ended:
             self._stream.close()
         else:
             loop = asyncio.get_running_loop()
-            loop.call_later(CLAIMED_GRACE_S, self._stream.close)
+            self._grace_timer = loop.call_later(GRACE_S, self._stream.close)
 
     async def _body(self):
         """Yield the request's body; give credit for what the upstream took."""
@@ -205,17 +204,20 @@
     def close(self):
         """Stop reading from the entry and forget the exchange."""
         self._reader.cancel()
+        if self._grace_timer is not None:
+            # The connection may carry another request by then.
+            self._grace_timer.cancel()
         self.exchange.close()
 
     # To and from the upstream
 
-    async def run(self, address, make_head, may_start):
+    async def run(self, pool, make_head, may_start):
         """Send the request to the upstream; return the verdict of the request.
 
         Parameters
         ----------
-        address : str
-            The upstream's HTTP server.
+        pool : httpcall.Pool
+            Connections to the upstream's HTTP server.
         make_head : callable
             Builds the `messages.ResponseHead` of a status and headers.
         may_start : callable
@@ -229,35 +231,65 @@
         """
         self.make_head = make_head
         try:
-            return await self._run(address, may_start)
+            return await self._run(pool, may_start)
         finally:
             self.close()
 
-    async def _run(self, address, may_start):
+    async def _run(self, pool, may_start):
+        # A connection may close just as a request is written to it. Only a request
+        # that may be repeated is worth that risk.
+        head = self.head
+        is_repeatable = head.idempotent and not head.has_body and not self.is_claimed
+        stream = pool.take() if is_repeatable else None
+        if stream is not None:
+            verdict = await self._attempt(pool, stream, may_start)
+            if verdict is not None:
+                return verdict
         try:
-            self._stream = await httpcall.connect(address)
+            stream = await pool.connect()
         except httpcall.ConnectError as error:
-            self.abort(NOT_RUN, f"upstream: {error}")
+            verdict = MAY_HAVE_RUN if self.is_written else NOT_RUN
+            self.abort(verdict, f"upstream: {error}")
             raise
+        return await self._attempt(pool, stream, may_start, is_last=True)
+
+    async def _attempt(self, pool, stream, may_start, is_last=False):
+        """Use one connection; return None if a reused one turned out closed."""
+        self._stream = stream
         now_ms = clock.monotonic_ms()
-        if self.is_answered or now_ms >= self.deadline_ms or not may_start(now_ms):
-            self._stream.close()
-            self.abort(NOT_RUN, "the deadline or the confirmation has passed")
-            return NOT_RUN
-        self.is_written = True
-        head = self.head
-        body = self._body() if head.has_body else None
-        headers = [(header.name, header.value) for header in head.headers]
         try:
-            await httpcall.exchange(
-                self._stream, address, head.method, head.path, headers, body, self
-            )
+            if self.is_answered or now_ms >= self.deadline_ms or not may_start(now_ms):
+                verdict = MAY_HAVE_RUN if self.is_written else NOT_RUN
+                self.abort(verdict, "the deadline or the confirmation has passed")
+                return verdict
+            self.is_written = True
+            await self._exchange(pool.address)
         except (httpcall.TruncatedError, BodyError, ValueError) as error:
+            stream.close()
+            if not is_last and not self.status and not self.is_answered:
+                return None
             self.abort(MAY_HAVE_RUN, f"upstream: {error or 'connection closed'}")
             return MAY_HAVE_RUN
+        finally:
+            pool.give(stream)
         self._answer(messages.BodyEnd(length=self.length))
         return RAN
 
+    async def _exchange(self, address):
+        head = self.head
+        body = self._body() if head.has_body else None
+        headers = [(header.name, header.value) for header in head.headers]
+        await httpcall.exchange(
+            self._stream,
+            address,
+            head.method,
+            head.path,
+            headers,
+            body,
+            self,
+            keep_alive=True,
+        )
+
     async def on_head(self, status, headers):
         """See `httpcall.Receiver`."""
         self.status = status
--- a/sardinegauge/httpcall.py
+++ b/sardinegauge/httpcall.py
@@ -6,7 +6,10 @@
 
 import abc
 import asyncio
+import collections
 import json
+import socket
+import time
 
 from tornado import http1connection, httputil, iostream
 
@@ -16,6 +19,9 @@
 CHUNK_BYTES = 64 * 1024
 MAX_RESPONSE_BYTES = 1 << 40
 MAX_JSON_BYTES = 4 << 20
+MAX_IDLE = 8
+# Shorter than the idle timeout of usual HTTP servers.
+IDLE_LIMIT_S = 2.0
 # They describe one connection and must not be passed on (RFC 9110, section 7.6.1).
 HOP_HEADERS = frozenset(
     {
@@ -34,6 +40,89 @@
 )
 
 
+class ClientStream(iostream.IOStream):
+    """A connection that may carry several exchanges, one after the other."""
+
+    def set_nodelay(self, value):
+        """Do nothing: `connect` sets TCP_NODELAY once.
+
+        HTTP1Connection toggles it for every request, which costs system calls.
+        """
+
+    def is_clean(self):
+        """Tell whether the peer neither closed nor sent anything while idle.
+
+        Bytes after a response would be taken for the answer to the next request.
+        """
+        if self.closed() or self._read_buffer_size:
+            return False
+        try:
+            self.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+
+class Pool:
+    """Idle connections to one address.
+
+    Parameters
+    ----------
+    address : str
+    limit : int
+        Bound of connections in use and idle together.
+    """
+
+    def __init__(self, address, limit):
+        self.address = address
+        self.limit = limit
+        self.busy = 0
+        self._idle = collections.deque()
+
+    def take(self):
+        """Return an idle connection that is still good, or None."""
+        while self._idle:
+            stream, idle_since_s = self._idle.pop()
+            if time.monotonic() - idle_since_s < IDLE_LIMIT_S and stream.is_clean():
+                self.busy += 1
+                return stream
+            stream.close()
+        return None
+
+    async def connect(self):
+        """Return a new connection; see `connect` for errors."""
+        if self._idle and self.busy + len(self._idle) >= self.limit:
+            self._idle.popleft()[0].close()
+        self.busy += 1
+        try:
+            return await connect(self.address)
+        except BaseException:
+            self.busy -= 1
+            raise
+
+    def give(self, stream):
+        """Take a connection back; one that was closed is dropped."""
+        self.busy -= 1
+        if stream.closed():
+            return
+        self._idle.append((stream, time.monotonic()))
+        if len(self._idle) > MAX_IDLE:
+            self._idle.popleft()[0].close()
+
+    def purge(self):
+        """Close connections that were idle for too long."""
+        limit_s = time.monotonic() - IDLE_LIMIT_S
+        while self._idle and self._idle[0][1] <= limit_s:
+            self._idle.popleft()[0].close()
+
+    def close(self):
+        """Close all idle connections."""
+        while self._idle:
+            self._idle.pop()[0].close()
+
+
 class ConnectError(Exception):
     """No connection could be made, so nothing was written."""
 
@@ -51,10 +140,10 @@
         If the peer refuses or does not answer within `CONNECT_TIMEOUT_S`.
     """
     try:
-        stream = await link.connect(address, CONNECT_TIMEOUT_S)
+        stream = await link.connect(address, CONNECT_TIMEOUT_S, ClientStream)
     except (TimeoutError, OSError, iostream.StreamClosedError) as error:
         raise ConnectError(f"{address}: {error or 'no answer'}") from error
-    stream.set_nodelay(True)
+    stream.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return stream
 
 
@@ -74,8 +163,13 @@
     def __init__(self, receiver):
         self.receiver = receiver
         self.is_complete = False
+        self.is_persistent = False
 
     async def headers_received(self, start_line, headers):
+        self.is_persistent = (
+            start_line.version == "HTTP/1.1"
+            and headers.get("Connection", "").lower() != "close"
+        )
         if not 100 <= start_line.code < 200:
             pairs = [pair for pair in headers.get_all() if not _is_hop(pair)]
             await self.receiver.on_head(start_line.code, pairs)
@@ -91,13 +185,15 @@
     return pair[0].lower() in HOP_HEADERS
 
 
-async def exchange(stream, host, method, path, headers, body, receiver):
-    """Send one request over a new stream and pass the response to the receiver.
+async def exchange(
+    stream, host, method, path, headers, body, receiver, keep_alive=False
+):
+    """Send one request over a stream and pass the response to the receiver.
 
     Parameters
     ----------
     stream : tornado.iostream.IOStream
-        From `connect`; closed afterwards.
+        From `connect`; closed afterwards unless it can carry another exchange.
     host : str
         Value of the `Host` header where `headers` has none.
     headers : list of (str, str)
@@ -106,6 +202,8 @@
         The request's body; an exception from it ends the exchange.
     receiver : Receiver
         Takes the response.
+    keep_alive : bool
+        Whether the connection may stay open.
 
     Raises
     ------
@@ -117,7 +215,8 @@
     for pair in headers:
         if not _is_hop(pair):
             fields.add(*pair)
-    fields["Connection"] = "close"
+    if not keep_alive:
+        fields["Connection"] = "close"
     fields.setdefault("Host", host)
     if body is None and method in ("POST", "PUT", "PATCH"):
         fields["Content-Length"] = "0"
@@ -137,9 +236,12 @@
     except (iostream.StreamClosedError, httputil.HTTPOutputError) as error:
         raise TruncatedError(str(error)) from error
     finally:
-        if writer is not None and not writer.done():
+        is_written = writer is None or writer.done()
+        if not is_written:
             writer.cancel()
-        stream.close()
+        is_reusable = delegate.is_complete and delegate.is_persistent and is_written
+        if not keep_alive or not is_reusable:
+            stream.close()
     # A body without a length ends with the connection; a reset still shows as error.
     if not delegate.is_complete or stream.error is not None:
         raise TruncatedError("the response was cut")
--- a/sardinegauge/link.py
+++ b/sardinegauge/link.py
@@ -370,7 +370,7 @@
         return self.link.peer is not None
 
 
-async def connect(address, timeout_s, **stream_options):
+async def connect(address, timeout_s, stream_class=iostream.IOStream, **stream_options):
     """Return a connected stream to a numeric ``ip:port`` address.
 
     Numeric addresses need no resolver, whose threads cost the agent memory.
@@ -382,9 +382,7 @@
     """
     host, port = split_address(address)
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    stream = iostream.IOStream(
-        socket.socket(family, socket.SOCK_STREAM), **stream_options
-    )
+    stream = stream_class(socket.socket(family, socket.SOCK_STREAM), **stream_options)
     try:
         async with asyncio.timeout(timeout_s):
             return await stream.connect((host, port))
--- a/tests/fleet/upstream.py
+++ b/tests/fleet/upstream.py
@@ -18,7 +18,7 @@
 import signal
 import time
 
-from tornado import httpserver, iostream, netutil, web
+from tornado import httpserver, netutil, web
 
 USAGE_LAG_S = 2.0
 STEP_S = 0.02
@@ -219,7 +219,11 @@
 
     def start(self, worker, body):
         old = worker.by_task.get(body["task"])
-        if old is not None and body["epoch"] == old.epoch:
+        late_ms = boot_ms() - body.get("sent_ms", boot_ms())
+        if body["lease_ms"] <= late_ms:
+            worker.recorder.write("late_start", task=body["task"], epoch=body["epoch"])
+            self.refuse(409, "the lease has expired")
+        elif old is not None and body["epoch"] == old.epoch:
             self.finish({"phase": old.phase})
         elif old is not None and body["epoch"] < old.epoch:
             self.refuse(409, f"epoch {old.epoch} is current")
@@ -230,9 +234,6 @@
         else:
             task = RunningTask(body)
             task.extend(body)
-            if boot_ms() >= task.lease_until_ms:
-                self.refuse(409, "the lease has expired")
-                return
             worker.by_task[task.task] = task
             fields = {key: body.get(key, "") for key in ("task", "epoch", "checkpoint")}
             worker.recorder.write("start", **fields)
@@ -287,14 +288,9 @@
     stopped = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopped.set)
     stepping = asyncio.ensure_future(platform.worker.run())
-    try:
-        await stopped.wait()
-    finally:
-        stepping.cancel()
+    await stopped.wait()
+    stepping.cancel()
 
 
 if __name__ == "__main__":
-    try:
-        asyncio.run(main())
-    except (KeyboardInterrupt, iostream.StreamClosedError):
-        pass
+    asyncio.run(main())
--- a/tests/test_agentapp.py
+++ b/tests/test_agentapp.py
@@ -236,6 +236,7 @@
             bench.agent.send_signal(signal.SIGCONT)
             await agentkit.until(lambda: not leader.last.tasks, "the end of the task")
             assert len(bench.recorded("start")) == 1
+            assert bench.recorded("late_start") == []
 
     asyncio.run(run())
 
