Bound the stored responses and flush answers before a drain ends

Cause: headers of stored responses were outside the bound of 2 MiB, so a full table of request keys could take far more than 5 MB. A drain closed links right after the last answer was queued, which could cut it.

Change: headers count as stored bytes and are dropped with the body; a request ends when the socket took its answer; the process closes links 0.2 s after the drain. Requests that are refused at once start no reader. Learned replica addresses are bounded. upstreamwatch holds the probes.

--- a/sardinegauge/agentapp.py
+++ b/sardinegauge/agentapp.py
@@ -26,6 +26,7 @@
     plainmetrics,
     requesttable,
     settings,
+    upstreamwatch,
     worker,
     workercalls,
 )
@@ -34,14 +35,11 @@
 TICK_S = 0.25
 HEARTBEAT_TIMEOUT_S = agent.HEARTBEAT_TIMEOUT_MS / 1000
 CHANGE_GAP_S = agent.CHANGE_GAP_MS / 1000
-PROBE_INTERVAL_S = 1.0
-# After a refused connection, until the upstream counts as leaving.
-QUICK_PROBE_S = 0.25
-# Section 9: an upstream that refuses connections for this long is leaving.
-UNREACHABLE_LIMIT_MS = 1000
+CLOSE_DELAY_S = 0.2
 # Share of the drain limit after which the agent evicts without orders.
 OWN_EVICTION_SHARE = 0.6
-MAX_DIALERS = 16
+# Addresses of replicas that were learned from others.
+MAX_LEARNED = 8
 
 USAGE = "usage: sardinegauge-agent --settings FILE"
 
@@ -95,9 +93,8 @@
         self.forward_by_request = {}
         self.exchange_by_query = {}
         self.next_number = 1
-        self.unreachable_since_ms = None
-        self.was_reachable = False
         self.pool = httpcall.Pool(loaded.upstream, loaded.connections)
+        self.watch = upstreamwatch.UpstreamWatch(self.pool, self.note_leaving)
         self.is_leaving = loaded.leaving
         self.drained = None
         self.wake_timer = None
@@ -162,14 +159,12 @@
             self.pages.add_sockets(netutil.bind_sockets(port, host))
         for replica in loaded.state:
             self.dialer(replica)
-        await self.probe()
+        await self.watch.start()
         self.every(TICK_S, self.tick)
-        self.prober = background.spawn(self.probe_forever())
 
     async def on_stop(self):
         """Close all links and connections."""
-        if self.prober is not None:
-            self.prober.cancel()
+        self.watch.stop()
         self.pool.close()
         for dialer in self.dialer_by_address.values():
             dialer.stop()
@@ -213,11 +208,21 @@
         """Return the dialer to a replica, started at its first use."""
         dialer = self.dialer_by_address.get(address)
         if dialer is None:
+            self.drop_dialer()
             dialer = link.Dialer(address, self, self.hello)
             self.dialer_by_address[address] = dialer
             dialer.start()
         return dialer
 
+    def drop_dialer(self):
+        """Stop the oldest dialer to a replica outside the settings at the bound."""
+        if len(self.dialer_by_address) < len(self.settings.state) + MAX_LEARNED:
+            return
+        for address in self.dialer_by_address:
+            if address not in self.settings.state:
+                self.dialer_by_address.pop(address).stop()
+                return
+
     def on_message(self, link, message):
         """Take a pushed directive of a replica."""
         if isinstance(message, messages.Directive):
@@ -246,12 +251,13 @@
         self.next_number += 1
         now_ms = clock.monotonic_ms()
         if isinstance(message, messages.RequestHead):
-            self.forward_by_request[number] = forwarding.Forward(
-                exchange, message, lambda: self.gone(number)
-            )
+            forward = forwarding.Forward(exchange, message, lambda: self.gone(number))
+            self.forward_by_request[number] = forward
             self.handle(
                 agentevents.RequestArrived(now_ms=now_ms, request=number, head=message)
             )
+            if number in self.forward_by_request:
+                forward.start()
         elif isinstance(message, messages.KeyQuery):
             self.exchange_by_query[number] = exchange
             self.handle(
@@ -298,11 +304,11 @@
             verdict = await forward.run(
                 self.pool, self.response_head, self.state.may_serve
             )
-            self.reachable(True)
+            self.watch.note(True)
         except httpcall.ConnectError:
             if not forward.is_written:
                 verdict = forwarding.NOT_RUN
-            self.reachable(False)
+            self.watch.note(False)
         finally:
             del self.forward_by_request[number]
             duration_s = time.perf_counter() - started_s
@@ -378,43 +384,10 @@
 
     # Leaving
 
-    async def probe_forever(self):
-        """Probe the upstream, faster while it is becoming unreachable."""
-        while True:
-            is_doubtful = (
-                self.unreachable_since_ms is not None
-                and not self.state.is_upstream_leaving
-            )
-            await asyncio.sleep(QUICK_PROBE_S if is_doubtful else PROBE_INTERVAL_S)
-            await self.probe()
-
-    async def probe(self):
-        """Connect to the upstream once, to notice that it refuses connections."""
-        self.pool.purge()
-        try:
-            stream = await httpcall.connect(self.settings.upstream)
-            stream.close()
-            self.reachable(True)
-        except httpcall.ConnectError:
-            self.reachable(False)
-
-    def reachable(self, is_reachable):
-        """Note the result of a connection to the upstream."""
-        now_ms = clock.monotonic_ms()
-        if is_reachable:
-            self.was_reachable = True
-            self.unreachable_since_ms = None
-        elif self.unreachable_since_ms is None:
-            # An upstream that was never reached counts as leaving at once.
-            self.unreachable_since_ms = now_ms if self.was_reachable else 0
-        self.note_leaving(now_ms)
-
-    def note_leaving(self, now_ms):
+    def note_leaving(self):
         """Tell the reducer when the upstream begins or ends to be leaving."""
-        since_ms = self.unreachable_since_ms
-        is_leaving = self.is_leaving or (
-            since_ms is not None and now_ms - since_ms >= UNREACHABLE_LIMIT_MS
-        )
+        now_ms = clock.monotonic_ms()
+        is_leaving = self.is_leaving or self.watch.is_unreachable(now_ms)
         if is_leaving != self.state.is_upstream_leaving:
             self.log.info("upstream_changed", leaving=is_leaving)
             self.handle(
@@ -429,7 +402,7 @@
             self.log.error("reload_failed", error=str(error))
             return
         self.is_leaving = loaded.leaving
-        self.note_leaving(clock.monotonic_ms())
+        self.note_leaving()
 
     async def on_drain(self):
         """Refuse new work and wait until nothing is in flight."""
@@ -438,6 +411,9 @@
         wait_ms = int(self.drain_limit_s * OWN_EVICTION_SHARE * 1000)
         self.handle(agentevents.DrainAsked(now_ms=now_ms, evict_at_ms=now_ms + wait_ms))
         await self.drained.wait()
+        # A socket closed with unread input resets its peer, which could lose the end
+        # of the last response.
+        await asyncio.sleep(CLOSE_DELAY_S)
 
     def note_drained(self, effect):
         """Let the drain end."""
--- a/sardinegauge/forwarding.py
+++ b/sardinegauge/forwarding.py
@@ -67,6 +67,11 @@
         self._outbox = []
         self._flush_timer = None
         self._grace_timer = None
+        self._reader = None
+        self._written = None
+
+    def start(self):
+        """Begin to read from the entry; a request refused at once needs no reader."""
         self._reader = background.spawn(self._read_entry())
 
     @property
@@ -165,7 +170,7 @@
         if not batch or self.is_answered:
             return
         try:
-            self.exchange.send_all(batch)
+            self._written = self.exchange.send_all(batch)
         except errors.LinkClosedError:
             self.is_answered = True
 
@@ -203,7 +208,8 @@
 
     def close(self):
         """Stop reading from the entry and forget the exchange."""
-        self._reader.cancel()
+        if self._reader is not None:
+            self._reader.cancel()
         if self._grace_timer is not None:
             # The connection may carry another request by then.
             self._grace_timer.cancel()
@@ -273,8 +279,16 @@
         finally:
             pool.give(stream)
         self._answer(messages.BodyEnd(length=self.length))
+        await self._wait_written()
         return RAN
 
+    async def _wait_written(self):
+        """Wait until the socket took the answer, since a drain closes links next."""
+        if self._written is None or self._written.done():
+            return
+        left_s = (self.deadline_ms - clock.monotonic_ms()) / 1000
+        await asyncio.wait((self._written,), timeout=max(0.0, left_s))
+
     async def _exchange(self, address):
         head = self.head
         body = self._body() if head.has_body else None
--- a/sardinegauge/requestkeys.py
+++ b/sardinegauge/requestkeys.py
@@ -5,8 +5,10 @@
 MAX_KEYS = 8192
 KEEP_MS = 3_600_000
 MAX_BODY_BYTES = 64 * 1024
-# All stored bodies together; the oldest bodies are dropped first.
+# All stored responses together; the oldest are dropped first.
 MAX_STORED_BYTES = 2 << 20
+# What one header takes besides its text: a record, two strings and a list slot.
+HEADER_OVERHEAD_BYTES = 200
 
 RUNNING = "running"
 FINISHED = "finished"
@@ -19,18 +21,25 @@
     """What became of one key.
 
     `state` is ``running``, ``finished``, ``fenced`` or ``cut`` (it may have run and
-    its response is lost). `headers` is a list of `messages.Header`.
+    its response is lost). `headers` is a list of `messages.Header`; `size` is what
+    headers and body take in bytes.
     """
 
-    __slots__ = ("state", "at_ms", "status", "headers", "body", "is_body_kept")
-    _defaults = {"status": 0, "headers": tuple, "body": b"", "is_body_kept": False}
+    __slots__ = ("state", "at_ms", "status", "headers", "body", "is_body_kept", "size")
+    _defaults = {
+        "status": 0,
+        "headers": tuple,
+        "body": b"",
+        "is_body_kept": False,
+        "size": 0,
+    }
 
 
 class RequestKeys:
     """Table of entries by (tenant, key, claim index), bounded in number and bytes.
 
-    The table holds at most `max_keys` entries, at about 0.5 KB each without a body,
-    and 2 MiB of bodies. When it is full, the oldest ended entry makes room, and its
+    The table holds at most `max_keys` entries, at about 0.4 KB each, and 2 MiB of
+    responses: 5 MB when it is full. Then the oldest ended entry makes room, and its
     claim index becomes the floor: an unknown key at or below the floor may have run
     here, so it is neither run nor reported as unknown. Claim indexes are log indexes,
     hence a new claim is above the floor.
@@ -86,11 +95,13 @@
         entry.state = FINISHED
         entry.at_ms = now_ms
         entry.status = status
-        entry.headers = headers
         entry.is_body_kept = is_kept
-        entry.body = bytes(body) if is_kept else b""
-        self.stored_bytes += len(entry.body)
-        self._drop_bodies()
+        if is_kept:
+            entry.headers = headers
+            entry.body = bytes(body)
+            entry.size = len(body) + sum(map(_header_size, headers))
+        self.stored_bytes += entry.size
+        self._drop_responses()
 
     def cut(self, now_ms, tenant, key, claim_index):
         """Note that a running key may have run and its response is lost."""
@@ -129,16 +140,22 @@
 
     def _drop(self, key):
         entry = self.by_key.pop(key)
-        self.stored_bytes -= len(entry.body)
+        self.stored_bytes -= entry.size
         self.floor = max(self.floor, key[2])
 
-    def _drop_bodies(self):
+    def _drop_responses(self):
         if self.stored_bytes <= MAX_STORED_BYTES:
             return
         for entry in self.by_key.values():
-            if entry.body:
-                self.stored_bytes -= len(entry.body)
+            if entry.is_body_kept:
+                self.stored_bytes -= entry.size
+                entry.size = 0
+                entry.headers = ()
                 entry.body = b""
                 entry.is_body_kept = False
                 if self.stored_bytes <= MAX_STORED_BYTES:
                     return
+
+
+def _header_size(header):
+    return len(header.name) + len(header.value) + HEADER_OVERHEAD_BYTES
--- a/sardinegauge/requesttable.py
+++ b/sardinegauge/requesttable.py
@@ -172,7 +172,7 @@
         if found == requestkeys.FINISHED:
             entry = self.keys.get(*key)
             reply.status = entry.status
-            reply.headers = entry.headers
+            reply.headers = list(entry.headers)
             reply.body = entry.body
             reply.is_body_kept = entry.is_body_kept
         return [AnswerKeyQuery(query=query, reply=reply)]
