Watch a link's silence with one timer

Change: the link notes when it last received something and checks that once in the silence limit. A process that was stalled itself reads first. A test covers a silent and a live link.

--- a/sardinegauge/link.py
+++ b/sardinegauge/link.py
@@ -21,6 +21,7 @@
 PING_INTERVAL_S = 0.5
 # A silent partition closes no socket, so silence itself ends a link.
 SILENCE_LIMIT_S = 2.0
+STALL_S = 0.2
 CONNECT_TIMEOUT_S = 1.0
 RECONNECT_MIN_S = 0.05
 RECONNECT_MAX_S = 1.0
@@ -137,6 +138,8 @@
         self._outbound_by_correlation = {}
         self._inbound_by_correlation = {}
         self._is_open = False
+        self._received_s = 0.0
+        self._silence_timer = None
 
     @property
     def peer_name(self):
@@ -154,6 +157,8 @@
         """Exchange hellos, then read frames until the link closes."""
         self.stream.set_nodelay(True)
         pinger = None
+        self._received_s = asyncio.get_running_loop().time()
+        self._arm_silence_timer(SILENCE_LIMIT_S)
         try:
             self.send_frame(codec.Frame(message=self.hello))
             first = await self._read_frame()
@@ -165,23 +170,42 @@
             pinger = background.spawn(self._ping())
             while True:
                 self._dispatch(await self._read_frame())
-        except (TimeoutError, iostream.StreamClosedError, errors.LinkClosedError):
+        except (iostream.StreamClosedError, errors.LinkClosedError):
             pass
         except errors.WireError as error:
             log.warning("link_protocol_error peer=%s error=%s", self.peer_name, error)
         finally:
             if pinger is not None:
                 pinger.cancel()
+            self._silence_timer.cancel()
+            self.close()
+
+    def _arm_silence_timer(self, delay_s):
+        # One timer for each link, since a timeout around each read costs more
+        # processor time than reading a short frame.
+        loop = asyncio.get_running_loop()
+        due_s = loop.time() + delay_s
+        self._silence_timer = loop.call_at(due_s, self._check_silence, due_s)
+
+    def _check_silence(self, due_s):
+        now_s = asyncio.get_running_loop().time()
+        left_s = self._received_s + SILENCE_LIMIT_S - now_s
+        if left_s > 0:
+            self._arm_silence_timer(left_s)
+        elif now_s - due_s > STALL_S:
+            # This process was stalled itself, so input may be waiting.
+            self._arm_silence_timer(STALL_S)
+        else:
             self.close()
 
     async def _read_frame(self):
-        head = await asyncio.wait_for(
-            self.stream.read_bytes(_LENGTH.size), SILENCE_LIMIT_S
-        )
+        head = await self.stream.read_bytes(_LENGTH.size)
+        self._received_s = asyncio.get_running_loop().time()
         (length,) = _LENGTH.unpack(head)
         if length > MAX_FRAME_BYTES:
             raise errors.WireError(f"frame of {length} bytes is over the limit")
-        data = await asyncio.wait_for(self.stream.read_bytes(length), SILENCE_LIMIT_S)
+        data = await self.stream.read_bytes(length)
+        self._received_s = asyncio.get_running_loop().time()
         self.bytes_received += _LENGTH.size + length
         return codec.decode(data)
 
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -63,3 +63,21 @@
         dialer.stop()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("ping_s", [0.05, 30.0])
+def test_only_a_silent_link_is_closed(monkeypatch, ping_s):
+    """Guards against a silent partition that keeps a link open, and the reverse."""
+    monkeypatch.setattr(link, "SILENCE_LIMIT_S", 0.3)
+    monkeypatch.setattr(link, "PING_INTERVAL_S", ping_s)
+
+    async def run():
+        server, dialer = await _pair()
+        first = dialer.link
+        await asyncio.sleep(0.8)
+        is_open = first.is_open
+        dialer.stop()
+        server.close_links()
+        return is_open
+
+    assert asyncio.run(run()) == (ping_s < 1)
