Start the machine's random test with running tasks

Cause: the random test caught few of the guards that were taken out: most examples had no running task when a report or an eviction came.

Change: every example begins with running tasks, reports and evictions come in groups, stale assignments name pending tasks, and an assignment must raise the epoch by exactly one.

--- a/tests/test_machine_properties.py
+++ b/tests/test_machine_properties.py
@@ -22,6 +22,8 @@
 incarnations = st.sampled_from(("i1", "i2", "i3"))
 cores = st.sampled_from((0.1, 0.3, 0.7, 1.0, 1.7, 5.0))
 offsets = st.sampled_from((0, 0, 0, -1, 1))
+claim_kinds = st.sampled_from(("MakeClaim", "SettleClaim", "ReleaseClaim"))
+claim_steps = st.tuples(claim_kinds, offsets, st.sampled_from("dde"))
 known = st.sampled_from(("job-1", "job-2.0", "w1", "i1", "running", 10**400, "\ud800"))
 scalars = st.none() | st.booleans() | st.floats() | st.integers() | known
 junk = st.recursive(
@@ -76,6 +78,10 @@
         self.submit(3, 0.3, False, False)
         self.submit(2, 1.0, False, True)
         self.declare("quote", 1, 0.3)
+        # Every example begins with running tasks, since most rules need some.
+        self.assign_pending("w1", 0.7, 3)
+        self.assign_pending("w2", 0.1, 2)
+        self.start_all()
 
     @stateful.rule(
         upstream=upstreams,
@@ -102,9 +108,11 @@
                 del self.live_by_task[id]
 
     @stateful.precondition(lambda self: len(self.live_by_task) > 1)
-    @stateful.rule(upstream=upstreams, incarnation=incarnations)
-    def lose(self, upstream, incarnation):
+    @stateful.rule(upstream=upstreams, incarnation=incarnations, is_same=st.booleans())
+    def lose(self, upstream, incarnation, is_same):
         worker = self.workers().get(upstream)
+        if is_same and worker is not None:
+            incarnation = worker.incarnation
         is_newest = worker is not None and worker.incarnation == incarnation
         self.do("WorkerLost", upstream=upstream, incarnation=incarnation)
         self.end_live(upstream, None if is_newest else incarnation)
@@ -135,7 +143,8 @@
     )
     def assign_any(self, data, upstream, incarnation, size):
         offset = data.draw(offsets)
-        ids = [self.draw_task(data) for _ in range(3)]
+        tables = (self.live_by_task, self.machine.tasks.pending_by_id)
+        ids = [self.draw_task(data, tables[bool(offset)]) for _ in range(3)]
         place = (offset, upstream, incarnation, size)
         self.assign([self.assignment(id, *place) for id in ids])
 
@@ -160,7 +169,8 @@
             task = self.machine.tasks.by_id[id]
             assert id not in self.live_by_task, "assigned while it may still run"
             assert (task.upstream, task.incarnation) in allowed
-            assert task.epoch > self.epoch_by_task[id]
+            assert task.incarnation == chosen[0].incarnation
+            assert task.epoch == self.epoch_by_task.get(id, 0) + 1
             self.live_by_task[id] = (task.epoch, task.upstream, task.incarnation)
             worker = self.workers()[task.upstream]
             assert not worker.is_quarantined or len(worker.task_ids) == 1
@@ -168,16 +178,29 @@
             if job is not None and job.is_gang:
                 assert not {*job.task_ids} & {*self.machine.tasks.pending_by_id}
 
+    def start_all(self):
+        for id, (epoch, upstream, incarnation) in self.live_by_task.items():
+            change = commands.TaskChange(task=id, epoch=epoch, phase="running")
+            place = dict(upstream=upstream, incarnation=incarnation)
+            self.do("ReportTasks", **place, changes=[change])
+
     @stateful.precondition(lambda self: self.live_by_task)
     @stateful.rule(data=st.data(), offset=offsets)
     def evict(self, data, offset):
-        id = self.draw_task(data, self.live_by_task)
-        epoch = max(0, self.epoch_by_task.get(id, 0) + offset)
-        self.do("EvictTasks", evictions=[commands.Eviction(task=id, epoch=epoch)])
+        chosen = []
+        for _ in range(3):
+            id = self.draw_task(data, self.live_by_task)
+            epoch = max(0, self.epoch_by_task.get(id, 0) + offset)
+            chosen.append(commands.Eviction(task=id, epoch=epoch))
+        self.do("EvictTasks", evictions=chosen)
 
     @stateful.precondition(lambda self: self.live_by_task)
-    @stateful.rule(data=st.data(), phase=st.sampled_from(PHASES), is_elsewhere=rarely)
-    def report(self, data, phase, is_elsewhere):
+    @stateful.rule(data=st.data(), count=st.integers(1, 5))
+    def report(self, data, count):
+        for _ in range(count):
+            self.report_one(data, data.draw(st.sampled_from(PHASES)), data.draw(rarely))
+
+    def report_one(self, data, phase, is_elsewhere):
         id = self.draw_task(data, self.live_by_task)
         live = self.live_by_task.get(id, (self.epoch_by_task.get(id, 0), "w1", "i1"))
         epoch, upstream, incarnation = live
@@ -229,13 +252,11 @@
         else:
             self.do("CancelJobs", jobs=[job, job, "job-0"])
 
-    @stateful.rule(
-        kind=st.sampled_from(
-            ("MakeClaim", "SettleClaim", "SettleClaim", "ReleaseClaim")
-        ),
-        offset=offsets,
-        digest=st.sampled_from("dde"),
-    )
+    @stateful.rule(steps=st.lists(claim_steps, min_size=1))
+    def use_claim(self, steps):
+        for step in steps:
+            self.claim(*step)
+
     def claim(self, kind, offset, digest):
         fields = {"tenant": "karri", "key": "k1"}
         before = self.machine.claims.by_key.get(("karri", "k1"))
@@ -248,8 +269,11 @@
             fields |= {"claim_index": index}
         if kind == "SettleClaim":
             fields |= {"status": self.driver.index % 1000}
-        self.do(kind, **fields)
+        answer = self.do(kind, **fields)
         after = self.machine.claims.by_key.get(("karri", "k1"))
+        if kind == "MakeClaim":
+            is_other = before is not None and before.digest != digest
+            assert isinstance(answer, outcome.Conflict) == is_other
         if before is not None and after != before:
             assert before.state == "open", "a settled claim changed"
             assert kind != "MakeClaim" and index == before.claim_index
