Test single rules of the agreement and of leases

Change: test_raftguards and test_replica drive single replicas through the exact situations. The check for an answer of another term is gone: all waiting proposals are answered when the leadership is lost, so it could not apply.

--- a/sardinegauge/replica.py
+++ b/sardinegauge/replica.py
@@ -77,7 +77,7 @@
 class Proposal(record.Record):
     """A command in the log that awaits its answer; `token` is None for own ones."""
 
-    __slots__ = ("command", "term", "token")
+    __slots__ = ("command", "token")
 
 
 class State:
@@ -176,9 +176,7 @@
 def remember_proposal(state, command, token):
     """Expect the answer of the entry that is appended next."""
     index = state.raft.log.last_index + 1
-    state.proposals_by_index[index] = Proposal(
-        command=command, term=state.raft.term, token=token
-    )
+    state.proposals_by_index[index] = Proposal(command=command, token=token)
 
 
 def _on_asked(state, event):
@@ -228,9 +226,6 @@
 
 def _apply(state, entry):
     proposal = state.proposals_by_index.pop(entry.index, None)
-    if proposal is not None and proposal.term != entry.term:
-        requests.reply_not_run(state, proposal.token, "another leader took over")
-        proposal = None
     if entry.kind == "members":
         if proposal is not None:
             requests.reply_ran(state, proposal.token, outcome.Accepted(), entry.index)
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -240,10 +240,19 @@
     for _ in range(50):
         simulator.propose(leader)
     simulator.run(500)
+    members = {**leader.state.members}
+    members["d"] = membership.Member(
+        identity="d", name="d", address="d", is_voter=False
+    )
+    event = raft.JoinAsked(now_ms=simulator.now_ms, member=members["d"])
+    simulator.feed(leader, event)
+    simulator.run(100)
     simulator.take_snapshot(leader)
+    simulator.propose(leader)
     assert leader.state.log.base_index > behind.state.log.last_index
     simulator.run_calm(1000)
     assert behind.state.snapshot.index == leader.state.snapshot.index
+    assert behind.state.members == members
     assert behind.applied == leader.applied
     simulator.crash(behind)
     simulator.run_calm(1000)
@@ -262,7 +271,7 @@
 def test_quorum_counts_voters_only():
     table = {
         name: membership.Member(identity=name, name=name, address="", is_voter=voter)
-        for name, voter in (("a", True), ("b", True), ("c", True), ("d", False))
+        for name, voter in zip("abcde", (True, True, True, False, False))
     }
-    assert not membership.is_quorum(table, {"a", "d"})
-    assert membership.quorum_value(table, {"a": 5, "d": 5}) == 0
+    assert not membership.is_quorum(table, {"a", "d", "e"})
+    assert membership.quorum_value(table, {"a": 5, "d": 5, "e": 5}) == 0
--- /dev/null
+++ b/tests/test_raftguards.py
@@ -0,0 +1,191 @@
+"""Guards single rules of the agreement that random runs seldom need."""
+
+from sardinegauge import membership, messages, raft, raftstate
+from tests import raftsim
+
+
+def receive(simulator, node, message):
+    """Let a replica receive a message; return what it sends at once."""
+    simulator.bag.clear()
+    event = raft.Received(now_ms=simulator.now_ms, message=message)
+    simulator.feed(node, event)
+    return [sent for name, _, sent in simulator.bag if name == node.name]
+
+
+def write_all(simulator, node):
+    while node.writes:
+        simulator.write(node, len(node.writes))
+
+
+def entry(index, term, kind="command", body=b"x"):
+    return messages.LogEntry(index=index, term=term, kind=kind, body=body)
+
+
+def append(term, prev, entries=(), **fields):
+    """Return a request of leader b; `prev` is a pair of index and term."""
+    return messages.AppendRequest(
+        term=term,
+        leader="b",
+        prev_index=prev[0],
+        prev_term=prev[1],
+        entries=list(entries),
+        **fields,
+    )
+
+
+def campaign(simulator, node):
+    """Make a replica a candidate whose own vote is not yet durable."""
+    simulator.now_ms += 5000
+    simulator.tick(node)
+    term = node.state.term + 1
+    reply = messages.VoteReply(
+        term=term, voter="b", granted=True, pre_vote=True, last_index=9
+    )
+    receive(simulator, node, reply)
+    assert node.state.role == raftstate.CANDIDATE
+    return reply.replace(pre_vote=False)
+
+
+def lead(simulator, node):
+    granted = campaign(simulator, node)
+    receive(simulator, node, granted)
+    write_all(simulator, node)
+    assert node.state.role == raftstate.LEADER
+
+
+def test_pre_vote_is_refused_while_a_leader_lives():
+    simulator = raftsim.Simulator()
+    node = simulator.nodes["a"]
+    receive(simulator, node, append(2, (1, 1)))
+    write_all(simulator, node)
+    request = messages.VoteRequest(
+        term=3, candidate="c", last_index=9, last_term=9, pre_vote=True
+    )
+    (reply,) = receive(simulator, node, request)
+    assert not reply.granted
+    simulator.now_ms += raftstate.ELECTION_MIN_MS
+    (reply,) = receive(simulator, node, request)
+    assert reply.granted and node.state.term == 2
+
+
+def test_candidate_counts_its_own_vote_only_when_durable():
+    simulator = raftsim.Simulator()
+    node = simulator.nodes["a"]
+    granted = campaign(simulator, node)
+    receive(simulator, node, granted)
+    earlier = node.state.sequence - 1
+    simulator.feed(node, raft.Persisted(now_ms=simulator.now_ms, sequence=earlier))
+    assert node.state.role == raftstate.CANDIDATE
+    write_all(simulator, node)
+    assert node.state.role == raftstate.LEADER
+
+
+def test_replica_with_an_outdated_folder_starts_no_election():
+    simulator = raftsim.Simulator()
+    node = simulator.nodes["a"]
+    node.state.acknowledged["a"] = 7
+    simulator.now_ms += 5000
+    simulator.tick(node)
+    assert node.state.role == raftstate.FOLLOWER and simulator.bag == []
+
+
+def test_entries_of_older_terms_commit_only_below_an_own_entry():
+    simulator = raftsim.Simulator()
+    node = simulator.nodes["a"]
+    receive(simulator, node, append(2, (1, 1), [entry(2, 2)]))
+    write_all(simulator, node)
+    lead(simulator, node)
+    simulator.read(node)
+    term = node.state.term
+    reply = messages.AppendReply(
+        term=term, member="c", success=True, match_index=2, read_round=9
+    )
+    receive(simulator, node, reply)
+    assert node.state.commit_index == 0
+    assert simulator.reads_answered == 0  # It may not know the newest commit yet.
+    receive(simulator, node, reply.replace(match_index=3))
+    assert node.state.commit_index == 3
+    assert simulator.reads_answered == 1
+
+
+def test_heartbeat_acknowledges_only_what_is_durable():
+    simulator = raftsim.Simulator()
+    node = simulator.nodes["a"]
+    receive(simulator, node, append(2, (1, 1)))
+    write_all(simulator, node)
+    receive(simulator, node, append(2, (1, 1), [entry(2, 2), entry(3, 2)]))
+    (reply,) = receive(simulator, node, append(2, (3, 2)))
+    assert reply.success and reply.match_index == 1
+    write_all(simulator, node)
+    # Another leader replaces entry 3; its heartbeat comes before that is written.
+    receive(simulator, node, append(3, (2, 2)))
+    write_all(simulator, node)
+    receive(simulator, node, append(3, (2, 2), [entry(3, 3)]))
+    (reply,) = receive(simulator, node, append(3, (3, 3)))
+    assert reply.success and reply.match_index == 2
+
+
+def test_repeated_refusal_starts_no_second_pipeline():
+    simulator = raftsim.Simulator()
+    node = simulator.nodes["a"]
+    receive(simulator, node, append(2, (1, 1), [entry(i, 2) for i in range(2, 9)]))
+    write_all(simulator, node)
+    lead(simulator, node)
+    refusal = messages.AppendReply(
+        term=node.state.term,
+        member="c",
+        prev_index=8,
+        conflict_index=2,
+        last_index=1,
+    )
+    assert len(receive(simulator, node, refusal)) == 1
+    assert receive(simulator, node, refusal) == []
+
+
+def test_truncated_change_of_members_is_taken_back():
+    simulator = raftsim.Simulator()
+    node = simulator.nodes["a"]
+    before = dict(node.state.members)
+    added = {
+        **before,
+        "d": membership.Member(identity="d", name="d", address="d", is_voter=False),
+    }
+    change = entry(2, 2, "members", membership.dumps(added))
+    receive(simulator, node, append(2, (1, 1), [change]))
+    assert node.state.members == added
+    receive(simulator, node, append(3, (1, 1), [entry(2, 3)]))
+    assert node.state.members == before
+
+
+def test_member_that_answers_is_not_replaced_by_another_of_its_name():
+    simulator = raftsim.Simulator()
+    simulator.run(3000)
+    (leader,) = simulator.leaders()
+    node = raftsim.Node("c2", raftsim.Disk())
+    node.boot(simulator.now_ms)
+    simulator.nodes["c2"] = node
+    name = next(n for n in raftsim.NAMES if n != leader.name)
+    member = membership.Member(identity="c2", name=name, address="c2")
+    event = raft.JoinAsked(now_ms=simulator.now_ms, member=member)
+    simulator.feed(leader, event)
+    simulator.run(2000)
+    assert node.applied == leader.applied
+    assert leader.state.members["c2"] == member.replace(is_voter=False)
+    assert leader.state.members[name].is_voter
+
+
+def test_learner_that_holds_nothing_is_not_promoted():
+    simulator = raftsim.Simulator()
+    simulator.run(3000)
+    (leader,) = simulator.leaders()
+    lost = next(n for n in simulator.nodes.values() if n is not leader)
+    simulator.lose_folder(lost)
+    lost.is_isolated = True
+    simulator.run(1000)
+    member = membership.Member(
+        identity=lost.identity, name=lost.name, address=lost.name
+    )
+    event = raft.JoinAsked(now_ms=simulator.now_ms, member=member)
+    simulator.feed(leader, event)
+    simulator.run(1000)
+    assert not leader.state.members[lost.identity].is_voter
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -14,13 +14,22 @@
 
 
 class Group:
-    """A group of one replica, whose writes become durable when asked."""
-
-    def __init__(self):
-        member = membership.Member(identity="a", name="a", address="127.0.0.1:1")
-        body = membership.dumps({"a": member})
-        entry = messages.LogEntry(index=1, term=1, kind="members", body=body)
-        stored = storage.Stored(term=1, log=raftlog.Log(entries=[entry]))
+    """Replica a of a group, alone by default; its writes become durable when asked."""
+
+    def __init__(self, names="a", command_count=0):
+        members = {
+            name: membership.Member(identity=name, name=name, address=f"127.0.0.1:{i}")
+            for i, name in enumerate(names, 1)
+        }
+        member = members["a"]
+        body = membership.dumps(members)
+        entries = [messages.LogEntry(index=1, term=1, kind="members", body=body)]
+        for index in range(2, 2 + command_count):
+            command = b'{"kind":"ExpireClaims","before_ms":1}'
+            entries.append(
+                messages.LogEntry(index=index, term=1, kind="command", body=command)
+            )
+        stored = storage.Stored(term=1, log=raftlog.Log(entries=entries))
         self.state = replica.State(
             "a", member.address, stored, statefleet.parts(), now_ms=0
         )
@@ -29,6 +38,7 @@
         self.token = 0
         self.replies = {}
         self.pushes = []
+        self.sent = []
 
     def feed(self, event):
         for effect in replica.reduce(self.state, event):
@@ -36,6 +46,8 @@
                 self.sequence = effect.sequence
             elif isinstance(effect, replica.Reply):
                 self.replies[effect.token] = effect.message
+            elif isinstance(effect, raftstate.Send):
+                self.sent.append(effect)
             elif isinstance(effect, replica.Push):
                 self.pushes.append(effect.message)
 
@@ -132,3 +144,35 @@
     assert group.replies[token].verdict == "may-have-run"
     late = group.ask(messages.Propose(command=body))
     assert group.replies[late].verdict == "not-run"
+
+
+def test_no_lease_is_renewed_before_a_quorum_confirmed_the_round():
+    group = Group("abc")
+    group.feed(raft.Tick(now_ms=group.now_ms, jitter=0.0))
+    for is_pre_vote in (True, False):
+        vote = messages.VoteReply(
+            term=2, voter="b", granted=True, pre_vote=is_pre_vote, last_index=1
+        )
+        group.feed(raft.Received(now_ms=group.now_ms, message=vote))
+        group.sync()
+    reply = messages.AppendReply(term=2, member="b", success=True, match_index=2)
+    group.feed(raft.Received(now_ms=group.now_ms, message=reply))
+    assert group.state.is_leading
+    token = group.heartbeat()
+    group.feed(raft.Received(now_ms=group.now_ms, message=reply))  # An older round.
+    assert token not in group.replies
+    sent_round = group.sent[-1].message.read_round
+    reply = reply.replace(read_round=sent_round)
+    group.feed(raft.Received(now_ms=group.now_ms, message=reply))
+    assert group.replies[token].confirmed
+
+
+def test_scheduler_starts_only_with_a_current_machine(monkeypatch):
+    monkeypatch.setattr(replica, "APPLY_BATCH", 1)
+    group = Group(command_count=20)
+    group.feed(raft.Tick(now_ms=group.now_ms, jitter=0.0))
+    group.sync()
+    while not group.state.is_leading:
+        assert group.state.applied_index < 22
+        group.feed(replica.ApplyNext(now_ms=group.now_ms))
+    assert group.state.machine.index == 21
