--- a/tests/test_raftguards.py
+++ b/tests/test_raftguards.py
@@ -161,11 +161,12 @@
     simulator = raftsim.Simulator()
     simulator.run(3000)
     (leader,) = simulator.leaders()
-    node = raftsim.Node("c2", raftsim.Disk())
+    name = next(n for n in raftsim.NAMES if n != leader.name)
+    node = raftsim.Node(name, raftsim.Disk())
+    node.identity = "c2"
     node.boot(simulator.now_ms)
     simulator.nodes["c2"] = node
-    name = next(n for n in raftsim.NAMES if n != leader.name)
-    member = membership.Member(identity="c2", name=name, address="c2")
+    member = membership.Member(identity="c2", name=name, address=name)
     event = raft.JoinAsked(now_ms=simulator.now_ms, member=member)
     simulator.feed(leader, event)
     simulator.run(2000)
