--- a/sardinegauge/preemption.py
+++ b/sardinegauge/preemption.py
@@ -35,6 +35,9 @@
 NEARLY_DONE_S = 20.0
 # Seconds of work that any eviction costs: checkpoint, restart, warm-up.
 RESTART_S = 10.0
+# At equal weights, this many seconds of lost work are worth a p99 that is lower by one
+# multiple of its base.
+SECONDS_PER_RELIEF = 20.0
 # Another place must be this much better before a task is evicted for interference.
 BETTER_PLACE = 0.5
 # A task that was evicted this often is no longer evicted for others, so it finishes.
@@ -198,7 +201,10 @@
             relief = _relief(state, view, run.group, share, slowest)
             cost = eviction_cost(state, now_ms, task)
             gain = state.weights.tail_latency * relief
-            if cost is None or gain < state.weights.evictions * cost / 60.0:
+            if (
+                cost is None
+                or gain < state.weights.evictions * cost / SECONDS_PER_RELIEF
+            ):
                 continue
             if relief < 0.1 or not _has_better_place(state, view, task, run, share):
                 continue
