Bound the work per decision and per heartbeat in large fleets

Change: nested tables in the interference model, at most 300 measurements a second learned, 12 candidates in fleets above 32 workers, orders of unchanged tasks reused.

--- a/sardinegauge/capacity.py
+++ b/sardinegauge/capacity.py
@@ -6,9 +6,11 @@
 
 # Workers are grouped by whole free cores; larger workers share the last group.
 CORE_BUCKETS = 128
-# Candidates that a placement decision scores. Among 32 random workers the best one is
-# in the top tenth of the fleet with probability 0.97.
-CANDIDATES = 32
+# Up to this many workers, a placement decision scores all that have room.
+EXACT_WORKERS = 32
+# In larger fleets it scores this many at random: the best one of them is in the top
+# fifth of the fleet with probability 0.93, and the cost does not grow with the fleet.
+CANDIDATES = 12
 # Random draws before the index walks the buckets one by one.
 DRAWS = 64
 # Sizes remembered as "fits nowhere" until room is freed.
@@ -175,8 +177,8 @@
     def candidates(self, demand, random, limit=CANDIDATES, holder=None, held=()):
         """Return up to `limit` workers with room for the demand.
 
-        All workers that fit are returned when there are at most `limit` workers, so
-        that small fleets are planned exactly; larger ones are sampled at random.
+        All workers that fit are returned in fleets of at most `EXACT_WORKERS`, so that
+        small fleets are planned exactly; larger ones are sampled at random.
         Workers in `held`, which are kept for `holder`, come first when they fit.
         """
         for upstream in sorted(held):
@@ -197,7 +199,9 @@
             return found
         buckets = self.accelerated if demand.accelerators else self.general
         lists = buckets.from_bucket(min(int(demand.cores), CORE_BUCKETS - 1))
-        if len(buckets.place_by_upstream) > limit:
+        if len(self.by_upstream) <= EXACT_WORKERS:
+            limit = EXACT_WORKERS
+        elif len(buckets.place_by_upstream) > limit:
             found = self._draw(lists, demand, random, limit, holder)
             if len(found) >= limit // 4:
                 return found
--- a/sardinegauge/directives.py
+++ b/sardinegauge/directives.py
@@ -11,7 +11,7 @@
     """Return the directive for one upstream; `sequence` 0 marks a push.
 
     The table is cached until `forget` is called for the upstream, since most
-    heartbeats are answered with an unchanged table.
+    heartbeats are answered with an unchanged table. Callers must not change it.
     """
     orders = state.orders_by_upstream.get(upstream)
     if orders is None:
@@ -36,14 +36,28 @@
         return []
     by_id = state.machine.tasks.by_id
     held = [by_id[task_id] for task_id in sorted(worker.task_ids) if task_id in by_id]
-    return [_order(state, task) for task in held if task.upstream == upstream]
+    return [_order(state, task) for task in held]
 
 
 def _order(state, task):
-    return messages.TaskOrder(
+    """Return the order of one task, the same record as before if nothing changed."""
+    action = ACTION_BY_STATE.get(task.state, "stop")
+    throttle = state.throttle_by_task.get(task.id, 1.0)
+    known = state.order_by_task.get(task.id)
+    if (
+        known is not None
+        and known.epoch == task.epoch
+        and known.action == action
+        and known.cores == task.cores
+        and known.memory_mb == task.memory_mb
+        and known.throttle == throttle
+        and known.checkpoint == task.checkpoint
+    ):
+        return known
+    order = messages.TaskOrder(
         task=task.id,
         epoch=task.epoch,
-        action=ACTION_BY_STATE.get(task.state, "stop"),
+        action=action,
         tenant=task.tenant,
         job=task.job or task.service,
         task_class=task.task_class,
@@ -53,5 +67,7 @@
         connections=task.connections,
         command=task.command,
         checkpoint=task.checkpoint,
-        throttle=state.throttle_by_task.get(task.id, 1.0),
+        throttle=throttle,
     )
+    state.order_by_task[task.id] = order
+    return order
--- a/sardinegauge/interference.py
+++ b/sardinegauge/interference.py
@@ -34,7 +34,9 @@
 # Residuals beyond this many standard deviations are cut, so that one wave of noise
 # does not overturn what was learned.
 MAX_DEVIATIONS = 3.0
-MAX_PARTS = 60_000
+MAX_PAIRS = 40_000
+# Smaller shares of a worker's cores teach nothing.
+MIN_SHARE = 0.005
 # The largest predicted logarithm; beyond it only the order matters.
 MAX_EXCESS = 3.0
 
@@ -83,6 +85,37 @@
         self.variance = min(self.prior_variance, grown)
 
 
+class Pair:
+    """A part and what is special to each load level of it."""
+
+    __slots__ = ("by_level", "part")
+
+    def __init__(self, part):
+        self.part = part
+        self.by_level = {}
+
+
+class Group:
+    """The part of one batch group and its pairs with services."""
+
+    __slots__ = ("pair_by_service", "part")
+
+    def __init__(self, part):
+        self.part = part
+        self.pair_by_service = {}
+
+    def effect(self, service, level):
+        """Return the coefficient on a service at a load; never negative."""
+        total = self.part.mean
+        pair = self.pair_by_service.get(service)
+        if pair is not None:
+            total += pair.part.mean
+            special = pair.by_level.get(level)
+            if special is not None:
+                total += special.mean
+        return total if total > 0.0 else 0.0
+
+
 class Model:
     """What was learned of all services and batch groups.
 
@@ -90,19 +123,26 @@
     load level of each service, for replicas that have not reported yet.
     """
 
-    __slots__ = ("part_by_key", "usual_level_by_service")
+    __slots__ = (
+        "base_by_service",
+        "group_by_key",
+        "pair_count",
+        "usual_level_by_service",
+    )
 
     def __init__(self):
-        self.part_by_key = {}
+        self.base_by_service = {}
+        self.group_by_key = {}
+        self.pair_count = 0
         self.usual_level_by_service = {}
 
     def base(self, service, level):
         """Return the logarithm of the p99 in ms without batch work, or None."""
-        part = self.part_by_key.get((service,))
-        if part is None:
+        base = self.base_by_service.get(service)
+        if base is None:
             return None
-        special = self.part_by_key.get((service, level))
-        return part.mean + (0.0 if special is None else special.mean)
+        special = base.by_level.get(level)
+        return base.part.mean + (0.0 if special is None else special.mean)
 
     def effect(self, service, group, level):
         """Return the coefficient of a pair at a load; never negative.
@@ -110,18 +150,8 @@
         It is the logarithm of the slow-down of the service's p99 if the group used
         all cores of the worker; at a share, it counts times `pressure_of` the share.
         """
-        part_by_key = self.part_by_key
-        part = part_by_key.get(("group", group))
-        if part is None:
-            return PRIOR_EFFECT
-        total = part.mean
-        part = part_by_key.get(("pair", service, group))
-        if part is not None:
-            total += part.mean
-            part = part_by_key.get(("level", service, group, level))
-            if part is not None:
-                total += part.mean
-        return total if total > 0.0 else 0.0
+        found = self.group_by_key.get(group)
+        return PRIOR_EFFECT if found is None else found.effect(service, level)
 
     def excess(self, service, level, share_by_group):
         """Return the predicted logarithm of the slow-down under a mix of groups."""
@@ -150,46 +180,59 @@
         terms = self._terms(now_ms, service, level, value, share_by_group)
         noise = NOISE_VARIANCE * (1.0 + FEW_REQUESTS / max(requests, 1)) + drift
         predicted, spread = 0.0, noise
-        for part, share in terms:
+        for part, pressure in terms:
             part.decay(now_ms)
-            predicted += part.mean * share
-            spread += part.variance * share * share
+            predicted += part.mean * pressure
+            spread += part.variance * pressure * pressure
         limit = MAX_DEVIATIONS * math.sqrt(spread)
         residual = max(-limit, min(limit, value - predicted))
-        for part, share in terms:
-            gain = part.variance * share / spread
+        for part, pressure in terms:
+            gain = part.variance * pressure / spread
             part.mean += gain * residual
-            part.variance *= 1.0 - gain * share
-        if len(self.part_by_key) > MAX_PARTS:
+            part.variance *= 1.0 - gain * pressure
+        if self.pair_count > MAX_PAIRS:
             self._drop_oldest()
 
     def _terms(self, now_ms, service, level, value, share_by_group):
-        get = self._part
-        terms = [
-            (get((service,), value, BASE_VARIANCE, now_ms), 1.0),
-            (get((service, level), 0.0, BASE_LEVEL_VARIANCE, now_ms), 1.0),
-        ]
-        for group, share in share_by_group.items():
-            if share < 0.005:
+        """Return the parts that a measurement depends on, with their factors."""
+        base = self.base_by_service.get(service)
+        if base is None:
+            base = Pair(Part(value, BASE_VARIANCE, now_ms))
+            self.base_by_service[service] = base
+        terms = [(base.part, 1.0)]
+        terms.append((_special(base, level, BASE_LEVEL_VARIANCE, now_ms), 1.0))
+        for key, share in share_by_group.items():
+            if share < MIN_SHARE:
                 continue
-            share = pressure_of(share)
-            key = ("group", group)
-            terms.append((get(key, PRIOR_EFFECT, GROUP_VARIANCE, now_ms), share))
-            key = ("pair", service, group)
-            terms.append((get(key, 0.0, PAIR_VARIANCE, now_ms), share))
-            key = ("level", service, group, level)
-            terms.append((get(key, 0.0, LEVEL_VARIANCE, now_ms), share))
+            pressure = pressure_of(share)
+            group = self.group_by_key.get(key)
+            if group is None:
+                group = Group(Part(PRIOR_EFFECT, GROUP_VARIANCE, now_ms))
+                self.group_by_key[key] = group
+            pair = group.pair_by_service.get(service)
+            if pair is None:
+                pair = Pair(Part(0.0, PAIR_VARIANCE, now_ms))
+                group.pair_by_service[service] = pair
+                self.pair_count += 1
+            terms.append((group.part, pressure))
+            terms.append((pair.part, pressure))
+            special = _special(pair, level, LEVEL_VARIANCE, now_ms)
+            terms.append((special, pressure))
         return terms
 
-    def _part(self, key, mean, variance, now_ms):
-        part = self.part_by_key.get(key)
-        if part is None:
-            part = self.part_by_key[key] = Part(mean, variance, now_ms)
-        return part
-
     def _drop_oldest(self):
-        parts = sorted(
-            self.part_by_key, key=lambda key: self.part_by_key[key].updated_ms
+        """Forget the groups without measurements for longest, with their pairs."""
+        order = sorted(
+            self.group_by_key, key=lambda key: self.group_by_key[key].part.updated_ms
         )
-        for key in parts[: MAX_PARTS // 10]:
-            del self.part_by_key[key]
+        for key in order:
+            if self.pair_count <= MAX_PAIRS * 0.9:
+                return
+            self.pair_count -= len(self.group_by_key.pop(key).pair_by_service)
+
+
+def _special(pair, level, variance, now_ms):
+    part = pair.by_level.get(level)
+    if part is None:
+        part = pair.by_level[level] = Part(0.0, variance, now_ms)
+    return part
--- a/sardinegauge/preemption.py
+++ b/sardinegauge/preemption.py
@@ -285,7 +285,7 @@
 def _has_better_place(state, view, task, run, share):
     here = _harm_at(state, view.upstream, run.group, share)
     demand = state.demand_of(task)
-    found = state.free.candidates(demand, state.random, limit=12, holder=task.job)
+    found = state.free.candidates(demand, state.random, holder=task.job)
     return any(
         _harm_at(state, free.upstream, run.group, share) < here * BETTER_PLACE
         for free in found
--- a/sardinegauge/scheduler.py
+++ b/sardinegauge/scheduler.py
@@ -200,7 +200,9 @@
     elif isinstance(command, commands.WorkerLost):
         worker = state.machine.workers.by_upstream.get(command.upstream)
         if worker is None or worker.is_lost:
-            state.views.pop(command.upstream, None)
+            view = state.views.pop(command.upstream, None)
+            if view is not None:
+                state.load_count -= len(view.load_by_service)
             state.pace.note_loss(now_ms)
     elif isinstance(command, commands.AssignTasks):
         skipped = getattr(answer, "value", {}).get("skipped", {})
--- a/sardinegauge/softstate.py
+++ b/sardinegauge/softstate.py
@@ -75,8 +75,11 @@
         self.spread_by_service = {}
         self.run_by_task = {}
         self.views = {}
+        # Services reported over all views.
+        self.load_count = 0
         self.demands = views.Demands()
         self.orders_by_upstream = {}
+        self.order_by_task = {}
         self.throttle_by_task = {}
         self.squeezed_by_task = {}
         self.guard_by_upstream = {}
@@ -125,11 +128,6 @@
         """Tell whether a tenant uses more than its quota."""
         return quotas.standing(self, tenant)[0]
 
-    def observe_every_ms(self):
-        """Return the time between two model samples of one worker."""
-        fleet_ms = len(self.free.by_upstream) * 1000 / views.OBSERVATIONS_PER_S
-        return max(views.OBSERVE_MS, fleet_ms)
-
     def watch(self, upstream, now_ms):
         """Let the preemption policy review a worker."""
         if upstream not in self.guard_by_upstream:
@@ -214,6 +212,7 @@
         if task is None or not task.upstream:
             if run is not None:
                 del self.run_by_task[task_id]
+            self.order_by_task.pop(task_id, None)
             self.throttle_by_task.pop(task_id, None)
             self.squeezed_by_task.pop(task_id, None)
             if task is None or task.has_ended:
--- a/sardinegauge/views.py
+++ b/sardinegauge/views.py
@@ -10,10 +10,14 @@
 LAG_MS = 6_000
 # Requests in one report below which its p99 is not acted upon.
 MIN_REQUESTS = 10
-# Time between two samples of one worker for the model, and the samples per second over
-# the whole fleet, which bound the model's share of the leader's processor time.
+# Time between two samples of one worker for the model, and the measurements that it
+# learns from per second over the whole fleet, drawn at random. The latter bounds the
+# model's share of the leader's processor time.
 OBSERVE_MS = 2_000
 OBSERVATIONS_PER_S = 300
+# With more services reported than this, a worker's loads are taken only when a sample
+# is due. Steps against interference take longer than that anyway.
+MANY_LOADS = 1_000
 # Time for which a mix without news is trusted; usage changes without any start.
 MIX_MS = 3_000
 # Groups that count as usual, how often their order is made, and for how long a
@@ -50,6 +54,7 @@
     """
 
     __slots__ = (
+        "followed_ms",
         "heartbeat_ms",
         "is_stale",
         "lagged_by_group",
@@ -77,6 +82,7 @@
         self.mixed_ms = 0
         self.observed_ms = 0
         self.heartbeat_ms = None
+        self.followed_ms = None
 
 
 def refresh_mix(state, view):
@@ -105,23 +111,32 @@
     """Take the service loads of a heartbeat; learn from them and watch hot workers."""
     elapsed_ms = now_ms - (view.heartbeat_ms or now_ms - 1000)
     view.heartbeat_ms = now_ms
+    since_mix_ms = now_ms - (view.followed_ms or now_ms - 1000)
     if not heartbeat.loads:
+        state.load_count -= len(view.load_by_service)
         view.load_by_service.clear()
         return
+    is_due = now_ms - view.observed_ms >= OBSERVE_MS
+    if not is_due and state.load_count > MANY_LOADS:
+        return
     refresh_mix(state, view)
-    drift = _follow_mix(view, elapsed_ms)
-    may_learn = now_ms - view.observed_ms >= state.observe_every_ms()
-    if may_learn:
+    drift = _follow_mix(view, since_mix_ms)
+    view.followed_ms = now_ms
+    if is_due:
         view.observed_ms = now_ms
+    chance = OBSERVATIONS_PER_S * OBSERVE_MS / 1000.0 / max(1, state.load_count)
     known = set()
     for report in heartbeat.loads:
         known.add(report.service)
         load = view.load_by_service.get(report.service)
         if load is None:
             load = view.load_by_service[report.service] = Load()
+            state.load_count += 1
+        may_learn = is_due and (chance >= 1.0 or state.random.random() < chance)
         _take_load(state, now_ms, view, load, report, elapsed_ms, drift, may_learn)
     for service in [name for name in view.load_by_service if name not in known]:
         del view.load_by_service[service]
+        state.load_count -= 1
 
 
 def _take_load(state, now_ms, view, load, report, elapsed_ms, drift, may_learn):
@@ -184,8 +199,12 @@
     pressure_of = interference.pressure_of
     added = pressure_of(before + share) - pressure_of(before)
     model, total = state.model, 0.0
+    known = model.group_by_key.get(group)
     for service, load in view.load_by_service.items():
-        effect = model.effect(service, group, load.level)
+        if known is None:
+            effect = interference.PRIOR_EFFECT
+        else:
+            effect = known.effect(service, load.level)
         if effect <= 0.0:
             continue
         now = view.slow_by_service.get(service)
