Take usage reports every 3 s in large fleets

Change: usage of each task is taken every 3 s above 2,000 tasks; 8 candidates per decision in large fleets.

--- a/sardinegauge/capacity.py
+++ b/sardinegauge/capacity.py
@@ -9,8 +9,8 @@
 # Up to this many workers, a placement decision scores all that have room.
 EXACT_WORKERS = 32
 # In larger fleets it scores this many at random: the best one of them is in the top
-# fifth of the fleet with probability 0.93, and the cost does not grow with the fleet.
-CANDIDATES = 12
+# quarter of the fleet with probability 0.9, and the cost does not grow with the fleet.
+CANDIDATES = 8
 # Random draws before the index walks the buckets one by one.
 DRAWS = 64
 # Sizes remembered as "fits nowhere" until room is freed.
--- a/sardinegauge/estimates.py
+++ b/sardinegauge/estimates.py
@@ -60,6 +60,7 @@
         "sampled_ms",
         "square_cores",
         "started_ms",
+        "taken_ms",
     )
 
     def __init__(self, task, now_ms):
@@ -73,6 +74,7 @@
         self.started_ms = None
         self.reported_ms = None
         self.is_proven = False
+        self.taken_ms = -math.inf
         self.resized_ms = now_ms
         self.sampled_ms = now_ms
         self.cores = 0.0
--- a/sardinegauge/heartbeats.py
+++ b/sardinegauge/heartbeats.py
@@ -7,6 +7,9 @@
 DRIFT_MS = 1_000
 # A task that ran with a throttle under the last leader keeps it.
 FULL_SPEED = 0.999
+# With more tasks than this, the usage of each is taken less often than reported.
+MANY_TASKS = 2_000
+USAGE_EVERY_MS = 3_000
 # Phases in which a task no longer runs; they are news until the task has no place.
 STOPPED_PHASES = frozenset({"stopped", "finished", "failed", "refused"})
 
@@ -110,6 +113,7 @@
     """Take the reports of all tasks; return the changes of phase that are news."""
     by_id, run_by_task = state.machine.tasks.by_id, state.run_by_task
     changes = []
+    is_large = len(run_by_task) > MANY_TASKS
     for report in heartbeat.tasks:
         task = by_id.get(report.task)
         if task is None or task.epoch != report.epoch:
@@ -119,7 +123,9 @@
         phase = report.phase
         if phase == "running":
             run = run_by_task[report.task]
-            _take_usage(state, now_ms, task, run, report)
+            if not is_large or now_ms - run.taken_ms >= USAGE_EVERY_MS:
+                run.taken_ms = now_ms
+                _take_usage(state, now_ms, task, run, report)
             is_news = task.state == "assigned" or (
                 report.checkpoint and report.checkpoint != task.checkpoint
             )
