--- a/sardinegauge/lifecycle.py
+++ b/sardinegauge/lifecycle.py
@@ -2,8 +2,18 @@
 
 import math
 
-from sardinegauge import jobs, outcome, services, tasks
-
+from sardinegauge import checks, jobs, outcome, services, tasks
+
+_UNDONE = (
+    "epoch",
+    "cores",
+    "memory_mb",
+    "accelerators",
+    "connections",
+    "reason",
+    "changed_at_ms",
+    "pending_since_ms",
+)
 STOPPED_PHASES = frozenset({"stopped", "finished", "failed", "refused"})
 
 
@@ -51,14 +61,14 @@
 def _place(machine, assignment, at_ms):
     """Assign a task; return what an undo needs."""
     task = machine.tasks.by_id[assignment.task]
-    before = task.replace()
+    before = {name: getattr(task, name) for name in _UNDONE}
     task.state = "assigned"
     task.epoch = assignment.epoch
     task.cores = assignment.cores
     task.memory_mb = assignment.memory_mb
     task.accelerators = assignment.accelerators
     task.connections = assignment.connections
-    task.reason = assignment.reason
+    task.reason = checks.clip(assignment.reason)
     task.changed_at_ms = at_ms
     machine.tasks.occupy(task, machine.workers.by_upstream[assignment.upstream])
     return before
@@ -74,17 +84,16 @@
         task_ids = machine.jobs.by_id[job_id].task_ids
         if any(id in machine.tasks.pending_by_id for id in task_ids):
             for id in ids:
-                _undo(machine, before_by_id.pop(id))
+                _undo(machine, id, before_by_id.pop(id))
                 skipped[id] = "gang is not complete"
 
 
-def _undo(machine, before):
-    task = machine.tasks.by_id[before.id]
+def _undo(machine, id, before):
+    task = machine.tasks.by_id[id]
     machine.tasks.vacate(task, machine.workers.by_upstream[task.upstream])
-    for name in ("epoch", "cores", "memory_mb", "accelerators", "connections"):
-        setattr(task, name, getattr(before, name))
-    machine.tasks.make_pending(task, before.changed_at_ms, before.reason)
-    task.pending_since_ms = before.pending_since_ms
+    machine.tasks.make_pending(task, 0, "")
+    for name, value in before.items():
+        setattr(task, name, value)
 
 
 def evict(machine, index, command):
@@ -104,7 +113,7 @@
             skipped[eviction.task] = f"epoch is {task.epoch}"
         else:
             task.state = "evicting"
-            task.reason = eviction.reason
+            task.reason = checks.clip(eviction.reason)
             task.changed_at_ms = command.at_ms
             _touch_service(machine, index, task)
             evicting.append(task.id)
@@ -166,13 +175,13 @@
     is_done = change.phase == "finished" and not task.service
     if not task.has_ended:
         if is_done:
-            machine.tasks.end(task, "finished", at_ms, change.reason)
+            machine.tasks.end(task, "finished", at_ms, checks.clip(change.reason))
         elif change.phase in ("failed", "finished"):
             # A service's task has no end of its own, so its exit is a failure.
             _count_failure(task)
         elif change.phase == "stopped" and task.state == "evicting":
             task.evictions += 1
-    _release(machine, index, at_ms, task, change.reason or change.phase)
+    _release(machine, index, at_ms, task, checks.clip(change.reason) or change.phase)
     if is_done and task.state == "finished":
         jobs.note_finished(machine, task, at_ms)
 
