--- a/sardinegauge/resizing.py
+++ b/sardinegauge/resizing.py
@@ -43,7 +43,8 @@
                 # Cores in use by nobody are shared, so the task runs on all the same.
                 continue
             elif _may_move(state, now_ms, task):
-                state.sizes.floor_by_task[task_id] = (cores, memory_mb)
+                used_cores = estimates.round_cores(run.usual_cores())
+                state.sizes.floor_by_task[task_id] = (used_cores, memory_mb)
                 state.pace.evictions.take()
                 moved.append(task)
             else:
--- /dev/null
+++ b/tests/test_policyparts.py
@@ -0,0 +1,247 @@
+"""Guards the parts of the policies: what is learned, and when it is acted upon."""
+
+import math
+import random
+
+import pytest
+
+from sardinegauge import (
+    commands,
+    estimates,
+    interference,
+    messages,
+    pacing,
+    placement,
+    preemption,
+    reasons,
+    scheduler,
+)
+from tests import schedulerdriver
+
+
+def test_interference_tells_harmful_from_harmless_groups():
+    """A model that blames all groups alike can't choose a place."""
+    model, draw = interference.Model(), random.Random(1)
+    for second in range(300):
+        mix = {"bad": draw.choice((0.0, 0.4)), "good": draw.choice((0.0, 0.4))}
+        p99_ms = 20 * (1 + 4 * mix["bad"]) * draw.lognormvariate(0, 0.15)
+        model.observe(second * 1000, "shop", 5, p99_ms, 500, mix)
+    assert model.effect("shop", "bad", 5) > 1.0
+    assert model.effect("shop", "good", 5) < 0.2
+    assert math.exp(model.base("shop", 5)) == pytest.approx(20, rel=0.15)
+
+
+def test_interference_shrinks_to_the_group_and_decays_to_the_prior():
+    """An unseen pair needs a guess, and an old finding must not last for ever."""
+    model = interference.Model()
+    for second in range(200):
+        share = 0.5 * (second % 2)
+        model.observe(second * 1000, "shop", 5, 20 * (1 + 6 * share), 500, {"g": share})
+    learned = model.effect("shop", "g", 5)
+    other = model.effect("other", "g", 5)
+    assert interference.PRIOR_EFFECT < other < learned
+    later_ms = 200_000 + 10 * interference.HALF_LIFE_MS
+    model.observe(later_ms, "shop", 6, 20.0, 500, {"g": 0.006})
+    assert model.effect("shop", "g", 5) < learned * 0.6
+
+
+def slow_fleet(preemption_policy, seconds, p99_ms, domains=("w1",)):
+    """Run a service beside a batch task of four cores; return driver and ids."""
+    driver = schedulerdriver.Driver(preemption_policy=preemption_policy)
+    driver.join(*domains, room={"cores": 8.0})
+    driver.operate(
+        "DeclareService",
+        name="shop",
+        tenant="ops",
+        replicas=1,
+        cores=1.0,
+        memory_mb=10,
+    )
+    batch = driver.submit(cores=4.0, run_time_s=9000.0) + ".0"
+    driver.tick(2)
+    replica = driver.machine.services.by_name["shop"].task_ids[0]
+    driver.state.model.observe(0, "shop", 7, 10.0, 500, {})
+    for second in range(seconds):
+        held = driver.machine.workers.by_upstream["w1"].task_ids
+        phases = {id: {"phase": "running", "cores": 4.0} for id in sorted(held)}
+        now_p99_ms = p99_ms(second, driver.state.throttle_by_task.get(batch, 1.0))
+        load = messages.ServiceLoad(service="shop", requests=120, p99_ms=now_p99_ms)
+        driver.beat(phases=phases, loads=[load], room={"cores": 8.0})
+        driver.tick(10)
+    return driver, batch, replica
+
+
+def test_short_spikes_change_nothing():
+    """Without hysteresis every spike would throttle or evict something."""
+    driver, batch, _ = slow_fleet(
+        preemption.ThrottleFirst(), 60, lambda s, _: 30.0 if s % 8 == 0 else 10.0
+    )
+    assert driver.task(batch).state == "running"
+    assert batch not in driver.state.throttle_by_task
+
+
+def test_evictions_are_bounded_per_minute():
+    """A lasting slow-down must not evict one task after the other."""
+    driver = schedulerdriver.Driver(preemption_policy=preemption.EvictLargest())
+    policy = {"policy": {"evictions_per_minute": 4}}
+    driver.operate("SetConfiguration", base_version=0, document=policy)
+    state = driver.state
+    taken = 0
+    for second in range(180):
+        state.pace.refill(second * 1000)
+        while state.pace.evictions.available():
+            state.pace.evictions.take()
+            taken += 1
+    assert taken <= 4 * 3 + 1
+
+
+def test_a_crowded_worker_is_throttled_and_released_step_by_step():
+    """Throttling comes before eviction, and ends when the service is fast again."""
+    driver, batch, _ = slow_fleet(
+        preemption.ThrottleFirst(), 25, lambda s, throttle: 40.0 * throttle
+    )
+    assert driver.task(batch).state == "running"
+    assert driver.state.throttle_by_task[batch] < 1.0
+    orders = [d.directive.tasks for d in driver.directs if not d.directive.sequence]
+    throttles = {o.throttle for table in orders for o in table if o.task == batch}
+    assert min(throttles) < 1.0
+    for _ in range(600):
+        load = messages.ServiceLoad(service="shop", requests=120, p99_ms=9.0)
+        phases = {batch: {"phase": "running", "cores": 2.0}}
+        driver.beat(phases=phases, loads=[load], room={"cores": 8.0})
+        driver.tick(10)
+    assert batch not in driver.state.throttle_by_task
+
+
+def test_reservations_follow_usage_and_a_task_moves_once():
+    """A task whose size is wrong must not wander from worker to worker."""
+    driver = schedulerdriver.Driver()
+    driver.join("w1")
+    id = driver.submit(cores=3.0, memory_mb=1000, run_time_s=9000.0) + ".0"
+    other = driver.submit(cores=1.0, memory_mb=2900, run_time_s=9000.0) + ".0"
+    evictions = 0
+    for _ in range(120):
+        for known, cores, memory_mb in ((id, 1.0, 3500), (other, 0.9, 2900)):
+            if driver.task(known).state in ("assigned", "running"):
+                usage = {"cores": cores, "memory_mb": memory_mb, "progress": 0.1}
+                driver.run_phase("running", known, **usage)
+            elif driver.task(known).state == "evicting":
+                evictions += known == id
+                driver.run_phase("stopped", known)
+        driver.tick(10)
+    assert evictions == 1
+    demand = driver.state.demand_of(driver.task(id))
+    assert demand.memory_mb >= 3500
+    assert demand.cores < 3.0
+
+
+def test_group_sizes_are_learned_for_new_tasks():
+    """Declared sizes that are far off must not be trusted twice."""
+    sizes = estimates.Sizes()
+    for _ in range(20):
+        sizes.group(("irbid", "sweep")).cores.add(3.0)
+    driver = schedulerdriver.Driver()
+    driver.join("w1", room={"cores": 64.0})
+    driver.state.sizes = sizes
+    task = driver.task(driver.submit(cores=1.0) + ".0")
+    assert 2.5 < driver.state.demand_of(task).cores < 4.0
+
+
+def fail_everywhere(driver, is_bad, rounds=40):
+    """Let placed tasks run, or fail where `is_bad(upstream, job)`."""
+    for _ in range(rounds):
+        driver.tick(2)
+        for worker in list(driver.machine.workers.by_upstream.values()):
+            for id in sorted(worker.task_ids):
+                job = id.split(".")[0]
+                phase = "failed" if is_bad(worker.upstream, job) else "running"
+                driver.run_phase(phase, id)
+        for upstream in ("w1", "w2", "w3", "w4"):
+            driver.beat(
+                upstream,
+                phases={
+                    id: {"phase": "running"}
+                    for id in driver.machine.workers.by_upstream[upstream].task_ids
+                },
+            )
+        driver.tick(20)
+
+
+def test_a_worker_that_fails_everything_is_quarantined_and_probed():
+    """Jobs must not be given up for the fault of one worker."""
+    driver = schedulerdriver.Driver(policy=placement.BestFit())
+    driver.join("w1", "w2", "w3", "w4")
+    jobs = [driver.submit(task_count=2) for _ in range(6)]
+    fail_everywhere(driver, lambda upstream, job: upstream == "w1")
+    workers = driver.machine.workers.by_upstream
+    assert [u for u, w in workers.items() if w.is_quarantined] == ["w1"]
+    assert {driver.machine.jobs.by_id[job].state for job in jobs} == {"running"}
+    driver.submit(task_count=3)
+    fail_everywhere(driver, lambda upstream, job: False, rounds=60)
+    assert not workers["w1"].is_quarantined
+
+
+def test_a_job_that_fails_everywhere_is_failed_itself():
+    """Workers must not be set apart for the fault of one job."""
+    driver = schedulerdriver.Driver()
+    driver.join("w1", "w2", "w3", "w4")
+    good = [driver.submit(task_count=2) for _ in range(3)]
+    bad = driver.submit(task_count=3)
+    fail_everywhere(driver, lambda upstream, job: job == bad)
+    assert driver.machine.jobs.by_id[bad].state == "failed"
+    assert "failed on" in driver.machine.jobs.by_id[bad].reason
+    assert not any(
+        w.is_quarantined for w in driver.machine.workers.by_upstream.values()
+    )
+    assert {driver.machine.jobs.by_id[job].state for job in good} == {"running"}
+
+
+def test_refill_after_a_lost_rack_is_ordered_and_paced():
+    """A loss must not turn into a storm of starts that delays urgent work."""
+    driver = schedulerdriver.Driver()
+    policy = {"policy": {"starts_per_s": 10}}
+    driver.operate("SetConfiguration", base_version=0, document=policy)
+    for n in range(4):
+        driver.join(f"w{n}", domain="a", room={"cores": 16.0, "tasks": 16})
+    driver.submit(task_count=20, cores=0.5)
+    driver.submit(task_count=4, cores=0.5, urgent=True)
+    service = {"name": "shop", "tenant": "ops", "cores": 0.5, "memory_mb": 10}
+    driver.operate("DeclareService", replicas=4, **service)
+    driver.tick(100)
+    for id in list(driver.machine.tasks.by_id):
+        driver.run_phase("running", id)
+    for _ in range(11):
+        driver.beat("w0", room={"cores": 16.0, "tasks": 16})
+        driver.tick(10)
+    lost_ms, start = driver.now_ms, len(driver.applied)
+    order, times_ms = [], []
+    for _ in range(60):
+        before = len(driver.applied)
+        driver.beat("w0", room={"cores": 16.0, "tasks": 16})
+        driver.tick()
+        for command in driver.applied[before:]:
+            if isinstance(command, commands.AssignTasks):
+                for assignment in command.assignments:
+                    task = driver.task(assignment.task)
+                    order.append(task.task_class)
+                    times_ms.append(driver.now_ms)
+                    driver.run_phase("running", task.id)
+    assert start and lost_ms
+    assert sorted(order, key=["urgent", "latency_critical", "batch"].index) == order
+    for at_ms in times_ms:
+        in_second = [t for t in times_ms if at_ms <= t < at_ms + 1000]
+        assert len(in_second) <= 10 * (1 + pacing.START_BURST_S) + 1
+
+
+def test_reasons_are_bounded():
+    """Reasons of all tasks of a year would fill the leader's memory."""
+    kept = reasons.Reasons()
+    for number in range(reasons.MAX_IDS + 500):
+        for turn in range(20):
+            kept.note(number, [f"t{number}"], "try {}", turn)
+    assert len(kept.reasons_by_id) == reasons.MAX_IDS
+    assert len(kept.lines(f"t{number}", number)) == reasons.MAX_REASONS_PER_ID
+    kept.expire(number + reasons.KEEP_MS + 1)
+    assert not kept.reasons_by_id
+    unknown = schedulerdriver.Driver().state
+    assert scheduler.explain(unknown, "t0") == ["nothing is known of 't0'"]
