--- a/tests/test_policyparts.py
+++ b/tests/test_policyparts.py
@@ -6,13 +6,13 @@
 import pytest
 
 from sardinegauge import (
-    commands,
     estimates,
     interference,
     messages,
     pacing,
     placement,
     preemption,
+    quarantine,
     reasons,
     scheduler,
 )
@@ -119,9 +119,14 @@
     driver.join("w1")
     id = driver.submit(cores=3.0, memory_mb=1000, run_time_s=9000.0) + ".0"
     other = driver.submit(cores=1.0, memory_mb=2900, run_time_s=9000.0) + ".0"
+    driver.tick()
+    driver.join("w2")
     evictions = 0
-    for _ in range(120):
-        for known, cores, memory_mb in ((id, 1.0, 3500), (other, 0.9, 2900)):
+    for second in range(240):
+        driver.beat("w2")
+        # It outgrows the first worker, and later the second one as well.
+        needed_mb = 3500 if second < 120 else 4500
+        for known, cores, memory_mb in ((id, 1.0, needed_mb), (other, 0.9, 2900)):
             if driver.task(known).state in ("assigned", "running"):
                 usage = {"cores": cores, "memory_mb": memory_mb, "progress": 0.1}
                 driver.run_phase("running", known, **usage)
@@ -130,6 +135,7 @@
                 driver.run_phase("stopped", known)
         driver.tick(10)
     assert evictions == 1
+    assert driver.task(id).upstream == "w2"
     demand = driver.state.demand_of(driver.task(id))
     assert demand.memory_mb >= 3500
     assert demand.cores < 3.0
@@ -196,41 +202,48 @@
     assert {driver.machine.jobs.by_id[job].state for job in good} == {"running"}
 
 
+def test_guilt_of_jobs_and_workers_is_weighed_against_each_other():
+    """Two broken jobs must not condemn workers, nor broken workers a job."""
+    ledger = quarantine.Ledger()
+    for upstream in ("w1", "w2", "w3"):
+        for job in ("bad1", "bad2", "bad1"):
+            ledger.note_failure(0, upstream, job)
+    assert not any(ledger.is_worker_guilty(f"w{n}") for n in (1, 2, 3))
+    assert ledger.is_job_guilty("bad1") and ledger.is_job_guilty("bad2")
+    ledger.quarantined = {"w1", "w2"}
+    assert not ledger.is_job_guilty("bad1")
+
+
 def test_refill_after_a_lost_rack_is_ordered_and_paced():
     """A loss must not turn into a storm of starts that delays urgent work."""
     driver = schedulerdriver.Driver()
-    policy = {"policy": {"starts_per_s": 10}}
+    policy = {"policy": {"starts_per_s": 5}}
     driver.operate("SetConfiguration", base_version=0, document=policy)
-    for n in range(4):
-        driver.join(f"w{n}", domain="a", room={"cores": 16.0, "tasks": 16})
-    driver.submit(task_count=20, cores=0.5)
-    driver.submit(task_count=4, cores=0.5, urgent=True)
+    room = {"cores": 32.0, "memory_mb": 32_000, "tasks": 32}
+    driver.join("w0", "w1", "w2", "w3", room=room)
+    driver.submit(task_count=40, cores=0.5)
+    driver.submit(task_count=6, cores=0.5, urgent=True)
     service = {"name": "shop", "tenant": "ops", "cores": 0.5, "memory_mb": 10}
-    driver.operate("DeclareService", replicas=4, **service)
-    driver.tick(100)
-    for id in list(driver.machine.tasks.by_id):
-        driver.run_phase("running", id)
-    for _ in range(11):
-        driver.beat("w0", room={"cores": 16.0, "tasks": 16})
-        driver.tick(10)
-    lost_ms, start = driver.now_ms, len(driver.applied)
+    driver.operate("DeclareService", replicas=6, **service)
     order, times_ms = [], []
-    for _ in range(60):
+    for step in range(500):
         before = len(driver.applied)
-        driver.beat("w0", room={"cores": 16.0, "tasks": 16})
+        if step % 10 == 0:
+            # From the twentieth second on, only two of the four are heard of.
+            for upstream in ("w0", "w1") if step > 200 else ("w0", "w1", "w2", "w3"):
+                driver.beat(upstream, room=room)
         driver.tick()
         for command in driver.applied[before:]:
-            if isinstance(command, commands.AssignTasks):
-                for assignment in command.assignments:
-                    task = driver.task(assignment.task)
-                    order.append(task.task_class)
-                    times_ms.append(driver.now_ms)
-                    driver.run_phase("running", task.id)
-    assert start and lost_ms
+            for assignment in getattr(command, "assignments", ()):
+                driver.run_phase("running", assignment.task)
+                times_ms.append(driver.now_ms)
+                if step > 300:
+                    order.append(driver.task(assignment.task).task_class)
+    assert {"urgent", "latency_critical", "batch"} == set(order)
     assert sorted(order, key=["urgent", "latency_critical", "batch"].index) == order
     for at_ms in times_ms:
         in_second = [t for t in times_ms if at_ms <= t < at_ms + 1000]
-        assert len(in_second) <= 10 * (1 + pacing.START_BURST_S) + 1
+        assert len(in_second) <= 5 * (1 + pacing.START_BURST_S) + 1
 
 
 def test_reasons_are_bounded():
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -81,6 +81,21 @@
         assert len(keys) == len(set(keys))
 
 
+def test_losses_and_phases_in_flight_are_proposed_once():
+    """Every tick and heartbeat sees the same news until the log has it."""
+    driver = schedulerdriver.Driver()
+    driver.join("w1")
+    id = driver.submit() + ".0"
+    driver.tick()
+    for _ in range(3):
+        driver.beat(phases={id: {"phase": "running"}})
+    assert [type(c) for c in driver.proposed] == [commands.ReportTasks]
+    driver.commit_all()
+    driver.now_ms += LOST_MS
+    driver.tick(20, commit=False)
+    assert [type(c) for c in driver.proposed] == [commands.WorkerLost]
+
+
 def test_a_dropped_proposal_is_made_again():
     """A proposal that was lost on the way must not hold its task for ever."""
     driver = schedulerdriver.Driver()
@@ -132,11 +147,16 @@
     """The machine must never have to skip an assignment for lack of room."""
     driver = schedulerdriver.Driver(policy=policy())
     driver.join("w1", "w2", "w3")
+    upstreams = list(driver.machine.workers.by_upstream)
     for (cores, memory_mb, count, urgent, gang), commit in zip(jobs, commits):
         driver.submit(
             cores=cores, memory_mb=memory_mb, task_count=count, urgent=urgent, gang=gang
         )
-        driver.tick(2, commit=False)
+        driver.tick(commit=False)
+        for upstream in upstreams:
+            # Makes the scheduler count the room again while plans are in flight.
+            driver.operate("DrainUpstream", upstream=upstream, draining=False)
+        driver.tick(commit=False)
         planned = [
             assignment
             for command in driver.proposed
@@ -163,6 +183,7 @@
     driver.tick()
     states = {driver.task(f"{gang}.{n}").state for n in range(5)}
     assert states == {"pending"}
+    assert not driver.applied_kinds(commands.AssignTasks)
     driver.join("w2")
     driver.tick(10)
     states = {driver.task(f"{gang}.{n}").state for n in range(5)}
