Watch the silence of a link with one timer

Cause: a profile of the entry showed 12 turns of the event loop for each request, most of them from asyncio.wait_for around the two reads of each frame.

Change: link.Link reads without a time limit of its own; one timer per link closes it after 2 s without a frame. Reads of buffered frames no longer yield, so that the head and body of a short response reach the caller in one write.

New tests: a silent peer is closed, an agent without credit gets no more than the window.

--- a/sardinegauge/link.py
+++ b/sardinegauge/link.py
@@ -126,6 +126,7 @@
         self._outbound_by_correlation = {}
         self._inbound_by_correlation = {}
         self._is_open = False
+        self._heard_at_s = asyncio.get_running_loop().time()
 
     @property
     def peer_name(self):
@@ -148,6 +149,7 @@
         """Exchange hellos, then read frames until the link closes."""
         self.stream.set_nodelay(True)
         pinger = None
+        self._watch_silence()
         try:
             self.send_frame(codec.Frame(message=self.hello))
             first = await self._read_frame()
@@ -159,7 +161,7 @@
             pinger = background.spawn(self._ping())
             while True:
                 self._dispatch(await self._read_frame())
-        except (TimeoutError, iostream.StreamClosedError, errors.LinkClosedError):
+        except (iostream.StreamClosedError, errors.LinkClosedError):
             pass
         except errors.WireError as error:
             log.warning("link_protocol_error peer=%s error=%s", self.peer_name, error)
@@ -168,14 +170,27 @@
                 pinger.cancel()
             self.close()
 
+    def _watch_silence(self):
+        """Close the link once no frame has arrived for the limit.
+
+        One timer for each link costs far less than one for each read, of which a busy
+        link has thousands a second.
+        """
+        if self.stream.closed():
+            return
+        loop = asyncio.get_running_loop()
+        left_s = self._heard_at_s + SILENCE_LIMIT_S - loop.time()
+        if left_s <= 0:
+            self.close()
+        else:
+            loop.call_later(left_s, self._watch_silence)
+
     async def _read_frame(self):
-        head = await asyncio.wait_for(
-            self.stream.read_bytes(_LENGTH.size), SILENCE_LIMIT_S
-        )
-        (length,) = _LENGTH.unpack(head)
+        (length,) = _LENGTH.unpack(await self.stream.read_bytes(_LENGTH.size))
         if length > MAX_FRAME_BYTES:
             raise errors.WireError(f"frame of {length} bytes is over the limit")
-        data = await asyncio.wait_for(self.stream.read_bytes(length), SILENCE_LIMIT_S)
+        data = await self.stream.read_bytes(length)
+        self._heard_at_s = asyncio.get_running_loop().time()
         self.bytes_received += _LENGTH.size + length
         return codec.decode(data)
 
--- a/tests/entryfakes.py
+++ b/tests/entryfakes.py
@@ -37,7 +37,8 @@
         self.key_queries = []
         self.keeps_bodies = True
         self.in_flight = 0
-        self.is_unreadable = False
+        self.credit = 1  # Bytes granted for each byte taken.
+        self.taken = 0
         hello = messages.Hello(role="agent", name=name, identity=incarnation)
         self.server = link.LinkServer(self, hello)
         sockets = netutil.bind_sockets(0, "127.0.0.1")
@@ -82,7 +83,7 @@
 
     async def _serve_request(self, exchange, head):
         body = None
-        if head.has_body and not self.is_unreadable:
+        if head.has_body:
             body = await self._take_body(exchange)
             if body is None:
                 return
@@ -102,7 +103,9 @@
             length += len(message.data)
             if self.keeps_bodies:
                 parts.append(message.data)
-            exchange.send(messages.Credit(size=len(message.data)))
+            self.taken += len(message.data)
+            if self.credit:
+                exchange.send(messages.Credit(size=len(message.data) * self.credit))
 
     def stop(self):
         self.server.close_links()
--- a/tests/test_entryapp.py
+++ b/tests/test_entryapp.py
@@ -357,6 +357,20 @@
     assert peak < 12 << 20, f"{peak} bytes held for bodies of {size}"
 
 
+def test_agent_without_credit_gets_no_more_than_the_window():
+    async def test(app):
+        app.agents[0].credit = 0
+        _, writer = await asyncio.open_connection("127.0.0.1", app.port)
+        head = "POST /shop HTTP/1.1\nHost: a\nContent-Length: 2000000\n\n"
+        writer.write(_raw(head, bytes(2_000_000)))
+        await entryfakes.until(lambda: app.agents[0].taken >= 192 * 1024)
+        await asyncio.sleep(0.1)
+        writer.close()
+        return app.agents[0].taken
+
+    assert run(test, agent()) <= 256 * 1024
+
+
 def test_reader_that_takes_nothing_holds_the_agent_back():
     sent = 0
 
@@ -365,7 +379,7 @@
         window = 256 * 1024
         exchange.send(messages.ResponseHead(status=200))
         try:
-            while True:
+            while sent < 32 << 20:
                 while window < 64 * 1024:
                     message = await exchange.receive(10)
                     if isinstance(message, messages.Abort):
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from tornado import netutil
+from tornado import netutil, tcpclient
 
 from sardinegauge import background, errors, link, messages
 
@@ -63,3 +63,38 @@
         dialer.stop()
 
     asyncio.run(run())
+
+
+def test_cancelled_receive_ends_even_as_a_message_arrives():
+    async def run(steps):
+        server, dialer = await _pair()
+        exchange = dialer.link.open_exchange(messages.Query(kind="never"))
+        waiting = asyncio.ensure_future(exchange.receive(5))
+        await asyncio.sleep(0.01)
+        exchange.deliver(messages.QueryReply())
+        for _ in range(steps):
+            await asyncio.sleep(0)
+        if waiting.cancel():
+            with pytest.raises(asyncio.CancelledError):
+                await waiting
+        dialer.stop()
+        server.close_links()
+
+    for steps in range(4):
+        asyncio.run(run(steps))
+
+
+def test_silent_peer_is_closed_after_the_limit():
+    async def run():
+        silent = await asyncio.start_server(
+            lambda reader, writer: asyncio.sleep(10), "127.0.0.1", 0
+        )
+        host, port = silent.sockets[0].getsockname()
+        stream = await tcpclient.TCPClient().connect(host, port)
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        await link.Link(stream, Echo(), messages.Hello(role="entry")).run()
+        silent.close()
+        return loop.time() - started_s
+
+    assert 1.9 < asyncio.run(run()) < 4
