--- a/sardinegauge/application.py
+++ b/sardinegauge/application.py
@@ -5,7 +5,7 @@
 import signal
 import sys
 
-from sardinegauge import background, clock, errors, logs
+from sardinegauge import background, clock, errors
 
 DEFAULT_DRAIN_LIMIT_S = 30.0
 
@@ -24,11 +24,19 @@
 
     def __init__(self, name):
         self.name = name
-        self.log = logs.get_logger(name)
+        self.log = self.make_logger(name)
         self._stop_asked = None
         self._drain_skipped = None
+        self._failure = None
         self._timers = []
 
+    def make_logger(self, name):
+        """Return the logger of this process."""
+        # The agent has another logger, and importing structlog costs it 5 MB.
+        from sardinegauge import logs
+
+        return logs.get_logger(name)
+
     @abc.abstractmethod
     async def on_start(self):
         """Open sockets and files and start timers."""
@@ -66,6 +74,12 @@
             self._drain_skipped.set()
         self._stop_asked.set()
 
+    def fail(self, error):
+        """Stop at once without a drain, with the exit status of a `UserError`."""
+        self._failure = error
+        self._drain_skipped.set()
+        self._stop_asked.set()
+
     async def _main(self):
         self._stop_asked = asyncio.Event()
         self._drain_skipped = asyncio.Event()
@@ -81,6 +95,8 @@
             await self._stop_asked.wait()
             self.log.info("draining", limit_s=self.drain_limit_s)
             await self._drain()
+            if self._failure is not None:
+                raise self._failure
         finally:
             for timer in self._timers:
                 timer.cancel()
--- a/sardinegauge/commands.py
+++ b/sardinegauge/commands.py
@@ -100,8 +100,22 @@
     _defaults = {"at_ms": 0, "draining": True}
 
 
+class ChangeMember(OperatorCommand):
+    """Promote a learner or remove a member of the state group.
+
+    `action` is ``"promote"`` or ``"remove"``. The leader turns it into a membership
+    entry of the log; the machine itself does not change.
+    """
+
+    __slots__ = ("identity", "action")
+
+
 class RegisterWorker(Command):
-    """An upstream announced itself, or what it announced changed."""
+    """An upstream announced itself, or what it announced changed.
+
+    A new incarnation makes the tasks of the previous one pending again, unless
+    `previous_may_run` is set; see `workers.register` for when that must be set.
+    """
 
     __slots__ = (
         "upstream",
@@ -112,8 +126,14 @@
         "services",
         "room",
         "draining",
+        "previous_may_run",
     )
-    _defaults = {"at_ms": 0, "services": list, "draining": False}
+    _defaults = {
+        "at_ms": 0,
+        "services": list,
+        "draining": False,
+        "previous_may_run": False,
+    }
     _nested = {"room": messages.Room}
 
 
@@ -205,9 +225,8 @@
 class MakeClaim(Command):
     """Claim a request key for one upstream before the request is sent.
 
-    Answers: `Accepted` whose value has ``claim_index`` when the claim is new, or
-    ``claim`` with the existing claim's fields; `Conflict` if the key was used with
-    another digest.
+    Answers: `Accepted` whose value has the fields of the claim, new or existing, and
+    ``is_new``; `Conflict` if the key was used with another digest.
     """
 
     __slots__ = ("tenant", "key", "digest", "upstream", "incarnation", "entry")
--- a/sardinegauge/messages.py
+++ b/sardinegauge/messages.py
@@ -123,6 +123,8 @@
         "match_index",
         "conflict_index",
         "read_round",
+        "prev_index",
+        "last_index",
     )
     _defaults = {
         "term": 0,
@@ -131,6 +133,8 @@
         "match_index": 0,
         "conflict_index": 0,
         "read_round": 0,
+        "prev_index": 0,
+        "last_index": 0,
     }
 
 
@@ -191,6 +195,16 @@
     _defaults = {"term": 0, "member": "", "acknowledged_index": 0}
 
 
+class TimeoutNow(record.Record):
+    """The leader hands over: the receiver begins an election at once."""
+
+    __slots__ = (
+        "term",
+        "leader",
+    )
+    _defaults = {"term": 0, "leader": ""}
+
+
 class JoinRequest(record.Record):
     """A replica with a new identity asks to become a learner."""
 
@@ -599,8 +613,15 @@
         "key",
         "claim_index",
         "fence",
+        "incarnation",
     )
-    _defaults = {"tenant": "", "key": "", "claim_index": 0, "fence": False}
+    _defaults = {
+        "tenant": "",
+        "key": "",
+        "claim_index": 0,
+        "fence": False,
+        "incarnation": "",
+    }
 
 
 class KeyReply(record.Record):
--- a/sardinegauge/wire.capnp
+++ b/sardinegauge/wire.capnp
@@ -35,6 +35,7 @@
     refusal @27 :Refusal;
     keyQuery @28 :KeyQuery;
     keyReply @29 :KeyReply;
+    timeoutNow @30 :TimeoutNow;
   }
 }
 
@@ -96,6 +97,8 @@
   matchIndex @3 :UInt64;
   conflictIndex @4 :UInt64;
   readRound @5 :UInt64;
+  prevIndex @6 :UInt64;  # of the request answered, so that late refusals are known
+  lastIndex @7 :UInt64;  # of the member's log, on a refusal
 }
 
 struct SnapshotChunk {
@@ -124,6 +127,11 @@
   acknowledgedIndex @2 :UInt64;
 }
 
+struct TimeoutNow {
+  term @0 :UInt64;
+  leader @1 :Text;
+}
+
 struct JoinRequest {
   identity @0 :Text;
   name @1 :Text;
@@ -319,6 +327,7 @@
   key @1 :Text;
   claimIndex @2 :UInt64;
   fence @3 :Bool;  # forbid the key from ever running under this claim
+  incarnation @4 :Text;  # of the claim; another one answers "cut"; empty: not checked
 }
 
 struct KeyReply {
