--- a/sardinegauge/entryapp.py
+++ b/sardinegauge/entryapp.py
@@ -18,6 +18,7 @@
     outcome,
     requestfront,
     settings,
+    stateclient,
 )
 
 POLL_INTERVAL_S = 0.5
@@ -153,9 +154,6 @@
 
 def main():
     """Run the entry process with ``--settings FILE``."""
-    # The module is on another branch until the branches are merged.
-    from sardinegauge import stateclient
-
     parser = argparse.ArgumentParser(prog="sardinegauge-entry")
     parser.add_argument("--settings", required=True, metavar="FILE")
     arguments = parser.parse_args()
--- a/sardinegauge/entryhttp.py
+++ b/sardinegauge/entryhttp.py
@@ -17,6 +17,13 @@
 # Calls to reserved paths are buffered whole.
 MAX_RESERVED_BODY_BYTES = 4 << 20
 STREAM_BUFFER_BYTES = 256 * 1024
+# An idle connection holds about 20 KB and a descriptor.
+MAX_CONNECTIONS = 4096
+_TOO_MANY = (
+    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+    b"Sardinegauge-Verdict: not-run\r\nContent-Length: 0\r\n"
+    b"Connection: close\r\n\r\n"
+)
 
 
 class Front(httputil.HTTPServerConnectionDelegate):
@@ -114,6 +121,26 @@
     return web.Application(routes, log_function=lambda handler: None)
 
 
+class _Server(httpserver.HTTPServer):
+    """An HTTP server with a bound on its connections."""
+
+    def initialize(self, *arguments, **options):
+        super().initialize(*arguments, **options)
+        self.open_count = 0
+
+    def handle_stream(self, stream, address):
+        if self.open_count >= MAX_CONNECTIONS:
+            stream.write(_TOO_MANY)
+            stream.close()
+            return
+        self.open_count += 1
+        super().handle_stream(stream, address)
+
+    def on_close(self, server_conn):
+        self.open_count -= 1
+        super().on_close(server_conn)
+
+
 def serve(delegate, address):
     """Serve HTTP on an ``ip:port`` address; return the server.
 
@@ -124,7 +151,7 @@
     address : str
         Where to listen; port 0 takes a free one.
     """
-    server = httpserver.HTTPServer(
+    server = _Server(
         delegate,
         idle_connection_timeout=HEADER_LIMIT_S,
         max_header_size=MAX_SERVER_HEADER_BYTES,
--- a/tests/test_entryapp.py
+++ b/tests/test_entryapp.py
@@ -4,10 +4,12 @@
 import json
 import random
 import tracemalloc
+from types import SimpleNamespace
 
+import pytest
 from tornado import httpclient, simple_httpclient
 
-from sardinegauge import errors, messages, requestfront
+from sardinegauge import entryhttp, errors, messages, requestfront
 from tests import entryfakes
 
 
@@ -452,6 +454,73 @@
     assert refused.startswith(b"HTTP/1.1 503") and b"not-run" in refused
 
 
+def test_drain_leaves_no_answer_in_its_own_buffers():
+    async def test(app):
+        drain = asyncio.ensure_future(app.on_drain())
+        await entryfakes.until(lambda: app.state.is_draining)
+        await drain
+        app.front = SimpleNamespace(is_flushing=True)
+        drain = asyncio.ensure_future(app.on_drain())
+        await asyncio.sleep(0.1)
+        is_early = drain.done()
+        app.front.is_flushing = False
+        await drain
+        return is_early
+
+    assert run(test, agent()) is False
+
+
+def test_upstream_that_left_the_directory_finishes_what_it_has():
+    release = asyncio.Event()
+
+    async def hold(agent, exchange, head, body):
+        await release.wait()
+        entryfakes.send_response(exchange, b"held")
+
+    async def test(app):
+        (leaving,) = app.agents
+        held = asyncio.ensure_future(fetch(app, "/shop"))
+        await entryfakes.until(lambda: leaving.received)
+        app.fake.publish([])
+        await entryfakes.until(lambda: not app.state.upstreams.by_name)
+        refused = await fetch(app, "/shop")
+        release.set()
+        response = await held
+        await entryfakes.until(lambda: not leaving.server.links)
+        return refused.code, response.code, response.body
+
+    assert run(test, agent(hold)) == (503, 200, b"held")
+
+
+def test_connections_are_bounded_and_freed(monkeypatch):
+    monkeypatch.setattr(entryhttp, "MAX_CONNECTIONS", 2)
+
+    async def test(app):
+        held = [await asyncio.open_connection("127.0.0.1", app.port) for _ in range(2)]
+        await entryfakes.until(lambda: app.server.open_count == 2)
+        refused = await talk(app, b"")
+        held[0][1].close()
+        await entryfakes.until(lambda: app.server.open_count == 1)
+        answered = await fetch(app, "/shop")
+        held[1][1].close()
+        return refused, answered.code
+
+    refused, code = run(test, agent())
+    assert refused.startswith(b"HTTP/1.1 503") and code == 200
+
+
+def test_message_for_another_incarnation_is_not_sent():
+    async def test(app):
+        query = messages.KeyQuery(tenant="karri", key="k", fence=True)
+        with pytest.raises(errors.LinkClosedError):
+            app.requests.links.open_exchange("u1", "i0", query)
+        app.requests.links.open_exchange("u1", "i1", query)
+        await entryfakes.until(lambda: app.agents[0].key_queries)
+        return len(app.agents[0].key_queries)
+
+    assert run(test, agent()) == 1
+
+
 def test_metrics_page_names_tenants_of_the_configuration_only():
     state = entryfakes.FakeState(document={"tenants": {"karri": {}}})
 
