Test slow heads and early answers

Cause: the time limit of a request's head and the answer that comes before the body ends had no test.

Change: a test for each; the second also checks that a caller which then finishes its body keeps its connection and one that does not is closed.

--- a/tests/test_entryapp.py
+++ b/tests/test_entryapp.py
@@ -173,6 +173,31 @@
     assert b"not-run" in answer
 
 
+def test_slow_head_is_timed_out(monkeypatch):
+    monkeypatch.setattr(entryhttp, "HEADER_LIMIT_S", 0.2)
+    assert run(lambda app: talk(app, b"GET /shop HTTP/1.1\r\nHo"), agent()) == b""
+
+
+def test_early_answer_comes_before_the_body_ends_and_spares_the_connection():
+    bad = "POST /shop HTTP/1.1\nHost: a\nSardinegauge-Tenant: /\nContent-Length: 9\n\n"
+
+    async def test(app):
+        reader, writer = await asyncio.open_connection("127.0.0.1", app.port)
+        writer.write(_raw(bad, b"abc"))
+        async with asyncio.timeout(0.9):
+            early = await reader.readuntil(b"}\n")
+        writer.write(b"defghi" + _raw("GET /shop/2 HTTP/1.1\nHost: a\n\n"))
+        later = await reader.readuntil(b"/shop/2")
+        writer.write(_raw(bad, b"abc"))
+        stalled = await asyncio.wait_for(reader.read(), 5)
+        writer.close()
+        return early, later, stalled
+
+    early, later, stalled = run(test, agent())
+    assert early.startswith(b"HTTP/1.1 400") and b"HTTP/1.1 200" in later
+    assert b"HTTP/1.1 400" in stalled, "the connection was not closed"
+
+
 def test_body_cut_by_the_caller_never_counts_as_whole():
     async def test(app):
         _, writer = await asyncio.open_connection("127.0.0.1", app.port)
