--- a/tests/test_entryapp.py
+++ b/tests/test_entryapp.py
@@ -4,10 +4,12 @@
 import json
 import random
 import tracemalloc
+from types import SimpleNamespace
 
+import pytest
 from tornado import httpclient, simple_httpclient
 
-from sardinegauge import errors, messages, requestfront
+from sardinegauge import entryhttp, errors, messages, requestfront
 from tests import entryfakes
 
 
@@ -171,6 +173,31 @@
     assert b"not-run" in answer
 
 
+def test_slow_head_is_timed_out(monkeypatch):
+    monkeypatch.setattr(entryhttp, "HEADER_LIMIT_S", 0.2)
+    assert run(lambda app: talk(app, b"GET /shop HTTP/1.1\r\nHo"), agent()) == b""
+
+
+def test_early_answer_comes_before_the_body_ends_and_spares_the_connection():
+    bad = "POST /shop HTTP/1.1\nHost: a\nSardinegauge-Tenant: /\nContent-Length: 9\n\n"
+
+    async def test(app):
+        reader, writer = await asyncio.open_connection("127.0.0.1", app.port)
+        writer.write(_raw(bad, b"abc"))
+        async with asyncio.timeout(0.9):
+            early = await reader.readuntil(b"}\n")
+        writer.write(b"defghi" + _raw("GET /shop/2 HTTP/1.1\nHost: a\n\n"))
+        later = await reader.readuntil(b"/shop/2")
+        writer.write(_raw(bad, b"abc"))
+        stalled = await asyncio.wait_for(reader.read(), 5)
+        writer.close()
+        return early, later, stalled
+
+    early, later, stalled = run(test, agent())
+    assert early.startswith(b"HTTP/1.1 400") and b"HTTP/1.1 200" in later
+    assert b"HTTP/1.1 400" in stalled, "the connection was not closed"
+
+
 def test_body_cut_by_the_caller_never_counts_as_whole():
     async def test(app):
         _, writer = await asyncio.open_connection("127.0.0.1", app.port)
@@ -357,6 +384,20 @@
     assert peak < 12 << 20, f"{peak} bytes held for bodies of {size}"
 
 
+def test_agent_without_credit_gets_no_more_than_the_window():
+    async def test(app):
+        app.agents[0].credit = 0
+        _, writer = await asyncio.open_connection("127.0.0.1", app.port)
+        head = "POST /shop HTTP/1.1\nHost: a\nContent-Length: 2000000\n\n"
+        writer.write(_raw(head, bytes(2_000_000)))
+        await entryfakes.until(lambda: app.agents[0].taken >= 192 * 1024)
+        await asyncio.sleep(0.1)
+        writer.close()
+        return app.agents[0].taken
+
+    assert run(test, agent()) <= 256 * 1024
+
+
 def test_reader_that_takes_nothing_holds_the_agent_back():
     sent = 0
 
@@ -365,7 +406,7 @@
         window = 256 * 1024
         exchange.send(messages.ResponseHead(status=200))
         try:
-            while True:
+            while sent < 32 << 20:
                 while window < 64 * 1024:
                     message = await exchange.receive(10)
                     if isinstance(message, messages.Abort):
@@ -438,6 +479,73 @@
     assert refused.startswith(b"HTTP/1.1 503") and b"not-run" in refused
 
 
+def test_drain_leaves_no_answer_in_its_own_buffers():
+    async def test(app):
+        drain = asyncio.ensure_future(app.on_drain())
+        await entryfakes.until(lambda: app.state.is_draining)
+        await drain
+        app.front = SimpleNamespace(is_flushing=True)
+        drain = asyncio.ensure_future(app.on_drain())
+        await asyncio.sleep(0.1)
+        is_early = drain.done()
+        app.front.is_flushing = False
+        await drain
+        return is_early
+
+    assert run(test, agent()) is False
+
+
+def test_upstream_that_left_the_directory_finishes_what_it_has():
+    release = asyncio.Event()
+
+    async def hold(agent, exchange, head, body):
+        await release.wait()
+        entryfakes.send_response(exchange, b"held")
+
+    async def test(app):
+        (leaving,) = app.agents
+        held = asyncio.ensure_future(fetch(app, "/shop"))
+        await entryfakes.until(lambda: leaving.received)
+        app.fake.publish([])
+        await entryfakes.until(lambda: not app.state.upstreams.by_name)
+        refused = await fetch(app, "/shop")
+        release.set()
+        response = await held
+        await entryfakes.until(lambda: not leaving.server.links)
+        return refused.code, response.code, response.body
+
+    assert run(test, agent(hold)) == (503, 200, b"held")
+
+
+def test_connections_are_bounded_and_freed(monkeypatch):
+    monkeypatch.setattr(entryhttp, "MAX_CONNECTIONS", 2)
+
+    async def test(app):
+        held = [await asyncio.open_connection("127.0.0.1", app.port) for _ in range(2)]
+        await entryfakes.until(lambda: app.server.open_count == 2)
+        refused = await talk(app, b"")
+        held[0][1].close()
+        await entryfakes.until(lambda: app.server.open_count == 1)
+        answered = await fetch(app, "/shop")
+        held[1][1].close()
+        return refused, answered.code
+
+    refused, code = run(test, agent())
+    assert refused.startswith(b"HTTP/1.1 503") and code == 200
+
+
+def test_message_for_another_incarnation_is_not_sent():
+    async def test(app):
+        query = messages.KeyQuery(tenant="karri", key="k", fence=True)
+        with pytest.raises(errors.LinkClosedError):
+            app.requests.links.open_exchange("u1", "i0", query)
+        app.requests.links.open_exchange("u1", "i1", query)
+        await entryfakes.until(lambda: app.agents[0].key_queries)
+        return len(app.agents[0].key_queries)
+
+    assert run(test, agent()) == 1
+
+
 def test_metrics_page_names_tenants_of_the_configuration_only():
     state = entryfakes.FakeState(document={"tenants": {"karri": {}}})
 
