--- a/sardinegauge/raft.py
+++ b/sardinegauge/raft.py
@@ -1,10 +1,18 @@
 """Agreement on the replicated log as a pure reducer: Raft with pre-vote and learners.
 
 `reduce` takes the state and one event and returns the effects in order. The state
-module holds the effects, `elections` and `replication` the protocol's two halves.
+module holds the effects; `elections`, `replication` and `following` the protocol.
 """
 
-from sardinegauge import elections, membership, messages, raftstate, record, replication
+from sardinegauge import (
+    elections,
+    following,
+    membership,
+    messages,
+    raftstate,
+    record,
+    replication,
+)
 
 # A learner this close to the end of the log can be promoted without a pause.
 CAUGHT_UP_ENTRIES = 64
@@ -307,9 +315,9 @@
 _BY_MESSAGE = {
     messages.VoteRequest: elections.on_vote_request,
     messages.VoteReply: _on_vote_reply,
-    messages.AppendRequest: replication.on_append_request,
+    messages.AppendRequest: following.on_append_request,
     messages.AppendReply: replication.on_append_reply,
-    messages.SnapshotChunk: replication.on_snapshot_chunk,
+    messages.SnapshotChunk: following.on_snapshot_chunk,
     messages.SnapshotReply: replication.on_snapshot_reply,
     messages.StaleMember: _on_stale_member,
     messages.TimeoutNow: _on_timeout_now,
--- a/sardinegauge/replica.py
+++ b/sardinegauge/replica.py
@@ -17,6 +17,7 @@
     raftstate,
     record,
     requests,
+    snapshotting,
 )
 
 # Entries applied for one event, so that a long log leaves room for heartbeats.
@@ -107,6 +108,7 @@
             _, data = membership.unpack_snapshot(stored.snapshot.blob)
             self.machine = parts.machine.from_snapshot(json.loads(data))
         self.scheduler = None
+        self.snapshotting = None
         self.now_ms = now_ms
         self.wall_ms = 0
         self.gained_term = 0
@@ -259,14 +261,12 @@
 
 
 def _take_snapshot(state):
-    if state.applied_index - state.raft.snapshot.index < SNAPSHOT_ENTRIES:
-        return
-    plain = state.parts.machine.to_snapshot(state.machine)
-    data = json.dumps(plain, separators=(",", ":")).encode()
-    event = raft.SnapshotTaken(
-        now_ms=state.now_ms, index=state.applied_index, data=data
-    )
-    feed_raft(state, event)
+    if state.snapshotting is not None:
+        event = snapshotting.step(state)
+        if event is not None:
+            feed_raft(state, event)
+    elif state.applied_index - state.raft.snapshot.index >= SNAPSHOT_ENTRIES:
+        snapshotting.start(state)
 
 
 def _answer_reads(state):
@@ -285,6 +285,7 @@
 
 
 def _on_restore_machine(state, effect):
+    state.snapshotting = None
     state.machine = state.parts.machine.from_snapshot(json.loads(effect.data))
     state.applied_index = effect.index
 
--- a/sardinegauge/replication.py
+++ b/sardinegauge/replication.py
@@ -1,4 +1,4 @@
-"""Log replication, read rounds and snapshot transfer of the agreement reducer."""
+"""The leader's side of the agreement: replication, read rounds, sending snapshots."""
 
 from sardinegauge import elections, membership, messages, raftstate
 
@@ -7,13 +7,9 @@
 # Few requests in flight make entries that arrive meanwhile share the next one.
 MAX_IN_FLIGHT = 4
 SNAPSHOT_CHUNK_BYTES = 256 << 10
-MAX_SNAPSHOT_BYTES = 1 << 30
 RESEND_MS = 300
 
 
-# The leader's side.
-
-
 def become_leader(state):
     """Take the lead of the term and append its first entry."""
     state.role = raftstate.LEADER
@@ -287,159 +283,3 @@
         state.emit(raftstate.ReadReady(read=read, index=index))
     if state.reads and confirmed >= state.round:
         _start_round(state)
-
-
-# The follower's side.
-
-
-def _accept_leader(state, message):
-    """Follow the sender of a message of a current term; return False if it is old."""
-    if message.term < state.term:
-        return False
-    if message.term > state.term or state.role != raftstate.FOLLOWER:
-        state.become_follower(message.term)
-    state.leader = message.leader
-    state.leader_contact_ms = state.now_ms
-    state.reset_election_timer()
-    return True
-
-
-def on_append_request(state, request):
-    """Append a leader's entries where they continue the log; see `messages`."""
-    reply = messages.AppendReply(
-        term=state.term,
-        member=state.identity,
-        read_round=request.read_round,
-        prev_index=request.prev_index,
-    )
-    if not _accept_leader(state, request):
-        reply.read_round = 0
-        state.send_durable(request.leader, reply)
-        return
-    reply.term = state.term
-    for item in request.acknowledged:
-        state.raise_acknowledged(item.member, item.index)
-    conflict_index = _conflict(state, request)
-    if conflict_index:
-        reply.conflict_index = conflict_index
-        reply.last_index = state.log.last_index
-        _persist_acknowledged(state)
-        state.send_durable(request.leader, reply)
-        return
-    match_index = request.prev_index + len(request.entries)
-    _store(state, request.entries)
-    _persist_acknowledged(state)
-    state.commit_index = max(state.commit_index, min(request.commit_index, match_index))
-    reply.success = True
-    reply.match_index = match_index
-    if request.entries or state.durable_sequence >= state.sequence:
-        state.send_durable(request.leader, reply)
-        return
-    # A heartbeat must not wait for a slow disk, so it acknowledges what is durable.
-    reply.match_index = min(match_index, state.durable_index)
-    if _is_term_durable(state):
-        state.send(request.leader, reply)
-    else:
-        state.send_durable(request.leader, reply)
-
-
-def _is_term_durable(state):
-    return state.durable_term == state.term
-
-
-def _persist_acknowledged(state):
-    """Store the table when it says more than the own log can show after a restart."""
-    if not state.has_new_acknowledged:
-        return
-    if max(state.acknowledged.values(), default=0) > state.log.last_index:
-        state.persist()
-
-
-def _conflict(state, request):
-    """Return the index from which the leader shall resend, or 0 if all fits."""
-    if request.prev_index > state.log.last_index:
-        return state.log.last_index + 1
-    if request.prev_index <= state.log.base_index:
-        return 0
-    if state.log.term_at(request.prev_index) == request.prev_term:
-        return 0
-    first = state.log.first_index_of_term_at(request.prev_index)
-    return max(first, state.commit_index + 1)
-
-
-def _store(state, entries):
-    """Add the entries the log lacks, dropping those that contradict the leader."""
-    missing = []
-    truncate_from = 0
-    for entry in entries:
-        if missing or entry.index > state.log.last_index:
-            missing.append(entry)
-            continue
-        if entry.index <= state.log.base_index:
-            continue
-        if state.log.term_at(entry.index) == entry.term:
-            continue
-        if entry.index <= state.commit_index:
-            raise AssertionError(f"entry {entry.index} is committed and contradicted")
-        truncate_from = entry.index
-        state.log.truncate_from(entry.index)
-        state.forget_members_from(entry.index)
-        missing.append(entry)
-    if not missing:
-        return
-    state.log.append(missing)
-    for entry in missing:
-        if entry.kind == "members":
-            state.note_members(entry.index, membership.loads(entry.body))
-    state.persist(missing, truncate_from)
-
-
-def on_snapshot_chunk(state, chunk):
-    """Collect a snapshot in order and install it when it is whole."""
-    reply = messages.SnapshotReply(
-        term=state.term,
-        member=state.identity,
-        last_index=chunk.last_index,
-        read_round=chunk.read_round,
-    )
-    if not _accept_leader(state, chunk):
-        reply.read_round = 0
-        state.send_durable(chunk.leader, reply)
-        return
-    reply.term = state.term
-    if _holds(state, chunk):
-        state.commit_index = max(state.commit_index, chunk.last_index)
-        state.incoming = None
-        reply.done = True
-    elif chunk.total <= MAX_SNAPSHOT_BYTES:
-        incoming = state.incoming
-        key = (chunk.last_index, chunk.last_term)
-        if incoming is None or (incoming.index, incoming.term) != key:
-            incoming = state.incoming = raftstate.Incoming(*key)
-        if chunk.offset == len(incoming.data):
-            incoming.data += chunk.data
-        reply.next_offset = len(incoming.data)
-        if reply.next_offset >= chunk.total:
-            _install(state, incoming)
-            reply.done = True
-    state.send_durable(chunk.leader, reply)
-
-
-def _holds(state, chunk):
-    if chunk.last_index <= state.log.base_index:
-        return True
-    return state.log.term_at(chunk.last_index) == chunk.last_term
-
-
-def _install(state, incoming):
-    blob = bytes(incoming.data)
-    members, data = membership.unpack_snapshot(blob)
-    state.incoming = None
-    state.snapshot = raftstate.Snapshot(
-        index=incoming.index, term=incoming.term, blob=blob
-    )
-    state.log.reset(incoming.index, incoming.term)
-    state.commit_index = incoming.index
-    state.members_history = []
-    state.note_members(incoming.index, members)
-    state.install(data)
--- a/sardinegauge/stateapp.py
+++ b/sardinegauge/stateapp.py
@@ -1,12 +1,11 @@
 """Application of the state process: links, data folder, timers and the health page."""
 
 import asyncio
-import json
 import random
 import sys
 
 import typer
-from tornado import httpserver, web
+from tornado import httpserver
 
 from sardinegauge import (
     application,
@@ -21,6 +20,7 @@
     replica,
     settings,
     statemetrics,
+    statepages,
     storage,
     writer,
 )
@@ -154,15 +154,7 @@
         if not self.config.metrics_listen:
             return
         host, port = link.split_address(self.config.metrics_listen)
-        self.http = httpserver.HTTPServer(
-            web.Application(
-                [
-                    ("/metrics", MetricsPage, {"app": self}),
-                    ("/health", HealthPage, {"app": self}),
-                ],
-                log_function=lambda handler: None,
-            )
-        )
+        self.http = httpserver.HTTPServer(statepages.make(self))
         self.http.listen(port, host)
 
     async def on_drain(self):
@@ -349,32 +341,6 @@
         self._match_dialers()
 
 
-class _Page(web.RequestHandler):
-    def initialize(self, app):
-        self.app = app
-
-
-class MetricsPage(_Page):
-    """The metrics in the text format."""
-
-    def get(self):
-        """Write the page."""
-        self.set_header("Content-Type", statemetrics.CONTENT_TYPE)
-        self.write(self.app.metrics.page())
-
-
-class HealthPage(_Page):
-    """The replica's status as JSON; 503 while it knows no leader."""
-
-    def get(self):
-        """Write the status."""
-        status = replica.status(self.app.state)
-        if not status["leader"]:
-            self.set_status(503)
-        self.set_header("Content-Type", "application/json")
-        self.write(json.dumps(status))
-
-
 _EXECUTE = {
     raftstate.Send: StateApplication._send,
     raftstate.Persist: StateApplication._write,
--- /dev/null
+++ b/sardinegauge/statepages.py
@@ -0,0 +1,44 @@
+"""Health and metrics pages of the state process."""
+
+import json
+
+from tornado import web
+
+from sardinegauge import replica, statemetrics
+
+
+def make(app):
+    """Return the web application with the pages of a `stateapp.StateApplication`."""
+    return web.Application(
+        [
+            ("/metrics", MetricsPage, {"app": app}),
+            ("/health", HealthPage, {"app": app}),
+        ],
+        log_function=lambda handler: None,
+    )
+
+
+class _Page(web.RequestHandler):
+    def initialize(self, app):
+        self.app = app
+
+
+class MetricsPage(_Page):
+    """The metrics in the text format."""
+
+    def get(self):
+        """Write the page."""
+        self.set_header("Content-Type", statemetrics.CONTENT_TYPE)
+        self.write(self.app.metrics.page())
+
+
+class HealthPage(_Page):
+    """The replica's status as JSON; 503 while it knows no leader."""
+
+    def get(self):
+        """Write the status."""
+        status = replica.status(self.app.state)
+        if not status["leader"]:
+            self.set_status(503)
+        self.set_header("Content-Type", "application/json")
+        self.write(json.dumps(status))
--- a/tests/statefleet.py
+++ b/tests/statefleet.py
@@ -121,7 +121,7 @@
         is_table_due = isinstance(event, (cls.HeartbeatReceived, cls.CommandApplied))
         proposed = [cls.Propose(command=command) for command in state.proposals]
         state.proposals = []
-        if not is_table_due:
+        if not is_table_due or not state.incarnations:
             return proposed
         orders = [
             messages.TaskOrder(task=name, epoch=1, action="run")
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -1,5 +1,7 @@
 """Guards the leases that a leader grants, with events in virtual time."""
 
+import json
+
 from sardinegauge import (
     commands,
     membership,
@@ -176,3 +178,24 @@
         assert group.state.applied_index < 22
         group.feed(replica.ApplyNext(now_ms=group.now_ms))
     assert group.state.machine.index == 21
+
+
+def test_snapshot_in_steps_holds_the_machine_of_its_index(monkeypatch):
+    monkeypatch.setattr(replica, "SNAPSHOT_ENTRIES", 4)
+    group = Group()
+    group.lead()
+    for name in "defg":
+        job = (
+            b'{"kind":"SubmitJob","operator":"o","request_id":"%b","name":"%b",'
+            b'"tenant":"t","cores":1,"memory_mb":1}'
+        )
+        group.ask(messages.Propose(command=job % (name.encode(), name.encode())))
+        group.sync()
+    while group.state.snapshotting:  # Later commands were applied meanwhile.
+        group.feed(replica.ApplyNext(now_ms=group.now_ms))
+    snapshot = group.state.raft.snapshot
+    assert 0 < snapshot.index < group.state.applied_index
+    _, data = membership.unpack_snapshot(snapshot.blob)
+    restored = statefleet.from_snapshot(json.loads(data))
+    assert restored.jobs == group.state.machine.jobs[: len(restored.jobs)]
+    assert restored.index == snapshot.index
