Drop the effects of an abandoned identity

Change: effects that follow the change to a new identity in one event are dropped, and the exchanges of the old identity are forgotten.

--- a/sardinegauge/stateapp.py
+++ b/sardinegauge/stateapp.py
@@ -186,8 +186,11 @@
     # Events.
 
     def _feed(self, event):
+        generation = self._generation
         for effect in replica.reduce(self.state, event):
-            _EXECUTE[type(effect)](self, effect)
+            # Effects of an abandoned identity must not reach the new data folder.
+            if generation == self._generation:
+                _EXECUTE[type(effect)](self, effect)
 
     def _pass_time(self, now_ms):
         self._feed(raft.Tick(now_ms=now_ms, jitter=random.random()))
@@ -333,6 +336,7 @@
     def _restart_links(self):
         """Connect again, since a link's hello names the old identity."""
         self.server.hello = self.hello
+        self._exchanges_by_token.clear()
         for open_link in list(self.server.links):
             open_link.close()
         for dialer in self._dialers_by_address.values():
--- a/sardinegauge/statepages.py
+++ b/sardinegauge/statepages.py
@@ -9,13 +9,9 @@
 
 def make(app):
     """Return the web application with the pages of a `stateapp.StateApplication`."""
-    return web.Application(
-        [
-            ("/metrics", MetricsPage, {"app": app}),
-            ("/health", HealthPage, {"app": app}),
-        ],
-        log_function=lambda handler: None,
-    )
+    options = {"app": app}
+    routes = [("/metrics", MetricsPage, options), ("/health", HealthPage, options)]
+    return web.Application(routes, log_function=lambda handler: None)
 
 
 class _Page(web.RequestHandler):
