Bound log memory by bytes and a slow disk by refusals

Links of agents that left were kept.

A leader refuses commands as not run while its own disk or a quorum lacks 4,096 entries. The link of an agent is forgotten when it closes.

--- a/sardinegauge/raft.py
+++ b/sardinegauge/raft.py
@@ -20,6 +20,7 @@
 MEMBER_ACTIONS = ("promote", "remove")
 # Entries kept behind a snapshot, so that a short absence needs no snapshot.
 TRAILING_ENTRIES = 5000
+TRAILING_BYTES = 16 << 20
 
 
 class Event(record.Record):
@@ -161,7 +162,7 @@
         return
     blob = membership.pack_snapshot(state.members_at(event.index), event.data)
     state.snapshot = raftstate.Snapshot(index=event.index, term=term, blob=blob)
-    compact_to = max(event.index - TRAILING_ENTRIES, 0)
+    compact_to = state.log.trailing_start(event.index, TRAILING_ENTRIES, TRAILING_BYTES)
     state.log.compact_to(compact_to)
     while len(state.members_history) > 1 and state.members_history[1][0] <= event.index:
         state.members_history.pop(0)
--- a/sardinegauge/raftlog.py
+++ b/sardinegauge/raftlog.py
@@ -12,12 +12,13 @@
         Contiguous entries from ``base_index + 1``.
     """
 
-    __slots__ = ("base_index", "base_term", "entries")
+    __slots__ = ("base_index", "base_term", "entries", "size_bytes")
 
     def __init__(self, base_index=0, base_term=0, entries=()):
         self.base_index = base_index
         self.base_term = base_term
         self.entries = list(entries)
+        self.size_bytes = _size(self.entries)
 
     @property
     def last_index(self):
@@ -56,10 +57,13 @@
     def append(self, entries):
         """Add entries that follow the last one."""
         self.entries.extend(entries)
+        self.size_bytes += _size(entries)
 
     def truncate_from(self, index):
         """Drop the entry at `index` and all later ones."""
-        del self.entries[index - self.base_index - 1 :]
+        position = index - self.base_index - 1
+        self.size_bytes -= _size(self.entries[position:])
+        del self.entries[position:]
 
     def first_index_of_term_at(self, index):
         """Return the first index in the log with the term of the entry at `index`."""
@@ -73,6 +77,7 @@
         if index <= self.base_index:
             return
         term = self.term_at(index)
+        self.size_bytes -= _size(self.entries[: index - self.base_index])
         del self.entries[: index - self.base_index]
         self.base_index = index
         self.base_term = term
@@ -82,3 +87,19 @@
         self.base_index = index
         self.base_term = term
         self.entries = []
+        self.size_bytes = 0
+
+    def trailing_start(self, index, max_entries, max_bytes):
+        """Return up to where to compact, to keep the last entries before `index`."""
+        start = index
+        size = 0
+        while start > max(self.base_index, index - max_entries):
+            size += len(self.entry(start).body)
+            if size > max_bytes:
+                break
+            start -= 1
+        return start
+
+
+def _size(entries):
+    return sum(len(entry.body) for entry in entries)
--- a/sardinegauge/replica.py
+++ b/sardinegauge/replica.py
@@ -23,6 +23,8 @@
 # Entries applied for one event, so that a long log leaves room for heartbeats.
 APPLY_BATCH = 256
 SNAPSHOT_ENTRIES = 10_000
+# Settled claims hold whole responses, so the log can be large with fewer entries.
+SNAPSHOT_LOG_BYTES = 64 << 20
 
 log = logging.getLogger(__name__)
 
@@ -265,7 +267,10 @@
         event = snapshotting.step(state)
         if event is not None:
             feed_raft(state, event)
-    elif state.applied_index - state.raft.snapshot.index >= SNAPSHOT_ENTRIES:
+        return
+    new_entries = state.applied_index - state.raft.snapshot.index
+    is_large = state.raft.log.size_bytes >= SNAPSHOT_LOG_BYTES
+    if new_entries >= SNAPSHOT_ENTRIES or (is_large and new_entries):
         snapshotting.start(state)
 
 
--- a/sardinegauge/requests.py
+++ b/sardinegauge/requests.py
@@ -16,7 +16,8 @@
 )
 
 MAX_COMMAND_BYTES = 512 << 10
-# Entries of the leader that no quorum holds yet; more are refused as not run.
+# Entries of the leader that no quorum or not its own disk holds yet; more are refused
+# as not run.
 MAX_UNCOMMITTED = 4096
 # Answers are sent as one frame; the rest is room for the other fields.
 MAX_ANSWER_BYTES = (1 << 20) - 4096
@@ -97,7 +98,8 @@
         return "not the leader"
     if state.is_stopping:
         return "the leader hands over"
-    if state.raft.log.last_index - state.raft.commit_index >= MAX_UNCOMMITTED:
+    held_index = min(state.raft.commit_index, state.raft.durable_index)
+    if state.raft.log.last_index - held_index >= MAX_UNCOMMITTED:
         return "too many commands wait for a quorum"
     return ""
 
--- a/sardinegauge/stateapp.py
+++ b/sardinegauge/stateapp.py
@@ -217,6 +217,9 @@
     def on_close(self, link):
         """Forget a closed link."""
         self._links.discard(link)
+        for upstream, (_, agent_link) in list(self._agent_links_by_upstream.items()):
+            if agent_link is link:
+                del self._agent_links_by_upstream[upstream]
 
     def on_message(self, link, message):
         """Feed the messages of other replicas."""
@@ -265,8 +268,10 @@
         exchange.close()
 
     def _push(self, effect):
-        incarnation, agent_link = self._agent_links_by_upstream[effect.upstream]
-        if incarnation != effect.incarnation or not agent_link.is_open:
+        incarnation, agent_link = self._agent_links_by_upstream.get(
+            effect.upstream, ("", None)
+        )
+        if incarnation != effect.incarnation or agent_link is None:
             return
         try:
             agent_link.send(effect.message)
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -65,6 +65,20 @@
         self.sync()
         assert self.state.is_leading
 
+    def lead_three(self):
+        """Win an election by the vote of b; return the reply b acknowledges with."""
+        self.feed(raft.Tick(now_ms=self.now_ms, jitter=0.0))
+        for is_pre_vote in (True, False):
+            vote = messages.VoteReply(
+                term=2, voter="b", granted=True, pre_vote=is_pre_vote, last_index=1
+            )
+            self.feed(raft.Received(now_ms=self.now_ms, message=vote))
+            self.sync()
+        reply = messages.AppendReply(term=2, member="b", success=True, match_index=2)
+        self.feed(raft.Received(now_ms=self.now_ms, message=reply))
+        assert self.state.is_leading
+        return reply
+
     def ask(self, message):
         self.token += 1
         self.feed(
@@ -150,16 +164,7 @@
 
 def test_no_lease_is_renewed_before_a_quorum_confirmed_the_round():
     group = Group("abc")
-    group.feed(raft.Tick(now_ms=group.now_ms, jitter=0.0))
-    for is_pre_vote in (True, False):
-        vote = messages.VoteReply(
-            term=2, voter="b", granted=True, pre_vote=is_pre_vote, last_index=1
-        )
-        group.feed(raft.Received(now_ms=group.now_ms, message=vote))
-        group.sync()
-    reply = messages.AppendReply(term=2, member="b", success=True, match_index=2)
-    group.feed(raft.Received(now_ms=group.now_ms, message=reply))
-    assert group.state.is_leading
+    reply = group.lead_three()
     token = group.heartbeat()
     group.feed(raft.Received(now_ms=group.now_ms, message=reply))  # An older round.
     assert token not in group.replies
@@ -199,3 +204,38 @@
     restored = statefleet.from_snapshot(json.loads(data))
     assert restored.jobs == group.state.machine.jobs[: len(restored.jobs)]
     assert restored.index == snapshot.index
+
+
+def test_large_entries_cause_a_snapshot_and_are_dropped(monkeypatch):
+    monkeypatch.setattr(replica, "SNAPSHOT_LOG_BYTES", 10_000)
+    monkeypatch.setattr(raft, "TRAILING_BYTES", 3000)
+    group = Group()
+    group.lead()
+    for number in range(30):
+        command = (
+            b'{"kind":"CancelJobs","operator":"o","request_id":"%d","jobs":["%s"]}'
+        )
+        body = command % (number, b"j" * 1000)
+        group.ask(messages.Propose(command=body))
+        group.sync()
+    log = group.state.raft.log
+    assert group.state.raft.snapshot.index > 20
+    assert log.size_bytes == sum(len(entry.body) for entry in log.entries) < 13_000
+
+
+def test_commands_are_refused_while_a_slow_disk_holds_too_many(monkeypatch):
+    monkeypatch.setattr("sardinegauge.requests.MAX_UNCOMMITTED", 5)
+    group = Group("abc")
+    reply = group.lead_three()
+    body = b'{"kind":"ExpireClaims","before_ms":1}'
+    tokens = []
+    for number in range(6):
+        tokens.append(group.ask(messages.Propose(command=body)))
+        # A quorum of the others holds each entry before the own disk does.
+        for member in "bc":
+            acknowledged = reply.replace(member=member, match_index=3 + number)
+            group.feed(raft.Received(now_ms=group.now_ms, message=acknowledged))
+    verdicts = [group.replies[token].verdict for token in tokens]
+    assert verdicts == ["ran"] * 5 + ["not-run"]
+    group.sync()
+    assert group.ask(messages.Propose(command=body)) not in group.replies
