--- a/sardinegauge/requestattempt.py
+++ b/sardinegauge/requestattempt.py
@@ -1,6 +1,7 @@
 """One attempt of a request: its exchange with an agent, both bodies streamed."""
 
 import asyncio
+import contextlib
 
 from tornado import httputil
 
@@ -184,7 +185,9 @@
             await self._write(message.data)
             consumed += len(message.data)
             if consumed >= CREDIT_PORTION_BYTES:
-                exchange.send(messages.Credit(size=consumed))
+                # The rest may have arrived already from an agent that has stopped.
+                with contextlib.suppress(errors.LinkClosedError):
+                    exchange.send(messages.Credit(size=consumed))
                 consumed = 0
         if message.length != length:
             reason = f"response of {message.length} bytes ended after {length}"
--- a/tests/fleet/upstream.py
+++ b/tests/fleet/upstream.py
@@ -18,7 +18,7 @@
 import signal
 import time
 
-from tornado import httpserver, iostream, netutil, web
+from tornado import httpserver, netutil, web
 
 USAGE_LAG_S = 2.0
 STEP_S = 0.02
@@ -36,6 +36,8 @@
         self.file = open(path, "a", buffering=1) if path else None
         self.name = name
         self.count_by_order = {}
+        self.executions = 0
+        self.started_ms = boot_ms()
 
     def write(self, event, **fields):
         if self.file is not None:
@@ -43,8 +45,12 @@
             self.file.write(json.dumps(fields) + "\n")
 
     def order(self, order, request_id):
+        """Record an execution and return its id, unique among all upstreams."""
         self.count_by_order[order] = self.count_by_order.get(order, 0) + 1
-        self.write("order", order=order, request_id=request_id)
+        self.executions += 1
+        execution = f"{self.name}-{self.started_ms}-{self.executions}"
+        self.write("order", order=order, request_id=request_id, execution=execution)
+        return execution
 
 
 class UpstreamHandler(web.RequestHandler):
@@ -56,7 +62,8 @@
         request_id = self.request.headers.get("Sardinegauge-Request-Id", "")
         order = self.get_query_argument("order", "")
         if order:
-            self.application.recorder.order(order, request_id)
+            execution = self.application.recorder.order(order, request_id)
+            self.set_header("Stub-Execution", execution)
         delay_ms = float(self.get_query_argument("delay_ms", "0"))
         if delay_ms:
             await asyncio.sleep(delay_ms / 1000)
@@ -73,15 +80,10 @@
             self.finish(self.request.body)
         else:
             body = self.request.body
-            self.finish(
-                {
-                    "request_id": request_id,
-                    "method": self.request.method,
-                    "path": self.request.uri,
-                    "length": len(body),
-                    "sha256": hashlib.sha256(body).hexdigest(),
-                }
-            )
+            digest = hashlib.sha256(body).hexdigest()
+            answer = {"request_id": request_id, "method": self.request.method}
+            answer |= {"path": self.request.uri, "length": len(body), "sha256": digest}
+            self.finish(answer)
 
     async def send_pattern(self, size):
         """Send `size` bytes, or close after `truncate` of them."""
@@ -137,9 +139,8 @@
         self.stepped_ms = now_ms
 
     def view(self):
-        lagging = boot_ms() - self.started_ms < USAGE_LAG_S * 1000
-        running = self.phase == "running"
-        used = running and not lagging
+        is_lagging = boot_ms() - self.started_ms < USAGE_LAG_S * 1000
+        used = self.phase == "running" and not is_lagging
         return {
             "task": self.task,
             "epoch": self.epoch,
@@ -225,7 +226,11 @@
 
     def start(self, worker, body):
         old = worker.by_task.get(body["task"])
-        if old is not None and body["epoch"] == old.epoch:
+        late_ms = boot_ms() - body.get("sent_ms", boot_ms())
+        if body["lease_ms"] <= late_ms:
+            worker.recorder.write("late_start", task=body["task"], epoch=body["epoch"])
+            self.refuse(409, "the lease has expired")
+        elif old is not None and body["epoch"] == old.epoch:
             self.finish({"phase": old.phase})
         elif old is not None and body["epoch"] < old.epoch:
             self.refuse(409, f"epoch {old.epoch} is current")
@@ -236,25 +241,18 @@
         else:
             task = RunningTask(body)
             task.extend(body)
-            if boot_ms() >= task.lease_until_ms:
-                self.refuse(409, "the lease has expired")
-                return
             worker.by_task[task.task] = task
-            worker.recorder.write(
-                "start",
-                task=task.task,
-                epoch=task.epoch,
-                checkpoint=body.get("checkpoint", ""),
-            )
+            names = ("task", "epoch", "checkpoint", "cores", "memory_mb")
+            fields = {name: body.get(name, "") for name in names}
+            worker.recorder.write("start", **fields)
             self.finish({"phase": "running"})
 
     async def checkpoint(self, worker, task, body):
         await asyncio.sleep(task.checkpoint_s)
         task.step(boot_ms())
         saved = json.dumps({"progress": round(task.progress, 4), "epoch": task.epoch})
-        worker.recorder.write(
-            "checkpoint", task=task.task, epoch=task.epoch, checkpoint=saved
-        )
+        fields = {"task": task.task, "epoch": task.epoch, "checkpoint": saved}
+        worker.recorder.write("checkpoint", **fields)
         self.finish({"checkpoint": saved})
 
     async def throttle(self, worker, task, body):
@@ -280,6 +278,7 @@
     parser.add_argument("--name", default="")
     options = parser.parse_args()
     recorder = Recorder(options.events, options.name)
+    recorder.write("boot")
     upstream = web.Application(
         [(r"/-/orders", OrdersHandler), (r"/.*", UpstreamHandler)]
     )
@@ -298,14 +297,9 @@
     stopped = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopped.set)
     stepping = asyncio.ensure_future(platform.worker.run())
-    try:
-        await stopped.wait()
-    finally:
-        stepping.cancel()
+    await stopped.wait()
+    stepping.cancel()
 
 
 if __name__ == "__main__":
-    try:
-        asyncio.run(main())
-    except (KeyboardInterrupt, iostream.StreamClosedError):
-        pass
+    asyncio.run(main())
