End the replica after a failed reducer, outlive a failing scheduler

Cause: an exception in the reducer lost its effects, among them writes whose sequence a later write would have reported as durable. A fault of the scheduler or of the directory would have done so in every leader in turn. A kill during the creation of a folder left one that could not be opened.

Change: the application stops with status 1 and feeds nothing more after an unexpected exception. Exceptions of the scheduler are logged and its state kept; a failing poll is answered as not confirmed. A mark in the folder tells an unfinished creation, which is done again.

--- a/sardinegauge/replica.py
+++ b/sardinegauge/replica.py
@@ -156,7 +156,13 @@
 def feed_scheduler(state, event):
     """Pass an event to the scheduler and take up its effects."""
     parts = state.parts.scheduler
-    for effect in parts.reduce(state.scheduler, event):
+    try:
+        effects = parts.reduce(state.scheduler, event)
+    except Exception:
+        # Its state is soft, so the replica goes on without this decision.
+        log.exception("scheduler_failed event=%s", type(event).__name__)
+        return
+    for effect in effects:
         if isinstance(effect, parts.Propose):
             _propose_own(state, effect.command)
         else:
@@ -315,7 +321,7 @@
     state.gained_term = 0
     if state.scheduler is not None:
         lost = state.parts.scheduler.LeadershipLost(now_ms=state.now_ms)
-        state.parts.scheduler.reduce(state.scheduler, lost)
+        feed_scheduler(state, lost)
         state.scheduler = None
     directing.on_leadership_lost(state)
     requests.on_leadership_lost(state)
--- a/sardinegauge/requests.py
+++ b/sardinegauge/requests.py
@@ -249,10 +249,15 @@
 def answer_poll(state, read):
     """Answer a confirmed poll with what is newer than it holds."""
     poll = read.message
-    config_version, config = configuration_since(state, poll.config_version)
-    version, is_full, upstreams = state.parts.directory.changes(
-        state.machine, poll.directory_version
-    )
+    try:
+        config_version, config = configuration_since(state, poll.config_version)
+        version, is_full, upstreams = state.parts.directory.changes(
+            state.machine, poll.directory_version
+        )
+    except Exception:
+        log.exception("poll_failed name=%s", poll.name)
+        _refuse_read(state, read)
+        return
     reply = messages.PollReply(
         confirmed=True,
         leader=state.raft.leader_address,
--- a/sardinegauge/stateapp.py
+++ b/sardinegauge/stateapp.py
@@ -96,6 +96,7 @@
         self._next_token = 1
         self._generation = 0
         self._loop = None
+        self._is_broken = False
 
     # Life cycle.
 
@@ -186,8 +187,19 @@
     # Events.
 
     def _feed(self, event):
+        if self._is_broken:
+            return
         generation = self._generation
-        for effect in replica.reduce(self.state, event):
+        try:
+            effects = replica.reduce(self.state, event)
+        except Exception as error:
+            # The effects are lost, among them perhaps writes that later ones build
+            # on, so nothing may be acknowledged any more.
+            self._is_broken = True
+            self.log.exception("reducer_failed", event_kind=type(event).__name__)
+            self.fail(errors.UserError(f"internal error: {error!r}"))
+            return
+        for effect in effects:
             # Effects of an abandoned identity must not reach the new data folder.
             if generation == self._generation:
                 _EXECUTE[type(effect)](self, effect)
--- a/sardinegauge/storage.py
+++ b/sardinegauge/storage.py
@@ -1,5 +1,6 @@
 """The data folder of a replica: identity, hard state, log segments and snapshots."""
 
+import contextlib
 import fcntl
 import json
 import logging
@@ -25,6 +26,8 @@
 _LOCK = "lock"
 # Present while files of an abandoned identity are moved away.
 _ASIDE_MARK = "set-aside"
+# Present while a new folder is being filled: nothing in it was acknowledged yet.
+_CREATION_MARK = "creating"
 _ASIDE_PREFIX = "aside-"
 _SNAPSHOT_SUFFIX = ".snapshot"
 _SNAPSHOT_HEAD = struct.Struct("<QQ")  # Index and term of the last entry covered.
@@ -99,8 +102,7 @@
             raise errors.UserError(f"{self.path}: holds the state of a replica already")
         for name in (_LOG, _SNAPSHOTS):
             os.makedirs(self._file(name), exist_ok=True)
-        sealed.sync_folder(self.path)
-        # The identity comes last: a folder with one is complete.
+        sealed.write(self._file(_CREATION_MARK), b"")
         self.save_hard(1 if members else 0, "")
         self.segments.start(1)
         if members:
@@ -112,6 +114,21 @@
         self.sync()
         self.identity = identity
         sealed.write(self._file(_IDENTITY), json.dumps({"identity": identity}).encode())
+        os.unlink(self._file(_CREATION_MARK))
+        sealed.sync_folder(self.path)
+
+    def clear_unfinished(self):
+        """Remove what a creation left that a crash interrupted."""
+        if not os.path.exists(self._file(_CREATION_MARK)):
+            return
+        for name in (_IDENTITY, _HARD_STATE):
+            with contextlib.suppress(FileNotFoundError):
+                os.unlink(self._file(name))
+        for item in os.listdir(self._file(_LOG)):
+            os.unlink(os.path.join(self._file(_LOG), item))
+        sealed.sync_folder(self._file(_LOG))
+        os.unlink(self._file(_CREATION_MARK))
+        sealed.sync_folder(self.path)
 
     def load(self):
         """Read and check everything; return it as `Stored`.
@@ -263,6 +280,7 @@
     try:
         if os.path.exists(os.path.join(path, _ASIDE_MARK)):
             folder.set_aside()
+        folder.clear_unfinished()
         if folder.is_empty:
             folder.create(f"{name}-{secrets.token_hex(4)}")
             folder.segments.close()
@@ -281,6 +299,7 @@
     }
     folder = DataFolder(path)
     try:
+        folder.clear_unfinished()
         folder.create(name, members)
     finally:
         folder.close()
--- a/tests/test_stateapp.py
+++ b/tests/test_stateapp.py
@@ -6,7 +6,7 @@
 
 from tornado import httpclient
 
-from sardinegauge import commands, errors, messages, outcome, storage
+from sardinegauge import commands, errors, messages, outcome, replica, storage
 from tests import statefleet
 
 
@@ -321,3 +321,36 @@
         assert b"sardinegauge_state_commit_index" in page.body
 
     run_fleet(tmp_path, scenario)
+
+
+def test_failed_reducer_ends_the_process_and_writes_nothing_more(
+    tmp_path, monkeypatch, capsys
+):
+    fleet = statefleet.Fleet(tmp_path, "a")
+    storage.init_folder(fleet.folder("a"), "a", fleet.address_by_name)
+    app = statefleet.stateapp.StateApplication(fleet.config("a"), statefleet.parts())
+    reduce = replica.reduce
+    fed = []
+
+    def fail(state, event):
+        fed.append(event)
+        if len(fed) == 5:
+            raise ZeroDivisionError("a fault")
+        return reduce(state, event)
+
+    monkeypatch.setattr(replica, "reduce", fail)
+    assert app.run() == 1
+    assert len(fed) == 5
+    assert "a fault" in capsys.readouterr().err
+
+
+def test_failing_scheduler_stops_no_command(tmp_path, monkeypatch):
+    def fail(state, event):
+        raise ZeroDivisionError("a fault")
+
+    async def scenario(fleet):
+        await submit(fleet, 1, 3)
+        assert len(await caught_up(fleet)) == 3
+
+    monkeypatch.setattr(statefleet.FakeScheduler, "reduce", fail)
+    run_fleet(tmp_path, scenario)
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -1,5 +1,6 @@
 """Guards against acknowledged state lost by a restart, and against unseen damage."""
 
+import functools
 import os
 
 import pytest
@@ -181,6 +182,35 @@
         storage.init_folder(path, "a", ADDRESSES)
 
 
+def test_crash_while_a_folder_is_created_leaves_a_usable_one(tmp_path, monkeypatch):
+    steps = 0
+    is_whole = False
+    while not is_whole:
+        steps += 1
+        path = str(tmp_path / str(steps))
+        left = steps
+
+        def crash(call, *arguments):
+            nonlocal left
+            left -= 1
+            if not left:
+                raise OSError("power cut")
+            return call(*arguments)
+
+        with monkeypatch.context() as patch:
+            for name in ("rename", "unlink", "open"):
+                patch.setattr(os, name, functools.partial(crash, getattr(os, name)))
+            try:
+                storage.open_folder(path, "a")[0].close()
+                is_whole = True
+            except (OSError, errors.UserError):
+                pass
+        folder, stored = storage.open_folder(path, "a")
+        assert folder.identity and stored.log.last_index == 0
+        folder.close()
+    assert steps > 10
+
+
 def test_segments_rotate_and_compact(path, monkeypatch):
     monkeypatch.setattr(segments, "SEGMENT_BYTES", 200)
     write(path, entries(2, 40), acknowledged={"b": 3})
