--- a/sardinegauge/replica.py
+++ b/sardinegauge/replica.py
@@ -17,11 +17,14 @@
     raftstate,
     record,
     requests,
+    snapshotting,
 )
 
 # Entries applied for one event, so that a long log leaves room for heartbeats.
 APPLY_BATCH = 256
 SNAPSHOT_ENTRIES = 10_000
+# Settled claims hold whole responses, so the log can be large with fewer entries.
+SNAPSHOT_LOG_BYTES = 64 << 20
 
 log = logging.getLogger(__name__)
 
@@ -107,6 +110,7 @@
             _, data = membership.unpack_snapshot(stored.snapshot.blob)
             self.machine = parts.machine.from_snapshot(json.loads(data))
         self.scheduler = None
+        self.snapshotting = None
         self.now_ms = now_ms
         self.wall_ms = 0
         self.gained_term = 0
@@ -152,7 +156,13 @@
 def feed_scheduler(state, event):
     """Pass an event to the scheduler and take up its effects."""
     parts = state.parts.scheduler
-    for effect in parts.reduce(state.scheduler, event):
+    try:
+        effects = parts.reduce(state.scheduler, event)
+    except Exception:
+        # Its state is soft, so the replica goes on without this decision.
+        log.exception("scheduler_failed event=%s", type(event).__name__)
+        return
+    for effect in effects:
         if isinstance(effect, parts.Propose):
             _propose_own(state, effect.command)
         else:
@@ -259,14 +269,15 @@
 
 
 def _take_snapshot(state):
-    if state.applied_index - state.raft.snapshot.index < SNAPSHOT_ENTRIES:
+    if state.snapshotting is not None:
+        event = snapshotting.step(state)
+        if event is not None:
+            feed_raft(state, event)
         return
-    plain = state.parts.machine.to_snapshot(state.machine)
-    data = json.dumps(plain, separators=(",", ":")).encode()
-    event = raft.SnapshotTaken(
-        now_ms=state.now_ms, index=state.applied_index, data=data
-    )
-    feed_raft(state, event)
+    new_entries = state.applied_index - state.raft.snapshot.index
+    is_large = state.raft.log.size_bytes >= SNAPSHOT_LOG_BYTES
+    if new_entries >= SNAPSHOT_ENTRIES or (is_large and new_entries):
+        snapshotting.start(state)
 
 
 def _answer_reads(state):
@@ -285,6 +296,7 @@
 
 
 def _on_restore_machine(state, effect):
+    state.snapshotting = None
     state.machine = state.parts.machine.from_snapshot(json.loads(effect.data))
     state.applied_index = effect.index
 
@@ -309,7 +321,7 @@
     state.gained_term = 0
     if state.scheduler is not None:
         lost = state.parts.scheduler.LeadershipLost(now_ms=state.now_ms)
-        state.parts.scheduler.reduce(state.scheduler, lost)
+        feed_scheduler(state, lost)
         state.scheduler = None
     directing.on_leadership_lost(state)
     requests.on_leadership_lost(state)
--- a/sardinegauge/requests.py
+++ b/sardinegauge/requests.py
@@ -16,7 +16,8 @@
 )
 
 MAX_COMMAND_BYTES = 512 << 10
-# Entries of the leader that no quorum holds yet; more are refused as not run.
+# Entries of the leader that no quorum or not its own disk holds yet; more are refused
+# as not run.
 MAX_UNCOMMITTED = 4096
 # Answers are sent as one frame; the rest is room for the other fields.
 MAX_ANSWER_BYTES = (1 << 20) - 4096
@@ -97,7 +98,8 @@
         return "not the leader"
     if state.is_stopping:
         return "the leader hands over"
-    if state.raft.log.last_index - state.raft.commit_index >= MAX_UNCOMMITTED:
+    held_index = min(state.raft.commit_index, state.raft.durable_index)
+    if state.raft.log.last_index - held_index >= MAX_UNCOMMITTED:
         return "too many commands wait for a quorum"
     return ""
 
@@ -247,10 +249,15 @@
 def answer_poll(state, read):
     """Answer a confirmed poll with what is newer than it holds."""
     poll = read.message
-    config_version, config = configuration_since(state, poll.config_version)
-    version, is_full, upstreams = state.parts.directory.changes(
-        state.machine, poll.directory_version
-    )
+    try:
+        config_version, config = configuration_since(state, poll.config_version)
+        version, is_full, upstreams = state.parts.directory.changes(
+            state.machine, poll.directory_version
+        )
+    except Exception:
+        log.exception("poll_failed name=%s", poll.name)
+        _refuse_read(state, read)
+        return
     reply = messages.PollReply(
         confirmed=True,
         leader=state.raft.leader_address,
--- a/sardinegauge/stateapp.py
+++ b/sardinegauge/stateapp.py
@@ -1,12 +1,11 @@
 """Application of the state process: links, data folder, timers and the health page."""
 
 import asyncio
-import json
 import random
 import sys
 
 import typer
-from tornado import httpserver, web
+from tornado import httpserver
 
 from sardinegauge import (
     application,
@@ -21,6 +20,7 @@
     replica,
     settings,
     statemetrics,
+    statepages,
     storage,
     writer,
 )
@@ -96,6 +96,7 @@
         self._next_token = 1
         self._generation = 0
         self._loop = None
+        self._is_broken = False
 
     # Life cycle.
 
@@ -154,15 +155,7 @@
         if not self.config.metrics_listen:
             return
         host, port = link.split_address(self.config.metrics_listen)
-        self.http = httpserver.HTTPServer(
-            web.Application(
-                [
-                    ("/metrics", MetricsPage, {"app": self}),
-                    ("/health", HealthPage, {"app": self}),
-                ],
-                log_function=lambda handler: None,
-            )
-        )
+        self.http = httpserver.HTTPServer(statepages.make(self))
         self.http.listen(port, host)
 
     async def on_drain(self):
@@ -194,8 +187,22 @@
     # Events.
 
     def _feed(self, event):
-        for effect in replica.reduce(self.state, event):
-            _EXECUTE[type(effect)](self, effect)
+        if self._is_broken:
+            return
+        generation = self._generation
+        try:
+            effects = replica.reduce(self.state, event)
+        except Exception as error:
+            # The effects are lost, among them perhaps writes that later ones build
+            # on, so nothing may be acknowledged any more.
+            self._is_broken = True
+            self.log.exception("reducer_failed", event_kind=type(event).__name__)
+            self.fail(errors.UserError(f"internal error: {error!r}"))
+            return
+        for effect in effects:
+            # Effects of an abandoned identity must not reach the new data folder.
+            if generation == self._generation:
+                _EXECUTE[type(effect)](self, effect)
 
     def _pass_time(self, now_ms):
         self._feed(raft.Tick(now_ms=now_ms, jitter=random.random()))
@@ -222,6 +229,9 @@
     def on_close(self, link):
         """Forget a closed link."""
         self._links.discard(link)
+        for upstream, (_, agent_link) in list(self._agent_links_by_upstream.items()):
+            if agent_link is link:
+                del self._agent_links_by_upstream[upstream]
 
     def on_message(self, link, message):
         """Feed the messages of other replicas."""
@@ -270,8 +280,10 @@
         exchange.close()
 
     def _push(self, effect):
-        incarnation, agent_link = self._agent_links_by_upstream[effect.upstream]
-        if incarnation != effect.incarnation or not agent_link.is_open:
+        incarnation, agent_link = self._agent_links_by_upstream.get(
+            effect.upstream, ("", None)
+        )
+        if incarnation != effect.incarnation or agent_link is None:
             return
         try:
             agent_link.send(effect.message)
@@ -341,6 +353,7 @@
     def _restart_links(self):
         """Connect again, since a link's hello names the old identity."""
         self.server.hello = self.hello
+        self._exchanges_by_token.clear()
         for open_link in list(self.server.links):
             open_link.close()
         for dialer in self._dialers_by_address.values():
@@ -349,32 +362,6 @@
         self._match_dialers()
 
 
-class _Page(web.RequestHandler):
-    def initialize(self, app):
-        self.app = app
-
-
-class MetricsPage(_Page):
-    """The metrics in the text format."""
-
-    def get(self):
-        """Write the page."""
-        self.set_header("Content-Type", statemetrics.CONTENT_TYPE)
-        self.write(self.app.metrics.page())
-
-
-class HealthPage(_Page):
-    """The replica's status as JSON; 503 while it knows no leader."""
-
-    def get(self):
-        """Write the status."""
-        status = replica.status(self.app.state)
-        if not status["leader"]:
-            self.set_status(503)
-        self.set_header("Content-Type", "application/json")
-        self.write(json.dumps(status))
-
-
 _EXECUTE = {
     raftstate.Send: StateApplication._send,
     raftstate.Persist: StateApplication._write,
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -1,5 +1,7 @@
 """Guards the leases that a leader grants, with events in virtual time."""
 
+import json
+
 from sardinegauge import (
     commands,
     membership,
@@ -63,6 +65,20 @@
         self.sync()
         assert self.state.is_leading
 
+    def lead_three(self):
+        """Win an election by the vote of b; return the reply b acknowledges with."""
+        self.feed(raft.Tick(now_ms=self.now_ms, jitter=0.0))
+        for is_pre_vote in (True, False):
+            vote = messages.VoteReply(
+                term=2, voter="b", granted=True, pre_vote=is_pre_vote, last_index=1
+            )
+            self.feed(raft.Received(now_ms=self.now_ms, message=vote))
+            self.sync()
+        reply = messages.AppendReply(term=2, member="b", success=True, match_index=2)
+        self.feed(raft.Received(now_ms=self.now_ms, message=reply))
+        assert self.state.is_leading
+        return reply
+
     def ask(self, message):
         self.token += 1
         self.feed(
@@ -148,16 +164,7 @@
 
 def test_no_lease_is_renewed_before_a_quorum_confirmed_the_round():
     group = Group("abc")
-    group.feed(raft.Tick(now_ms=group.now_ms, jitter=0.0))
-    for is_pre_vote in (True, False):
-        vote = messages.VoteReply(
-            term=2, voter="b", granted=True, pre_vote=is_pre_vote, last_index=1
-        )
-        group.feed(raft.Received(now_ms=group.now_ms, message=vote))
-        group.sync()
-    reply = messages.AppendReply(term=2, member="b", success=True, match_index=2)
-    group.feed(raft.Received(now_ms=group.now_ms, message=reply))
-    assert group.state.is_leading
+    reply = group.lead_three()
     token = group.heartbeat()
     group.feed(raft.Received(now_ms=group.now_ms, message=reply))  # An older round.
     assert token not in group.replies
@@ -176,3 +183,59 @@
         assert group.state.applied_index < 22
         group.feed(replica.ApplyNext(now_ms=group.now_ms))
     assert group.state.machine.index == 21
+
+
+def test_snapshot_in_steps_holds_the_machine_of_its_index(monkeypatch):
+    monkeypatch.setattr(replica, "SNAPSHOT_ENTRIES", 4)
+    group = Group()
+    group.lead()
+    for name in "defg":
+        job = (
+            b'{"kind":"SubmitJob","operator":"o","request_id":"%b","name":"%b",'
+            b'"tenant":"t","cores":1,"memory_mb":1}'
+        )
+        group.ask(messages.Propose(command=job % (name.encode(), name.encode())))
+        group.sync()
+    while group.state.snapshotting:  # Later commands were applied meanwhile.
+        group.feed(replica.ApplyNext(now_ms=group.now_ms))
+    snapshot = group.state.raft.snapshot
+    assert 0 < snapshot.index < group.state.applied_index
+    _, data = membership.unpack_snapshot(snapshot.blob)
+    restored = statefleet.from_snapshot(json.loads(data))
+    assert restored.jobs == group.state.machine.jobs[: len(restored.jobs)]
+    assert restored.index == snapshot.index
+
+
+def test_large_entries_cause_a_snapshot_and_are_dropped(monkeypatch):
+    monkeypatch.setattr(replica, "SNAPSHOT_LOG_BYTES", 10_000)
+    monkeypatch.setattr(raft, "TRAILING_BYTES", 3000)
+    group = Group()
+    group.lead()
+    for number in range(30):
+        command = (
+            b'{"kind":"CancelJobs","operator":"o","request_id":"%d","jobs":["%s"]}'
+        )
+        body = command % (number, b"j" * 1000)
+        group.ask(messages.Propose(command=body))
+        group.sync()
+    log = group.state.raft.log
+    assert group.state.raft.snapshot.index > 20
+    assert log.size_bytes == sum(len(entry.body) for entry in log.entries) < 13_000
+
+
+def test_commands_are_refused_while_a_slow_disk_holds_too_many(monkeypatch):
+    monkeypatch.setattr("sardinegauge.requests.MAX_UNCOMMITTED", 5)
+    group = Group("abc")
+    reply = group.lead_three()
+    body = b'{"kind":"ExpireClaims","before_ms":1}'
+    tokens = []
+    for number in range(6):
+        tokens.append(group.ask(messages.Propose(command=body)))
+        # A quorum of the others holds each entry before the own disk does.
+        for member in "bc":
+            acknowledged = reply.replace(member=member, match_index=3 + number)
+            group.feed(raft.Received(now_ms=group.now_ms, message=acknowledged))
+    verdicts = [group.replies[token].verdict for token in tokens]
+    assert verdicts == ["ran"] * 5 + ["not-run"]
+    group.sync()
+    assert group.ask(messages.Propose(command=body)) not in group.replies
