Blame stalled callers on no upstream and abort their attempts

Cause: a caller that reads nothing for 30 s ended its attempt as a failure of the upstream, so that five slow readers in a row could eject a healthy one, and the agent was not told.

Change: such an attempt is marked as the caller's fault and aborted at the agent, as is one whose body is longer than its head says.

--- a/sardinegauge/entry.py
+++ b/sardinegauge/entry.py
@@ -155,7 +155,7 @@
         upstream.report(event.in_flight, event.now_ms)
         if event.is_draining:
             upstream.leaving_until_ms = event.now_ms + upstreamtable.LEAVING_MS
-    elif event.verdict is not outcome.Verdict.NOT_RUN:
+    elif event.verdict is not outcome.Verdict.NOT_RUN and not event.is_caller_fault:
         upstream.fail(event.now_ms)
 
 
--- a/sardinegauge/entryevents.py
+++ b/sardinegauge/entryevents.py
@@ -74,7 +74,8 @@
     """An attempt ended without a whole response.
 
     `verdict` is an `outcome.Verdict`; `is_body_sent` tells that a part of a streaming
-    body is gone, so that no other attempt can be made.
+    body is gone, so that no other attempt can be made. `is_caller_fault` tells that
+    the failure says nothing about the upstream.
     """
 
     __slots__ = (
@@ -86,6 +87,7 @@
         "is_refusal",
         "in_flight",
         "is_body_sent",
+        "is_caller_fault",
         "seed",
     )
     _defaults = {
@@ -94,6 +96,7 @@
         "is_refusal": False,
         "in_flight": 0,
         "is_body_sent": False,
+        "is_caller_fault": False,
     }
 
 
--- a/sardinegauge/requestattempt.py
+++ b/sardinegauge/requestattempt.py
@@ -18,11 +18,15 @@
 
 
 class AttemptError(Exception):
-    """The attempt ended without a whole response."""
+    """The attempt ended without a whole response.
 
-    def __init__(self, verdict, reason, refusal=None):
+    `is_caller_fault` tells that it says nothing about the upstream.
+    """
+
+    def __init__(self, verdict, reason, refusal=None, is_caller_fault=False):
         self.verdict = verdict
         self.reason = reason
+        self.is_caller_fault = is_caller_fault
         self.refusal = refusal
         super().__init__(reason)
 
@@ -181,7 +185,7 @@
                 raise AttemptError(outcome.Verdict.RAN, "the upstream sent no body")
             length += len(message.data)
             self._keep(message.data)
-            await self._write(message.data)
+            await self._write(exchange, message.data)
             consumed += len(message.data)
             if consumed >= CREDIT_PORTION_BYTES:
                 exchange.send(messages.Credit(size=consumed))
@@ -194,16 +198,17 @@
         if self._kept is not None and len(self._kept) <= MAX_KEPT_BODY_BYTES:
             self._kept += data
 
-    async def _write(self, data):
+    async def _write(self, exchange, data):
         """Write to the caller; a caller that is gone takes everything."""
         try:
             pending = self.caller.write(data)
             if pending is not None:
-                await self._flushed(pending)
+                await self._flushed(exchange, pending)
         except httputil.HTTPOutputError as error:
+            _abort(exchange, "the body is longer than its head says")
             raise AttemptError(outcome.Verdict.RAN, str(error)) from error
 
-    async def _flushed(self, pending):
+    async def _flushed(self, exchange, pending):
         """Wait until the caller's connection took the bytes, or is gone.
 
         The future of a write stays open when its connection closes, so the absence of
@@ -213,7 +218,9 @@
             await asyncio.wait((pending,), timeout=GONE_CHECK_S)
             if pending.done() or self.caller.is_gone:
                 return
-        raise AttemptError(outcome.Verdict.RAN, "the caller takes no data")
+        reason = "the caller takes no data"
+        _abort(exchange, reason)
+        raise AttemptError(outcome.Verdict.RAN, reason, is_caller_fault=True)
 
 
 def _abort(exchange, reason):
--- a/sardinegauge/requestfront.py
+++ b/sardinegauge/requestfront.py
@@ -328,6 +328,7 @@
         is_refusal=error.refusal is not None,
         in_flight=refusal.in_flight,
         is_body_sent=caller.body.is_touched,
+        is_caller_fault=error.is_caller_fault,
         seed=_seed(),
     )
 
--- a/tests/test_entryapp.py
+++ b/tests/test_entryapp.py
@@ -9,7 +9,7 @@
 import pytest
 from tornado import httpclient, simple_httpclient
 
-from sardinegauge import entryhttp, errors, messages, requestfront
+from sardinegauge import entryhttp, errors, messages, requestattempt, requestfront
 from tests import entryfakes
 
 
@@ -398,32 +398,34 @@
     assert run(test, agent()) <= 256 * 1024
 
 
-def test_reader_that_takes_nothing_holds_the_agent_back():
-    sent = 0
+async def endless(agent, exchange, head, body):
+    """Send as much as credit allows; count it in `agent.sent`."""
+    window = 256 * 1024
+    agent.sent = 0
+    exchange.send(messages.ResponseHead(status=200))
+    try:
+        while agent.sent < 32 << 20:
+            while window < 64 * 1024:
+                message = await exchange.receive(10)
+                if isinstance(message, messages.Abort):
+                    return
+                window += message.size
+            await exchange.send(messages.BodyChunk(data=bytes(64 * 1024)))
+            agent.sent += 64 * 1024
+            window -= 64 * 1024
+    except (errors.LinkClosedError, TimeoutError):
+        pass
 
-    async def endless(agent, exchange, head, body):
-        nonlocal sent
-        window = 256 * 1024
-        exchange.send(messages.ResponseHead(status=200))
-        try:
-            while sent < 32 << 20:
-                while window < 64 * 1024:
-                    message = await exchange.receive(10)
-                    if isinstance(message, messages.Abort):
-                        return
-                    window += message.size
-                await exchange.send(messages.BodyChunk(data=bytes(64 * 1024)))
-                sent += 64 * 1024
-                window -= 64 * 1024
-        except (errors.LinkClosedError, TimeoutError):
-            pass
 
+def test_reader_that_takes_nothing_holds_the_agent_back():
     async def test(app):
+        (sender,) = app.agents
         _, writer = await asyncio.open_connection("127.0.0.1", app.port, limit=1024)
         writer.write(b"GET /shop HTTP/1.1\r\nHost: a\r\n\r\n")
+        await entryfakes.until(lambda: sender.received)
         before = -1
-        while before != sent or not sent:
-            before = sent
+        while before != sender.sent or not sender.sent:
+            before = sender.sent
             await asyncio.sleep(0.3)
         writer.close()
         await entryfakes.until(lambda: not app.state.requests)
@@ -433,6 +435,27 @@
     assert run(test, agent(endless)) < 16 << 20
 
 
+def test_stalled_readers_and_agents_do_not_hold_a_request(monkeypatch):
+    monkeypatch.setattr(requestattempt, "STALL_LIMIT_S", 0.5)
+
+    async def pause(agent, exchange, head, body):
+        exchange.send(messages.ResponseHead(status=200))
+        exchange.send(messages.BodyChunk(data=b"begun"))
+        agent.aborts.append(await exchange.receive(10))
+
+    async def test(app):
+        _, writer = await asyncio.open_connection("127.0.0.1", app.port, limit=1024)
+        writer.write(b"GET /shop HTTP/1.1\r\nHost: a\r\n\r\n")
+        await entryfakes.until(lambda: app.agents[0].received)
+        await entryfakes.until(lambda: not app.state.requests, limit_s=5)
+        await entryfakes.until(lambda: not app.agents[0].in_flight, limit_s=5)
+        writer.close()
+        return app.state.upstreams.by_name["u1"].failures
+
+    assert run(test, agent(endless)) == 0, "a slow reader counted against the upstream"
+    assert run(test, agent(pause)) == 1
+
+
 def test_request_over_the_concurrency_limit_is_refused_at_once():
     release = asyncio.Event()
 
