Keep the connection to the worker API open between calls

Cause: each poll and renewal opened a connection and wrote head and body apart.

Change: calls to the worker reuse idle connections and write one block.

--- a/sardinegauge/agentapp.py
+++ b/sardinegauge/agentapp.py
@@ -166,6 +166,8 @@
         """Close all links and connections."""
         self.watch.stop()
         self.pool.close()
+        if self.worker_calls is not None:
+            self.worker_calls.worker.close()
         for dialer in self.dialer_by_address.values():
             dialer.stop()
         if self.server is not None:
--- a/sardinegauge/httpcall.py
+++ b/sardinegauge/httpcall.py
@@ -198,8 +198,8 @@
         Value of the `Host` header where `headers` has none.
     headers : list of (str, str)
         Hop-by-hop headers are left out.
-    body : asynchronous iterator of bytes, or None
-        The request's body; an exception from it ends the exchange.
+    body : bytes, asynchronous iterator of bytes, or None
+        The request's body; an exception from the iterator ends the exchange.
     receiver : Receiver
         Takes the response.
     keep_alive : bool
@@ -223,10 +223,13 @@
     delegate = _Delegate(receiver)
     writer = None
     try:
+        is_whole = body is None or isinstance(body, bytes)
         connection.write_headers(
-            httputil.RequestStartLine(method, path, "HTTP/1.1"), fields
+            httputil.RequestStartLine(method, path, "HTTP/1.1"),
+            fields,
+            body if is_whole else None,
         )
-        if body is None:
+        if is_whole:
             connection.finish()
         else:
             writer = asyncio.ensure_future(_write_body(connection, body))
@@ -272,11 +275,12 @@
             raise TruncatedError("the response is too large")
 
 
-async def call_json(address, method, path, make_body, timeout_s):
+async def call_json(pool, method, path, make_body, timeout_s):
     """Make one call with JSON bodies; return the status and the decoded response.
 
-    `make_body` is called after connecting, so that times in it are as fresh as
-    possible. It returns a dict, or None to give up; then the status is 0.
+    The call must be safe to repeat, since an idle connection of the pool may close as
+    it is used. `make_body` is called after connecting, so that times in it are as
+    fresh as possible. It returns a dict, or None to give up; then the status is 0.
 
     Raises
     ------
@@ -284,7 +288,7 @@
         If there is no whole JSON response in time.
     """
     async with asyncio.timeout(timeout_s):
-        stream = await connect(address)
+        stream = pool.take() or await pool.connect()
         collector = _Collector()
         headers = []
         body = None
@@ -293,15 +297,15 @@
                 fields = make_body()
                 if fields is None:
                     return 0, {}
-                data = json.dumps(fields, separators=(",", ":")).encode()
+                body = json.dumps(fields, separators=(",", ":")).encode()
                 headers.append(("Content-Type", "application/json"))
-                headers.append(("Content-Length", str(len(data))))
-                body = _once(data)
-            await exchange(stream, address, method, path, headers, body, collector)
-        finally:
+                headers.append(("Content-Length", str(len(body))))
+            await exchange(
+                stream, pool.address, method, path, headers, body, collector, True
+            )
+        except BaseException:
             stream.close()
+            raise
+        finally:
+            pool.give(stream)
         return collector.status, json.loads(bytes(collector.data) or b"{}")
-
-
-async def _once(data):
-    yield data
--- a/sardinegauge/worker.py
+++ b/sardinegauge/worker.py
@@ -9,6 +9,7 @@
 CHECKPOINT_TIMEOUT_S = 5.0
 STOP_TIMEOUT_S = 5.0
 MAX_REASON_LENGTH = 200
+MAX_CONNECTIONS = 32
 
 
 class TaskStatus(record.Record):
@@ -62,6 +63,9 @@
     async def stop(self, task, epoch):
         """Stop a task; return the phase in which it ended."""
 
+    def close(self):
+        """Close idle connections."""
+
     @abc.abstractmethod
     async def tasks(self):
         """Return the table of tasks as a list of `TaskStatus`."""
@@ -75,12 +79,16 @@
     """
 
     def __init__(self, address):
-        self.address = address
+        self.pool = httpcall.Pool(address, MAX_CONNECTIONS)
+
+    def close(self):
+        """See `Worker.close`."""
+        self.pool.close()
 
     async def _call(self, method, name, make_body, timeout_s=CALL_TIMEOUT_S):
         try:
             return await httpcall.call_json(
-                self.address, method, f"/worker/{name}", make_body, timeout_s
+                self.pool, method, f"/worker/{name}", make_body, timeout_s
             )
         except (
             httpcall.ConnectError,
