Take messages of a request without a task of its own

Cause: each request had a task waiting in Exchange.receive with a timeout around every message.

Change: an exchange can pass its messages to a listener; the request keeps one timer for its deadline. Chunks beyond the window are no longer kept.

--- a/sardinegauge/forwarding.py
+++ b/sardinegauge/forwarding.py
@@ -4,7 +4,6 @@
 import collections
 
 from sardinegauge import (
-    background,
     clock,
     errors,
     httpcall,
@@ -67,12 +66,18 @@
         self._outbox = []
         self._flush_timer = None
         self._grace_timer = None
-        self._reader = None
+        self._deadline_timer = None
+        self._has_left = False
         self._written = None
 
     def start(self):
-        """Begin to read from the entry; a request refused at once needs no reader."""
-        self._reader = background.spawn(self._read_entry())
+        """Begin to take messages of the entry and to watch the deadline."""
+        self.exchange.listen(self._take)
+        left_s = (self.deadline_ms - clock.monotonic_ms()) / 1000
+        loop = asyncio.get_running_loop()
+        self._deadline_timer = loop.call_later(
+            max(0.0, left_s), self._leave, "the deadline has passed"
+        )
 
     @property
     def is_claimed(self):
@@ -81,41 +86,34 @@
 
     # From the entry
 
-    async def _read_entry(self):
-        try:
-            while True:
-                left_s = (self.deadline_ms - clock.monotonic_ms()) / 1000
-                message = await self.exchange.receive(max(0.0, left_s))
-                if not self._take(message):
-                    break
-        except TimeoutError:
-            self._leave("the deadline has passed")
-        except errors.LinkClosedError:
+    def _take(self, message):
+        """Take one message of the entry; None says that the link closed."""
+        if message is None:
             self.is_answered = True
             self._leave("the link to the entry closed")
-
-    def _take(self, message):
-        """Take one message; return False when the exchange is over."""
-        if isinstance(message, messages.Credit):
+        elif isinstance(message, messages.Credit):
             self._window += message.size
         elif isinstance(message, messages.BodyChunk):
             self._body_length += len(message.data)
             self._body_window -= len(message.data)
             if self._body_window < 0 or len(message.data) > CHUNK_BYTES:
                 self._is_body_broken = True
-            self._chunks.append(message.data)
+            if not self._is_body_broken:
+                self._chunks.append(message.data)
         elif isinstance(message, messages.BodyEnd):
             self._is_body_ended = True
             self._is_body_broken |= message.length != self._body_length
         elif isinstance(message, messages.Abort):
             self.is_answered = True
             self._leave("the entry aborted")
-            return False
         self._wake.set()
-        return True
 
     def _leave(self, reason):
         """Answer at once, and cut what need not end for a stored response."""
+        if self._has_left:
+            return
+        self._has_left = True
+        self._deadline_timer.cancel()
         self.abort(MAY_HAVE_RUN if self.is_written else NOT_RUN, reason)
         if not self._is_body_ended:
             self._is_body_broken = True
@@ -207,9 +205,10 @@
         self.close()
 
     def close(self):
-        """Stop reading from the entry and forget the exchange."""
-        if self._reader is not None:
-            self._reader.cancel()
+        """Stop listening to the entry and forget the exchange."""
+        self._has_left = True
+        if self._deadline_timer is not None:
+            self._deadline_timer.cancel()
         if self._grace_timer is not None:
             # The connection may carry another request by then.
             self._grace_timer.cancel()
--- a/sardinegauge/link.py
+++ b/sardinegauge/link.py
@@ -57,13 +57,14 @@
     `Handler.on_exchange`. It must be closed by whoever holds it.
     """
 
-    __slots__ = ("_is_initiator", "_queue", "correlation", "link")
+    __slots__ = ("_is_initiator", "_listener", "_queue", "correlation", "link")
 
     def __init__(self, link, correlation, is_initiator):
         self.link = link
         self.correlation = correlation
         self._is_initiator = is_initiator
         self._queue = asyncio.Queue()
+        self._listener = None
 
     def send(self, message):
         """Queue a message; return a future done when the socket took its bytes.
@@ -113,12 +114,23 @@
             raise errors.LinkClosedError(f"link to {self.link.peer_name} closed")
         return message
 
+    def listen(self, listener):
+        """Pass further messages to a callable instead of `receive`.
+
+        It gets None when the link closes. A task that waits in `receive` costs more
+        than most messages take to handle.
+        """
+        self._listener = listener
+
     def close(self):
         """Forget the exchange; later frames of it are dropped."""
         self.link.forget(self.correlation, self._is_initiator)
 
     def deliver(self, message):
         """Queue a message from the peer; None says that the link closed."""
+        if self._listener is not None:
+            self._listener(message)
+            return
         if message is not None and self._queue.qsize() >= MAX_QUEUED_FRAMES:
             raise errors.WireError("peer exceeded its credit")
         self._queue.put_nowait(message)
