Repeat a throttle whose call was lost

Cause: a throttle call without an answer was noted as done, so the task kept its cores until the leader chose another share.

Change: the next table of the leader repeats it.

--- a/sardinegauge/hostedtask.py
+++ b/sardinegauge/hostedtask.py
@@ -48,7 +48,8 @@
     `reported_sequence` is the first heartbeat that reported the task in its present
     kind (live or ended), 0 before; `called_ms` is when the last call to the worker
     began; `retry_ms` is when it is repeated; `is_confirmed` says that the worker has
-    the task; `next_order` is a start that waits for the end of this epoch.
+    the task; `is_throttle_lost` says that a throttle call got no answer; `next_order`
+    is a start that waits for the end of this epoch.
     """
 
     __slots__ = (
@@ -67,6 +68,7 @@
         "called_ms",
         "retry_ms",
         "is_confirmed",
+        "is_throttle_lost",
         "next_order",
     )
     _defaults = {
@@ -83,6 +85,7 @@
         "called_ms": 0,
         "retry_ms": 0,
         "is_confirmed": False,
+        "is_throttle_lost": False,
         "next_order": None,
     }
 
--- a/sardinegauge/taskhost.py
+++ b/sardinegauge/taskhost.py
@@ -102,8 +102,9 @@
             return []  # An older table may still say "run".
         if _sizes(order) != _sizes(hosted.order) and not self.admission.reserve(order):
             hosted.order = order
-        if order.throttle != hosted.throttle:
+        if order.throttle != hosted.throttle or hosted.is_throttle_lost:
             hosted.throttle = order.throttle
+            hosted.is_throttle_lost = False
             self._changed()
             return [
                 hostedtask.Throttle(
@@ -241,6 +242,8 @@
         hosted = self._current(task, epoch)
         if hosted is not None:
             hosted.retry_ms = now_ms + FAILED_RETRY_MS
+            # A running task has only throttle calls; the next table repeats them.
+            hosted.is_throttle_lost = hosted.phase == hostedtask.RUNNING
         return []
 
     def start_answered(self, now_ms, task, epoch, is_taken, reason):
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -366,6 +366,21 @@
     assert not of(hostedtask.Start, effects)
 
 
+def test_a_lost_throttle_is_repeated():
+    """Guards against a noisy task that keeps its cores after one lost call."""
+    state = ready_state()
+    reply(state, 1, 0, [order("a")])
+    taken = {"task": "a", "epoch": 1, "is_taken": True, "reason": ""}
+    agent.reduce(state, agentevents.StartAnswered(now_ms=2, **taken))
+    slow = [order("a", throttle=0.5)]
+    assert of(hostedtask.Throttle, reply(state, 3, 0, slow))
+    assert not of(hostedtask.Throttle, reply(state, 4, 0, slow))
+    failed = agentevents.WorkerCallFailed(now_ms=5, task="a", epoch=1)
+    agent.reduce(state, failed)
+    effects = of(hostedtask.Throttle, reply(state, 6, 0, slow))
+    assert [effect.share for effect in effects] == [0.5]
+
+
 def test_nothing_is_announced_while_an_earlier_agents_tasks_run():
     """Guards against a restart that lets the leader place a running task again."""
     state = new_state(has_worker=True)
