Send no heartbeat for a task that the leader has dropped

Cause: dropping the row of an ended task counted as news, so each end cost one more heartbeat, and a drain waited for its answer. The test of the drain over sockets passed or failed by timing with the wait for the leader taken out.

Change: a dropped row waits for the next heartbeat; a test in virtual time covers the wait.

--- a/sardinegauge/taskhost.py
+++ b/sardinegauge/taskhost.py
@@ -158,7 +158,7 @@
         if not hosted.is_ended:
             return self._stop(now_ms, hosted, "not ordered")
         del self.by_task[hosted.order.task]
-        self._changed()
+        self._reports = None  # The leader knows already, so no heartbeat is due.
         if hosted.phase == hostedtask.REFUSED:
             return []
         return [hostedtask.Stop(task=hosted.order.task, epoch=hosted.order.epoch)]
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -366,6 +366,25 @@
     assert not of(hostedtask.Start, effects)
 
 
+def test_drain_ends_only_when_the_leader_knows_the_last_stop():
+    """Guards against an eviction that the leader learns of by the lease's end."""
+    state = ready_state()
+    reply(state, 1, 0, [order("a")])
+    taken = {"task": "a", "epoch": 1, "is_taken": True, "reason": ""}
+    agent.reduce(state, agentevents.StartAnswered(now_ms=2, **taken))
+    agent.reduce(state, agentevents.DrainAsked(now_ms=10, evict_at_ms=60_000))
+    agent.reduce(state, agentevents.Tick(now_ms=2000))
+    reply(state, 2001, state.sequence, [order("a", action="evict")])
+    saved = {"task": "a", "epoch": 1, "checkpoint": "c"}
+    agent.reduce(state, agentevents.CheckpointAnswered(now_ms=2002, **saved))
+    stopped = agentevents.StopAnswered(now_ms=2010, task="a", epoch=1, phase="stopped")
+    assert not of(agentevents.Drained, agent.reduce(state, stopped))
+    effects = agent.reduce(state, agentevents.Tick(now_ms=2100))
+    assert of(agentevents.SendHeartbeat, effects)
+    assert not of(agentevents.Drained, effects)
+    assert of(agentevents.Drained, reply(state, 2150, state.sequence))
+
+
 def test_a_lost_throttle_is_repeated():
     """Guards against a noisy task that keeps its cores after one lost call."""
     state = ready_state()
