Forget lost workers and keep predictions of unchanged mixes

Cause: rooms of replaced VMs stayed in the leader's memory; a prediction was computed again at every placement. Change: lost workers are dropped from the indexes until they register again; predictions last until 3 % of a worker's cores changed; evicting a member of a gang costs as much as the whole gang.

--- a/sardinegauge/capacity.py
+++ b/sardinegauge/capacity.py
@@ -153,6 +153,12 @@
         self._index(free)
         self.note_change(worker.upstream)
 
+    def forget(self, upstream):
+        """Drop a lost worker; it comes back with its next registration."""
+        if self.by_upstream.pop(upstream, None) is not None:
+            self.general.remove(upstream)
+            self.accelerated.remove(upstream)
+
     def note_change(self, upstream):
         """Let demands that fitted nowhere try this worker again."""
         for changed in self.blocked_by_size.values():
@@ -182,16 +188,17 @@
         Workers in `held`, which are kept for `holder`, come first when they fit.
         """
         for upstream in sorted(held):
-            free = self.by_upstream[upstream]
-            if self._fits(free, demand, holder):
+            free = self.by_upstream.get(upstream)
+            if free is not None and self._fits(free, demand, holder):
                 return [free]
         size = demand.key()
         changed = self.blocked_by_size.get(size)
         if changed is not None:
+            known = [self.by_upstream.get(upstream) for upstream in sorted(changed)]
             found = [
                 free
-                for upstream in sorted(changed)
-                if self._fits(free := self.by_upstream[upstream], demand, holder)
+                for free in known
+                if free is not None and self._fits(free, demand, holder)
             ][:limit]
             changed.clear()
             if found:
--- a/sardinegauge/preemption.py
+++ b/sardinegauge/preemption.py
@@ -379,6 +379,10 @@
     cost += 60.0 / max(remaining_s, 1.0) * RESTART_S
     if state.is_over_quota(task.tenant):
         cost *= 0.5
+    job = state.machine.jobs.by_id.get(task.job)
+    if job is not None and job.is_gang:
+        # The rest of the gang waits for the evicted task.
+        cost *= len(job.task_ids)
     return cost
 
 
--- a/sardinegauge/softstate.py
+++ b/sardinegauge/softstate.py
@@ -190,10 +190,15 @@
         view = self.views.get(upstream)
         if view is not None:
             view.is_stale = True
-        if worker is None:
-            return
-        self.free.refresh(worker, self.machine.tasks.by_id)
-        is_live = not worker.is_lost
+        is_live = worker is not None and not worker.is_lost
+        if is_live:
+            self.free.refresh(worker, self.machine.tasks.by_id)
+        else:
+            # Replaced VMs come back under other names, so nothing of them is kept.
+            self.free.forget(upstream)
+            self.ledger.by_upstream.pop(upstream, None)
+            if not self.ids_by_upstream[upstream]:
+                del self.ids_by_upstream[upstream]
         _set_member(self.draining, upstream, is_live and worker.is_draining)
         quarantined = self.ledger.quarantined
         _set_member(quarantined, upstream, is_live and worker.is_quarantined)
--- a/sardinegauge/views.py
+++ b/sardinegauge/views.py
@@ -27,6 +27,8 @@
 OTHERS_MS = 5_000
 # Above this share of used cores, tasks slow each other down.
 CROWDED_SHARE = 0.95
+# Predictions for a mix are kept until this share of the cores changed.
+SAME_MIX = 0.03
 # A mean rate over a few reports, since one report covers a second only.
 RATE_WEIGHT = 0.4
 
@@ -65,6 +67,7 @@
         "others_ms",
         "share_by_group",
         "slow_by_service",
+        "slow_shares",
         "upstream",
         "used_share",
     )
@@ -74,7 +77,9 @@
         self.load_by_service = {}
         self.share_by_group = {}
         self.lagged_by_group = {}
+        # Predicted slow-down of each service under the mix `slow_shares`.
         self.slow_by_service = {}
+        self.slow_shares = {}
         self.others_harm = 0.0
         self.others_ms = None
         self.used_share = 0.0
@@ -103,10 +108,18 @@
         if run.is_batch:
             shares[run.group] = shares.get(run.group, 0.0) + share
     view.share_by_group = shares
-    view.slow_by_service.clear()
+    if _distance(shares, view.slow_shares) > SAME_MIX:
+        view.slow_by_service.clear()
+        view.slow_shares = shares
     view.used_share = used
 
 
+def _distance(shares, others):
+    """Return the sum of the differences of two mixes."""
+    total = sum(abs(share - others.get(group, 0.0)) for group, share in shares.items())
+    return total + sum(share for group, share in others.items() if group not in shares)
+
+
 def take_loads(state, now_ms, view, heartbeat):
     """Take the service loads of a heartbeat; learn from them and watch hot workers."""
     elapsed_ms = now_ms - (view.heartbeat_ms or now_ms - 1000)
@@ -146,7 +159,10 @@
     load.rate_per_s += RATE_WEIGHT * (rate - load.rate_per_s)
     load.reported_ms = now_ms
     load.requests = report.requests
-    load.level = interference.level_of(load.rate_per_s)
+    level = interference.level_of(load.rate_per_s)
+    if level != load.level:
+        view.slow_by_service.pop(report.service, None)
+    load.level = level
     if report.requests < MIN_REQUESTS or report.p99_ms <= 0.0:
         load.excess *= 1.0 - P99_WEIGHT
         return
