Make room by evictions alone; fewest evictions first

Cause: tasks throttled to make room kept their slots, got their cores back late and cost 3 % of the batch work in karri without a better p99. Change: squeezing is reverted, and so is throttling any task on a crowded worker; one sufficient eviction goes before several cheap ones; no task moves for cores alone where evictions weigh more than latency.

--- a/sardinegauge/makeroom.py
+++ b/sardinegauge/makeroom.py
@@ -1,19 +1,19 @@
 """Room for urgent work, services, tenants within their quota and aged batch work.
 
-Room is made on the worker where it costs least: by throttling batch work there if only
-cores are short, or by evictions. Both are compared in core-seconds of lost work, times
-the weights of batch throughput and evictions. The worker is then held for the
-unit that asked, so that the room is not taken by others.
+Room is made on the worker where it costs least, by the cheapest evictions there, in
+core-seconds of lost work. Throttling batch work to make room was tried and lost more:
+a throttled task keeps its slot, and gets its cores back late. The worker is then held
+for the unit that asked, so that the room is not taken by others.
 """
 
-from sardinegauge import commands, pending, preemption, quotas
+from sardinegauge import pending, preemption, quotas
 
 # Workers looked at for one demand, drawn at random in a larger fleet.
 WORKERS_TRIED = 24
 # Requests for room that are answered in one round.
 REQUESTS_PER_ROUND = 4
-# Tasks are throttled for at most about this long to make room, as far as costs go.
-MAX_SQUEEZE_S = 600.0
+# What any eviction costs in core-seconds besides the work it loses.
+EVICTION_PRICE = 200.0
 # A held worker is given up after this time; its tasks should have stopped long since.
 HOLD_MS = 30_000
 # A tenant within its quota waits this long before borrowed room is taken back.
@@ -170,31 +170,21 @@
     bucket = state.pace.evictions if is_batch else state.pace.room
     if bucket.available() <= 0 or demand.key() in state.no_room_keys:
         return []
-    best, best_cost, best_kind = None, None, ""
+    best, best_cost = None, None
     for free in _workers(state):
         room = state.machine.workers.by_upstream[free.upstream].room
         if not _could_fit(room, demand):
             continue
-        squeezed = None
-        if state.preemption.may_squeeze:
-            squeezed = _squeeze(state, free, demand)
-        choices = []
-        if squeezed is not None:
-            cost = _squeeze_cost(state, task, squeezed)
-            choices.append((cost, "throttle", squeezed))
-        victims = _victims(state, now_ms, free, demand, unit, borrowed_only)
-        if victims is not None and len(victims[1]) <= bucket.available():
-            choices.append((state.weights.evictions * victims[0], "evict", victims[1]))
-        for cost, kind, found in choices:
-            if best is None or cost < best_cost:
-                best, best_cost, best_kind = (free, found), cost, kind
+        found = _victims(state, now_ms, free, demand, unit, borrowed_only)
+        if found is None or len(found[1]) > bucket.available():
+            continue
+        if best is None or found[0] < best_cost:
+            best, best_cost = (free, found[1]), found[0]
     if best is None:
         state.no_room_keys.add(demand.key())
         return []
     free, found = best
     _hold(state, now_ms, free.upstream, unit, HOLD_MS, is_aged=False)
-    if best_kind == "throttle":
-        return [_throttle(state, now_ms, unit, free, found)]
     bucket.take(len(found))
     reason = f"makes room for {unit.name} ({unit.task_class})"
     return [preemption.evict(state, now_ms, found, reason)]
@@ -219,70 +209,31 @@
         if cost is not None:
             costs.append((cost * task.cores, task_id))
     costs.sort()
-    chosen, total = [], 0.0
     left = [free.cores, free.memory_mb, free.accelerators, free.connections, free.slots]
     needed = [*demand.key(), 1]
+    chosen, total = [], 0.0
+    missing = [need - have for have, need in zip(left, needed)]
     for cost, task_id in costs:
-        if all(have >= need for have, need in zip(left, needed)):
+        # One eviction that is enough by itself is better than several cheap ones.
+        if _frees(by_id[task_id], missing):
+            return cost + EVICTION_PRICE, [by_id[task_id]]
+    for cost, task_id in sorted(costs, key=lambda pair: -by_id[pair[1]].cores):
+        if all(need <= 0 for need in missing):
             break
         task = by_id[task_id]
-        freed = (task.cores, task.memory_mb, task.accelerators, task.connections, 1)
-        helps = any(
-            have < need and gain > 0 for have, need, gain in zip(left, needed, freed)
-        )
-        if helps:
+        freed = _room_of(task)
+        if any(need > 0 and gain > 0 for need, gain in zip(missing, freed)):
             chosen.append(task)
-            total += cost
-            left = [have + gain for have, gain in zip(left, freed)]
-    if not all(have >= need for have, need in zip(left, needed)):
+            total += cost + EVICTION_PRICE
+            missing = [need - gain for need, gain in zip(missing, freed)]
+    if any(need > 0 for need in missing):
         return None
     return (total, chosen) if chosen else None
 
 
-def _squeeze(state, free, demand):
-    """Return new cores by task if throttling batch work frees enough, else None."""
-    if (
-        free.slots < 1
-        or free.memory_mb < demand.memory_mb
-        or free.accelerators < demand.accelerators
-        or free.connections < demand.connections
-        or not state.throttle_steps
-    ):
-        return None
-    step = min(state.throttle_steps)
-    missing = demand.cores - free.cores
-    cores_by_task = {}
-    for task_id in sorted(state.ids_by_upstream.get(free.upstream, ())):
-        task = state.machine.tasks.by_id[task_id]
-        is_batch = task.task_class == pending.BATCH and task.state == "running"
-        if not is_batch or task_id in state.throttle_by_task or missing <= 0:
-            continue
-        cores = int(task.cores * step * 16) / 16
-        if cores >= 0.125 and ("resize", task_id) not in state.in_flight:
-            cores_by_task[task_id] = cores
-            missing -= task.cores - cores
-    return cores_by_task if missing <= 0 and cores_by_task else None
+def _room_of(task):
+    return (task.cores, task.memory_mb, task.accelerators, task.connections, 1)
 
 
-def _squeeze_cost(state, task, cores_by_task):
-    """Return the core-seconds that throttled tasks lose while a task runs."""
-    by_id = state.machine.tasks.by_id
-    lost = sum(by_id[id].cores - cores for id, cores in cores_by_task.items())
-    run_s = state.sizes.expected_s(task) if task.job else MAX_SQUEEZE_S
-    return state.weights.batch_throughput * lost * min(run_s, MAX_SQUEEZE_S)
-
-
-def _throttle(state, now_ms, unit, free, cores_by_task):
-    memory_mb_by_task = {}
-    for task_id in cores_by_task:
-        task = state.machine.tasks.by_id[task_id]
-        memory_mb_by_task[task_id] = task.memory_mb
-        state.squeezed_by_task[task_id] = task.cores
-        preemption.set_throttle(state, task, min(state.throttle_steps))
-        state.reasons.note(
-            now_ms, [task_id, task.job], "throttled to make room for {}", unit.name
-        )
-    state.watch(free.upstream, now_ms)
-    return commands.ResizeTasks(
-        cores_by_task=cores_by_task, memory_mb_by_task=memory_mb_by_task
-    )
+def _frees(task, missing):
+    return all(gain >= need for gain, need in zip(_room_of(task), missing))
--- a/sardinegauge/preemption.py
+++ b/sardinegauge/preemption.py
@@ -28,8 +28,8 @@
 # Batch work that waits this long makes lost batch work this much dearer.
 LONG_QUEUE_MS = 60_000
 QUEUE_PRICE = 15.0
-# A throttled task runs for longer. On a worker with cores to spare, a step must lower
-# the harm by this much more than it lowers the task's speed.
+# A throttled task runs for longer, so a step must lower the harm by this much more than
+# it lowers the task's speed.
 WORTH_SLOWER = 1.1
 # Tasks that end within this time are left alone.
 NEARLY_DONE_S = 20.0
@@ -66,8 +66,6 @@
 
     HOT = math.log(1.3)
     CALM = math.log(1.12)
-    # Whether room for urgent work is first made by throttling.
-    may_squeeze = False
 
     def victim_cost(self, state, now_ms, task):
         """Return the cost of evicting a task to make room, or None to spare it.
@@ -134,8 +132,6 @@
 class ThrottleFirst(PreemptionPolicy):
     """Throttles what the model holds responsible; evicts when that did not help."""
 
-    may_squeeze = True
-
     def victim_cost(self, state, now_ms, task):
         """Return the seconds of work that an eviction costs, or None to spare it."""
         return eviction_cost(state, now_ms, task)
@@ -166,8 +162,6 @@
     def _best_step(self, state, view, slowest):
         free = state.free.by_upstream[view.upstream]
         slot = 1.0 / max(1, state.machine.workers.by_upstream[view.upstream].room.tasks)
-        views.refresh_mix(state, view)
-        is_crowded = view.used_share > views.CROWDED_SHARE
         best, best_ratio = None, 0.0
         for task, run in _batch_runs(state, view.upstream):
             throttle = state.throttle_by_task.get(task.id, 1.0)
@@ -178,7 +172,7 @@
             slower = 1.0 - lower / throttle
             relief = _relief(state, view, run.group, share * slower, slowest)
             whole = _relief(state, view, run.group, share, slowest)
-            if not is_crowded and relief < whole * slower * WORTH_SLOWER:
+            if relief < whole * slower * WORTH_SLOWER:
                 # The task would do the same harm for longer.
                 continue
             gain = state.weights.tail_latency * relief
@@ -318,7 +312,7 @@
     best, best_harm = None, None
     for task_id in throttled:
         run = state.run_by_task.get(task_id)
-        if run is None or task_id in state.squeezed_by_task:
+        if run is None:
             continue
         task_harm = views.harm(state, view, run.group, 0.1)
         if best is None or task_harm < best_harm:
@@ -331,38 +325,6 @@
     return []
 
 
-def restore(state, now_ms):
-    """Give tasks that were throttled to make room their cores back when there is room.
-
-    The throttle ends with the proposal already: the cores were free when it was made,
-    and a task that runs ahead of its reservation for one commit harms nobody for long.
-    """
-    cores_by_task, memory_mb_by_task, left_by_upstream = {}, {}, {}
-    for task_id, cores in list(state.squeezed_by_task.items()):
-        task = state.machine.tasks.by_id[task_id]
-        free = state.free.by_upstream[task.upstream]
-        is_held = task.upstream in state.hold_by_upstream
-        if is_held or ("resize", task_id) in state.in_flight:
-            continue
-        left = left_by_upstream.get(task.upstream, free.cores)
-        missing = max(0.0, cores - task.cores)
-        if missing > left:
-            continue
-        left_by_upstream[task.upstream] = left - missing
-        del state.squeezed_by_task[task_id]
-        set_throttle(state, task, 1.0)
-        state.reasons.note(now_ms, [task_id], "throttle ended: there is room again")
-        cores_by_task[task_id] = max(cores, task.cores)
-        memory_mb_by_task[task_id] = task.memory_mb
-    if not cores_by_task:
-        return []
-    return [
-        commands.ResizeTasks(
-            cores_by_task=cores_by_task, memory_mb_by_task=memory_mb_by_task
-        )
-    ]
-
-
 def eviction_cost(state, now_ms, task):
     """Return the cost of evicting a task in seconds of work, or None if it may not be.
 
@@ -411,7 +373,7 @@
 
 def review_all(state, now_ms):
     """Review every watched worker; the work is in proportion to their number."""
-    proposals = restore(state, now_ms)
+    proposals = []
     since_ms = state.pending.oldest_batch_ms()
     state.batch_wait_ms = 0 if since_ms is None else max(0, state.age_ms(since_ms))
     for upstream in sorted(state.guard_by_upstream):
--- a/sardinegauge/resizing.py
+++ b/sardinegauge/resizing.py
@@ -64,9 +64,10 @@
 
 
 def _is_crowded(state, upstream):
-    """Tell whether the tasks of a worker use nearly all its cores by their reports."""
+    """Tell whether a worker is so crowded that a task should move for its cores."""
     view = state.views.get(upstream)
-    if view is None:
+    # Where evictions weigh more than latency, no task moves for cores alone.
+    if view is None or state.weights.evictions > state.weights.tail_latency:
         return False
     views.refresh_mix(state, view)
     return view.used_share > views.CROWDED_SHARE
--- a/sardinegauge/softstate.py
+++ b/sardinegauge/softstate.py
@@ -81,7 +81,6 @@
         self.orders_by_upstream = {}
         self.order_by_task = {}
         self.throttle_by_task = {}
-        self.squeezed_by_task = {}
         self.guard_by_upstream = {}
         self.hold_by_upstream = {}
         self.held_for = {}
@@ -219,7 +218,6 @@
                 del self.run_by_task[task_id]
             self.order_by_task.pop(task_id, None)
             self.throttle_by_task.pop(task_id, None)
-            self.squeezed_by_task.pop(task_id, None)
             if task is None or task.has_ended:
                 self.sizes.floor_by_task.pop(task_id, None)
         elif run is None or run.epoch != task.epoch:
