--- a/sardinegauge/softstate.py
+++ b/sardinegauge/softstate.py
@@ -81,7 +81,6 @@
         self.orders_by_upstream = {}
         self.order_by_task = {}
         self.throttle_by_task = {}
-        self.squeezed_by_task = {}
         self.guard_by_upstream = {}
         self.hold_by_upstream = {}
         self.held_for = {}
@@ -190,10 +189,15 @@
         view = self.views.get(upstream)
         if view is not None:
             view.is_stale = True
-        if worker is None:
-            return
-        self.free.refresh(worker, self.machine.tasks.by_id)
-        is_live = not worker.is_lost
+        is_live = worker is not None and not worker.is_lost
+        if is_live:
+            self.free.refresh(worker, self.machine.tasks.by_id)
+        else:
+            # Replaced VMs come back under other names, so nothing of them is kept.
+            self.free.forget(upstream)
+            self.ledger.by_upstream.pop(upstream, None)
+            if not self.ids_by_upstream[upstream]:
+                del self.ids_by_upstream[upstream]
         _set_member(self.draining, upstream, is_live and worker.is_draining)
         quarantined = self.ledger.quarantined
         _set_member(quarantined, upstream, is_live and worker.is_quarantined)
@@ -214,7 +218,6 @@
                 del self.run_by_task[task_id]
             self.order_by_task.pop(task_id, None)
             self.throttle_by_task.pop(task_id, None)
-            self.squeezed_by_task.pop(task_id, None)
             if task is None or task.has_ended:
                 self.sizes.floor_by_task.pop(task_id, None)
         elif run is None or run.epoch != task.epoch:
