--- a/sardinegauge/replica.py
+++ b/sardinegauge/replica.py
@@ -65,6 +65,12 @@
     __slots__ = ("incarnation", "message", "upstream")
 
 
+class TaskWaited(record.Record):
+    """Effect: count that a task runs after waiting `wait_ms`, for the histogram."""
+
+    __slots__ = ("task_class", "tenant", "wait_ms")
+
+
 class ApplyMore(record.Record):
     """Effect: send `ApplyNext` soon, after other events had their turn."""
 
@@ -243,7 +249,9 @@
     if entry.kind != "command":
         return
     command = proposal.command if proposal else commands.REGISTRY.loads(entry.body)
+    waiting = _waiting_tasks(state, command)
     answer = _apply_command(state, entry.index, command)
+    _emit_waits(state, command, waiting)
     if proposal is not None:
         requests.reply_ran(state, proposal.token, answer, entry.index)
     if isinstance(command, commands.WorkerLost):
@@ -257,6 +265,27 @@
         )
 
 
+def _waiting_tasks(state, command):
+    """Return the assigned tasks that a report may show to run from now on."""
+    if not state.is_leading or not isinstance(command, commands.ReportTasks):
+        return []
+    by_id = state.machine.tasks.by_id
+    found = [by_id.get(change.task) for change in command.changes]
+    return [task for task in found if task is not None and task.state == "assigned"]
+
+
+def _emit_waits(state, command, waiting):
+    for task in waiting:
+        if task.state == "running":
+            state.emit(
+                TaskWaited(
+                    tenant=task.tenant,
+                    task_class=task.task_class,
+                    wait_ms=max(0, command.at_ms - task.pending_since_ms),
+                )
+            )
+
+
 def _apply_command(state, index, command):
     """Apply a command; one that the machine chokes on must not stop every replica."""
     try:
--- a/sardinegauge/stateapp.py
+++ b/sardinegauge/stateapp.py
@@ -279,6 +279,9 @@
             pass  # The asker sees the closed link and asks elsewhere.
         exchange.close()
 
+    def _count_wait(self, effect):
+        self.metrics.count_wait(effect.tenant, effect.task_class, effect.wait_ms)
+
     def _push(self, effect):
         incarnation, agent_link = self._agent_links_by_upstream.get(
             effect.upstream, ("", None)
@@ -371,6 +374,7 @@
     raftstate.Rejoin: StateApplication._rejoin,
     replica.Reply: StateApplication._reply,
     replica.Push: StateApplication._push,
+    replica.TaskWaited: StateApplication._count_wait,
     replica.ApplyMore: StateApplication._apply_more,
 }
 
--- a/sardinegauge/statemetrics.py
+++ b/sardinegauge/statemetrics.py
@@ -21,6 +21,16 @@
         self._syncs = gauge("state_log_syncs", "Log syncs since the start.")
         self._writes = gauge("state_log_writes", "Log writes since the start.")
 
+        self._waits = self._metrics.histogram(
+            "task_wait_seconds",
+            "Time of tasks from submission or eviction until they run.",
+            ("tenant", "class"),
+        )
+
+    def count_wait(self, tenant, task_class, wait_ms):
+        """Count the wait of one task that runs now."""
+        self._waits.labels(tenant, task_class).observe(wait_ms / 1000)
+
     def update(self, state, writer):
         """Take the values of a replica's state and of its writer."""
         agreement = state.raft
