Ignore a single slow report; test the hysteresis with strong interference

Cause: one spike stayed in the smoothed p99 for 4 s and was throttled; without the hysteresis the old test no longer failed once throttling needed strong interference.

--- a/sardinegauge/preemption.py
+++ b/sardinegauge/preemption.py
@@ -228,9 +228,15 @@
 
 
 def _slowest(view):
+    """Return the excess of the slowest service on a worker.
+
+    A service counts as slow while both its smoothed and its newest p99 are: one long
+    spike stays in the smoothed value for seconds.
+    """
     if view is None:
         return 0.0
-    return max((load.excess for load in view.load_by_service.values()), default=0.0)
+    loads = view.load_by_service.values()
+    return max((min(load.excess, load.latest) for load in loads), default=0.0)
 
 
 def _throttled(state, upstream):
--- a/sardinegauge/views.py
+++ b/sardinegauge/views.py
@@ -37,7 +37,15 @@
 class Load:
     """Load and latency of one service on one worker, as last reported."""
 
-    __slots__ = ("excess", "level", "p99_ms", "rate_per_s", "reported_ms", "requests")
+    __slots__ = (
+        "excess",
+        "latest",
+        "level",
+        "p99_ms",
+        "rate_per_s",
+        "reported_ms",
+        "requests",
+    )
 
     def __init__(self):
         self.rate_per_s = 0.0
@@ -46,6 +54,8 @@
         self.requests = 0
         # Smoothed logarithm of the measured p99 over its base.
         self.excess = 0.0
+        # The same of the newest report alone.
+        self.latest = 0.0
         self.reported_ms = None
 
 
@@ -168,6 +178,7 @@
     load.level = level
     if report.requests < MIN_REQUESTS or report.p99_ms <= 0.0:
         load.excess *= 1.0 - P99_WEIGHT
+        load.latest = 0.0
         return
     load.p99_ms = report.p99_ms
     model = state.model
@@ -186,6 +197,7 @@
         return
     excess = math.log(max(report.p99_ms, 1e-3)) - base
     load.excess += P99_WEIGHT * (excess - load.excess)
+    load.latest = excess
     if load.excess > state.preemption.HOT:
         state.watch(view.upstream, now_ms)
 
--- a/tests/test_policyparts.py
+++ b/tests/test_policyparts.py
@@ -45,10 +45,10 @@
     assert model.effect("shop", "g", 5) < learned * 0.6
 
 
-def slow_fleet(preemption_policy, seconds, p99_ms, domains=("w1",)):
+def slow_fleet(preemption_policy, seconds, p99_ms, cores=lambda second: 4.0):
     """Run a service beside a batch task of four cores; return driver and ids."""
     driver = schedulerdriver.Driver(preemption_policy=preemption_policy)
-    driver.join(*domains, room={"cores": 8.0})
+    driver.join("w1", room={"cores": 8.0})
     driver.operate(
         "DeclareService",
         name="shop",
@@ -60,10 +60,13 @@
     batch = driver.submit(cores=4.0, run_time_s=9000.0) + ".0"
     driver.tick(2)
     replica = driver.machine.services.by_name["shop"].task_ids[0]
-    driver.state.model.observe(0, "shop", 7, 10.0, 500, {})
+    group = ("irbid", "sweep")
+    for turn in range(50):
+        mix, known_ms = ({}, 10.0) if turn % 2 else ({group: 0.5}, 300.0)
+        driver.state.model.observe(0, "shop", 7, known_ms, 500, mix)
     for second in range(seconds):
         held = driver.machine.workers.by_upstream["w1"].task_ids
-        phases = {id: {"phase": "running", "cores": 4.0} for id in sorted(held)}
+        phases = {id: {"phase": "running", "cores": cores(second)} for id in held}
         now_p99_ms = p99_ms(second, driver.state.throttle_by_task.get(batch, 1.0))
         load = messages.ServiceLoad(service="shop", requests=120, p99_ms=now_p99_ms)
         driver.beat(phases=phases, loads=[load], room={"cores": 8.0})
@@ -74,7 +77,10 @@
 def test_short_spikes_change_nothing():
     """Without hysteresis every spike would throttle or evict something."""
     driver, batch, _ = slow_fleet(
-        preemption.ThrottleFirst(), 60, lambda s, _: 30.0 if s % 8 == 0 else 10.0
+        preemption.ThrottleFirst(),
+        60,
+        lambda second, _: 300.0 if second % 12 == 0 else 10.0,
+        lambda second: 4.0 if second % 12 == 0 else 0.02,
     )
     assert driver.task(batch).state == "running"
     assert batch not in driver.state.throttle_by_task
