--- a/sardinegauge/views.py
+++ b/sardinegauge/views.py
@@ -14,10 +14,11 @@
 # learns from per second over the whole fleet, drawn at random. The latter bounds the
 # model's share of the leader's processor time.
 OBSERVE_MS = 2_000
-OBSERVATIONS_PER_S = 300
+OBSERVATIONS_PER_S = 200
 # With more services reported than this, a worker's loads are taken only when a sample
 # is due. Steps against interference take longer than that anyway.
 MANY_LOADS = 1_000
+OBSERVE_LARGE_MS = 4_000
 # Time for which a mix without news is trusted; usage changes without any start.
 MIX_MS = 3_000
 # Groups that count as usual, how often their order is made, and for how long a
@@ -36,7 +37,15 @@
 class Load:
     """Load and latency of one service on one worker, as last reported."""
 
-    __slots__ = ("excess", "level", "p99_ms", "rate_per_s", "reported_ms", "requests")
+    __slots__ = (
+        "excess",
+        "latest",
+        "level",
+        "p99_ms",
+        "rate_per_s",
+        "reported_ms",
+        "requests",
+    )
 
     def __init__(self):
         self.rate_per_s = 0.0
@@ -45,6 +54,8 @@
         self.requests = 0
         # Smoothed logarithm of the measured p99 over its base.
         self.excess = 0.0
+        # The same of the newest report alone.
+        self.latest = 0.0
         self.reported_ms = None
 
 
@@ -129,15 +140,17 @@
         state.load_count -= len(view.load_by_service)
         view.load_by_service.clear()
         return
-    is_due = now_ms - view.observed_ms >= OBSERVE_MS
-    if not is_due and state.load_count > MANY_LOADS:
+    is_large = state.load_count > MANY_LOADS
+    observe_ms = OBSERVE_LARGE_MS if is_large else OBSERVE_MS
+    is_due = now_ms - view.observed_ms >= observe_ms
+    if is_large and not is_due:
         return
     refresh_mix(state, view)
     drift = _follow_mix(view, since_mix_ms)
     view.followed_ms = now_ms
     if is_due:
         view.observed_ms = now_ms
-    chance = OBSERVATIONS_PER_S * OBSERVE_MS / 1000.0 / max(1, state.load_count)
+    chance = OBSERVATIONS_PER_S * observe_ms / 1000.0 / max(1, state.load_count)
     known = set()
     for report in heartbeat.loads:
         known.add(report.service)
@@ -165,6 +178,7 @@
     load.level = level
     if report.requests < MIN_REQUESTS or report.p99_ms <= 0.0:
         load.excess *= 1.0 - P99_WEIGHT
+        load.latest = 0.0
         return
     load.p99_ms = report.p99_ms
     model = state.model
@@ -183,6 +197,7 @@
         return
     excess = math.log(max(report.p99_ms, 1e-3)) - base
     load.excess += P99_WEIGHT * (excess - load.excess)
+    load.latest = excess
     if load.excess > state.preemption.HOT:
         state.watch(view.upstream, now_ms)
 
