--- a/tests/fleet/fleet.py
+++ b/tests/fleet/fleet.py
@@ -96,6 +96,15 @@
     def state_addresses(self):
         return [self.advertise_by_name[name] for name in self.state_names]
 
+    def relayed_bytes(self, name, peers):
+        """Return the bytes a process sent to and received from peers, by relays."""
+        sent = received = 0
+        for one in self._relays:
+            for (source, target), count in one.bytes_by_pair.items():
+                sent += count if source == name and target in peers else 0
+                received += count if target == name and source in peers else 0
+        return sent, received
+
     def data_folder(self, name):
         return self.folder / f"{name}-data"
 
--- a/tests/fleet/load.py
+++ b/tests/fleet/load.py
@@ -4,6 +4,7 @@
 import asyncio
 import itertools
 import json
+import random
 import sys
 import time
 
@@ -12,6 +13,34 @@
 LIMIT_S = 120.0
 
 
+async def run_open_load(urls, requests, rate):
+    """Send GET requests at random times at a rate, whether earlier ones ended or not.
+
+    Latencies count from the time at which a request was due.
+    """
+    client = httpclient.AsyncHTTPClient(max_clients=requests)
+    draw = random.Random(1)
+    latencies_by_status = {}
+
+    async def send(number, due_s):
+        await asyncio.sleep(due_s - time.perf_counter())
+        try:
+            url = urls[number % len(urls)]
+            reply = await client.fetch(url, raise_error=False, request_timeout=30.0)
+            status = reply.code
+        except (OSError, httpclient.HTTPError):
+            status = 599
+        latencies_by_status.setdefault(status, []).append(time.perf_counter() - due_s)
+
+    started = due_s = time.perf_counter()
+    sending = []
+    for number in range(requests):
+        due_s += draw.expovariate(rate)
+        sending.append(send(number, due_s))
+    await asyncio.wait_for(asyncio.gather(*sending), LIMIT_S)
+    return latencies_by_status, time.perf_counter() - started
+
+
 async def run_load(urls, requests, concurrency, method="GET", body=None, keyed=False):
     """Send requests in a closed loop and return latencies in seconds by status.
 
@@ -75,8 +104,13 @@
     parser.add_argument("--method", default="GET")
     parser.add_argument("--body", default=None)
     parser.add_argument("--keyed", action="store_true")
+    parser.add_argument("--rate", type=float, help="Open loop: requests per second.")
     parser.add_argument("urls", nargs="+")
     options = parser.parse_args()
+    if options.rate:
+        load = run_open_load(options.urls, options.requests, options.rate)
+        json.dump(summarize(*asyncio.run(load)), sys.stdout)
+        return
     result = asyncio.run(
         run_load(
             options.urls,
--- a/tests/fleet/relay.py
+++ b/tests/fleet/relay.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import struct
 
 from sardinegauge import codec
@@ -51,6 +52,7 @@
         self.target_host, port = target_address.rsplit(":", 1)
         self.target_port = int(port)
         self.cuts = cuts
+        self.bytes_by_pair = collections.Counter()
         self._server = None
         self._tasks = set()
 
@@ -109,6 +111,7 @@
         is_silent = False
         try:
             while data := await reader.read(_CHUNK_BYTES):
+                self.bytes_by_pair[source, target] += len(data)
                 is_silent = is_silent or self.cuts.blocks(source, target)
                 if not is_silent:
                     writer.write(data)
--- a/tests/fleet/requestbench.py
+++ b/tests/fleet/requestbench.py
@@ -47,10 +47,11 @@
     return 0.0
 
 
-async def measure_way(fleet, urls, label, *options):
-    """Return one row for each concurrency of one way."""
+async def measure_way(fleet, urls, label, *options, share=1.0):
+    """Return one row for each concurrency of one way, with a share of the requests."""
     rows = []
-    for concurrency, requests in REQUESTS_BY_CONCURRENCY.items():
+    for concurrency, all_requests in REQUESTS_BY_CONCURRENCY.items():
+        requests = int(all_requests * share)
         pids = fleets.process_ids(fleet)
         before = {name: cpu_seconds(pid) for name, pid in pids.items()}
         summary = await load(urls, requests, concurrency, *options)
