--- a/tests/fleet/scale.py
+++ b/tests/fleet/scale.py
@@ -5,7 +5,8 @@
 5 % of them urgent. Workers send a heartbeat a second with all their tasks and the loads
 of their services; commands are applied 20 ms after they were proposed. Times are those
 of `scheduler.reduce` and `machine.apply` alone, so encoding, links, the log's files and
-agreement come on top. The machine's records count in the memory measured.
+agreement come on top. Pauses of the garbage collector count in the times, and the
+machine's records in the memory.
 """
 
 import argparse
