Keep the settings and histogram bounds of all processes in one place

Change: `settings.PROCESS` and `settings.LINKS`; the bounds stand in plainmetrics; the entry refuses the unused keys.

--- a/sardinegauge/agentapp.py
+++ b/sardinegauge/agentapp.py
@@ -44,19 +44,9 @@
 USAGE = "usage: sardinegauge-agent --settings FILE"
 
 KNOWN_SETTINGS = [
-    settings.Setting(name="name", kind="text"),
-    settings.Setting(name="listen", kind="address"),
-    settings.Setting(name="advertise", kind="address", default=""),
-    settings.Setting(name="metrics_listen", kind="address", default=""),
-    settings.Setting(name="failure_domain", kind="text", default=""),
+    *settings.LINKS,
+    *settings.PROCESS,
     settings.Setting(name="rack", kind="text", default=""),
-    settings.Setting(
-        name="log_level",
-        kind="text",
-        default="info",
-        choices=("debug", "info", "warning", "error"),
-    ),
-    settings.Setting(name="drain_limit_s", kind="number", default=30.0, minimum=0),
     settings.Setting(name="state", kind="addresses"),
     settings.Setting(name="upstream", kind="address"),
     settings.Setting(name="worker", kind="address", default=""),
--- a/sardinegauge/entryapp.py
+++ b/sardinegauge/entryapp.py
@@ -26,19 +26,7 @@
 
 KNOWN_SETTINGS = [
     settings.Setting(name="name", kind="text", default="entry"),
-    settings.Setting(name="listen", kind="address", default=""),
-    settings.Setting(name="advertise", kind="address", default=""),
-    settings.Setting(name="metrics_listen", kind="address", default=""),
-    settings.Setting(name="failure_domain", kind="text", default=""),
-    settings.Setting(
-        name="log_level",
-        kind="text",
-        default="info",
-        choices=("debug", "info", "warning", "error"),
-    ),
-    settings.Setting(
-        name="drain_limit_s", kind="number", default=30.0, minimum=0, maximum=3600
-    ),
+    *settings.PROCESS,
     settings.Setting(
         name="drain_notice_s",
         kind="number",
--- a/sardinegauge/metrics.py
+++ b/sardinegauge/metrics.py
@@ -3,24 +3,9 @@
 import prometheus_client
 from prometheus_client import exposition, registry
 
-# Bounds in seconds; they bracket the 1.2 s of an urgent start and the few
-# milliseconds of an interactive response.
-LATENCY_BUCKETS_S = (
-    0.001,
-    0.002,
-    0.005,
-    0.01,
-    0.02,
-    0.05,
-    0.1,
-    0.2,
-    0.5,
-    1.0,
-    1.2,
-    2.0,
-    5.0,
-    10.0,
-)
+from sardinegauge import plainmetrics
+
+LATENCY_BUCKETS_S = plainmetrics.LATENCY_BUCKETS_S
 
 CONTENT_TYPE = exposition.CONTENT_TYPE_LATEST
 
--- a/sardinegauge/plainmetrics.py
+++ b/sardinegauge/plainmetrics.py
@@ -8,7 +8,8 @@
 import bisect
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
-# Bounds in seconds, those of `metrics.LATENCY_BUCKETS_S`.
+# Bounds in seconds; they bracket the 1.2 s of an urgent start and the few
+# milliseconds of an interactive response.
 LATENCY_BUCKETS_S = (
     0.001,
     0.002,
--- a/sardinegauge/settings.py
+++ b/sardinegauge/settings.py
@@ -47,6 +47,25 @@
         self.__dict__.update(values)
 
 
+# Keys of every process, and of those that take links of other processes.
+PROCESS = (
+    Setting(name="metrics_listen", kind="address", default=""),
+    Setting(name="failure_domain", kind="text", default=""),
+    Setting(
+        name="log_level",
+        kind="text",
+        default="info",
+        choices=("debug", "info", "warning", "error"),
+    ),
+    Setting(name="drain_limit_s", kind="number", default=30.0, minimum=0, maximum=3600),
+)
+LINKS = (
+    Setting(name="name", kind="text"),
+    Setting(name="listen", kind="address"),
+    Setting(name="advertise", kind="address", default=""),
+)
+
+
 def load(path, known):
     """Read and check a settings file.
 
--- a/sardinegauge/stateapp.py
+++ b/sardinegauge/stateapp.py
@@ -40,18 +40,8 @@
 LINGER_S = 1.2
 
 KNOWN_SETTINGS = [
-    settings.Setting(name="name", kind="text"),
-    settings.Setting(name="listen", kind="address"),
-    settings.Setting(name="advertise", kind="address", default=""),
-    settings.Setting(name="metrics_listen", kind="address", default=""),
-    settings.Setting(name="failure_domain", kind="text", default=""),
-    settings.Setting(
-        name="log_level",
-        kind="text",
-        default="info",
-        choices=("debug", "info", "warning", "error"),
-    ),
-    settings.Setting(name="drain_limit_s", kind="number", default=30.0, minimum=0),
+    *settings.LINKS,
+    *settings.PROCESS,
     settings.Setting(name="data_dir", kind="text"),
     settings.Setting(name="peers", kind="addresses", default=[]),
     settings.Setting(name="initial_members", kind="table", default={}),
