--- a/tests/fleet/fleet.py
+++ b/tests/fleet/fleet.py
@@ -26,6 +26,7 @@
     def __init__(self, name, arguments, log_path):
         self.name = name
         self.arguments = arguments
+        self.options = ()
         self.log_path = log_path
         self.child = None
 
@@ -37,6 +38,7 @@
         with open(self.log_path, "ab") as log:
             self.child = await asyncio.create_subprocess_exec(
                 sys.executable,
+                *self.options,
                 "-m",
                 *self.arguments,
                 cwd=ROOT,
--- a/tests/fleet/load.py
+++ b/tests/fleet/load.py
@@ -32,7 +32,8 @@
             status = 599
         latencies_by_status.setdefault(status, []).append(time.perf_counter() - due_s)
 
-    started = due_s = time.perf_counter()
+    # Starting all tasks takes a while, which must not count as latency.
+    started = due_s = time.perf_counter() + 0.5
     sending = []
     for number in range(requests):
         due_s += draw.expovariate(rate)
--- a/tests/fleet/measure.py
+++ b/tests/fleet/measure.py
@@ -51,6 +51,11 @@
                 fleet, through, "keyed", *post, "--keyed", share=KEYED_SHARE
             ),
         }
+        pids = fleets.process_ids(fleet)
+        memory_mb = {
+            name: requestbench.resident_mb(pids[name])
+            for name in fleet.entry_names + fleet.agent_names
+        }
         half_per_s = max(row["per_s"] for row in rows_by_way["through"]) / 2
         options = ("--rate", str(half_per_s))
         requests = int(half_per_s * OPEN_LOOP_S)
@@ -75,6 +80,11 @@
     for name in ("p50", "p99", "p999"):
         values = [f"{summary[name]} ms" for summary in reversed(half)]
         lines.append((f"{name} at half of saturation, {at}", *values, ""))
+    for names, role in ((fleet.entry_names, "entry"), (fleet.agent_names, "agent")):
+        most = max(memory_mb[name] for name in names)
+        lines.append(
+            (f"most resident memory of an {role}, all ways", f"{most:.1f} MiB")
+        )
     return lines
 
 
@@ -163,12 +173,12 @@
 
 
 PARTS = {
+    "agent": agentcost.measure_agent,
     "requests": measure_requests,
+    "slopes": agentcost.measure_slopes,
     "configuration": measure_configuration,
     "leader": leaderloss.measure,
     "state": statecost.measure,
-    "agent": agentcost.measure_agent,
-    "slopes": agentcost.measure_slopes,
     "policies": measure_policies,
     "scale": measure_scale,
 }
--- a/tests/fleet/requestbench.py
+++ b/tests/fleet/requestbench.py
@@ -39,7 +39,7 @@
 
 
 def resident_mb(process_id):
-    """Return the resident memory of a process in MB."""
+    """Return the resident memory of a process in MiB."""
     with open(f"/proc/{process_id}/status", encoding="ascii") as file:
         for line in file:
             if line.startswith("VmRSS"):
