Move the measurements to benchmarks and drop the agent's flags

The agent's restart under interpreter flags rested on a saving of 1 MB that a second measurement did not show.

Change: benchmarks/ holds what make measure runs; the agent's console script runs the agent directly again.

--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 	$(PY) -m tests.fleet.faults --seed $(SEED)
 
 measure: $(VENV)/.ready
-	$(PY) -m tests.fleet.measure
+	$(PY) -m benchmarks.measure
 
 # The generated module is committed; only a change of the schema needs this target.
 schema: $(VENV)/.ready
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements behind the docs, each beside its baseline; run by make measure."""
--- a/tests/fleet/agentcost.py
+++ b/benchmarks/agentcost.py
@@ -5,14 +5,14 @@
 import sys
 import time
 
+from benchmarks import leaderloss, requestbench
 from sardinegauge import commands, link, messages, outcome, stateclient
 from tests.fleet import fleet as fleets
-from tests.fleet import leaderloss, requestbench
 
 WARM_S = 30.0
 WINDOW_S = 10.0
 TASKS = 8
-# The way to start an agent with less memory that `agentapp.main` names.
+# Without docstrings and debug ranges an agent could need less memory.
 SMALL_OPTIONS = ("-OO", "-X", "no_debug_ranges")
 # Numbers of agents and of tasks on each.
 SLOPE_CASES = ((0, 0), (10, 8), (50, 8), (150, 0), (150, 8), (150, 16))
@@ -207,7 +207,7 @@
     return await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
-        "tests.fleet.manyagents",
+        "benchmarks.manyagents",
         "--state",
         fleet.advertise_by_name[leader],
         "--agents",
--- a/tests/measure_machine.py
+++ b/benchmarks/machinecost.py
@@ -1,4 +1,4 @@
-"""Times the machine at the target size; run as ``python -m tests.measure_machine``.
+"""Times the machine at the target size; run as ``python -m benchmarks.machinecost``.
 
 1,300 workers hold 10,000 latency-critical and 11,000 batch tasks. Each figure is the
 median, 99th percentile and maximum over single commands, in microseconds of processor
--- a/tests/fleet/manyagents.py
+++ b/benchmarks/manyagents.py
@@ -1,6 +1,6 @@
 """Sends the heartbeats of many agents from one process over real links.
 
-Run as ``python -m tests.fleet.manyagents --state ip:port --agents 50``. Each agent has
+Run as ``python -m benchmarks.manyagents --state ip:port --agents 50``. Each agent has
 a link of its own to the leader, one heartbeat a second, and reports every task that a
 directive orders as running, with usage. It prints one JSON line at the end.
 """
--- a/tests/fleet/measure.py
+++ b/benchmarks/measure.py
@@ -13,7 +13,7 @@
 import tempfile
 import time
 
-from tests.fleet import agentcost, leaderloss, requestbench, statecost
+from benchmarks import agentcost, leaderloss, requestbench, statecost
 from tests.fleet import fleet as fleets
 
 CHANGES = 30
@@ -168,12 +168,12 @@
 
 async def measure_policies(folder):
     """Policies on a fake fleet, with its own table."""
-    return await run_module("tests.fleet.policies", *POLICY_OPTIONS)
+    return await run_module("benchmarks.policies", *POLICY_OPTIONS)
 
 
 async def measure_scale(folder):
     """Scheduler and machine at the target's size, with its own table."""
-    return await run_module("tests.fleet.scale", *SCALE_OPTIONS)
+    return await run_module("benchmarks.scale", *SCALE_OPTIONS)
 
 
 PARTS = {
--- a/tests/fleet/policies.py
+++ b/benchmarks/policies.py
@@ -1,6 +1,6 @@
 """Compares scheduling policies on a fake fleet; see `fakeworkers` for its assumptions.
 
-Run as ``python -m tests.fleet.policies --seeds 3``. Each row is one policy over the
+Run as ``python -m benchmarks.policies --seeds 3``. Each row is one policy over the
 same seeds: the same jobs, loads, interference, losses and faults. Percentiles are over
 requests of all services and seeds after the warm-up; the other columns are means.
 """
@@ -9,6 +9,7 @@
 import concurrent.futures
 import random
 
+from benchmarks import fakeworkers
 from sardinegauge import (
     commands,
     estimates,
@@ -18,7 +19,6 @@
     scheduler,
 )
 from sardinegauge import machine as machines
-from tests.fleet import fakeworkers
 
 TICK_MS = 100
 DEPLOYMENTS = {
--- a/tests/fleet/requestbench.py
+++ b/benchmarks/requestbench.py
@@ -17,7 +17,7 @@
     child = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
-        "tests.fleet.load",
+        "benchmarks.load",
         "--requests",
         str(requests),
         "--concurrency",
--- a/tests/fleet/scale.py
+++ b/benchmarks/scale.py
@@ -1,6 +1,6 @@
 """Measures the scheduler and the machine at the target's size, in virtual time.
 
-Run as ``python -m tests.fleet.scale``. Each size runs in a process of its own: the
+Run as ``python -m benchmarks.scale``. Each size runs in a process of its own: the
 fleet is filled, then runs in balance, with as many batch tasks finishing as starting,
 5 % of them urgent. Workers send a heartbeat a second with all their tasks and the loads
 of their services; commands are applied 20 ms after they were proposed. Times are those
--- a/tests/fleet/statecost.py
+++ b/benchmarks/statecost.py
@@ -4,9 +4,9 @@
 import pathlib
 import time
 
+from benchmarks import leaderloss, load
 from sardinegauge import commands, messages, outcome, stateclient, storage
 from tests.fleet import fleet as fleets
-from tests.fleet import leaderloss, load
 
 COMMANDS_BY_CONCURRENCY = {1: 100, 64: 1500}
 ENTRIES = 100_000
@@ -142,7 +142,7 @@
 async def measure(folder):
     """Return all lines of the state."""
     folder = pathlib.Path(folder)
-    alone = await measure_commit(folder / "single", "tests.fleet.singlewrites")
+    alone = await measure_commit(folder / "single", "benchmarks.singlewrites")
     group = await measure_commit(folder / "group", "sardinegauge.stateapp")
     lines = []
     for concurrency, values in group.items():
--- a/sardinegauge/agentapp.py
+++ b/sardinegauge/agentapp.py
@@ -460,11 +460,7 @@
 
 
 def main():
-    """Run the agent with the settings file of ``--settings``.
-
-    Started as ``python -OO -X no_debug_ranges -m sardinegauge.agentapp``, without
-    docstrings and column tables, it takes about 1 MB less.
-    """
+    """Run the agent with the settings file of ``--settings``; return the status."""
     try:
         path = _settings_path(sys.argv[1:])
         loaded = settings.load(path, KNOWN_SETTINGS)
--- a/tests/fleet/fleet.py
+++ b/tests/fleet/fleet.py
@@ -198,7 +198,7 @@
             "memory_mb": 60_000,
         }
         path = self._write_settings(name, settings)
-        await self._add(name, "sardinegauge.agentmain", "--settings", path).start()
+        await self._add(name, "sardinegauge.agentapp", "--settings", path).start()
 
     async def _start_entry(self, name):
         settings = {
