--- a/sardinegauge/cli/states.py
+++ b/sardinegauge/cli/states.py
@@ -53,10 +53,11 @@
         rows = context.obj.read("ListMembers").get("members", [])
         own = [row for row in rows if row["name"] == name]
         progress = ", ".join(_describe(row) for row in own) or "not a member yet"
+        now = time.monotonic()
         if progress != shown:
             typer.echo(f"{name}: {progress}", err=True)
             shown = progress
-        now = time.monotonic()
+            whole_since = None
         is_whole = len(own) == 1 and own[0]["live"] and own[0]["role"] != "learner"
         whole_since = (whole_since or now) if is_whole else None
         if is_whole and now - whole_since >= STABLE_S:
