Name the claimed incarnation in key queries

Cause: the agent refuses key queries meant for an earlier incarnation, but the entry left the field empty and relied on the hello of its link alone. Change: the query names the incarnation of the claim. Result: the 44 tests of claims and of the entry pass.

--- a/sardinegauge/claimcalls.py
+++ b/sardinegauge/claimcalls.py
@@ -126,6 +126,7 @@
             key=effect.key,
             claim_index=effect.claim_index,
             fence=True,
+            incarnation=effect.incarnation,
         )
         reply = None
         try:
