Use plain names for faulty workers and jobs

Cause: the read-through found figurative names in the quarantine of workers.

Change: guilty, innocent and proven became faulty, not faulty and succeeded.

--- a/sardinegauge/estimates.py
+++ b/sardinegauge/estimates.py
@@ -49,7 +49,7 @@
         "epoch",
         "group",
         "is_batch",
-        "is_proven",
+        "has_succeeded",
         "mean_cores",
         "memory_mb",
         "peak_memory_mb",
@@ -73,7 +73,7 @@
         self.assigned_ms = now_ms
         self.started_ms = None
         self.reported_ms = None
-        self.is_proven = False
+        self.has_succeeded = False
         self.taken_ms = -math.inf
         self.resized_ms = now_ms
         self.sampled_ms = now_ms
--- a/sardinegauge/heartbeats.py
+++ b/sardinegauge/heartbeats.py
@@ -157,6 +157,6 @@
         state.resize_due[task.upstream] = True
     elif report.memory_mb > task.memory_mb or run.usual_cores() > task.cores * 1.1:
         state.resize_due[task.upstream] = True
-    if not run.is_proven and now_ms - run.started_ms >= quarantine.SUCCESS_AFTER_MS:
-        run.is_proven = True
-        state.proven.append((task.id, task.upstream))
+    if not run.has_succeeded and now_ms - run.started_ms >= quarantine.SUCCESS_AFTER_MS:
+        run.has_succeeded = True
+        state.successes.append((task.id, task.upstream))
--- a/sardinegauge/quarantine.py
+++ b/sardinegauge/quarantine.py
@@ -1,9 +1,9 @@
 """Tells a worker that fails everything from a job that fails everywhere.
 
-Each failure is evidence against both its worker and its job. A worker is guilty when
+Each failure counts against both its worker and its job. A worker is faulty when
 several jobs fail there that do well elsewhere or failed at fewer workers than the
-worker has failing jobs. A job is guilty when it fails on several workers that are not
-guilty themselves.
+worker has failing jobs. A job is faulty when it fails on several workers that are not
+faulty themselves.
 """
 
 import collections
@@ -90,7 +90,7 @@
                     del table[known]
         record.failed_by_upstream[upstream] = now_ms
 
-    def is_worker_guilty(self, upstream):
+    def is_worker_faulty(self, upstream):
         """Tell whether the failures on a worker are due to the worker."""
         worker = self.by_upstream.get(upstream)
         if worker is None or worker.failures < FAILURES_TO_QUARANTINE:
@@ -103,16 +103,16 @@
             self._succeeds_elsewhere(upstream, name) for name in against
         )
 
-    def is_job_guilty(self, name):
+    def is_job_faulty(self, name):
         """Tell whether the failures of a job are due to the job."""
         record = self.by_job.get(name)
         if record is None or record.succeeded_by_upstream:
             return False
-        return len(self._innocent(record.failed_by_upstream)) >= WORKERS_TO_FAIL_JOB
+        return len(self._not_faulty(record.failed_by_upstream)) >= WORKERS_TO_FAIL_JOB
 
-    def is_task_guilty(self, task):
-        """Tell whether one task of a job failed on several sound workers."""
-        return len(self._innocent(task.failed_upstreams)) >= WORKERS_TO_FAIL_JOB
+    def is_task_faulty(self, task):
+        """Tell whether one task of a job failed on several workers that are not faulty."""
+        return len(self._not_faulty(task.failed_upstreams)) >= WORKERS_TO_FAIL_JOB
 
     def recent_failures(self, upstream):
         """Return the failures on a worker since its last success."""
@@ -125,7 +125,7 @@
         record = self.by_job.get(name)
         failed = {} if record is None else record.failed_by_upstream
         jobs = self.by_upstream[upstream].failed_jobs
-        return len(self._innocent(failed)) < max(len(jobs), JOBS_TO_QUARANTINE)
+        return len(self._not_faulty(failed)) < max(len(jobs), JOBS_TO_QUARANTINE)
 
     def _succeeds_elsewhere(self, upstream, name):
         record = self.by_job.get(name)
@@ -133,7 +133,7 @@
             return False
         return any(known != upstream for known in record.succeeded_by_upstream)
 
-    def _innocent(self, upstreams):
+    def _not_faulty(self, upstreams):
         return {upstream for upstream in upstreams if upstream not in self.quarantined}
 
 
@@ -145,13 +145,13 @@
     proposals = []
     worker = state.machine.workers.by_upstream.get(upstream)
     is_new = worker is not None and not worker.is_quarantined
-    if is_new and ledger.is_worker_guilty(upstream):
+    if is_new and ledger.is_worker_faulty(upstream):
         proposals.extend(_quarantine(state, now_ms, upstream))
     if not task.job:
         return proposals
     job = state.machine.jobs.by_id.get(task.job)
     is_live = job is not None and job.state in ("pending", "running")
-    if is_live and (ledger.is_job_guilty(name) or ledger.is_task_guilty(task)):
+    if is_live and (ledger.is_job_faulty(name) or ledger.is_task_faulty(task)):
         proposals.extend(_fail_job(state, now_ms, task, name))
     return proposals
 
--- a/sardinegauge/scheduler.py
+++ b/sardinegauge/scheduler.py
@@ -284,7 +284,7 @@
     state.pace.refill(now_ms)
     makeroom.expire_holds(state, now_ms)
     proposals = heartbeats.lost_workers(state, now_ms)
-    proposals += _credit_proven(state, now_ms)
+    proposals += _count_successes(state, now_ms)
     if now_ms - state.reviewed_ms >= preemption.REVIEW_EVERY_MS:
         state.reviewed_ms = now_ms
         state.no_room_keys.clear()
@@ -300,10 +300,10 @@
     return effects + _push(state, changed)
 
 
-def _credit_proven(state, now_ms):
-    proven, state.proven = state.proven, []
+def _count_successes(state, now_ms):
+    successes, state.successes = state.successes, []
     proposals = []
-    for task_id, upstream in proven:
+    for task_id, upstream in successes:
         task = state.machine.tasks.by_id.get(task_id)
         if task is not None:
             proposals += quarantine.note_success(state, now_ms, task, upstream)
--- a/sardinegauge/softstate.py
+++ b/sardinegauge/softstate.py
@@ -87,7 +87,7 @@
         self.draining = set()
         self.resize_due = {}
         # Tasks that just ran long enough to count as a success, with their upstream.
-        self.proven = []
+        self.successes = []
         self.changed_upstreams = set()
         self.no_room_keys = set()
         self.room_requests = 0
--- a/sardinegauge/views.py
+++ b/sardinegauge/views.py
@@ -19,7 +19,7 @@
 # is due. Steps against interference take longer than that anyway.
 MANY_LOADS = 1_000
 OBSERVE_LARGE_MS = 4_000
-# Time for which a mix without news is trusted; usage changes without any start.
+# Time for which a prediction of an unchanged mix is kept; usage changes all the same.
 MIX_MS = 3_000
 # Groups that count as usual, how often their order is made, and for how long a
 # worker's mean harm by them is kept.
