--- a/sardinegauge/quarantine.py
+++ b/sardinegauge/quarantine.py
@@ -111,7 +111,7 @@
         return len(self._not_faulty(record.failed_by_upstream)) >= WORKERS_TO_FAIL_JOB
 
     def is_task_faulty(self, task):
-        """Tell whether one task of a job failed on several workers that are not faulty."""
+        """Tell whether a task failed on several workers that are not faulty."""
         return len(self._not_faulty(task.failed_upstreams)) >= WORKERS_TO_FAIL_JOB
 
     def recent_failures(self, upstream):
