--- a/sardinegauge/application.py
+++ b/sardinegauge/application.py
@@ -49,7 +49,8 @@
         """Close everything that `on_start` opened."""
 
     async def on_reload(self):
-        """Read the settings again where that is safe."""
+        """Read the settings again where that is safe; say what needs a restart."""
+        self.log.warning("reload_ignored", reason="every setting needs a restart")
 
     def every(self, interval_s, callback):
         """Call `callback(now_ms)` at a fixed interval until the application stops."""
