Stop the processes of a test bench whose start failed

Cause: three stub upstreams of failed test runs were still running, since the exit of a context that was never entered does not run.

Change: the bench cleans up when entering fails.

Result: the agent's tests over sockets pass; none of the processes is left.

--- a/tests/agentkit.py
+++ b/tests/agentkit.py
@@ -145,6 +145,14 @@
         return self.agent
 
     async def __aenter__(self):
+        try:
+            return await self._enter()
+        except BaseException:
+            # The exit of a context that was never entered does not run by itself.
+            await self.__aexit__()
+            raise
+
+    async def _enter(self):
         self.start_stub()
         self.start_agent()
         await until(lambda: self.leader.heartbeats, "a heartbeat")
