--- a/sardinegauge/checks.py
+++ b/sardinegauge/checks.py
@@ -163,6 +163,19 @@
         problems.append([path, "must be a smaller number"])
 
 
+def row(*column_checks):
+    """Return a check for a list with one value for each of the columns."""
+
+    def check(value, path, problems):
+        if not isinstance(value, list) or len(value) != len(column_checks):
+            problems.append([path, f"must be a list of {len(column_checks)} values"])
+            return
+        for number, check_value in enumerate(column_checks):
+            check_value(value[number], f"{path}[{number}]", problems)
+
+    return check
+
+
 TEXT = text()
 SHORT_TEXT = text(100)
 COMMAND_TEXT = text(10_000, is_empty_allowed=True)
@@ -219,6 +232,7 @@
 _CLAIM = {"tenant": TEXT, "key": TEXT}
 _SIZES = {"cores": SIZE, "memory_mb": COUNT, "accelerators": COUNT}
 
+_LIFE = {"worker": TEXT, "life": COUNT}
 _CHECKS_BY_COMMAND = {
     commands.SetConfiguration: {
         **_OPERATOR,
@@ -290,6 +304,26 @@
     },
     commands.ReleaseClaim: {**_CLAIM, "claim_index": COUNT},
     commands.ExpireClaims: {"before_ms": COUNT},
+    commands.SetQueues: {
+        "version": integer(1),
+        "queues": items(plain),
+        "services": items(plain),
+        "source": text(MAX_BODY_LENGTH, is_empty_allowed=True),
+    },
+    # The steps are checked by `workflows.steps`.
+    commands.SubmitWorkflow: {"id": TEXT, "queue": TEXT, "steps": items(plain)},
+    commands.CancelWorkflow: {"id": TEXT},
+    commands.FailWorkflow: {"id": TEXT, "reason": LONG_TEXT},
+    commands.RegisterLife: {**_LIFE, "agent": TEXT},
+    commands.AssignRuns: {"rows": items(row(TEXT, COUNT, TEXT, COUNT))},
+    commands.RecordEnds: {
+        **_LIFE,
+        "rows": items(row(COUNT, TEXT, COUNT, TEXT, OPTIONAL_TEXT)),
+    },
+    commands.ReleaseLife: {
+        **_LIFE,
+        "checkpoints": items(row(TEXT, COUNT, OPTIONAL_TEXT)),
+    },
 }
 _CHECKS = {
     cls: [("at_ms", COUNT), *table_of_fields.items()]
--- a/sardinegauge/commands.py
+++ b/sardinegauge/commands.py
@@ -264,4 +264,82 @@
     __slots__ = ("before_ms",)
 
 
+class SetQueues(Command):
+    """Put a set of queues in force if its version is the highest so far.
+
+    `queues` are `workflows.queues.Queue` records as plain dicts, `services` are
+    `workflows.queues.ServicePool` ones. `source` is the text the operator sent, kept
+    to be read back. Answers: `Accepted` with the version in force, or `Invalid`.
+    """
+
+    __slots__ = ("version", "queues", "services", "source")
+    _defaults = {"at_ms": 0, "source": ""}
+
+
+class SubmitWorkflow(Command):
+    """Accept a workflow under the caller's id; a resend is the same workflow.
+
+    `steps` are `workflows.records.Step` records as plain dicts. Answers: `Accepted`,
+    `Impossible` if the queue doesn't exist, or `Invalid`.
+    """
+
+    __slots__ = (
+        "id",
+        "queue",
+        "payload",
+        "steps",
+        "repeats",
+        "first_at_ms",
+        "interval_ms",
+    )
+    _defaults = {"at_ms": 0, "repeats": 0, "first_at_ms": 0, "interval_ms": 0}
+
+
+class CancelWorkflow(Command):
+    """Cancel a workflow. Answers: `Accepted`, or `Impossible` if it is unknown."""
+
+    __slots__ = ("id",)
+
+
+class RegisterLife(Command):
+    """Take note of a new life of a worker; its fence is the command's log index."""
+
+    __slots__ = ("worker", "life", "agent")
+
+
+class AssignRuns(Command):
+    """Assign runs of tasks; rows of task, run, worker and life.
+
+    Rows that no longer fit are left out; the answer's ids are the tasks taken.
+    """
+
+    __slots__ = ("rows",)
+
+
+class RecordEnds(Command):
+    """Record ends of runs in one life of a worker.
+
+    Rows hold number, task, run, how and checkpoint; the number is 0 for an end that
+    the worker did not list itself.
+    """
+
+    __slots__ = ("worker", "life", "rows")
+
+
+class ReleaseLife(Command):
+    """Take back all runs of a life, which has ended or whose leases have run out.
+
+    `checkpoints` are rows of task, run and the newest checkpoint the leader knows.
+    """
+
+    __slots__ = ("worker", "life", "checkpoints")
+    _defaults = {"at_ms": 0, "checkpoints": list}
+
+
+class FailWorkflow(Command):
+    """Fail a workflow that can never be completed, for a reason."""
+
+    __slots__ = ("id", "reason")
+
+
 REGISTRY = record.Registry.of_module(globals(), Command)
--- a/sardinegauge/httpcall.py
+++ b/sardinegauge/httpcall.py
@@ -275,7 +275,7 @@
             raise TruncatedError("the response is too large")
 
 
-async def call_json(pool, method, path, make_body, timeout_s):
+async def call_json(pool, method, path, make_body, timeout_s, extra_headers=()):
     """Make one call with JSON bodies; return the status and the decoded response.
 
     The call must be safe to repeat, since an idle connection of the pool may close as
@@ -290,7 +290,7 @@
     async with asyncio.timeout(timeout_s):
         stream = pool.take() or await pool.connect()
         collector = _Collector()
-        headers = []
+        headers = list(extra_headers)
         body = None
         try:
             if make_body is not None:
--- a/sardinegauge/machine.py
+++ b/sardinegauge/machine.py
@@ -20,6 +20,7 @@
     tasks,
     workers,
 )
+from sardinegauge.workflows import store
 
 SNAPSHOT_FORMAT = 1
 
@@ -50,6 +51,7 @@
         "claims",
         "replies",
         "audit",
+        "workflows",
     )
 
     def __init__(self):
@@ -62,6 +64,7 @@
         self.claims = claims.Claims()
         self.replies = replies.Replies()
         self.audit = audit.Audit()
+        self.workflows = store.Store()
 
 
 _HANDLERS = {
@@ -82,6 +85,14 @@
     commands.SettleClaim: claims.settle,
     commands.ReleaseClaim: claims.release,
     commands.ExpireClaims: claims.expire,
+    commands.SetQueues: store.set_queues,
+    commands.SubmitWorkflow: store.submit,
+    commands.CancelWorkflow: store.cancel,
+    commands.FailWorkflow: store.fail,
+    commands.RegisterLife: store.register_life,
+    commands.AssignRuns: store.assign_runs,
+    commands.RecordEnds: store.record_ends,
+    commands.ReleaseLife: store.release_life,
 }
 
 
@@ -144,6 +155,7 @@
         "claims": machine.claims.to_snapshot(),
         "replies": machine.replies.to_snapshot(),
         "audit": machine.audit.to_snapshot(),
+        "workflows": machine.workflows.to_snapshot(),
     }
 
 
@@ -167,4 +179,6 @@
     machine.claims.load_snapshot(data["claims"])
     machine.replies.load_snapshot(data["replies"])
     machine.audit.load_snapshot(data["audit"])
+    if "workflows" in data:
+        machine.workflows.load_snapshot(data["workflows"])
     return machine
--- a/sardinegauge/membership.py
+++ b/sardinegauge/membership.py
@@ -67,7 +67,26 @@
     >>> quorum_value(table, {"a": 7, "b": 5})
     5
     """
-    values = sorted(
+    values = _voter_values(members, value_by_identity)
+    return values[len(values) // 2] if values else 0
+
+
+def nth_value(members, value_by_identity, count):
+    """Return the highest value that `count` voters have reached, 0 if there are fewer.
+
+    Examples
+    --------
+    >>> table = {i: Member(identity=i, name=i, address="") for i in "abc"}
+    >>> nth_value(table, {"a": 7, "b": 5}, 2), nth_value(table, {"a": 7}, 4)
+    (5, 0)
+    """
+    values = _voter_values(members, value_by_identity)
+    return values[count - 1] if count <= len(values) else 0
+
+
+def _voter_values(members, value_by_identity):
+    """Return the values of the voters, the highest first."""
+    return sorted(
         (
             value_by_identity.get(member.identity, 0)
             for member in members.values()
@@ -75,4 +94,3 @@
         ),
         reverse=True,
     )
-    return values[len(values) // 2] if values else 0
--- a/sardinegauge/messages.py
+++ b/sardinegauge/messages.py
@@ -281,8 +281,15 @@
         "config_version",
         "directory_version",
         "sequence",
+        "queues_version",
     )
-    _defaults = {"name": "", "config_version": 0, "directory_version": 0, "sequence": 0}
+    _defaults = {
+        "name": "",
+        "config_version": 0,
+        "directory_version": 0,
+        "sequence": 0,
+        "queues_version": 0,
+    }
 
 
 class Upstream(record.Record):
@@ -324,6 +331,9 @@
         "is_full_directory",
         "directory",
         "sequence",
+        "queues_version",
+        "queues",
+        "replicas",
     )
     _defaults = {
         "confirmed": False,
@@ -334,6 +344,9 @@
         "is_full_directory": False,
         "directory": list,
         "sequence": 0,
+        "queues_version": 0,
+        "queues": b"",
+        "replicas": list,
     }
     _nested = {"directory": Upstream}
 
@@ -642,3 +655,54 @@
         "is_body_kept": False,
     }
     _nested = {"headers": Header}
+
+
+class WorkerReport(record.Record):
+    """What an agent reports of the worker beside it; `body` is JSON.
+
+    The rows of runs and ends are JSON inside the message, since reading a row's fields
+    one by one from Cap'n Proto costs several times as much in Python.
+    """
+
+    __slots__ = ("agent", "worker", "life", "sequence", "sent_ms", "body")
+    _defaults = {
+        "agent": "",
+        "worker": "",
+        "life": 0,
+        "sequence": 0,
+        "sent_ms": 0,
+        "body": b"",
+    }
+
+
+class WorkerOrders(record.Record):
+    """The leader's orders to an agent; `body` is JSON.
+
+    Only a reply to a report, with `grant_ms`, extends the leases of the worker, counted
+    from the report's `sent_ms`. Orders with a lower term or sequence are outdated.
+    """
+
+    __slots__ = (
+        "confirmed",
+        "leader",
+        "worker",
+        "life",
+        "term",
+        "sequence",
+        "sent_ms",
+        "grant_ms",
+        "replicas",
+        "body",
+    )
+    _defaults = {
+        "confirmed": False,
+        "leader": "",
+        "worker": "",
+        "life": 0,
+        "term": 0,
+        "sequence": 0,
+        "sent_ms": 0,
+        "grant_ms": 0,
+        "replicas": list,
+        "body": b"",
+    }
--- a/sardinegauge/raft.py
+++ b/sardinegauge/raft.py
@@ -17,6 +17,8 @@
 # A learner this close to the end of the log can be promoted without a pause.
 CAUGHT_UP_ENTRIES = 64
 TRANSFER_LIMIT_MS = 1000
+# A voter that was silent this long is replaced by a spare learner.
+GONE_MS = 8000
 MEMBER_ACTIONS = ("promote", "remove")
 # Entries kept behind a snapshot, so that a short absence needs no snapshot.
 TRAILING_ENTRIES = 5000
@@ -285,6 +287,9 @@
     """
     if is_change_pending(state):
         return
+    if state.target_voters:
+        _keep_voters(state)
+        return
     for old in state.members.values():
         if _is_live(state, old.identity):
             continue
@@ -301,6 +306,43 @@
                 return
 
 
+def _keep_voters(state):
+    """Keep the group at its number of voters, one change at a time.
+
+    A dead identity is removed before its successor is promoted, so that the group
+    never needs the vote of a member that is gone for good.
+    """
+    for old in state.members.values():
+        if not _is_live(state, old.identity) and _is_replaceable(state, old):
+            _remove(state, old.identity)
+            return
+    voters = [member for member in state.members.values() if member.is_voter]
+    if len(voters) >= state.target_voters:
+        return
+    names = {member.name for member in voters}
+    for learner in state.members.values():
+        is_ready = not learner.is_voter and learner.name not in names
+        if is_ready and _is_live(state, learner.identity):
+            if _is_caught_up(state, learner.identity):
+                _promote(state, learner.identity)
+                return
+
+
+def _is_replaceable(state, old):
+    """Tell whether a member that doesn't answer has a successor that can take over."""
+    is_gone_long = (
+        old.is_voter and state.now_ms - state.progress[old.identity].ack_ms > GONE_MS
+    )
+    for new in state.members.values():
+        if new.identity == old.identity or not _is_live(state, new.identity):
+            continue
+        if new.name == old.name:
+            return new.is_voter or _is_caught_up(state, new.identity)
+        if is_gone_long and not new.is_voter and _is_caught_up(state, new.identity):
+            return True
+    return False
+
+
 _BY_EVENT = {
     Tick: _on_tick,
     Received: _on_received,
--- a/sardinegauge/raftstate.py
+++ b/sardinegauge/raftstate.py
@@ -157,6 +157,10 @@
         What the data folder held, see `storage.Stored`.
     now_ms : int
         Time of creation.
+    target_voters : int
+        How many voters the group keeps by itself, 0 to leave members to operators.
+        An entry is committed only when more than half of that many hold it, even
+        while the group is smaller.
     """
 
     __slots__ = (
@@ -187,6 +191,7 @@
         "round",
         "sequence",
         "snapshot",
+        "target_voters",
         "term",
         "term_start_index",
         "transfer_due_ms",
@@ -196,8 +201,9 @@
         "votes",
     )
 
-    def __init__(self, identity, stored, now_ms):
+    def __init__(self, identity, stored, now_ms, target_voters=0):
         self.identity = identity
+        self.target_voters = target_voters
         self.term = stored.term
         self.vote = stored.vote
         self.log = stored.log
--- a/sardinegauge/record.py
+++ b/sardinegauge/record.py
@@ -2,6 +2,8 @@
 
 import json
 
+_NO_DEFAULT = object()
+
 
 class Record:
     """A plain class whose fields are its slots.
@@ -60,6 +62,16 @@
         """Return the fields as a plain dict; nested records become dicts as well."""
         return {name: _plain(getattr(self, name)) for name in self.field_names()}
 
+    def to_sparse_dict(self):
+        """Return the fields that differ from their defaults; `from_dict` reads it."""
+        plain = {}
+        for name in self.field_names():
+            value = getattr(self, name)
+            default = self._defaults.get(name, _NO_DEFAULT)
+            if value != (default() if callable(default) else default):
+                plain[name] = _plain(value)
+        return plain
+
     @classmethod
     def from_dict(cls, data):
         """Build the record from a plain dict as made by `to_dict`.
--- a/sardinegauge/replica.py
+++ b/sardinegauge/replica.py
@@ -19,6 +19,7 @@
     requests,
     snapshotting,
 )
+from sardinegauge.workflows import leading
 
 # Entries applied for one event, so that a long log leaves room for heartbeats.
 APPLY_BATCH = 256
@@ -80,7 +81,8 @@
 class Parts(record.Record):
     """The modules a replica drives, see section 16 of the design page."""
 
-    __slots__ = ("machine", "queries", "directory", "scheduler")
+    __slots__ = ("machine", "queries", "directory", "scheduler", "has_workflows")
+    _defaults = {"has_workflows": False}
 
 
 class Proposal(record.Record):
@@ -104,12 +106,14 @@
         The modules to drive.
     now_ms : int
         Time of creation.
+    target_voters : int
+        See `raftstate.State`.
     """
 
-    def __init__(self, identity, address, stored, parts, now_ms):
+    def __init__(self, identity, address, stored, parts, now_ms, target_voters=0):
         self.address = address
         self.parts = parts
-        self.raft = raftstate.State(identity, stored, now_ms)
+        self.raft = raftstate.State(identity, stored, now_ms, target_voters)
         self.machine = parts.machine.Machine()
         self.applied_index = stored.snapshot.index
         if stored.snapshot.blob:
@@ -124,6 +128,7 @@
         self.proposals_by_index = {}
         self.requests = requests.Requests()
         self.agents = directing.Agents()
+        self.leading = leading.Leading()
         self.effects = []
 
     @property
@@ -210,6 +215,7 @@
     state.wall_ms = event.wall_ms
     if state.is_leading:
         feed_scheduler(state, state.parts.scheduler.Tick(now_ms=state.now_ms))
+        leading.tick(state)
     directing.expire(state)
 
 
@@ -263,6 +269,7 @@
                 now_ms=state.now_ms, index=entry.index, command=command, answer=answer
             ),
         )
+        leading.on_command_applied(state, entry.index, command, answer)
 
 
 def _waiting_tasks(state, command):
@@ -342,8 +349,10 @@
     event = state.parts.scheduler.LeadershipGained(
         now_ms=state.now_ms, term=state.gained_term
     )
-    state.gained_term = 0
+    term, state.gained_term = state.gained_term, 0
     feed_scheduler(state, event)
+    if state.parts.has_workflows:
+        leading.start(state, term)
 
 
 def _on_leadership_lost(state, effect):
@@ -353,6 +362,7 @@
         feed_scheduler(state, lost)
         state.scheduler = None
     directing.on_leadership_lost(state)
+    leading.stop(state)
     requests.on_leadership_lost(state)
 
 
@@ -369,6 +379,7 @@
     SchedulerTick: _on_scheduler_tick,
     ApplyNext: _on_apply_next,
     StopAsked: _on_stop_asked,
+    **leading.EVENTS,
 }
 
 _BY_MESSAGE = {
@@ -377,6 +388,7 @@
     messages.Poll: requests.ask_read,
     messages.Heartbeat: directing.on_heartbeat,
     messages.JoinRequest: requests.on_join,
+    messages.WorkerReport: leading.on_report,
 }
 
 _ANSWERS = {
@@ -384,6 +396,7 @@
     messages.Poll: requests.answer_poll,
     messages.Heartbeat: directing.on_read_ready,
     directing.PushRound: directing.on_push_ready,
+    messages.WorkerReport: leading.on_read_ready,
 }
 
 _BY_RAFT_EFFECT = {
--- a/sardinegauge/replication.py
+++ b/sardinegauge/replication.py
@@ -205,6 +205,9 @@
     matches = {i: progress.match_index for i, progress in state.progress.items()}
     matches[state.identity] = state.durable_index
     index = membership.quorum_value(state.members, matches)
+    if state.target_voters:
+        copies = state.target_voters // 2 + 1
+        index = min(index, membership.nth_value(state.members, matches, copies))
     if index > state.commit_index and state.log.term_at(index) == state.term:
         state.commit_index = index
         state.raise_acknowledged(
--- a/sardinegauge/requests.py
+++ b/sardinegauge/requests.py
@@ -14,6 +14,7 @@
     record,
     replica,
 )
+from sardinegauge.workflows import leading
 
 MAX_COMMAND_BYTES = 512 << 10
 # Entries of the leader that no quorum or not its own disk holds yet; more are refused
@@ -98,12 +99,26 @@
         return "not the leader"
     if state.is_stopping:
         return "the leader hands over"
+    if _is_forming(state):
+        return "the group has too few voters yet"
     held_index = min(state.raft.commit_index, state.raft.durable_index)
     if state.raft.log.last_index - held_index >= MAX_UNCOMMITTED:
         return "too many commands wait for a quorum"
     return ""
 
 
+def _is_forming(state):
+    """Tell whether a new group is too small to acknowledge anything.
+
+    A group of three that acknowledged a command could not bear the loss of two. Later,
+    while a lost member is replaced, the copies that a commit needs are enough.
+    """
+    voters = sum(member.is_voter for member in state.raft.members.values())
+    if voters >= state.raft.target_voters:
+        return False
+    return state.parts.has_workflows and not state.machine.workflows.queue_set.version
+
+
 def _parse(data):
     """Return a command record, or the dict of a membership change."""
     if len(data) > MAX_COMMAND_BYTES:
@@ -203,6 +218,9 @@
         )
     elif isinstance(message, messages.Poll):
         reply = messages.PollReply(leader=leader, sequence=message.sequence)
+    elif isinstance(message, messages.WorkerReport):
+        leading.on_read_failed(state, read)
+        return
     else:
         directing.on_read_failed(state, read)
         return
@@ -235,6 +253,8 @@
     if kind == "explain":
         lines = state.parts.scheduler.explain(state.scheduler, arguments["id"])
         return {"lines": lines}
+    if kind in leading.QUERIES:
+        return leading.answer(state, kind, arguments)
     return state.parts.queries.answer(state.machine, kind, arguments)
 
 
@@ -258,6 +278,10 @@
         log.exception("poll_failed name=%s", poll.name)
         _refuse_read(state, read)
         return
+    if state.parts.has_workflows:
+        queues_version, queues = leading.poll_part(state, poll.queues_version)
+    else:
+        queues_version, queues = 0, b""
     reply = messages.PollReply(
         confirmed=True,
         leader=state.raft.leader_address,
@@ -267,5 +291,8 @@
         is_full_directory=is_full,
         directory=upstreams,
         sequence=poll.sequence,
+        queues_version=queues_version,
+        queues=queues,
+        replicas=[member.address for member in state.raft.members.values()],
     )
     _reply(state, read.token, reply)
--- a/sardinegauge/stateapp.py
+++ b/sardinegauge/stateapp.py
@@ -25,9 +25,12 @@
     storage,
     writer,
 )
+from sardinegauge.workflows import leading
 
 TICK_S = 0.02
 SCHEDULER_TICK_S = 0.1
+# Events that arrive together share one plan.
+PLAN_DELAY_S = 0.003
 # Allocations between collections of the youngest generation.
 GC_ALLOCATIONS = 50_000
 JOIN_INTERVAL_S = 0.5
@@ -45,6 +48,8 @@
     settings.Setting(name="data_dir", kind="text"),
     settings.Setting(name="peers", kind="addresses", default=[]),
     settings.Setting(name="initial_members", kind="table", default={}),
+    # How many voters the group keeps by itself; 0 leaves members to operators.
+    settings.Setting(name="replicas", kind="integer", default=0, minimum=0, maximum=99),
 ]
 
 
@@ -53,7 +58,11 @@
     from sardinegauge import directory, machine, queries, scheduler
 
     return replica.Parts(
-        machine=machine, queries=queries, directory=directory, scheduler=scheduler
+        machine=machine,
+        queries=queries,
+        directory=directory,
+        scheduler=scheduler,
+        has_workflows=True,
     )
 
 
@@ -130,7 +139,12 @@
             protocol=link.PROTOCOL,
         )
         self.state = replica.State(
-            self.folder.identity, self.address, stored, self.parts, clock.monotonic_ms()
+            self.folder.identity,
+            self.address,
+            stored,
+            self.parts,
+            clock.monotonic_ms(),
+            self.config.replicas,
         )
         self._generation += 1
         self._start_writer()
@@ -246,6 +260,9 @@
         if isinstance(message, messages.Heartbeat):
             agent = (message.incarnation, exchange.link)
             self._agent_links_by_upstream[message.upstream] = agent
+        elif isinstance(message, messages.WorkerReport) and message.worker:
+            agent = (str(message.life), exchange.link)
+            self._agent_links_by_upstream[message.worker] = agent
         self._feed(
             replica.Asked(
                 now_ms=clock.monotonic_ms(),
@@ -308,6 +325,22 @@
         for address in self._dialers_by_address.keys() - wanted:
             self._dialers_by_address.pop(address).stop()
 
+    def set_peers(self, addresses):
+        """Use other addresses of peers, as after a change of the settings file."""
+        if addresses != self.config.peers:
+            self.config.peers = list(addresses)
+            self._match_dialers()
+
+    def members(self):
+        """Return the members of the group as far as this replica knows."""
+        return list(self.state.raft.members.values())
+
+    def _plan_soon(self, effect):
+        self._loop.call_later(
+            PLAN_DELAY_S,
+            lambda: self._feed(leading.PlanNow(now_ms=clock.monotonic_ms())),
+        )
+
     # Joining.
 
     async def _join(self, now_ms):
@@ -374,6 +407,7 @@
     replica.Push: StateApplication._push,
     replica.TaskWaited: StateApplication._count_wait,
     replica.ApplyMore: StateApplication._apply_more,
+    leading.PlanSoon: StateApplication._plan_soon,
 }
 
 commands_line = typer.Typer(add_completion=False)
--- a/sardinegauge/stateclient.py
+++ b/sardinegauge/stateclient.py
@@ -8,9 +8,14 @@
 # A leader that is frozen or cut off answers nothing; the others are asked then.
 POLL_ATTEMPT_S = 0.4
 QUERY_ATTEMPT_S = 1.0
+# A commit takes some ten milliseconds; a leader that was frozen takes none.
+PROPOSE_ATTEMPT_S = 0.7
 POLL_LIMIT_S = 1.0
 RETRY_S = 0.05
 
+# Replies that say themselves whether a leader with a quorum stands behind them.
+_CONFIRMED = (messages.PollReply, messages.Directive, messages.WorkerOrders)
+
 
 class StateClient(link.Handler):
     """Keeps links to all replicas and follows the leader.
@@ -56,6 +61,14 @@
         for dialer in self._dialers_by_address.values():
             dialer.stop()
 
+    def learn(self, addresses):
+        """Keep links to the members that the leader named, besides the known ones."""
+        for address in addresses:
+            if address not in self._dialers_by_address:
+                dialer = link.Dialer(address, self, self._hello)
+                self._dialers_by_address[address] = dialer
+                dialer.start()
+
     def on_message(self, link, message):
         """Pass on a push."""
         if self.on_push is not None:
@@ -123,7 +136,7 @@
             return outcome.Answered(outcome.Invalid(problems=[["", reply.reason]]))
         return outcome.Answered(json.loads(reply.answer))
 
-    async def poll(self, config_version, directory_version):
+    async def poll(self, config_version, directory_version, queues_version=0):
         """Ask for newer configuration and directory.
 
         The caller counts its evidence from before the call, since a poll that had to
@@ -142,6 +155,7 @@
                 name=self._hello.name,
                 config_version=config_version,
                 directory_version=directory_version,
+                queues_version=queues_version,
             )
 
         return self._answered(
@@ -162,9 +176,42 @@
             await self._call(lambda _: heartbeat, timeout_s, timeout_s, is_read=True)
         )
 
+    async def report(self, report, timeout_s):
+        """Send a `messages.WorkerReport`.
+
+        Returns
+        -------
+        outcome.Answered
+            Its value is a confirmed `messages.WorkerOrders`.
+        outcome.Refused
+            No leader with a quorum answered in time.
+        """
+        return self._answered(
+            await self._call(lambda _: report, timeout_s, POLL_ATTEMPT_S, is_read=True)
+        )
+
+    async def propose_idempotent(self, command, timeout_s):
+        """Put a command into the log that may be applied several times.
+
+        Like `propose`, but an attempt whose answer is lost is repeated at another
+        replica while there is time. The outcome is `Refused` only if no attempt can
+        have run.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s
+        lost = None
+        while (left_s := deadline - loop.time()) > 0:
+            answer = await self.propose(command, min(left_s, PROPOSE_ATTEMPT_S))
+            if isinstance(answer, outcome.Answered):
+                return answer
+            if isinstance(answer, outcome.Lost):
+                lost = answer
+            await asyncio.sleep(min(RETRY_S, max(deadline - loop.time(), 0)))
+        return lost or outcome.Refused(reason="no leader in time")
+
     @staticmethod
     def _answered(reply):
-        if isinstance(reply, (messages.PollReply, messages.Directive)):
+        if isinstance(reply, _CONFIRMED):
             return outcome.Answered(reply)
         return reply
 
@@ -233,6 +280,6 @@
 
 def _is_final(reply):
     """Tell whether a reply ends the call, rather than naming another replica."""
-    if isinstance(reply, (messages.PollReply, messages.Directive)):
+    if isinstance(reply, _CONFIRMED):
         return reply.confirmed
     return reply.verdict != outcome.Verdict.NOT_RUN.value
--- a/sardinegauge/storage.py
+++ b/sardinegauge/storage.py
@@ -291,6 +291,16 @@
         raise
 
 
+def is_folder_empty(path):
+    """Tell whether a data folder is missing or holds no finished state."""
+    folder = DataFolder(path)
+    try:
+        folder.clear_unfinished()
+        return folder.is_empty
+    finally:
+        folder.close()
+
+
 def init_folder(path, name, address_by_name):
     """Create the data folder of one initial member; its identity is its name."""
     members = {
--- a/sardinegauge/wire.capnp
+++ b/sardinegauge/wire.capnp
@@ -36,6 +36,8 @@
     keyQuery @28 :KeyQuery;
     keyReply @29 :KeyReply;
     timeoutNow @30 :TimeoutNow;
+    workerReport @31 :WorkerReport;
+    workerOrders @32 :WorkerOrders;
   }
 }
 
@@ -175,6 +177,7 @@
   configVersion @1 :UInt64;
   directoryVersion @2 :UInt64;
   sequence @3 :UInt64;
+  queuesVersion @4 :UInt64;
 }
 
 struct Upstream {
@@ -198,6 +201,9 @@
   isFullDirectory @5 :Bool;
   directory @6 :List(Upstream);  # entries changed since the version polled with
   sequence @7 :UInt64;
+  queuesVersion @8 :UInt64;
+  queues @9 :Data;  # JSON, empty when unchanged
+  replicas @10 :List(Text);  # addresses of the members
 }
 
 struct Room {
@@ -337,3 +343,25 @@
   body @3 :Data;
   isBodyKept @4 :Bool;
 }
+
+struct WorkerReport {
+  agent @0 :Text;
+  worker @1 :Text;     # empty while no worker has announced itself
+  life @2 :UInt64;     # when the worker started, tells its lives apart
+  sequence @3 :UInt64;
+  sentMs @4 :UInt64;   # the agent's clock, comes back in the reply
+  body @5 :Data;       # JSON of the fields of a report
+}
+
+struct WorkerOrders {
+  confirmed @0 :Bool;
+  leader @1 :Text;
+  worker @2 :Text;
+  life @3 :UInt64;
+  term @4 :UInt64;
+  sequence @5 :UInt64;
+  sentMs @6 :UInt64;   # of the report answered; 0 for a push
+  grantMs @7 :UInt32;  # leases may last until sentMs + grantMs; 0 renews nothing
+  replicas @8 :List(Text);
+  body @9 :Data;       # JSON of the orders
+}
--- /dev/null
+++ b/sardinegauge/workflows/hostapp.py
@@ -0,0 +1,148 @@
+"""Application of the agent that runs tasks of workflows on the worker beside it."""
+
+import asyncio
+import json
+
+from sardinegauge import application, background, clock, messages, outcome, stateclient
+from sardinegauge.workflows import hosting, workerport
+
+TICK_S = 0.05
+# Changes that come together share one report.
+REPORT_DELAY_S = 0.003
+REPORT_TIMEOUT_S = 1.5
+CALL_TIMEOUT_S = 0.3
+
+
+class HostApplication(application.Application):
+    """One agent.
+
+    Parameters
+    ----------
+    name : str
+        Name of the VM.
+    replicas : list of str
+        Addresses of replicas to begin with; others are learnt from the leader.
+    port : workerport.WorkerPort
+        Speaks the worker's protocol.
+    """
+
+    drain_limit_s = 1.0
+
+    def __init__(self, name, replicas, port):
+        super().__init__(f"agent-{name}")
+        self.state = hosting.State(name)
+        self.port = port
+        hello = messages.Hello(role="agent", name=name)
+        self.client = stateclient.StateClient(replicas, hello, self._on_push)
+        self._is_report_due = False
+        self._sequence = 0
+
+    async def on_start(self):
+        """Connect to the replicas and begin to report."""
+        self.client.start()
+        self.every(TICK_S, lambda now_ms: self._feed(hosting.Tick(now_ms=now_ms)))
+
+    async def on_stop(self):
+        """Close all connections; what runs goes on until its lease ends."""
+        self.client.stop()
+        self.port.close()
+
+    def announce(self, announcement):
+        """Take what the worker says of itself, a `workerport.Announcement`."""
+        known = self.state.announcement
+        is_news = known is None or known.life != announcement.life
+        self._feed(
+            hosting.Announced(now_ms=clock.monotonic_ms(), announcement=announcement)
+        )
+        if is_news or announcement.is_draining != known.is_draining:
+            self.log.info(
+                "worker_announced",
+                worker=announcement.worker,
+                life=announcement.life,
+                draining=announcement.is_draining,
+            )
+
+    def leave(self, worker):
+        """Take note that the worker ends."""
+        self.log.info("worker_left", worker=worker)
+        self._feed(hosting.Left(now_ms=clock.monotonic_ms(), worker=worker))
+
+    def _feed(self, event):
+        for effect in hosting.reduce(self.state, event):
+            if isinstance(effect, hosting.SendReport):
+                self._report_soon()
+            else:
+                background.spawn(self._call(effect))
+
+    async def _call(self, effect):
+        request = effect.request
+        wait_ms = getattr(request, "wait_ms", 0)
+        try:
+            answer = await self.port.call(
+                effect.announcement, request, CALL_TIMEOUT_S + wait_ms / 1000
+            )
+        except workerport.NoAnswerError as error:
+            self.log.info(
+                "worker_call_unanswered",
+                call=type(request).__name__,
+                task=getattr(request, "task", ""),
+                run=getattr(request, "run", 0),
+                error=str(error),
+            )
+            event = hosting.Unanswered(
+                now_ms=clock.monotonic_ms(), call=effect, is_down=error.is_down
+            )
+        else:
+            if answer.kind != workerport.DONE:
+                self.log.info(
+                    "worker_call_refused",
+                    call=type(request).__name__,
+                    task=getattr(request, "task", ""),
+                    run=getattr(request, "run", 0),
+                    reason=answer.reason or answer.kind,
+                )
+            event = hosting.Answered(
+                now_ms=clock.monotonic_ms(), call=effect, answer=answer
+            )
+        self._feed(event)
+
+    def _report_soon(self):
+        if self._is_report_due:
+            return
+        self._is_report_due = True
+        asyncio.get_running_loop().call_later(REPORT_DELAY_S, self._send_report)
+
+    def _send_report(self):
+        self._is_report_due = False
+        background.spawn(self._report())
+
+    async def _report(self):
+        self._sequence += 1
+        known = self.state.announcement
+        fields = hosting.report_fields(self.state)
+        message = messages.WorkerReport(
+            agent=self.state.agent,
+            worker=known.worker if known is not None else "",
+            life=self.state.life,
+            sequence=self._sequence,
+            sent_ms=clock.monotonic_ms(),
+            body=json.dumps(fields, separators=(",", ":")).encode(),
+        )
+        answer = await self.client.report(message, REPORT_TIMEOUT_S)
+        if isinstance(answer, outcome.Answered):
+            self._take_orders(answer.value)
+
+    def _on_push(self, message):
+        if isinstance(message, messages.WorkerOrders):
+            self._take_orders(message)
+
+    def _take_orders(self, message):
+        self.client.learn(message.replicas)
+        if not message.worker or not message.body:
+            return
+        body = json.loads(message.body)
+        self._feed(
+            hosting.OrdersReceived(
+                now_ms=clock.monotonic_ms(), message=message, body=body
+            )
+        )
--- /dev/null
+++ b/sardinegauge/workflows/leading.py
@@ -0,0 +1,207 @@
+"""The leader's exchange with agents about workflows.
+
+A reply to a report renews the leases of the worker, so it goes out only after a read
+round that began when the report had arrived. A push renews nothing; it needs a quorum
+that answered lately, since a deposed leader must not order with an outdated store.
+"""
+
+import json
+import logging
+
+from sardinegauge import messages, record, replica, replication, requests
+from sardinegauge.workflows import scheduler, views
+
+_MALFORMED = (ValueError, TypeError, KeyError, AttributeError)
+
+log = logging.getLogger(__name__)
+
+
+class PlanSoon(record.Record):
+    """Effect: send `PlanNow` after other events had their turn."""
+
+    __slots__ = ()
+
+
+class PlanNow(record.Record):
+    """Event: plan the waiting tasks."""
+
+    __slots__ = ("now_ms",)
+
+
+class Leading:
+    """State of the exchange; `scheduler` is None while this replica doesn't lead."""
+
+    __slots__ = ("is_plan_asked", "scheduler", "sequence")
+
+    def __init__(self):
+        self.scheduler = None
+        self.sequence = 0
+        self.is_plan_asked = False
+
+
+def start(state, term):
+    """Begin to schedule: the machine holds all entries of earlier terms."""
+    leading = state.leading
+    leading.scheduler = scheduler.State(state.machine)
+    leading.sequence = 0
+    event = scheduler.LeadershipGained(
+        now_ms=state.now_ms, wall_ms=state.wall_ms, term=term
+    )
+    feed(state, event)
+
+
+def stop(state):
+    """Forget everything that a leader knows."""
+    state.leading.scheduler = None
+
+
+def feed(state, event):
+    """Pass an event to the scheduler and take up its effects."""
+    if state.leading.scheduler is None:
+        return
+    _take_up(state, scheduler.reduce(state.leading.scheduler, event))
+
+
+def _take_up(state, effects):
+    for effect in effects:
+        if isinstance(effect, scheduler.Propose):
+            replica.append_command(state, effect.command, None)
+        else:
+            _push(state, effect.worker, effect.life)
+    leading = state.leading
+    if leading.scheduler is None or leading.is_plan_asked:
+        return
+    if leading.scheduler.is_plan_due:
+        leading.is_plan_asked = True
+        state.emit(PlanSoon())
+
+
+def on_plan_now(state, event):
+    """Plan what became possible since the last plan."""
+    state.leading.is_plan_asked = False
+    if state.leading.scheduler is not None:
+        _take_up(state, scheduler.plan(state.leading.scheduler, state.now_ms))
+
+
+def on_report(state, token, message):
+    """Take a report; its reply follows when the leadership is confirmed."""
+    leading = state.leading
+    if leading.scheduler is None:
+        _refuse(state, token, message)
+        return
+    if message.worker:
+        try:
+            report = _decode(message)
+        except _MALFORMED as error:
+            log.warning("report_malformed agent=%s error=%r", message.agent, error)
+            _refuse(state, token, message)
+            return
+        feed(state, scheduler.ReportReceived(now_ms=state.now_ms, report=report))
+    requests.ask_read(state, token, message)
+
+
+def _decode(message):
+    fields = json.loads(message.body)
+    return views.Report(
+        agent=message.agent, worker=message.worker, life=message.life, **fields
+    )
+
+
+def _refuse(state, token, message):
+    reply = messages.WorkerOrders(
+        leader=state.raft.leader_address,
+        sent_ms=message.sent_ms,
+        replicas=_replicas(state),
+    )
+    state.emit(replica.Reply(token=token, message=reply))
+
+
+def on_read_failed(state, read):
+    """Refuse a report whose read round could not be confirmed."""
+    _refuse(state, read.token, read.message)
+
+
+def on_read_ready(state, read):
+    """Answer a report with orders and, where that is safe, a renewed lease."""
+    message = read.message
+    leading = state.leading
+    if leading.scheduler is None:
+        _refuse(state, read.token, message)
+        return
+    reply = _orders(state, message.worker, message.life)
+    reply.sent_ms = message.sent_ms
+    if scheduler.may_grant(leading.scheduler, message.worker, message.life):
+        scheduler.note_grant(leading.scheduler, message.worker, state.now_ms)
+        reply.grant_ms = scheduler.LEASE_MS
+    state.emit(replica.Reply(token=read.token, message=reply))
+
+
+def _push(state, worker, life):
+    if not replication.has_quorum_contact(state.raft):
+        return
+    state.emit(
+        replica.Push(
+            upstream=worker,
+            incarnation=str(life),
+            message=_orders(state, worker, life),
+        )
+    )
+
+
+def _orders(state, worker, life):
+    leading = state.leading
+    leading.sequence += 1
+    return messages.WorkerOrders(
+        confirmed=True,
+        leader=state.raft.leader_address,
+        worker=worker,
+        life=life,
+        term=leading.scheduler.term,
+        sequence=leading.sequence,
+        replicas=_replicas(state),
+        body=scheduler.orders(leading.scheduler, worker, life),
+    )
+
+
+def _replicas(state):
+    return [member.address for member in state.raft.members.values()]
+
+
+def tick(state):
+    """Pass time to the scheduler."""
+    event = scheduler.Tick(now_ms=state.now_ms, wall_ms=state.wall_ms)
+    feed(state, event)
+
+
+def on_command_applied(state, index, command, answer):
+    """Tell the scheduler what the machine applied."""
+    event = scheduler.CommandApplied(
+        now_ms=state.now_ms, index=index, command=command, answer=answer
+    )
+    feed(state, event)
+
+
+def poll_part(state, version):
+    """Return version and JSON of the queues in force; no JSON if `version` is it."""
+    queue_set = state.machine.workflows.queue_set
+    if queue_set.version <= version:
+        return queue_set.version, b""
+    queues = [queue.to_sparse_dict() for queue in queue_set.by_name.values()]
+    return queue_set.version, json.dumps(queues, separators=(",", ":")).encode()
+
+
+def answer(state, kind, arguments):
+    """Answer a query about queues and workflows; see `queries.answer`."""
+    store = state.machine.workflows
+    if kind == "queues":
+        return {"version": store.queue_set.version, "source": store.queue_set.source}
+    if kind == "waiting":
+        return {"waiting": store.count_waiting(arguments["queue"])}
+    item = store.workflow_by_id.get(arguments["id"])
+    if item is None:
+        return {}
+    return {"state": item.state, "queue": item.queue, "reason": item.reason}
+
+
+QUERIES = frozenset({"queues", "waiting", "workflow"})
+EVENTS = {PlanNow: on_plan_now}
--- /dev/null
+++ b/sardinegauge/workflows/scheduler.py
@@ -0,0 +1,375 @@
+"""The leader's reducer for workflows: reports and commands in, commands and orders out.
+
+It reads the store and never changes it. What must survive the leader is proposed as a
+command; the rest is soft state, which a new leader rebuilds from reports.
+"""
+
+import collections
+import json
+import logging
+
+from sardinegauge import commands, record
+from sardinegauge.workflows import health, planner, store, views
+
+# How long a lease lasts from the moment the report was sent that asked for it.
+LEASE_MS = 4500
+# Clocks of two VMs may run at slightly different speeds.
+LEASE_MARGIN_MS = 250
+# An end is remembered this long, so that an older report makes no stray run of it.
+RECENT_END_MS = 5000
+
+log = logging.getLogger(__name__)
+
+
+class LeadershipGained(record.Record):
+    """This replica leads from now on, and its store holds all earlier terms' entries."""
+
+    __slots__ = ("now_ms", "term", "wall_ms")
+
+
+class ReportReceived(record.Record):
+    """A `views.Report` arrived from an agent."""
+
+    __slots__ = ("now_ms", "report")
+
+
+class CommandApplied(record.Record):
+    """The machine applied a command of the log and gave `answer`."""
+
+    __slots__ = ("answer", "command", "index", "now_ms")
+
+
+class Tick(record.Record):
+    """Time passes; expected every 100 ms."""
+
+    __slots__ = ("now_ms", "wall_ms")
+
+
+class Propose(record.Record):
+    """Effect: put a command into the log."""
+
+    __slots__ = ("command",)
+
+
+class Push(record.Record):
+    """Effect: send a worker's orders now, as `orders` returns them."""
+
+    __slots__ = ("life", "worker")
+
+
+class State:
+    """Soft state of the leader.
+
+    `planned` holds the worker by task id of runs that are on their way into the log,
+    `stops` the reasons by task id and run number of runs that shall stop.
+    """
+
+    def __init__(self, machine):
+        self.store = machine.workflows
+        self.planner = planner.Planner()
+        self.health = health.Health()
+        self.view_by_id = {}
+        self.planned = {}
+        self.stops = {}
+        self.failed_on = {}
+        self.recent_ends = collections.OrderedDict()
+        self.now_ms = 0
+        self.wall_ms = 0
+        self.wall_offset_ms = 0
+        self.term = 0
+        self.is_plan_due = False
+        self.effects = []
+
+    def registered_life(self, worker):
+        """Return the life of a worker that the store knows, or 0."""
+        found = self.store.worker_by_id.get(worker)
+        return found.life if found is not None else 0
+
+    def propose(self, command):
+        """Add the effect that puts a command into the log."""
+        self.effects.append(Propose(command=command))
+
+
+def reduce(state, event):
+    """Apply one event to the state and return the effects."""
+    state.effects = []
+    state.now_ms = max(state.now_ms, event.now_ms)
+    state.health.now_ms = state.now_ms
+    _BY_EVENT[type(event)](state, event)
+    effects, state.effects = state.effects, []
+    return effects
+
+
+def _on_leadership_gained(state, event):
+    state.term = event.term
+    state.wall_offset_ms = event.wall_ms - event.now_ms
+    for worker in state.store.worker_by_id.values():
+        _make_view(state, worker.worker, worker.life, worker.agent)
+
+
+def _make_view(state, worker, life, agent):
+    lease_ms = LEASE_MS + LEASE_MARGIN_MS
+    view = views.WorkerView(worker, life, agent, state.now_ms, lease_ms)
+    state.view_by_id[worker] = view
+    return view
+
+
+# Reports.
+
+
+def _on_report(state, event):
+    report = event.report
+    view = state.view_by_id.get(report.worker)
+    if view is not None and report.life < view.life:
+        return
+    if view is None or report.life > view.life:
+        view = _make_view(state, report.worker, report.life, report.agent)
+    view.update(report, state.now_ms)
+    _register(state, view)
+    _release_former_lives(state, view)
+    _record_ends(state, view, report)
+    _forget_recent(state)
+    state.is_plan_due = True
+
+
+def _register(state, view):
+    if state.registered_life(view.id) < view.life:
+        state.propose(
+            commands.RegisterLife(worker=view.id, life=view.life, agent=view.agent)
+        )
+
+
+def _release_former_lives(state, view):
+    """Take back the runs of lives that are over.
+
+    A former life of the same worker is over once the new one is fenced, since a delayed
+    order of the former life could start a run in the new one until then. A worker of
+    another id beside the same agent has ended as a process.
+    """
+    if not view.is_fenced or state.registered_life(view.id) != view.life:
+        return
+    for worker, life in list(state.store.runs_by_life):
+        if worker == view.id and life < view.life:
+            _propose_release(state, worker, life)
+    for other in list(state.view_by_id.values()):
+        if other.agent == view.agent and other.id != view.id and other.life < view.life:
+            _propose_release(state, other.id, other.life)
+            del state.view_by_id[other.id]
+    if view.is_lapsed:
+        _propose_release(state, view.id, view.life)
+
+
+def _propose_release(state, worker, life):
+    runs = state.store.runs_of(worker, life)
+    if not runs:
+        return
+    view = state.view_by_id.get(worker)
+    checkpoints = []
+    if view is not None and view.life == life:
+        if view.is_losing:
+            return
+        # No lease may be granted until the release is applied.
+        view.is_losing = True
+        checkpoints = [
+            [task, run, reported.checkpoint]
+            for (task, run), reported in view.runs.items()
+            if reported.checkpoint
+        ]
+    log.info("life_released worker=%s life=%d runs=%d", worker, life, len(runs))
+    state.propose(
+        commands.ReleaseLife(worker=worker, life=life, checkpoints=checkpoints)
+    )
+
+
+def _record_ends(state, view, report):
+    """Put ends into the log that are not there yet."""
+    if state.registered_life(view.id) != view.life:
+        return
+    known = max(view.proposed_end, state.store.worker_by_id[view.id].seen_end)
+    rows = [list(row) for row in report.ends if row[0] > known]
+    if rows:
+        view.proposed_end = rows[-1][0]
+    for (task, run), reported in view.runs.items():
+        key = (task, run)
+        if reported.phase != views.GONE or key in view.proposed_gone:
+            continue
+        if key in state.store.runs_of(view.id, view.life):
+            view.proposed_gone.add(key)
+            rows.append([0, task, run, store.REFUSED, reported.checkpoint])
+    if rows:
+        command = commands.RecordEnds(worker=view.id, life=view.life, rows=rows)
+        state.propose(command)
+
+
+def _forget_recent(state):
+    limit_ms = state.now_ms - RECENT_END_MS
+    while state.recent_ends:
+        key, at_ms = next(iter(state.recent_ends.items()))
+        if at_ms > limit_ms:
+            return
+        del state.recent_ends[key]
+
+
+# Commands.
+
+
+def _on_command_applied(state, event):
+    handler = _BY_COMMAND.get(type(event.command))
+    if handler is not None:
+        handler(state, event)
+        state.is_plan_due = True
+
+
+def _on_assigned(state, event):
+    workers = {}
+    for task, _, worker, life in event.command.rows:
+        state.planned.pop(task, None)
+        workers[worker] = life
+    for worker, life in workers.items():
+        _push(state, worker, life)
+
+
+def _push(state, worker, life):
+    state.effects.append(Push(worker=worker, life=life))
+
+
+def _on_ends_recorded(state, event):
+    command = event.command
+    for number, task, run, how, _ in command.rows:
+        state.recent_ends[task, run] = state.now_ms
+        state.stops.pop((task, run), None)
+        if number:
+            _note_health(state, command.worker, task, how)
+    _push(state, command.worker, command.life)
+
+
+def _note_health(state, worker, task, how):
+    if how == store.DONE:
+        state.health.note_success(worker)
+        state.failed_on.pop(task, None)
+    elif how == store.FAILED:
+        failed_on = state.failed_on.setdefault(task, set())
+        failed_on.add(worker)
+        # A task that failed on several workers tells nothing of the last one.
+        if len(failed_on) == 1:
+            state.health.note_failure(worker, state.now_ms)
+
+
+def _on_released(state, event):
+    view = state.view_by_id.get(event.command.worker)
+    if view is not None and view.life == event.command.life:
+        view.is_losing = False
+
+
+def _on_ended(state, event):
+    """Push the stops that follow from the end of a workflow."""
+    item = state.store.workflow_by_id.get(event.command.id)
+    if item is None:
+        return
+    workers = {(run.worker, run.life) for task in item.tasks() for run in task.runs}
+    for worker, life in sorted(workers):
+        _push(state, worker, life)
+
+
+def _on_registered(state, event):
+    _push(state, event.command.worker, event.command.life)
+
+
+def _ignore(state, event):
+    """Do nothing by itself: the plan takes up what the command changed."""
+
+
+# Time.
+
+
+def _on_tick(state, event):
+    state.wall_ms = event.wall_ms
+    state.wall_offset_ms = event.wall_ms - event.now_ms
+    for view in list(state.view_by_id.values()):
+        is_over = state.now_ms > view.grant_until_ms
+        if is_over and not view.is_fresh(state.now_ms):
+            _propose_release(state, view.id, view.life)
+    state.is_plan_due = True
+
+
+def plan(state, now_ms):
+    """Propose the assignments that are possible now; return the effects."""
+    state.effects = []
+    state.now_ms = max(state.now_ms, now_ms)
+    state.is_plan_due = False
+    wall_ms = state.now_ms + state.wall_offset_ms
+    rows = state.planner.plan(state, state.now_ms, wall_ms)
+    for task, _, worker, _ in rows:
+        state.planned[task] = worker
+    if rows:
+        state.propose(commands.AssignRuns(rows=rows))
+    effects, state.effects = state.effects, []
+    return effects
+
+
+# Orders.
+
+
+def may_grant(state, worker, life):
+    """Tell whether a lease may be granted to this life of a worker."""
+    view = state.view_by_id.get(worker)
+    return view is not None and view.life == life and not view.is_losing
+
+
+def note_grant(state, worker, now_ms):
+    """Note that a lease was granted that ends at the latest `LEASE_MS` from now."""
+    view = state.view_by_id[worker]
+    view.grant_until_ms = max(
+        view.grant_until_ms, now_ms + LEASE_MS + LEASE_MARGIN_MS
+    )
+
+
+def orders(state, worker, life):
+    """Return the orders for a worker as JSON bytes.
+
+    They hold what the newest report lacks: starts as rows of task, run, payload and
+    checkpoint, stops and forgotten runs as rows of task and run, and the number of the
+    last end taken note of.
+    """
+    view = state.view_by_id.get(worker)
+    body = {"seen_end": 0, "starts": [], "stops": [], "forget": []}
+    if view is None or view.life != life or state.registered_life(worker) != life:
+        return json.dumps(body).encode()
+    body["seen_end"] = state.store.worker_by_id[worker].seen_end
+    runs = state.store.runs_of(worker, life)
+    for key, task in runs.items():
+        item, _, _ = state.store.find_task(task.id)
+        reported = view.runs.get(key)
+        if not item.is_open or task.is_done or key in state.stops:
+            if reported is None or reported.phase in (views.ORDERED, views.ACTIVE):
+                body["stops"].append(list(key))
+        elif reported is None and key not in view.ended and not view.is_losing:
+            body["starts"].append([*key, item.payload, task.checkpoint])
+    for key, reported in view.runs.items():
+        if key in runs or key in state.recent_ends:
+            if reported.phase == views.GONE and key not in runs:
+                body["forget"].append(list(key))
+        elif reported.phase == views.GONE:
+            body["forget"].append(list(key))
+        elif reported.phase != views.STOPPING:
+            body["stops"].append(list(key))
+    return json.dumps(body, separators=(",", ":")).encode()
+
+
+_BY_EVENT = {
+    LeadershipGained: _on_leadership_gained,
+    ReportReceived: _on_report,
+    CommandApplied: _on_command_applied,
+    Tick: _on_tick,
+}
+
+_BY_COMMAND = {
+    commands.AssignRuns: _on_assigned,
+    commands.RecordEnds: _on_ends_recorded,
+    commands.ReleaseLife: _on_released,
+    commands.RegisterLife: _on_registered,
+    commands.CancelWorkflow: _on_ended,
+    commands.FailWorkflow: _on_ended,
+    commands.SubmitWorkflow: _ignore,
+    commands.SetQueues: _ignore,
+}
--- /dev/null
+++ b/sardinegauge/workflows/store.py
@@ -0,0 +1,345 @@
+"""Replicated state of queues, workflows and workers' lives; part of the machine."""
+
+from sardinegauge import checks, outcome, record
+from sardinegauge.workflows import queues, steps, workflow
+
+# An ended workflow is known this long, so that late duplicates of its request and
+# late questions about it find it.
+RETENTION_MS = 15 * 60 * 1000
+
+# How a run ended, in the rows of `commands.RecordEnds`.
+DONE = "done"
+FAILED = "failed"
+STOPPED = "stopped"
+LAPSED = "lapsed"
+BROKEN = "broken"
+ALONE = "alone"
+REFUSED = "refused"
+ENDS = frozenset({DONE, FAILED, STOPPED, LAPSED, BROKEN, ALONE, REFUSED})
+
+
+class WorkerLife(record.Record):
+    """The newest registered life of a worker, and the last end taken note of."""
+
+    __slots__ = ("worker", "life", "agent", "seen_end")
+    _defaults = {"seen_end": 0}
+
+
+class Store:
+    """All workflows, queues and lives.
+
+    `open_ids` holds the ids of open workflows in order of acceptance (a dict without
+    values), `runs_by_life` the tasks of all runs by worker and life, keyed by task id
+    and run number.
+    """
+
+    __slots__ = (
+        "ended_ids",
+        "open_ids",
+        "queue_set",
+        "runs_by_life",
+        "worker_by_id",
+        "workflow_by_id",
+    )
+
+    def __init__(self):
+        self.queue_set = queues.QueueSet()
+        self.workflow_by_id = {}
+        self.worker_by_id = {}
+        self.open_ids = {}
+        self.ended_ids = {}
+        self.runs_by_life = {}
+
+    def find_task(self, task_id):
+        """Return the workflow, occurrence and task of a task id, or three times None.
+
+        Examples
+        --------
+        >>> Store().find_task("w1.0.0.0")
+        (None, None, None)
+        """
+        parts = task_id.split(".")
+        found = self.workflow_by_id.get(parts[0])
+        if found is None or len(parts) != 4:
+            return None, None, None
+        try:
+            number, position, index = (int(part) for part in parts[1:])
+        except ValueError:
+            return None, None, None
+        occurrence = found.occurrences.get(number)
+        if occurrence is None:
+            return None, None, None
+        try:
+            return found, occurrence, occurrence.tasks_by_step[position][index]
+        except IndexError:
+            return None, None, None
+
+    def queue_of(self, item):
+        """Return the queue settings of a workflow, also after the queue's removal."""
+        return self.queue_set.known_by_name[item.queue]
+
+    def runs_of(self, worker, life):
+        """Return the tasks by task id and run number in one life of a worker."""
+        return self.runs_by_life.get((worker, life), {})
+
+    def count_waiting(self, queue_name):
+        """Return how many open workflows of a queue have started no task."""
+        return sum(
+            self.workflow_by_id[item].state == workflow.PENDING
+            and self.workflow_by_id[item].queue == queue_name
+            for item in self.open_ids
+        )
+
+    def to_snapshot(self):
+        """Return everything as plain data."""
+        return {
+            "queues": self.queue_set.to_snapshot(),
+            "workflows": [w.to_snapshot() for w in self.workflow_by_id.values()],
+            "workers": [w.to_dict() for w in self.worker_by_id.values()],
+        }
+
+    def load_snapshot(self, data):
+        """Rebuild everything from the result of `to_snapshot`."""
+        self.queue_set = queues.QueueSet.from_snapshot(data["queues"])
+        for item in data["workers"]:
+            self.worker_by_id[item["worker"]] = WorkerLife.from_dict(item)
+        for item in data["workflows"]:
+            loaded = workflow.Workflow.from_snapshot(item)
+            self.workflow_by_id[loaded.id] = loaded
+            (self.open_ids if loaded.is_open else self.ended_ids)[loaded.id] = None
+            for task in loaded.tasks():
+                for run in task.runs:
+                    _index_run(self, task, run)
+
+
+def _index_run(store, task, run):
+    runs = store.runs_by_life.setdefault((run.worker, run.life), {})
+    runs[task.id, run.number] = task
+
+
+def _drop_run(store, task, run):
+    task.runs.remove(run)
+    key = (run.worker, run.life)
+    runs = store.runs_by_life[key]
+    del runs[task.id, run.number]
+    if not runs:
+        del store.runs_by_life[key]
+
+
+def _end_workflow(store, item, state, at_ms, reason=""):
+    item.end(state, at_ms, reason)
+    store.open_ids.pop(item.id, None)
+    store.ended_ids[item.id] = None
+
+
+def _expire(store, now_ms):
+    """Forget the workflows that ended long ago, oldest first."""
+    for item_id in list(store.ended_ids):
+        item = store.workflow_by_id[item_id]
+        if now_ms - item.ended_at_ms < RETENTION_MS:
+            break
+        for task in item.tasks():
+            for run in list(task.runs):
+                _drop_run(store, task, run)
+        del store.workflow_by_id[item_id]
+        del store.ended_ids[item_id]
+
+
+# Commands of callers and operators.
+
+
+def set_queues(machine, index, command):
+    """Put a set of queues in force; an outdated version changes nothing."""
+    try:
+        found = [queues.Queue.from_dict(item) for item in command.queues]
+        pools = [queues.Pool.from_dict(item) for item in command.services]
+    except (TypeError, AttributeError) as error:
+        return outcome.Invalid(problems=[["queues", str(error)]])
+    problems = queues.check(command.version, found, pools)
+    if problems:
+        return outcome.Invalid(problems=problems)
+    queue_set = machine.workflows.queue_set
+    queue_set.replace(command.version, found, pools, command.source)
+    return outcome.Accepted(version=queue_set.version)
+
+
+def submit(machine, index, command):
+    """Accept a workflow, or answer for the one that has its id already."""
+    store = machine.workflows
+    if command.id in store.workflow_by_id:
+        return outcome.Accepted(ids=[command.id])
+    try:
+        found = [steps.Step.from_dict(item) for item in command.steps]
+    except (TypeError, AttributeError) as error:
+        return outcome.Invalid(problems=[["steps", str(error)]])
+    problems = steps.check(command.replace(steps=found))
+    if problems:
+        return outcome.Invalid(problems=problems)
+    if command.queue not in store.queue_set.by_name:
+        return outcome.Impossible(reason="no such queue")
+    _expire(store, command.at_ms)
+    store.workflow_by_id[command.id] = workflow.Workflow(command, found)
+    store.open_ids[command.id] = None
+    return outcome.Accepted(ids=[command.id])
+
+
+def cancel(machine, index, command):
+    """Cancel a workflow; one that has ended stays as it is."""
+    store = machine.workflows
+    item = store.workflow_by_id.get(command.id)
+    if item is None:
+        return outcome.Impossible(reason="no such workflow")
+    if item.is_open:
+        _end_workflow(store, item, workflow.CANCELLED, command.at_ms)
+    return outcome.Accepted(ids=[command.id])
+
+
+def fail(machine, index, command):
+    """Fail an open workflow that can never be completed."""
+    store = machine.workflows
+    item = store.workflow_by_id.get(command.id)
+    if item is not None and item.is_open:
+        reason = checks.clip(command.reason)
+        _end_workflow(store, item, workflow.FAILED, command.at_ms, reason)
+    return outcome.Accepted()
+
+
+# Commands of the leader.
+
+
+def register_life(machine, index, command):
+    """Take note of a worker's new life; runs of its former lives stay until released."""
+    machine.workflows.worker_by_id[command.worker] = WorkerLife(
+        worker=command.worker, life=command.life, agent=command.agent
+    )
+    return outcome.Accepted()
+
+
+def assign_runs(machine, index, command):
+    """Assign runs; rows that no longer fit are left out of the answer's ids."""
+    store = machine.workflows
+    taken = []
+    for task_id, number, worker, life in command.rows:
+        if _assign(store, task_id, number, worker, life, command.at_ms):
+            taken.append(task_id)
+    return outcome.Accepted(ids=taken)
+
+
+def _assign(store, task_id, number, worker, life, at_ms):
+    record_of_worker = store.worker_by_id.get(worker)
+    if record_of_worker is None or record_of_worker.life != life:
+        return False
+    item, _, task = store.find_task(task_id)
+    if task is None:
+        item, task = _make_task(store, task_id)
+    if task is None or not item.is_open or task.is_done:
+        return False
+    if number <= task.last_run or (task.runs and not task.step.is_speculative):
+        return False
+    run = workflow.Run(number=number, worker=worker, life=life, assigned_at_ms=at_ms)
+    task.last_run = number
+    task.runs.append(run)
+    _index_run(store, task, run)
+    item.state = workflow.RUNNING
+    return True
+
+
+def _make_task(store, task_id):
+    """Return a task whose occurrence was not used before, with its workflow."""
+    parts = task_id.split(".")
+    item = store.workflow_by_id.get(parts[0])
+    if item is None or len(parts) != 4 or not parts[1].isdigit():
+        return None, None
+    item.occurrence(int(parts[1]))
+    found, _, task = store.find_task(task_id)
+    return found, task
+
+
+def record_ends(machine, index, command):
+    """Take note of ends; a number that was taken note of before changes nothing."""
+    store = machine.workflows
+    life = store.worker_by_id.get(command.worker)
+    if life is not None and life.life != command.life:
+        life = None
+    for number, task_id, run_number, how, checkpoint in command.rows:
+        if number:
+            if life is None or number <= life.seen_end:
+                continue
+            life.seen_end = number
+        _end_run(store, command, task_id, run_number, how, checkpoint)
+    return outcome.Accepted()
+
+
+def _end_run(store, command, task_id, number, how, checkpoint):
+    item, occurrence, task = store.find_task(task_id)
+    if task is None:
+        return
+    run = task.find_run(number, command.worker, command.life)
+    if run is not None:
+        _drop_run(store, task, run)
+    is_newest = run is not None or number >= task.last_run
+    if checkpoint and is_newest and not task.is_done:
+        _keep_checkpoint(occurrence, task, checkpoint)
+    if how == DONE:
+        _finish_task(store, item, occurrence, task, command.at_ms)
+    elif how == FAILED:
+        _count_failure(store, item, occurrence, task, number, command.at_ms)
+
+
+def _keep_checkpoint(occurrence, task, checkpoint):
+    if not task.step.is_gang:
+        task.checkpoint = checkpoint
+        return
+    # Any member's checkpoint holds for the gang, and all members must use the same.
+    for member in _step_tasks(occurrence, task):
+        member.checkpoint = checkpoint
+
+
+def _step_tasks(occurrence, task):
+    return occurrence.tasks_by_step[int(task.id.split(".")[2])]
+
+
+def _finish_task(store, item, occurrence, task, at_ms):
+    """Mark a task done, or the whole gang, since one end stands for all members."""
+    if task.step.is_persistent or task.is_done:
+        return
+    position = int(task.id.split(".")[2])
+    finished = [task]
+    if task.step.is_gang:
+        finished = occurrence.tasks_by_step[position]
+    for member in finished:
+        if not member.is_done:
+            member.is_done = True
+            occurrence.left_by_step[position] -= 1
+    if not occurrence.is_complete or not item.is_open:
+        return
+    item.completed_occurrences.add(occurrence.number)
+    if len(item.completed_occurrences) == max(item.repeats, 1):
+        _end_workflow(store, item, workflow.COMPLETED, at_ms)
+
+
+def _count_failure(store, item, occurrence, task, run_number, at_ms):
+    task.failures += 1
+    if task.step.is_persistent or not item.is_open or task.is_done:
+        return
+    failures = task.failures
+    if task.step.is_gang:
+        runs = occurrence.failed_gang_runs[int(task.id.split(".")[2])]
+        runs.add(run_number)
+        failures = len(runs)
+    if failures >= store.queue_of(item).max_attempts:
+        reason = f"task {task.id} failed {failures} times"
+        _end_workflow(store, item, workflow.FAILED, at_ms, reason)
+
+
+def release_life(machine, index, command):
+    """Take back all runs of a life; `checkpoints` holds what the leader knew last."""
+    store = machine.workflows
+    saved = {(task, run): checkpoint for task, run, checkpoint in command.checkpoints}
+    for key, task in list(store.runs_of(command.worker, command.life).items()):
+        run = task.find_run(key[1], command.worker, command.life)
+        _drop_run(store, task, run)
+        if saved.get(key) and not task.is_done:
+            _, occurrence, _ = store.find_task(task.id)
+            _keep_checkpoint(occurrence, task, saved[key])
+    return outcome.Accepted()
--- /dev/null
+++ b/sardinegauge/workflows/views.py
@@ -0,0 +1,186 @@
+"""What the leader knows of each worker from its agent's reports; soft state."""
+
+from sardinegauge import record
+
+# Phases of a run in a report.
+ORDERED = "ordered"  # The start was not answered yet, so the run may begin any time.
+ACTIVE = "active"
+STOPPING = "stopping"
+GONE = "gone"  # It does not run and never will.
+
+# A worker whose last report is older gets no new work.
+FRESH_MS = 1500
+
+
+class Room(record.Record):
+    """Thousandths of a core, memory in MB and accelerators."""
+
+    __slots__ = ("cpu_millis", "memory_mb", "accelerators")
+    _defaults = {"cpu_millis": 0, "memory_mb": 0, "accelerators": 0}
+
+    def take(self, step):
+        """Subtract one task of a step; a filler takes no cores."""
+        if not step.is_filler:
+            self.cpu_millis -= step.cpu_millis
+        self.memory_mb -= step.memory_mb
+        self.accelerators -= step.accelerators
+
+    def fits(self, step):
+        """Tell whether one task of a step fits."""
+        return (
+            (step.is_filler or step.cpu_millis <= self.cpu_millis)
+            and step.memory_mb <= self.memory_mb
+            and step.accelerators <= self.accelerators
+        )
+
+
+class ReportedRun:
+    """A run in a report.
+
+    `progress` is a percentage of the work, 100 for a persistent task at work. `load`
+    is the tail latency in ms of a task that serves, else thousandths of a core in use.
+    """
+
+    __slots__ = ("checkpoint", "load", "phase", "progress", "reason")
+
+    def __init__(self, phase, checkpoint, progress, load, reason):
+        self.phase = phase
+        self.checkpoint = checkpoint
+        self.progress = progress
+        self.load = load
+        self.reason = reason
+
+
+class Report(record.Record):
+    """A decoded `messages.WorkerReport`.
+
+    `runs` are rows of task, run, phase, checkpoint, progress, load and reason; `ends`
+    rows of number, task, run, how and checkpoint. `is_lapsed` says that every lease of
+    this life has run out and none was renewed, or that the life is over.
+    """
+
+    __slots__ = (
+        "agent",
+        "worker",
+        "life",
+        "pool",
+        "failure_domain",
+        "rack",
+        "labels",
+        "cpu_millis",
+        "memory_mb",
+        "accelerators",
+        "is_draining",
+        "remaining_ms",
+        "is_fenced",
+        "is_lapsed",
+        "seen_end",
+        "runs",
+        "ends",
+    )
+    _defaults = {
+        "pool": "",
+        "failure_domain": "",
+        "rack": "",
+        "labels": list,
+        "cpu_millis": 0,
+        "memory_mb": 0,
+        "accelerators": 0,
+        "is_draining": False,
+        "remaining_ms": 0,
+        "is_fenced": False,
+        "is_lapsed": False,
+        "seen_end": 0,
+        "runs": list,
+        "ends": list,
+    }
+
+
+class WorkerView:
+    """One life of a worker as its newest report tells.
+
+    `grant_until_ms` is the latest time, on the leader's clock, at which a lease of the
+    worker can end. `proposed_end` is the highest end that was put into the log.
+    """
+
+    __slots__ = (
+        "agent",
+        "capacity",
+        "ended",
+        "failure_domain",
+        "grant_until_ms",
+        "id",
+        "is_draining",
+        "is_fenced",
+        "is_lapsed",
+        "is_losing",
+        "labels",
+        "life",
+        "pool",
+        "proposed_end",
+        "proposed_gone",
+        "rack",
+        "received_ms",
+        "remaining_ms",
+        "runs",
+    )
+
+    def __init__(self, worker, life, agent, now_ms, lease_ms):
+        self.id = worker
+        self.life = life
+        self.agent = agent
+        self.pool = ""
+        self.failure_domain = ""
+        self.rack = ""
+        self.labels = frozenset()
+        self.capacity = Room()
+        self.is_draining = False
+        self.is_fenced = False
+        self.is_lapsed = False
+        self.is_losing = False
+        self.remaining_ms = 0
+        self.received_ms = 0
+        # An earlier leader may have granted a lease just before this one began.
+        self.grant_until_ms = now_ms + lease_ms
+        self.proposed_end = 0
+        self.proposed_gone = set()
+        self.runs = {}
+        self.ended = {}
+
+    def update(self, report, now_ms):
+        """Take over a newer report of this life."""
+        self.agent = report.agent
+        self.pool = report.pool
+        self.failure_domain = report.failure_domain
+        self.rack = report.rack
+        self.labels = frozenset(report.labels)
+        self.capacity = Room(
+            cpu_millis=report.cpu_millis,
+            memory_mb=report.memory_mb,
+            accelerators=report.accelerators,
+        )
+        # A worker that leaves does not return in the same life.
+        self.is_draining = self.is_draining or report.is_draining
+        self.is_fenced = report.is_fenced
+        self.is_lapsed = report.is_lapsed
+        self.remaining_ms = report.remaining_ms
+        self.received_ms = now_ms
+        self.runs = {
+            (task, run): ReportedRun(phase, checkpoint, progress, load, reason)
+            for task, run, phase, checkpoint, progress, load, reason in report.runs
+        }
+        self.ended = {(row[1], row[2]): row[3] for row in report.ends}
+
+    def is_fresh(self, now_ms):
+        """Tell whether the last report is recent."""
+        return now_ms - self.received_ms <= FRESH_MS
+
+    def may_start(self, now_ms):
+        """Tell whether the worker takes new work."""
+        return (
+            self.is_fenced
+            and not self.is_draining
+            and not self.is_lapsed
+            and not self.is_losing
+            and self.is_fresh(now_ms)
+        )
--- /dev/null
+++ b/sardinegauge/workflows/workflow.py
@@ -0,0 +1,231 @@
+"""One workflow in the replicated state: its occurrences, tasks and runs."""
+
+from sardinegauge import record
+from sardinegauge.workflows import steps as steps_module
+
+PENDING = "pending"
+RUNNING = "running"
+COMPLETED = "completed"
+FAILED = "failed"
+CANCELLED = "cancelled"
+
+OPEN_STATES = frozenset({PENDING, RUNNING})
+
+
+class Run(record.Record):
+    """A run of a task that was assigned and has not ended, as far as is known."""
+
+    __slots__ = ("number", "worker", "life", "assigned_at_ms")
+
+
+class Task:
+    """One task of one occurrence; `last_run` is its highest run number so far."""
+
+    __slots__ = ("checkpoint", "failures", "id", "is_done", "last_run", "runs", "step")
+
+    def __init__(self, task_id, step):
+        self.id = task_id
+        self.step = step
+        self.last_run = 0
+        self.failures = 0
+        self.checkpoint = ""
+        self.is_done = False
+        self.runs = []
+
+    def find_run(self, number, worker, life):
+        """Return the run with this number in this life of a worker, or None."""
+        for run in self.runs:
+            if run.number == number and run.worker == worker and run.life == life:
+                return run
+        return None
+
+
+class Occurrence:
+    """The tasks of one time that the steps run, as lists by step.
+
+    `failed_gang_runs` holds the run numbers in which a member of a gang failed, by
+    step, since a gang has failed as often as it has had such runs.
+    """
+
+    __slots__ = ("failed_gang_runs", "left_by_step", "number", "tasks_by_step")
+
+    def __init__(self, workflow_id, number, steps):
+        self.number = number
+        self.tasks_by_step = [
+            [
+                Task(f"{workflow_id}.{number}.{position}.{index}", step)
+                for index in range(step.count)
+            ]
+            for position, step in enumerate(steps)
+        ]
+        self.left_by_step = [step.count for step in steps]
+        self.failed_gang_runs = [set() for _ in steps]
+
+    def is_open(self, position):
+        """Tell whether all earlier steps that a step waits for are done."""
+        tasks = self.tasks_by_step[position]
+        return all(not self.left_by_step[earlier] for earlier in tasks[0].step.after)
+
+    @property
+    def is_complete(self):
+        """Tell whether every task is done."""
+        return not any(self.left_by_step)
+
+
+class Workflow:
+    """An accepted workflow; `state` is one of the constants of this module."""
+
+    __slots__ = (
+        "accepted_at_ms",
+        "completed_occurrences",
+        "ended_at_ms",
+        "first_at_ms",
+        "id",
+        "interval_ms",
+        "is_persistent",
+        "occurrences",
+        "payload",
+        "queue",
+        "reason",
+        "repeats",
+        "state",
+        "steps",
+    )
+
+    def __init__(self, command, steps):
+        self.id = command.id
+        self.queue = command.queue
+        self.payload = command.payload
+        self.steps = steps
+        self.repeats = command.repeats
+        self.first_at_ms = command.first_at_ms
+        self.interval_ms = command.interval_ms
+        self.accepted_at_ms = command.at_ms
+        self.ended_at_ms = 0
+        self.state = PENDING
+        self.reason = ""
+        self.occurrences = {}
+        self.completed_occurrences = set()
+        self.is_persistent = any(step.is_persistent for step in steps)
+
+    @property
+    def is_open(self):
+        """Tell whether tasks of the workflow may still start."""
+        return self.state in OPEN_STATES
+
+    def occurrence(self, number):
+        """Return an occurrence, made on first use; None if there is no such number."""
+        found = self.occurrences.get(number)
+        if found is None and 0 <= number < max(self.repeats, 1):
+            found = Occurrence(self.id, number, self.steps)
+            self.occurrences[number] = found
+        return found
+
+    def due_at_ms(self, number):
+        """Return when an occurrence may begin, in wall-clock milliseconds."""
+        if not self.repeats:
+            return 0
+        return self.first_at_ms + number * self.interval_ms
+
+    def due_occurrences(self, wall_ms):
+        """Return the unfinished occurrences whose time has come."""
+        due = []
+        for number in range(max(self.repeats, 1)):
+            if self.due_at_ms(number) > wall_ms:
+                break
+            if number not in self.completed_occurrences:
+                due.append(self.occurrence(number))
+        return due
+
+    def tasks(self):
+        """Iterate over the tasks of all occurrences made so far."""
+        for occurrence in self.occurrences.values():
+            for tasks in occurrence.tasks_by_step:
+                yield from tasks
+
+    def end(self, state, at_ms, reason=""):
+        """Enter a final state."""
+        self.state = state
+        self.ended_at_ms = at_ms
+        self.reason = reason
+
+    def to_snapshot(self):
+        """Return the workflow as plain data."""
+        return {
+            "id": self.id,
+            "queue": self.queue,
+            "payload": self.payload,
+            "steps": [step.to_dict() for step in self.steps],
+            "repeats": self.repeats,
+            "first_at_ms": self.first_at_ms,
+            "interval_ms": self.interval_ms,
+            "at_ms": self.accepted_at_ms,
+            "ended_at_ms": self.ended_at_ms,
+            "state": self.state,
+            "reason": self.reason,
+            "completed": sorted(self.completed_occurrences),
+            "occurrences": [
+                _occurrence_to_plain(occurrence)
+                for occurrence in self.occurrences.values()
+            ],
+        }
+
+    @classmethod
+    def from_snapshot(cls, data):
+        """Rebuild a workflow from the result of `to_snapshot`."""
+        workflow = cls.__new__(cls)
+        for name in (
+            "id",
+            "queue",
+            "payload",
+            "repeats",
+            "first_at_ms",
+            "interval_ms",
+            "ended_at_ms",
+            "state",
+            "reason",
+        ):
+            setattr(workflow, name, data[name])
+        workflow.accepted_at_ms = data["at_ms"]
+        workflow.steps = [
+            steps_module.Step.from_dict(step) for step in data["steps"]
+        ]
+        workflow.is_persistent = any(step.is_persistent for step in workflow.steps)
+        workflow.completed_occurrences = set(data["completed"])
+        workflow.occurrences = {}
+        for item in data["occurrences"]:
+            _load_occurrence(workflow.occurrence(item["number"]), item)
+        return workflow
+
+
+def _occurrence_to_plain(occurrence):
+    return {
+        "number": occurrence.number,
+        "left": list(occurrence.left_by_step),
+        "failed_gang_runs": [sorted(runs) for runs in occurrence.failed_gang_runs],
+        "tasks": [
+            [
+                [
+                    task.last_run,
+                    task.failures,
+                    task.checkpoint,
+                    task.is_done,
+                    [[r.number, r.worker, r.life, r.assigned_at_ms] for r in task.runs],
+                ]
+                for task in tasks
+            ]
+            for tasks in occurrence.tasks_by_step
+        ],
+    }
+
+
+def _load_occurrence(occurrence, data):
+    occurrence.left_by_step = list(data["left"])
+    occurrence.failed_gang_runs = [set(runs) for runs in data["failed_gang_runs"]]
+    for tasks, rows in zip(occurrence.tasks_by_step, data["tasks"]):
+        for task, row in zip(tasks, rows):
+            task.last_run, task.failures, task.checkpoint, task.is_done, runs = row
+            task.runs = [
+                Run(number=number, worker=worker, life=life, assigned_at_ms=at_ms)
+                for number, worker, life, at_ms in runs
+            ]
