Pace and place fillers by a learned model of what they disturb

Ruled out: the product's interference model, which learns p99s of many requests over hours; these latencies swing within seconds and come as rough figures.

Change: sharing turns a latency into a pressure in which disturbances add up, estimates own part and pairs of images together, paces and places by it.

--- a/sardinegauge/workflows/hosting.py
+++ b/sardinegauge/workflows/hosting.py
@@ -13,9 +13,11 @@
 SLOWEST_CLOCK = 0.98
 # A grant that ends sooner starts nothing.
 MIN_LEASE_MS = 300
-HOLD_WAIT_MS = 400
+HOLD_WAIT_MS = 250
 IDLE_HOLD_WAIT_MS = 1000
 REPORT_INTERVAL_MS = 400
+# A new list of the worker is reported somewhat before the next report would be due.
+REPORT_EARLY_MS = 200
 RETRY_MS = 60
 # A worker that answers nothing for this long gets no new starts.
 SILENT_MS = 1200
@@ -90,6 +92,8 @@
         "is_stop_answered",
         "load",
         "next_call_ms",
+        "pace",
+        "paced_ms",
         "payload",
         "phase",
         "progress",
@@ -109,6 +113,8 @@
         self.progress = 0
         self.load = 0
         self.reason = ""
+        self.pace = 100
+        self.paced_ms = 0
         self.unanswered = 0
         self.unanswered_ms = 0
         self.answered_ms = 0
@@ -344,7 +350,11 @@
 
 
 def _on_pace_answer(state, call, answer):
-    """Do nothing: the next order repeats a pace that was lost."""
+    """Note a pace; an order repeats one that was lost or refused."""
+    request = call.request
+    run = state.runs.get((request.task, request.run))
+    if run is not None and answer.kind == workerport.DONE:
+        run.pace = request.percent
 
 
 def _on_hold_answer(state, call, answer):
@@ -366,6 +376,8 @@
         _take_running(state, call, answer)
     state.next_hold_ms = state.now_ms
     _hold(state)
+    if state.now_ms >= state.report_due_ms - REPORT_EARLY_MS:
+        state.report()
 
 
 def _take_ends(state, ended):
@@ -429,6 +441,8 @@
         _stop(state, (task, run))
     for row in body["starts"]:
         _start(state, *row)
+    for task, run, percent in body["paces"]:
+        _pace(state, (task, run), percent)
 
 
 def _worker(state):
@@ -480,6 +494,20 @@
     )
 
 
+def _pace(state, key, percent):
+    run = state.runs.get(key)
+    if run is None or run.phase != views.ACTIVE or run.pace == percent:
+        return
+    if state.now_ms - run.paced_ms < RETRY_MS:
+        return
+    run.paced_ms = state.now_ms
+    state.call(
+        workerport.PaceCall(
+            task=key[0], run=key[1], percent=percent, fence=state.fence
+        )
+    )
+
+
 def _stop(state, key):
     if _is_ended(state, key):
         return
@@ -579,7 +607,15 @@
         "is_lapsed": state.is_lapsed,
         "seen_end": state.seen_end,
         "runs": [
-            [*key, run.phase, run.saved, run.progress, run.load, run.reason]
+            [
+                *key,
+                run.phase,
+                run.saved,
+                run.progress,
+                run.load,
+                run.reason,
+                run.pace,
+            ]
             for key, run in state.runs.items()
         ],
         "ends": [state.ends[number] for number in sorted(state.ends)],
--- a/sardinegauge/workflows/placing.py
+++ b/sardinegauge/workflows/placing.py
@@ -7,35 +7,46 @@
 
 import abc
 
+from sardinegauge.workflows import sharing
+
 # Weights of a worker's share of free room and of what speaks against it.
 FAR_PENALTY = 0.8
 FAILED_HERE_PENALTY = 2.0
 FILLER_NEAR_SERVING_PENALTY = 0.5
+HEADROOM_WEIGHT = 4.0
+# More headroom than this makes no worker better.
+HEADROOM_LIMIT = 0.15
 
 
 class Candidate:
     """A worker with the room that is left in the present plan.
 
     `free` is a `views.Room` of what is left. `filler_millis` are the cores that
-    fillers there would use, `serving` the number of tasks that serve.
+    `fillers` there would use. `sharing` tells how they disturb tasks that serve.
     """
 
-    __slots__ = ("filler_millis", "free", "penalty", "serving", "view")
+    __slots__ = ("filler_millis", "fillers", "free", "penalty", "sharing", "view")
 
-    def __init__(self, view, free, penalty=0.0):
+    def __init__(self, view, free, sharing_model, penalty=0.0):
         self.view = view
         self.free = free
+        self.sharing = sharing_model
         self.penalty = penalty
         self.filler_millis = 0
-        self.serving = 0
+        self.fillers = []
 
-    def take(self, step):
+    def take(self, step, key=None):
         """Count one more task of a step."""
         self.free.take(step)
         if step.is_filler:
+            amount = sharing.amount_of(step, self.view.capacity)
             self.filler_millis += step.cpu_millis
-        if step.target_ms:
-            self.serving += 1
+            self.fillers.append(sharing.Filler(key, step.image, amount, 100))
+
+    def headroom(self, step):
+        """Return how far the serving tasks stay from harm with one more filler."""
+        amount = sharing.amount_of(step, self.view.capacity)
+        return self.sharing.headroom(self.view.id, self.fillers, step.image, amount)
 
 
 class Placing(abc.ABC):
@@ -76,8 +87,9 @@
             score -= FAR_PENALTY
         if candidate.view.id in failed_on:
             score -= FAILED_HERE_PENALTY
-        if step.is_filler and candidate.serving:
-            score -= FILLER_NEAR_SERVING_PENALTY
-        if step.target_ms and candidate.filler_millis:
-            score -= FILLER_NEAR_SERVING_PENALTY
+        if step.is_filler:
+            score += HEADROOM_WEIGHT * min(candidate.headroom(step), HEADROOM_LIMIT)
+        elif step.target_ms:
+            share = candidate.filler_millis / max(capacity.cpu_millis, 1)
+            score -= FILLER_NEAR_SERVING_PENALTY * share
         return score - candidate.penalty
--- a/sardinegauge/workflows/planner.py
+++ b/sardinegauge/workflows/planner.py
@@ -165,12 +165,13 @@
 
 def _candidate(state, view):
     free = view.capacity.replace()
-    candidate = placing.Candidate(view, free, state.health.penalty(view.id))
+    penalty = state.health.penalty(view.id)
+    candidate = placing.Candidate(view, free, state.sharing, penalty)
     runs = state.store.runs_of(view.id, view.life)
     for key, task in runs.items():
         # The room of a run is free once its end is listed.
         if key not in view.ended:
-            candidate.take(task.step)
+            candidate.take(task.step, key)
     for key, reported in view.runs.items():
         if key not in runs and reported.phase != views.GONE:
             _, _, task = state.store.find_task(key[0])
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -9,7 +9,7 @@
 import logging
 
 from sardinegauge import commands, record
-from sardinegauge.workflows import health, planner, store, views
+from sardinegauge.workflows import health, planner, sharing, store, views
 
 # How long a lease lasts from the moment the report was sent that asked for it.
 LEASE_MS = 4500
@@ -68,9 +68,11 @@
         self.store = machine.workflows
         self.planner = planner.Planner()
         self.health = health.Health()
+        self.sharing = sharing.Sharing()
         self.view_by_id = {}
         self.planned = {}
         self.stops = {}
+        self.paces = {}
         self.failed_on = {}
         self.recent_ends = collections.OrderedDict()
         self.now_ms = 0
@@ -129,9 +131,46 @@
     _release_former_lives(state, view)
     _record_ends(state, view, report)
     _forget_recent(state)
+    _pace_fillers(state, view)
     state.is_plan_due = True
 
 
+def fillers_of(state, view):
+    """Return the `sharing.Filler` of each filler on a worker."""
+    found = []
+    for key, task in state.store.runs_of(view.id, view.life).items():
+        reported = view.runs.get(key)
+        if task.step.is_filler and key not in view.ended:
+            amount = sharing.amount_of(task.step, view.capacity)
+            pace = reported.pace if reported is not None else 100
+            found.append(sharing.Filler(key, task.step.image, amount, pace))
+    return found
+
+
+def _pace_fillers(state, view):
+    """Learn from the latencies of a report, and pace the fillers accordingly."""
+    rows = []
+    for key, reported in view.runs.items():
+        _, _, task = state.store.find_task(key[0])
+        if task is not None and task.step.target_ms:
+            if reported.phase == views.ACTIVE:
+                step = task.step
+                rows.append((key, step.image, reported.load, step.target_ms))
+    fillers = fillers_of(state, view)
+    active = [
+        filler
+        for filler in fillers
+        if filler.key in view.runs and view.runs[filler.key].phase == views.ACTIVE
+    ]
+    state.sharing.observe(view.id, rows, active, state.now_ms)
+    is_changed = False
+    for key, pace in state.sharing.paces(view.id, fillers).items():
+        is_changed = is_changed or state.paces.get(key, 100) != pace
+        state.paces[key] = pace
+    if is_changed:
+        _push(state, view.id, view.life)
+
+
 def _register(state, view):
     if state.registered_life(view.id) < view.life:
         state.propose(
@@ -238,6 +277,7 @@
     for number, task, run, how, _ in command.rows:
         state.recent_ends[task, run] = state.now_ms
         state.stops.pop((task, run), None)
+        state.paces.pop((task, run), None)
         if number:
             _note_health(state, command.worker, task, how)
     _push(state, command.worker, command.life)
@@ -328,11 +368,11 @@
     """Return the orders for a worker as JSON bytes.
 
     They hold what the newest report lacks: starts as rows of task, run, payload and
-    checkpoint, stops and forgotten runs as rows of task and run, and the number of the
-    last end taken note of.
+    checkpoint, stops and forgotten runs as rows of task and run, paces as rows of task,
+    run and percent, and the number of the last end taken note of.
     """
     view = state.view_by_id.get(worker)
-    body = {"seen_end": 0, "starts": [], "stops": [], "forget": []}
+    body = {"seen_end": 0, "starts": [], "stops": [], "forget": [], "paces": []}
     if view is None or view.life != life or state.registered_life(worker) != life:
         return json.dumps(body).encode()
     body["seen_end"] = state.store.worker_by_id[worker].seen_end
@@ -345,6 +385,10 @@
                 body["stops"].append(list(key))
         elif reported is None and key not in view.ended and not view.is_losing:
             body["starts"].append([*key, item.payload, task.checkpoint])
+        elif reported is not None and reported.phase == views.ACTIVE:
+            pace = state.paces.get(key, 100)
+            if pace != reported.pace:
+                body["paces"].append([*key, pace])
     for key, reported in view.runs.items():
         if key in runs or key in state.recent_ends:
             if reported.phase == views.GONE and key not in runs:
--- /dev/null
+++ b/sardinegauge/workflows/sharing.py
@@ -0,0 +1,209 @@
+"""How much fillers disturb the tasks that serve beside them, and how to bound it.
+
+The answer to a load in which the tail latencies of serving tasks swing within seconds
+and each pair of images disturbs by another amount. A tail latency is turned into a
+pressure, in which disturbances add up: 0 at rest, `TARGET_PRESSURE` at the target. The
+pressure of a serving task is its own part, which drifts, plus a coefficient for each
+filler beside it. All parts are estimated together from each report, by a Kalman filter
+that leaves out the covariances between parts.
+"""
+
+import math
+
+# A serving task at rest answers this many times faster than its target demands.
+REST_RATIO = 5.0
+TARGET_PRESSURE = 1.0 - 1.0 / REST_RATIO
+# Fillers are paced so that the expected pressure stays below this.
+SAFE_PRESSURE = 0.70
+# Fillers are placed so that it stays below this, since the own part drifts.
+PLACING_PRESSURE = 0.62
+# Beyond it the latency says little more than that the task is overloaded.
+MAX_PRESSURE = 0.96
+# The amount of a filler is 1 at this share of the worker's cores.
+UNIT_SHARE = 0.1
+OWN_PRESSURE = 0.45
+OWN_VARIANCE = 0.05
+# Drift of the own part as variance per second.
+OWN_DRIFT = 0.004
+PAIR_PRESSURE = 0.08
+PAIR_VARIANCE = 0.01
+PAIR_DRIFT = 0.0001
+NOISE_VARIANCE = 0.0006
+# Paces are whole multiples of this percentage.
+PACE_STEP = 10
+# A slower filler would better run elsewhere.
+SLOW_PACE = 40
+
+
+def pressure_of(latency_ms, target_ms):
+    """Return the pressure of a tail latency.
+
+    Examples
+    --------
+    >>> round(pressure_of(50, 50), 2), pressure_of(5, 50)
+    (0.8, 0.0)
+    """
+    if latency_ms <= 0:
+        return 0.0
+    return min(max(0.0, 1.0 - target_ms / REST_RATIO / latency_ms), MAX_PRESSURE)
+
+
+class Estimate:
+    """A mean with its variance."""
+
+    __slots__ = ("mean", "updated_ms", "variance")
+
+    def __init__(self, mean, variance, now_ms):
+        self.mean = mean
+        self.variance = variance
+        self.updated_ms = now_ms
+
+    def drift(self, per_s, limit, now_ms):
+        """Let the variance grow for the time passed, up to a limit."""
+        elapsed_s = max(now_ms - self.updated_ms, 0) / 1000
+        self.updated_ms = now_ms
+        self.variance = max(
+            self.variance, min(self.variance + per_s * elapsed_s, limit)
+        )
+
+
+class Serving:
+    """A serving task beside fillers: its image and the estimate of its own part."""
+
+    __slots__ = ("image", "own", "seen_ms")
+
+    def __init__(self, image, now_ms):
+        self.image = image
+        self.own = Estimate(OWN_PRESSURE, OWN_VARIANCE, now_ms)
+        self.seen_ms = now_ms
+
+
+class Filler:
+    """A filler beside serving tasks: its image and its amount at full pace."""
+
+    __slots__ = ("amount", "image", "key", "pace")
+
+    def __init__(self, key, image, amount, pace):
+        self.key = key
+        self.image = image
+        self.amount = amount
+        self.pace = pace
+
+
+class Sharing:
+    """Estimates for all workers.
+
+    `serving_by_worker` holds, by worker, the `Serving` of each run that serves there.
+    """
+
+    __slots__ = ("_amounts", "_pairs", "serving_by_worker")
+
+    def __init__(self):
+        self._pairs = {}
+        self._amounts = {}
+        self.serving_by_worker = {}
+
+    def coefficient(self, serving_image, filler_image):
+        """Return by how much one unit of a filler raises a serving task's pressure."""
+        pair = self._pairs.get((serving_image, filler_image))
+        return max(pair.mean, 0.0) if pair is not None else PAIR_PRESSURE
+
+    def observe(self, worker, rows, fillers, now_ms):
+        """Learn from one report.
+
+        Parameters
+        ----------
+        worker : str
+        rows : list of tuple
+            Run key, image, latency in ms and target in ms of each serving task.
+        fillers : list of Filler
+            The fillers beside them, as they were when the latencies were measured.
+        """
+        known = self.serving_by_worker.get(worker, {})
+        found = {}
+        # The latencies cover the last half second, in which the mix may have changed.
+        before = self._amounts.get(worker, {})
+        amounts = _amount_by_image(fillers)
+        self._amounts[worker] = amounts
+        images = before.keys() | amounts.keys()
+        mixed = {i: (before.get(i, 0.0) + amounts.get(i, 0.0)) / 2 for i in images}
+        for key, image, latency_ms, target_ms in rows:
+            serving = found[key] = known.get(key) or Serving(image, now_ms)
+            if latency_ms > 0:
+                pressure = pressure_of(latency_ms, target_ms)
+                self._learn(serving, pressure, mixed, now_ms)
+        self.serving_by_worker[worker] = found
+
+    def _learn(self, serving, pressure, amounts, now_ms):
+        serving.own.drift(OWN_DRIFT, OWN_VARIANCE, now_ms)
+        terms = [(serving.own, 1.0)]
+        for image, amount in amounts.items():
+            if amount > 0.0:
+                terms.append((self._pair(serving.image, image, now_ms), amount))
+        predicted = sum(part.mean * amount for part, amount in terms)
+        if predicted > pressure >= MAX_PRESSURE:
+            return  # The measure ends here, so the prediction may well be right.
+        spread = NOISE_VARIANCE + sum(p.variance * a * a for p, a in terms)
+        for part, amount in terms:
+            gain = part.variance * amount / spread
+            part.mean += gain * (pressure - predicted)
+            part.variance *= max(1.0 - gain * amount, 1e-6)
+
+    def _pair(self, serving_image, filler_image, now_ms):
+        key = (serving_image, filler_image)
+        pair = self._pairs.get(key)
+        if pair is None:
+            pair = self._pairs[key] = Estimate(PAIR_PRESSURE, PAIR_VARIANCE, now_ms)
+        pair.drift(PAIR_DRIFT, PAIR_VARIANCE, now_ms)
+        return pair
+
+    def headroom(self, worker, fillers, image, amount):
+        """Return the least room for pressure left if one more filler came.
+
+        It is infinite without serving tasks, and negative where one would suffer.
+        """
+        least = math.inf
+        for serving in self.serving_by_worker.get(worker, {}).values():
+            pressure = serving.own.mean + sum(
+                self.coefficient(serving.image, f.image) * f.amount for f in fillers
+            )
+            pressure += self.coefficient(serving.image, image) * amount
+            least = min(least, PLACING_PRESSURE - pressure)
+        return least
+
+    def paces(self, worker, fillers):
+        """Return the pace in percent of each filler by its key.
+
+        The filler that disturbs a suffering task most gives way first.
+        """
+        share = {filler.key: 1.0 for filler in fillers}
+        serving = self.serving_by_worker.get(worker, {}).values()
+        for task in sorted(serving, key=lambda item: -item.own.mean):
+            effects = [
+                (self.coefficient(task.image, f.image) * f.amount, f) for f in fillers
+            ]
+            excess = task.own.mean - SAFE_PRESSURE
+            excess += sum(effect * share[f.key] for effect, f in effects)
+            for effect, filler in sorted(effects, key=lambda pair: -pair[0]):
+                if excess <= 0.0 or effect <= 0.0:
+                    break
+                taken = min(share[filler.key] * effect, excess)
+                share[filler.key] -= taken / effect
+                excess -= taken
+        return {
+            key: int(100 * value // PACE_STEP) * PACE_STEP
+            for key, value in share.items()
+        }
+
+
+def _amount_by_image(fillers):
+    amounts = {}
+    for filler in fillers:
+        amount = filler.amount * filler.pace / 100
+        amounts[filler.image] = amounts.get(filler.image, 0.0) + amount
+    return amounts
+
+
+def amount_of(step, capacity):
+    """Return the amount of one task of a step on a worker with a capacity."""
+    return step.cpu_millis / max(capacity.cpu_millis, 1) / UNIT_SHARE
--- a/sardinegauge/workflows/views.py
+++ b/sardinegauge/workflows/views.py
@@ -39,23 +39,25 @@
 
     `progress` is a percentage of the work, 100 for a persistent task at work. `load`
     is the tail latency in ms of a task that serves, else thousandths of a core in use.
+    `pace` is the share of its speed, in percent, that was last confirmed.
     """
 
-    __slots__ = ("checkpoint", "load", "phase", "progress", "reason")
+    __slots__ = ("checkpoint", "load", "pace", "phase", "progress", "reason")
 
-    def __init__(self, phase, checkpoint, progress, load, reason):
+    def __init__(self, phase, checkpoint, progress, load, reason, pace=100):
         self.phase = phase
         self.checkpoint = checkpoint
         self.progress = progress
         self.load = load
         self.reason = reason
+        self.pace = pace
 
 
 class Report(record.Record):
     """A decoded `messages.WorkerReport`.
 
-    `runs` are rows of task, run, phase, checkpoint, progress, load and reason; `ends`
-    rows of number, task, run, how and checkpoint. `is_lapsed` says that every lease of
+    `runs` are rows of task, run, phase, checkpoint, progress, load, reason and pace;
+    `ends` rows of number, task, run, how and checkpoint. `is_lapsed` says that every lease of
     this life has run out and none was renewed, or that the life is over.
     """
 
@@ -166,8 +168,7 @@
         self.remaining_ms = report.remaining_ms
         self.received_ms = now_ms
         self.runs = {
-            (task, run): ReportedRun(phase, checkpoint, progress, load, reason)
-            for task, run, phase, checkpoint, progress, load, reason in report.runs
+            (row[0], row[1]): ReportedRun(*row[2:]) for row in report.runs
         }
         self.ended = {(row[1], row[2]): row[3] for row in report.ends}
 
