Keep serving tasks together and heavy fillers apart

Ruled out: a coefficient for each pair of images alone, which learns too slowly; amounts by declared cores, since the use of a filler changes in phases and what it disturbs goes with the use (trial with logged latencies on a scratch copy).

--- a/sardinegauge/workflows/planner.py
+++ b/sardinegauge/workflows/planner.py
@@ -17,7 +17,7 @@
 
     def __init__(self, order=None, place=None):
         self.order = order or ordering.ByDeadline()
-        self.place = place or placing.Spread()
+        self.place = place or placing.Sorted()
 
     def plan(self, state, now_ms, wall_ms):
         """Return rows of `commands.AssignRuns` for the tasks that start now."""
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -141,12 +141,22 @@
     for key, task in state.store.runs_of(view.id, view.life).items():
         reported = view.runs.get(key)
         if task.step.is_filler and key not in view.ended:
-            amount = sharing.amount_of(task.step, view.capacity)
-            pace = reported.pace if reported is not None else 100
-            found.append(sharing.Filler(key, task.step.image, amount, pace))
+            found.append(_filler(view, key, task.step, reported))
     return found
 
 
+def _filler(view, key, step, reported):
+    """Return the `sharing.Filler` of a run, by its use of cores where that is known."""
+    amount = sharing.amount_of(step.cpu_millis, view.capacity)
+    measured = 0.0
+    if reported is not None and reported.load > 0:
+        measured = sharing.amount_of(reported.load, view.capacity)
+        # At a low pace the use says little about the full pace.
+        if reported.pace >= 50:
+            amount = measured * 100 / reported.pace
+    return sharing.Filler(key, step.image, amount, measured)
+
+
 def _pace_fillers(state, view):
     """Learn from the latencies of a report, and pace the fillers accordingly."""
     rows = []
--- a/sardinegauge/workflows/sharing.py
+++ b/sardinegauge/workflows/sharing.py
@@ -4,8 +4,9 @@
 and each pair of images disturbs by another amount. A tail latency is turned into a
 pressure, in which disturbances add up: 0 at rest, `TARGET_PRESSURE` at the target. The
 pressure of a serving task is its own part, which drifts, plus a coefficient for each
-filler beside it. All parts are estimated together from each report, by a Kalman filter
-that leaves out the covariances between parts.
+filler beside it: a part of the filler's image, and one of the pair of images. All parts
+are estimated together from each report, by a Kalman filter that leaves out the
+covariances between parts.
 """
 
 import math
@@ -25,8 +26,11 @@
 OWN_VARIANCE = 0.05
 # Drift of the own part as variance per second.
 OWN_DRIFT = 0.004
-PAIR_PRESSURE = 0.08
-PAIR_VARIANCE = 0.01
+FILLER_PRESSURE = 0.1
+FILLER_VARIANCE = 0.015
+LIGHT_PRESSURE = 0.05
+FILLER_DRIFT = 0.0001
+PAIR_VARIANCE = 0.004
 PAIR_DRIFT = 0.0001
 NOISE_VARIANCE = 0.0006
 # Paces are whole multiples of this percentage.
@@ -79,15 +83,18 @@
 
 
 class Filler:
-    """A filler beside serving tasks: its image and its amount at full pace."""
+    """A filler beside serving tasks.
 
-    __slots__ = ("amount", "image", "key", "pace")
+    `amount` is what it would use at full pace, `measured` what it used lately.
+    """
+
+    __slots__ = ("amount", "image", "key", "measured")
 
-    def __init__(self, key, image, amount, pace):
+    def __init__(self, key, image, amount, measured):
         self.key = key
         self.image = image
         self.amount = amount
-        self.pace = pace
+        self.measured = measured
 
 
 class Sharing:
@@ -96,17 +103,27 @@
     `serving_by_worker` holds, by worker, the `Serving` of each run that serves there.
     """
 
-    __slots__ = ("_amounts", "_pairs", "serving_by_worker")
+    __slots__ = ("_amounts", "_fillers", "_pairs", "serving_by_worker")
 
     def __init__(self):
+        self._fillers = {}
         self._pairs = {}
         self._amounts = {}
         self.serving_by_worker = {}
 
     def coefficient(self, serving_image, filler_image):
         """Return by how much one unit of a filler raises a serving task's pressure."""
+        filler = self._fillers.get(filler_image)
+        total = filler.mean if filler is not None else FILLER_PRESSURE
         pair = self._pairs.get((serving_image, filler_image))
-        return max(pair.mean, 0.0) if pair is not None else PAIR_PRESSURE
+        if pair is not None:
+            total += pair.mean
+        return max(total, 0.0)
+
+    def is_light(self, filler_image):
+        """Tell whether fillers of an image are known to disturb little."""
+        filler = self._fillers.get(filler_image)
+        return filler is not None and filler.mean < LIGHT_PRESSURE
 
     def observe(self, worker, rows, fillers, now_ms):
         """Learn from one report.
@@ -139,6 +156,7 @@
         terms = [(serving.own, 1.0)]
         for image, amount in amounts.items():
             if amount > 0.0:
+                terms.append((self._filler(image, now_ms), amount))
                 terms.append((self._pair(serving.image, image, now_ms), amount))
         predicted = sum(part.mean * amount for part, amount in terms)
         if predicted > pressure >= MAX_PRESSURE:
@@ -149,11 +167,19 @@
             part.mean += gain * (pressure - predicted)
             part.variance *= max(1.0 - gain * amount, 1e-6)
 
+    def _filler(self, image, now_ms):
+        part = self._fillers.get(image)
+        if part is None:
+            part = Estimate(FILLER_PRESSURE, FILLER_VARIANCE, now_ms)
+            self._fillers[image] = part
+        part.drift(FILLER_DRIFT, FILLER_VARIANCE, now_ms)
+        return part
+
     def _pair(self, serving_image, filler_image, now_ms):
         key = (serving_image, filler_image)
         pair = self._pairs.get(key)
         if pair is None:
-            pair = self._pairs[key] = Estimate(PAIR_PRESSURE, PAIR_VARIANCE, now_ms)
+            pair = self._pairs[key] = Estimate(0.0, PAIR_VARIANCE, now_ms)
         pair.drift(PAIR_DRIFT, PAIR_VARIANCE, now_ms)
         return pair
 
@@ -199,11 +225,10 @@
 def _amount_by_image(fillers):
     amounts = {}
     for filler in fillers:
-        amount = filler.amount * filler.pace / 100
-        amounts[filler.image] = amounts.get(filler.image, 0.0) + amount
+        amounts[filler.image] = amounts.get(filler.image, 0.0) + filler.measured
     return amounts
 
 
-def amount_of(step, capacity):
-    """Return the amount of one task of a step on a worker with a capacity."""
-    return step.cpu_millis / max(capacity.cpu_millis, 1) / UNIT_SHARE
+def amount_of(cpu_millis, capacity):
+    """Return the amount of a use of cores on a worker with a capacity."""
+    return cpu_millis / max(capacity.cpu_millis, 1) / UNIT_SHARE
