Send fewer messages: shared read rounds, lazy leases, two links a client

Ruled out: heartbeats every 150 ms, with which a leader that is cut off steps down too early for a test.

Change: reads within 20 ms share a round, a lease is renewed with the next heartbeat and only when it is due, a link that sent anything sends no ping, and a client keeps links to the leader and one other replica.

--- a/sardinegauge/link.py
+++ b/sardinegauge/link.py
@@ -155,6 +155,7 @@
         self._inbound_by_correlation = {}
         self._is_open = False
         self._received_s = 0.0
+        self._sent_s = 0.0
         self._silence_timer = None
 
     @property
@@ -253,10 +254,16 @@
         self.handler.on_exchange(exchange, message)
 
     async def _ping(self):
+        loop = asyncio.get_running_loop()
         while self.is_open:
-            await asyncio.sleep(PING_INTERVAL_S)
+            # Other frames say as well as a ping that this side is there.
+            idle_s = loop.time() - self._sent_s
+            if idle_s < PING_INTERVAL_S * 0.9:
+                await asyncio.sleep(PING_INTERVAL_S - idle_s)
+                continue
             with contextlib.suppress(errors.LinkClosedError):
                 self.send_frame(codec.Frame(message=messages.Ping()))
+            await asyncio.sleep(PING_INTERVAL_S)
 
     def send(self, message):
         """Send a one-way message; see `Exchange.send` for errors."""
@@ -279,6 +286,7 @@
             self.close()
             raise errors.LinkClosedError(str(error)) from error
         self.bytes_sent += len(data)
+        self._sent_s = asyncio.get_running_loop().time()
         # Most callers do not wait for the write; a failure shows as a closed link.
         future.add_done_callback(lambda done: done.exception())
         return future
--- a/sardinegauge/messages.py
+++ b/sardinegauge/messages.py
@@ -660,11 +660,21 @@
 class WorkerReport(record.Record):
     """What an agent reports of the worker beside it; `body` is JSON.
 
+    A lease costs a read round, so it is renewed only where the agent wants that.
+
     The rows of runs and ends are JSON inside the message, since reading a row's fields
     one by one from Cap'n Proto costs several times as much in Python.
     """
 
-    __slots__ = ("agent", "worker", "life", "sequence", "sent_ms", "body")
+    __slots__ = (
+        "agent",
+        "worker",
+        "life",
+        "sequence",
+        "sent_ms",
+        "body",
+        "is_lease_wanted",
+    )
     _defaults = {
         "agent": "",
         "worker": "",
@@ -672,6 +682,7 @@
         "sequence": 0,
         "sent_ms": 0,
         "body": b"",
+        "is_lease_wanted": False,
     }
 
 
--- a/sardinegauge/raft.py
+++ b/sardinegauge/raft.py
@@ -56,9 +56,13 @@
 
 
 class ReadAsked(Event):
-    """A linearizable read is wanted; `read` comes back in an effect."""
+    """A linearizable read is wanted; `read` comes back in an effect.
 
-    __slots__ = ("read",)
+    One that is lazy waits for the next heartbeat instead of a round of its own.
+    """
+
+    __slots__ = ("is_lazy", "read")
+    _defaults = {"is_lazy": False}
 
 
 class JoinAsked(Event):
@@ -109,7 +113,9 @@
     if state.now_ms >= state.heartbeat_due_ms:
         state.heartbeat_due_ms = state.now_ms + raftstate.HEARTBEAT_MS
         _repair_members(state)
-        replication.broadcast(state)
+        replication.heartbeat(state)
+    else:
+        replication.start_due_round(state)
 
 
 def _check_won(state, is_won):
@@ -155,7 +161,7 @@
 
 
 def _on_read_asked(state, event):
-    replication.ask_read(state, event.read)
+    replication.ask_read(state, event.read, event.is_lazy)
 
 
 def _on_snapshot_taken(state, event):
--- a/sardinegauge/raftstate.py
+++ b/sardinegauge/raftstate.py
@@ -177,6 +177,7 @@
         "identity",
         "incoming",
         "is_gained",
+        "is_round_wanted",
         "jitter",
         "leader",
         "leader_contact_ms",
@@ -189,6 +190,7 @@
         "reads",
         "role",
         "round",
+        "round_ms",
         "sequence",
         "snapshot",
         "target_voters",
@@ -222,6 +224,8 @@
         self.progress = {}
         self.reads = collections.deque()
         self.round = 0
+        self.round_ms = 0
+        self.is_round_wanted = False
         self.term_start_index = 0
         self.is_gained = False
         self.transfer_to = ""
--- a/sardinegauge/replication.py
+++ b/sardinegauge/replication.py
@@ -8,6 +8,8 @@
 MAX_IN_FLIGHT = 4
 SNAPSHOT_CHUNK_BYTES = 256 << 10
 RESEND_MS = 300
+# Reads that arrive within this time share a round.
+READ_ROUND_GAP_MS = 20
 
 
 def become_leader(state):
@@ -251,18 +253,38 @@
     return membership.is_quorum(state.members, live)
 
 
-def ask_read(state, read):
-    """Queue a read for the next heartbeat round, which begins after it arrived."""
+def ask_read(state, read, is_lazy=False):
+    """Queue a read for the next round, which begins after it arrived."""
     if state.role != raftstate.LEADER:
         state.emit(raftstate.ReadFailed(read=read))
         return
     state.reads.append((read, state.round + 1, state.commit_index))
-    if _confirmed_round(state) >= state.round:
+    if not is_lazy:
+        state.is_round_wanted = True
+        start_due_round(state)
+
+
+def heartbeat(state):
+    """Send a heartbeat, as a new round if reads wait for one."""
+    if state.reads and _confirmed_round(state) >= state.round:
+        _start_round(state)
+    else:
+        broadcast(state)
+
+
+def start_due_round(state):
+    """Start a round if reads want one, unless the last one is too recent."""
+    if not state.is_round_wanted or _confirmed_round(state) < state.round:
+        return
+    # Without other members a round costs nothing.
+    if not state.progress or state.now_ms - state.round_ms >= READ_ROUND_GAP_MS:
         _start_round(state)
 
 
 def _start_round(state):
     state.round += 1
+    state.round_ms = state.now_ms
+    state.is_round_wanted = False
     broadcast(state)
     confirm_reads(state)
 
@@ -284,5 +306,4 @@
         read, _, index = state.reads.popleft()
         index = max(index, state.term_start_index)
         state.emit(raftstate.ReadReady(read=read, index=index))
-    if state.reads and confirmed >= state.round:
-        _start_round(state)
+    start_due_round(state)
--- a/sardinegauge/requests.py
+++ b/sardinegauge/requests.py
@@ -172,12 +172,13 @@
 # Reads.
 
 
-def ask_read(state, token, message):
+def ask_read(state, token, message, is_lazy=False):
     """Queue a request until a read round confirms the leadership."""
     read = state.requests.next_read
     state.requests.next_read += 1
     state.requests.reads[read] = Read(message=message, token=token)
-    replica.feed_raft(state, raft.ReadAsked(now_ms=state.now_ms, read=read))
+    event = raft.ReadAsked(now_ms=state.now_ms, read=read, is_lazy=is_lazy)
+    replica.feed_raft(state, event)
 
 
 def on_read_ready(state, read, index):
--- a/sardinegauge/stateclient.py
+++ b/sardinegauge/stateclient.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 
 from sardinegauge import commands, errors, link, messages, outcome
 
@@ -12,13 +13,17 @@
 PROPOSE_ATTEMPT_S = 0.7
 POLL_LIMIT_S = 1.0
 RETRY_S = 0.05
+# The leader, and one more to ask when it fails.
+MAX_LINKS = 2
+# An address without an answer for this long is exchanged for another one.
+DIAL_PATIENCE_S = 0.4
 
 # Replies that say themselves whether a leader with a quorum stands behind them.
 _CONFIRMED = (messages.PollReply, messages.Directive, messages.WorkerOrders)
 
 
 class StateClient(link.Handler):
-    """Keeps links to all replicas and follows the leader.
+    """Keeps links to the leader and one other replica, and follows the leader.
 
     Each call returns a tagged outcome: `outcome.Answered` with the value,
     `outcome.Refused` if the request certainly did not run, or `outcome.Lost` if its
@@ -45,29 +50,68 @@
     def __init__(self, addresses, hello, on_push=None):
         self.on_push = on_push
         self.leader = ""
-        self._dialers_by_address = {
-            address: link.Dialer(address, self, hello) for address in addresses
-        }
         self._hello = hello
-        self._next = 0
+        self._addresses = list(addresses)
+        self._configured = list(addresses)
+        self._dialers_by_address = {}
+        self._dialed_s = {}
+        self._is_started = False
 
     def start(self):
-        """Begin to connect to all replicas."""
-        for dialer in self._dialers_by_address.values():
-            dialer.start()
+        """Begin to connect."""
+        self._is_started = True
+        random.shuffle(self._addresses)
+        self._fill()
 
     def stop(self):
         """Close all links."""
+        self._is_started = False
         for dialer in self._dialers_by_address.values():
             dialer.stop()
 
-    def learn(self, addresses):
-        """Keep links to the members that the leader named, besides the known ones."""
-        for address in addresses:
+    def learn(self, members):
+        """Use the members that the leader named, besides the configured addresses."""
+        wanted = dict.fromkeys([*members, *self._configured])
+        self._addresses = [a for a in self._addresses if a in wanted]
+        self._addresses += [a for a in wanted if a not in self._addresses]
+
+    def configure(self, addresses):
+        """Use other configured addresses, as after a change of the settings."""
+        self._configured = list(addresses)
+        self._addresses += [a for a in addresses if a not in self._addresses]
+
+    def _fill(self):
+        """Dial further addresses while there are fewer links than wanted."""
+        if not self._is_started:
+            return
+        for address in list(self._addresses):
+            if len(self._dialers_by_address) >= MAX_LINKS:
+                return
             if address not in self._dialers_by_address:
-                dialer = link.Dialer(address, self, self._hello)
-                self._dialers_by_address[address] = dialer
-                dialer.start()
+                self._dial(address)
+
+    def _dial(self, address):
+        dialer = link.Dialer(address, self, self._hello)
+        self._dialers_by_address[address] = dialer
+        self._dialed_s[address] = asyncio.get_running_loop().time()
+        dialer.start()
+
+    def _drop(self, address):
+        """Close the link to an address, which is dialed again after all others."""
+        self._dialers_by_address.pop(address).stop()
+        del self._dialed_s[address]
+        if address in self._addresses:
+            self._addresses.remove(address)
+            self._addresses.append(address)
+
+    def _rotate(self):
+        """Try other addresses in place of those that don't answer."""
+        now_s = asyncio.get_running_loop().time()
+        for address, dialer in list(self._dialers_by_address.items()):
+            is_tried = now_s - self._dialed_s[address] > DIAL_PATIENCE_S
+            if not dialer.is_open and is_tried:
+                self._drop(address)
+        self._fill()
 
     def on_message(self, link, message):
         """Pass on a push."""
@@ -251,29 +295,36 @@
         return outcome.Refused(reason=reason)
 
     def _choose(self):
-        """Return the dialer of the leader, or of the next replica with a link."""
+        """Return the dialer of the leader, or of any replica with a link."""
+        self._rotate()
         leader = self._dialers_by_address.get(self.leader)
         if leader is not None and leader.is_open:
             return leader
-        dialers = list(self._dialers_by_address.values())
-        for _ in dialers:
-            self._next = (self._next + 1) % len(dialers)
-            if dialers[self._next].is_open:
-                return dialers[self._next]
-        return None
+        found = [d for d in self._dialers_by_address.values() if d.is_open]
+        return random.choice(found) if found else None
 
     def _doubt(self, address):
+        """Forget a leader that did not answer."""
         if self.leader == address:
             self.leader = ""
 
     def _follow(self, asked, leader):
-        """Note the leader that a replica named; tell if it is another one."""
+        """Note the leader that a replica named; tell if a link to it stands."""
         self.leader = leader
-        if leader and leader != asked and leader not in self._dialers_by_address:
-            # A member that joined after this client was configured.
-            dialer = link.Dialer(leader, self, self._hello)
-            self._dialers_by_address[leader] = dialer
-            dialer.start()
+        if not leader:
+            # A replica without a leader may be cut off; another one is asked next.
+            is_tried = (
+                asyncio.get_running_loop().time() - self._dialed_s.get(asked, 0)
+                > DIAL_PATIENCE_S
+            )
+            if is_tried and asked in self._dialers_by_address:
+                self._drop(asked)
+                self._fill()
+            return False
+        if leader != asked and leader not in self._dialers_by_address:
+            if len(self._dialers_by_address) >= MAX_LINKS:
+                self._drop(next(a for a in self._dialers_by_address if a != asked))
+            self._dial(leader)
         known = self._dialers_by_address.get(leader)
         return leader != asked and known is not None and known.is_open
 
--- a/sardinegauge/wire.capnp
+++ b/sardinegauge/wire.capnp
@@ -351,6 +351,7 @@
   sequence @3 :UInt64;
   sentMs @4 :UInt64;   # the agent's clock, comes back in the reply
   body @5 :Data;       # JSON of the fields of a report
+  isLeaseWanted @6 :Bool;
 }
 
 struct WorkerOrders {
--- a/sardinegauge/workflows/gateway.py
+++ b/sardinegauge/workflows/gateway.py
@@ -81,9 +81,7 @@
             found = [queues.Queue.from_dict(item) for item in json.loads(reply.queues)]
             self.router = queues.Router(found)
             self.version = reply.queues_version
-            log.info(
-                "queues_in_force version=%d queues=%d", self.version, len(found)
-            )
+            log.info("queues_in_force version=%d queues=%d", self.version, len(found))
 
     async def find(self, host, path):
         """Return queue and rest of the path, `NoQueue`, or `outcome.Refused`."""
--- a/sardinegauge/workflows/hostapp.py
+++ b/sardinegauge/workflows/hostapp.py
@@ -6,7 +6,7 @@
 from sardinegauge import application, background, clock, messages, outcome, stateclient
 from sardinegauge.workflows import hosting, workerport
 
-TICK_S = 0.05
+TICK_S = 0.1
 # Changes that come together share one report.
 REPORT_DELAY_S = 0.003
 REPORT_TIMEOUT_S = 1.5
@@ -127,6 +127,7 @@
             sequence=self._sequence,
             sent_ms=clock.monotonic_ms(),
             body=json.dumps(fields, separators=(",", ":")).encode(),
+            is_lease_wanted=self.state.is_lease_wanted,
         )
         answer = await self.client.report(message, REPORT_TIMEOUT_S)
         if isinstance(answer, outcome.Answered):
--- a/sardinegauge/workflows/hosting.py
+++ b/sardinegauge/workflows/hosting.py
@@ -11,9 +11,13 @@
 
 # The slowest clock of a worker, as a share of true time.
 SLOWEST_CLOCK = 0.98
+# The agent asks for a new grant when the present one has less than this left.
+RENEW_MS = 3300
 # A grant that ends sooner starts nothing.
 MIN_LEASE_MS = 300
-HOLD_WAIT_MS = 250
+HOLD_WAIT_MS = 400
+# With tasks that serve and others that disturb them, latencies are wanted often.
+WATCH_WAIT_MS = 250
 IDLE_HOLD_WAIT_MS = 1000
 REPORT_INTERVAL_MS = 400
 # A new list of the worker is reported somewhat before the next report would be due.
@@ -61,7 +65,7 @@
 
 
 class Tick(record.Record):
-    """Event: time passed; expected every 50 ms."""
+    """Event: time passed; expected every 100 ms."""
 
     __slots__ = ("now_ms",)
 
@@ -130,6 +134,7 @@
         self.agent = agent
         self.announcement = None
         self.is_draining = False
+        self.is_watched = False
         self.term = 0
         self.sequence = 0
         self.now_ms = 0
@@ -176,6 +181,11 @@
         span_ms = SLOWEST_CLOCK * (self.grant_until_ms - self.anchor_ms)
         return self.anchor_clock_ms + int(span_ms)
 
+    @property
+    def is_lease_wanted(self):
+        """Tell whether the leader should renew the grant."""
+        return self.life > 0 and self.grant_until_ms - self.now_ms < RENEW_MS
+
     def call(self, request):
         """Emit a call to the worker."""
         self.effects.append(
@@ -376,7 +386,7 @@
         _take_running(state, call, answer)
     state.next_hold_ms = state.now_ms
     _hold(state)
-    if state.now_ms >= state.report_due_ms - REPORT_EARLY_MS:
+    if state.is_watched and state.now_ms >= state.report_due_ms - REPORT_EARLY_MS:
         state.report()
 
 
@@ -432,6 +442,7 @@
         until_ms = message.sent_ms + message.grant_ms
         state.grant_until_ms = max(state.grant_until_ms, until_ms)
     body = event.body
+    state.is_watched = body["is_watched"]
     _see_ends(state, body["seen_end"])
     for task, run in body["forget"]:
         found = state.runs.get((task, run))
@@ -502,9 +513,7 @@
         return
     run.paced_ms = state.now_ms
     state.call(
-        workerport.PaceCall(
-            task=key[0], run=key[1], percent=percent, fence=state.fence
-        )
+        workerport.PaceCall(task=key[0], run=key[1], percent=percent, fence=state.fence)
     )
 
 
@@ -538,7 +547,9 @@
     if state.holds_open > 2 or (wait_ms is None and state.now_ms < state.next_hold_ms):
         return
     if wait_ms is None:
-        wait_ms = HOLD_WAIT_MS if state.runs else IDLE_HOLD_WAIT_MS
+        wait_ms = IDLE_HOLD_WAIT_MS
+        if state.runs:
+            wait_ms = WATCH_WAIT_MS if state.is_watched else HOLD_WAIT_MS
         if not state.is_fenced or not state.is_responsive:
             wait_ms = 0
     until_ms = state.lease_until_ms() if state.runs else 0
--- a/sardinegauge/workflows/leading.py
+++ b/sardinegauge/workflows/leading.py
@@ -1,7 +1,7 @@
 """The leader's exchange with agents about workflows.
 
-A reply to a report renews the leases of the worker, so it goes out only after a read
-round that began when the report had arrived. A push renews nothing; it needs a quorum
+A reply that renews the leases of a worker goes out only after a read round that began
+when the report had arrived. Other replies and pushes renew nothing; they need a quorum
 that answered lately, since a deposed leader must not order with an outdated store.
 """
 
@@ -97,7 +97,14 @@
             _refuse(state, token, message)
             return
         feed(state, scheduler.ReportReceived(now_ms=state.now_ms, report=report))
-    requests.ask_read(state, token, message)
+    if message.is_lease_wanted:
+        requests.ask_read(state, token, message, is_lazy=True)
+    elif replication.has_quorum_contact(state.raft):
+        reply = _orders(state, message.worker, message.life)
+        reply.sent_ms = message.sent_ms
+        state.emit(replica.Reply(token=token, message=reply))
+    else:
+        _refuse(state, token, message)
 
 
 def _decode(message):
--- a/sardinegauge/workflows/placing.py
+++ b/sardinegauge/workflows/placing.py
@@ -1,7 +1,7 @@
 """On which worker a task runs.
 
-`Sorted` answers a load in which fillers disturb tasks that serve: it keeps the two apart
-where they disturb each other much. `FirstFit` is the baseline.
+`Sorted` answers a load in which fillers disturb tasks that serve: it keeps the two
+apart where they disturb each other much. `FirstFit` is the baseline.
 """
 
 import abc
--- a/sardinegauge/workflows/planner.py
+++ b/sardinegauge/workflows/planner.py
@@ -60,7 +60,9 @@
             candidate
             for candidate in candidates
             if candidate.view.pool == pool
-            and (not step.required_label or step.required_label in candidate.view.labels)
+            and (
+                not step.required_label or step.required_label in candidate.view.labels
+            )
         ]
         counts = _counts_by_worker(tasks, state) if step.max_per_worker else {}
         if step.is_gang:
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -22,7 +22,7 @@
 
 
 class LeadershipGained(record.Record):
-    """This replica leads from now on, and its store holds all earlier terms' entries."""
+    """This replica leads now, and its store holds all entries of earlier terms."""
 
     __slots__ = ("now_ms", "term", "wall_ms")
 
@@ -369,9 +369,7 @@
 def note_grant(state, worker, now_ms):
     """Note that a lease was granted that ends at the latest `LEASE_MS` from now."""
     view = state.view_by_id[worker]
-    view.grant_until_ms = max(
-        view.grant_until_ms, now_ms + LEASE_MS + LEASE_MARGIN_MS
-    )
+    view.grant_until_ms = max(view.grant_until_ms, now_ms + LEASE_MS + LEASE_MARGIN_MS)
 
 
 def orders(state, worker, life):
@@ -379,14 +377,25 @@
 
     They hold what the newest report lacks: starts as rows of task, run, payload and
     checkpoint, stops and forgotten runs as rows of task and run, paces as rows of task,
-    run and percent, and the number of the last end taken note of.
+    run and percent, and the number of the last end taken note of. A worker is watched
+    while tasks that serve share it with fillers.
     """
     view = state.view_by_id.get(worker)
-    body = {"seen_end": 0, "starts": [], "stops": [], "forget": [], "paces": []}
+    body = {
+        "seen_end": 0,
+        "starts": [],
+        "stops": [],
+        "forget": [],
+        "paces": [],
+        "is_watched": False,
+    }
     if view is None or view.life != life or state.registered_life(worker) != life:
         return json.dumps(body).encode()
     body["seen_end"] = state.store.worker_by_id[worker].seen_end
     runs = state.store.runs_of(worker, life)
+    body["is_watched"] = any(task.step.target_ms for task in runs.values()) and any(
+        task.step.is_filler for task in runs.values()
+    )
     for key, task in runs.items():
         item, _, _ = state.store.find_task(task.id)
         reported = view.runs.get(key)
--- a/sardinegauge/workflows/store.py
+++ b/sardinegauge/workflows/store.py
@@ -208,7 +208,7 @@
 
 
 def register_life(machine, index, command):
-    """Take note of a worker's new life; runs of its former lives stay until released."""
+    """Take note of a worker's new life; runs of former lives stay until released."""
     machine.workflows.worker_by_id[command.worker] = WorkerLife(
         worker=command.worker, life=command.life, agent=command.agent
     )
--- a/sardinegauge/workflows/views.py
+++ b/sardinegauge/workflows/views.py
@@ -57,8 +57,8 @@
     """A decoded `messages.WorkerReport`.
 
     `runs` are rows of task, run, phase, checkpoint, progress, load, reason and pace;
-    `ends` rows of number, task, run, how and checkpoint. `is_lapsed` says that every lease of
-    this life has run out and none was renewed, or that the life is over.
+    `ends` rows of number, task, run, how and checkpoint. `is_lapsed` says that every
+    lease of this life has run out and none was renewed, or that the life is over.
     """
 
     __slots__ = (
@@ -167,9 +167,7 @@
         self.is_lapsed = report.is_lapsed
         self.remaining_ms = report.remaining_ms
         self.received_ms = now_ms
-        self.runs = {
-            (row[0], row[1]): ReportedRun(*row[2:]) for row in report.runs
-        }
+        self.runs = {(row[0], row[1]): ReportedRun(*row[2:]) for row in report.runs}
         self.ended = {(row[1], row[2]): row[3] for row in report.ends}
 
     def is_fresh(self, now_ms):
--- a/sardinegauge/workflows/workerport.py
+++ b/sardinegauge/workflows/workerport.py
@@ -1,4 +1,4 @@
-"""What an agent asks of the worker beside it; an adapter speaks the worker's protocol."""
+"""What an agent asks of the worker beside it, whose protocol an adapter speaks."""
 
 import abc
 
--- a/sardinegauge/workflows/workflow.py
+++ b/sardinegauge/workflows/workflow.py
@@ -187,9 +187,7 @@
         ):
             setattr(workflow, name, data[name])
         workflow.accepted_at_ms = data["at_ms"]
-        workflow.steps = [
-            steps_module.Step.from_dict(step) for step in data["steps"]
-        ]
+        workflow.steps = [steps_module.Step.from_dict(step) for step in data["steps"]]
         workflow.is_persistent = any(step.is_persistent for step in workflow.steps)
         workflow.completed_occurrences = set(data["completed"])
         workflow.occurrences = {}
