Take a hole in unsynced writes for a torn tail, and sync the log at start

Cause: a loss of power may keep a later write and lose an earlier one that no sync covered; the log took that for damage and the process never started again. Entries that a killed process had written counted as durable at the next start, though no sync had covered them.

Ruled out: one write for each sync, which a torn write may still leave with a hole.

Change: a record marks each sync, and damage counts only before the last mark; the log is synced when it is opened. The format's number rises to 2.

--- a/sardinegauge/segments.py
+++ b/sardinegauge/segments.py
@@ -3,7 +3,8 @@
 A segment is named by the index of its first entry and begins with a magic number. A
 record is length, CRC32, term, index, kind and body; the CRC covers all of it but
 itself. Records of the kind ``acknowledged`` hold the table of acknowledged indexes and
-take no index of their own.
+take no index of their own. Neither does a ``synced`` record, which begins the writes
+after each sync: everything before it is durable, so damage there is no torn tail.
 """
 
 import array
@@ -20,10 +21,10 @@
 # A record found behind damage must have an index near the expected one to count.
 _PLAUSIBLE_GAP = 1 << 20
 
-_MAGIC = b"SGLOG001"
+_MAGIC = b"SGLOG002"
 _HEAD = struct.Struct("<IIQQB")
 _CHECKED = struct.Struct("<IQQB")
-_KINDS = ("command", "members", "noop", "acknowledged")
+_KINDS = ("command", "members", "noop", "acknowledged", "synced")
 _NUMBER_BY_KIND = {kind: number for number, kind in enumerate(_KINDS)}
 _SUFFIX = ".log"
 
@@ -57,13 +58,17 @@
     return term, index, _KINDS[number], body, start + length
 
 
-def _has_record_after(data, offset, expected):
-    """Tell whether a whole record stands anywhere behind a damaged one."""
+def _is_synced_after(data, offset, expected):
+    """Tell whether a sync was noted anywhere behind a damaged record.
+
+    Without one the damage is in the writes after the last sync, of which a loss of
+    power may keep later ones and lose earlier ones.
+    """
     for start in range(offset + 1, len(data) - _HEAD.size + 1):
         length, _, _, index, number = _HEAD.unpack_from(data, start)
         if (
-            number < len(_KINDS)
-            and length <= len(data) - start - _HEAD.size
+            number == _NUMBER_BY_KIND["synced"]
+            and not length
             and expected - 1 <= index <= expected + _PLAUSIBLE_GAP
             and _unpack(data, start) is not None
         ):
@@ -125,9 +130,13 @@
         return entries
 
     def open_last(self):
-        """Open the last segment for writing and cut off a torn last record."""
+        """Open the last segment for writing, make it durable, cut off a torn tail.
+
+        A process that was killed may have left writes that no sync has covered.
+        """
         last = self.segments[-1]
         self._open(last)
+        os.fsync(self._number)
         if os.fstat(self._number).st_size > last.size:
             log.warning("torn_tail_cut file=%s offset=%d", last.path, last.size)
             self._cut(last, last.size)
@@ -155,7 +164,7 @@
             found = _unpack(data, offset)
             expected = segment.last_index + 1
             if found is None:
-                if not is_last or _has_record_after(data, offset, expected):
+                if not is_last or _is_synced_after(data, offset, expected):
                     raise errors.DataFolderError(
                         segment.path, offset, f"damaged record, index {expected}"
                     )
@@ -163,6 +172,8 @@
             term, index, kind, body, end = found
             if kind == "acknowledged":
                 self.acknowledged = json.loads(body)
+            elif kind == "synced":
+                pass
             elif index != expected:
                 raise errors.DataFolderError(
                     segment.path, offset, f"index {index} instead of {expected}"
@@ -208,6 +219,8 @@
 
     def append(self, entries, acknowledged=None):
         """Write entries after the last one; durable only after `sync`."""
+        if not self._is_dirty:
+            self._write_mark()
         if acknowledged is not None:
             self.acknowledged = acknowledged
             self._write_table()
@@ -233,9 +246,16 @@
         return start + len(parts)
 
     def _write_table(self):
-        segment = self.segments[-1]
         body = json.dumps(self.acknowledged).encode()
-        data = pack(0, segment.last_index, "acknowledged", body)
+        self._write_extra("acknowledged", body)
+
+    def _write_mark(self):
+        self._write_extra("synced", b"")
+
+    def _write_extra(self, kind, body):
+        """Write a record that has no index of its own."""
+        segment = self.segments[-1]
+        data = pack(0, segment.last_index, kind, body)
         segment.size += len(data)
         self._is_dirty = True
         sealed.write_all(self._number, data)
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -309,3 +309,35 @@
     thread.stop()
     folder.close()
     assert str(failed[0]) == "disk full"
+
+
+def test_hole_in_the_writes_after_the_last_sync_is_a_torn_tail(path):
+    """A loss of power may keep a later write and lose an earlier one before a sync."""
+    write(path, entries(2, 4))
+    name = segment_file(path)
+    synced = os.path.getsize(name)
+    folder, _ = storage.open_folder(path, "a")
+    folder.append(entries(5, 5))
+    first = os.path.getsize(name)
+    folder.append(entries(6, 8))
+    folder.segments.close()
+    folder.close()
+    with open(name, "r+b") as file:
+        file.seek(synced)
+        file.write(bytes(first - synced))
+    assert indexes(load(path)) == [1, 2, 3, 4]
+    write(path, entries(5, 5))
+    assert indexes(load(path)) == [1, 2, 3, 4, 5]
+
+
+def test_opening_syncs_what_a_killed_process_wrote(path, monkeypatch):
+    """Entries read at start count as durable, so they must be."""
+    folder, _ = storage.open_folder(path, "a")
+    folder.append(entries(2, 3))
+    folder.close()
+    synced = []
+    monkeypatch.setattr(segments.os, "fsync", synced.append)
+    folder, stored = storage.open_folder(path, "a")
+    assert indexes(stored) == [1, 2, 3]
+    assert folder.segments._number in synced
+    folder.close()
