Tell the order of an agent's events exactly, and stop what a draining worker may run

Cause: an agent that restarted while its worker drained said of a run that it was gone though a former agent had started it; a list asked for in the millisecond of a start's answer could make the run vanish. Both would start a task twice. A new agent also got starts of what already ran before its first list.

Result: the tests for both fail before and pass now.

--- a/sardinegauge/workflows/hosting.py
+++ b/sardinegauge/workflows/hosting.py
@@ -71,9 +71,13 @@
 
 
 class Call(record.Record):
-    """Effect: make a call to the worker, and report `Answered` or `Unanswered`."""
+    """Effect: make a call to the worker, and report `Answered` or `Unanswered`.
 
-    __slots__ = ("announcement", "life", "request", "sent_ms")
+    `step` tells the event that caused the call, since milliseconds are too coarse to
+    tell which of two came first.
+    """
+
+    __slots__ = ("announcement", "life", "request", "sent_ms", "step")
 
 
 class SendReport(record.Record):
@@ -85,12 +89,12 @@
 class HostedRun:
     """A run as the agent knows it.
 
-    `unanswered` counts start calls without an answer, `answered_ms` is when the last
-    call for it was answered.
+    `unanswered` counts start calls without an answer, `answered_step` tells the event
+    with which the last call for it was answered.
     """
 
     __slots__ = (
-        "answered_ms",
+        "answered_step",
         "checkpoint",
         "is_call_open",
         "is_stop_answered",
@@ -121,7 +125,7 @@
         self.paced_ms = 0
         self.unanswered = 0
         self.unanswered_ms = 0
-        self.answered_ms = 0
+        self.answered_step = 0
         self.next_call_ms = 0
         self.is_call_open = False
         self.is_stop_answered = False
@@ -138,6 +142,7 @@
         self.term = 0
         self.sequence = 0
         self.now_ms = 0
+        self.step = 0
         self.report_due_ms = 0
         self.effects = []
         self._begin(0)
@@ -160,7 +165,7 @@
         self.lease_end_ms = 0
         self.holds_open = 0
         self.next_hold_ms = 0
-        self.applied_hold_ms = 0
+        self.applied_step = 0
 
     def begin_life(self, announcement):
         """Forget the former life of the worker."""
@@ -194,6 +199,7 @@
                 life=self.life,
                 request=request,
                 sent_ms=self.now_ms,
+                step=self.step,
             )
         )
 
@@ -207,6 +213,7 @@
     """Apply one event to the state and return the effects."""
     state.effects = []
     state.now_ms = max(state.now_ms, event.now_ms)
+    state.step += 1
     _BY_EVENT[type(event)](state, event)
     effects, state.effects = state.effects, []
     return effects
@@ -319,7 +326,7 @@
     if run is None:
         return
     run.is_call_open = False
-    run.answered_ms = state.now_ms
+    run.answered_step = state.step
     if run.phase != views.ORDERED:
         return
     if answer.kind == workerport.DONE:
@@ -352,7 +359,7 @@
     if run is None:
         return
     run.is_call_open = False
-    run.answered_ms = state.now_ms
+    run.answered_step = state.step
     run.is_stop_answered = answer.kind == workerport.DONE
     run.next_call_ms = state.now_ms + RETRY_MS
     # A hold sent from now on tells whether the run is there.
@@ -381,8 +388,8 @@
     if call.request.seen_end > state.told_end:
         state.told_end = call.request.seen_end
     _take_ends(state, answer.ended)
-    if call.sent_ms >= state.applied_hold_ms:
-        state.applied_hold_ms = call.sent_ms
+    if call.step >= state.applied_step:
+        state.applied_step = call.step
         _take_running(state, call, answer)
     state.next_hold_ms = state.now_ms
     _hold(state)
@@ -419,7 +426,7 @@
     if len(answer.ended) >= MAX_LISTED_ENDS:
         return
     for key, run in list(state.runs.items()):
-        if key in listed or call.sent_ms < run.answered_ms:
+        if key in listed or call.step < run.answered_step:
             continue
         is_started = run.phase == views.ACTIVE
         if is_started or (run.phase == views.STOPPING and run.is_stop_answered):
@@ -478,12 +485,13 @@
     if key in state.runs or _is_ended(state, key):
         return
     run = state.runs[key] = HostedRun(views.ORDERED, payload, checkpoint, ticket)
-    if state.is_draining or state.is_down:
-        run.phase = views.GONE
+    if state.is_draining:
+        # An agent before this one may have started the run already.
+        run.phase = views.STOPPING
         run.reason = "draining"
-        state.report()
-        return
-    _call_start(state, key, run)
+        _call_stop(state, key, run)
+    elif not state.is_down:
+        _call_start(state, key, run)
 
 
 def _call_start(state, key, run):
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -413,7 +413,7 @@
         if not item.is_open or task.is_done or key in state.stops:
             if reported is None or reported.phase in (views.ORDERED, views.ACTIVE):
                 body["stops"].append(list(key))
-        elif reported is None and key not in view.ended and not view.is_losing:
+        elif reported is None and key not in view.ended and _may_order(view):
             body["starts"].append([*key, item.payload, task.checkpoint])
         elif reported is not None and reported.phase == views.ACTIVE:
             pace = state.paces.get(key, 100)
@@ -430,6 +430,11 @@
     return json.dumps(body, separators=(",", ":")).encode()
 
 
+def _may_order(view):
+    """Tell whether starts make sense: a new agent does not know yet what runs."""
+    return view.is_fenced and not view.is_losing
+
+
 _BY_EVENT = {
     LeadershipGained: _on_leadership_gained,
     ReportReceived: _on_report,
--- a/tests/test_workflow_hosting.py
+++ b/tests/test_workflow_hosting.py
@@ -260,12 +260,28 @@
 
 
 def test_draining_worker_starts_nothing_more(agent):
+    """A former agent may have started the run, so it is stopped before it is gone."""
     agent.announce(sequence=2, is_draining=True)
     agent.order(starts=[[*KEY, "payload", ""]])
     assert agent.take(workerport.StartCall) == []
+    assert agent.phase() == views.STOPPING
+    (stop,) = agent.take(workerport.StopCall)
+    agent.answer(stop)
+    agent.tick()
+    agent.answer_holds()
     assert agent.phase() == views.GONE
 
 
+def test_list_of_the_same_millisecond_does_not_make_a_run_vanish(agent):
+    call = agent.start()
+    agent.tick(0)
+    holds = agent.take(workerport.HoldCall)
+    agent.answer(call)
+    for hold in holds:
+        agent.answer(hold, life=1, running=[], ended=[])
+    assert agent.phase() == views.ACTIVE
+
+
 def test_pace_is_ordered_until_it_is_confirmed(agent):
     agent.answer(agent.start())
     agent.order(paces=[[*KEY, 30]])
