Write logs to standard output, never wait for their reader, bound their rate

Module loggers wrote lines without time, level and process.

A test reached into the client's links, of which there are only two now; it dials the follower itself.

--- a/sardinegauge/plainlogs.py
+++ b/sardinegauge/plainlogs.py
@@ -5,16 +5,39 @@
 """
 
 import logging
-import sys
 import time
 
-_SECRET_KEYS = frozenset({"token", "authorization", "tokens"})
+from sardinegauge import logsink
 
+SECRET_KEYS = frozenset({"token", "authorization", "tokens"})
 
-def configure(level="info"):
+
+class _Handler(logging.Handler):
+    """Writes records of module loggers, whose messages are an event and pairs."""
+
+    def __init__(self, process):
+        super().__init__()
+        self.process = process
+
+    def emit(self, record):
+        """Write one record; lines of `Logger` are rendered already."""
+        message = record.getMessage()
+        if record.exc_info:
+            trace = logging.Formatter().formatException(record.exc_info)
+            message = f"{message} exception={trace!r}"
+        if message.startswith("timestamp="):
+            event = message.partition("event=")[2].partition(" ")[0]
+            logsink.write_line(event, message)
+            return
+        event, _, pairs = message.partition(" ")
+        head = render(record.levelname.lower(), self.process, event, {})
+        logsink.write_line(event, f"{head} {pairs}" if pairs else head)
+
+
+def configure(level="info", process=""):
     """Set up logging of this process at a level such as ``"info"``."""
     logging.basicConfig(
-        stream=sys.stderr, level=getattr(logging, level.upper()), format="%(message)s"
+        handlers=[_Handler(process)], level=getattr(logging, level.upper()), force=True
     )
 
 
@@ -36,7 +59,7 @@
         "event": event,
         **fields,
     }
-    for key in pairs.keys() & _SECRET_KEYS:
+    for key in pairs.keys() & SECRET_KEYS:
         pairs[key] = "hidden"
     return " ".join(f"{key}={value!r}" for key, value in pairs.items())
 
--- a/tests/test_stateapp.py
+++ b/tests/test_stateapp.py
@@ -6,7 +6,16 @@
 
 from tornado import httpclient
 
-from sardinegauge import commands, errors, messages, outcome, replica, storage
+from sardinegauge import (
+    commands,
+    errors,
+    link,
+    messages,
+    outcome,
+    replica,
+    stateclient,
+    storage,
+)
 from tests import statefleet
 
 
@@ -215,7 +224,10 @@
         await caught_up(fleet)
         leader = fleet.address_by_name[fleet.leader()]
         name = next(n for n in "abc" if n != fleet.leader())
-        follower = fleet.client._dialers_by_address[fleet.address_by_name[name]]
+        address = fleet.address_by_name[name]
+        handler = stateclient.StateClient([], messages.Hello(role="entry"))
+        follower = link.Dialer(address, handler, messages.Hello(role="entry"))
+        follower.start()
         await statefleet.until(lambda: follower.is_open)
         for request in (
             messages.Propose(command=b"{}"),
@@ -226,6 +238,7 @@
         for request in (messages.Poll(), messages.Heartbeat(upstream="u")):
             reply = await follower.link.request(request, 5)
             assert (reply.confirmed, reply.leader) == (False, leader)
+        follower.stop()
 
     run_fleet(tmp_path, scenario)
 
