--- a/sardinegauge/workflows/gateway.py
+++ b/sardinegauge/workflows/gateway.py
@@ -61,6 +61,12 @@
             return False
         return now_s - self.confirmed_s < EVIDENCE_S
 
+    def confirmed_ms_ago(self):
+        """Return the age of the last confirmed poll in ms, -1 if there was none."""
+        if self.confirmed_s is None:
+            return -1
+        return int(1000 * (asyncio.get_running_loop().time() - self.confirmed_s))
+
     async def poll(self):
         """Fetch the newest queues; tell whether a leader confirmed them."""
         begun_s = asyncio.get_running_loop().time()
--- a/sardinegauge/workflows/hosting.py
+++ b/sardinegauge/workflows/hosting.py
@@ -6,6 +6,8 @@
 unless the name says otherwise.
 """
 
+import logging
+
 from sardinegauge import record
 from sardinegauge.workflows import views, workerport
 
@@ -33,6 +35,8 @@
 # The worker lists no more ends than this in one answer.
 MAX_LISTED_ENDS = 500
 
+log = logging.getLogger(__name__)
+
 
 class Announced(record.Record):
     """Event: the worker announced itself; see `workerport.Announcement`."""
@@ -259,6 +263,13 @@
     """
     if not state.is_down:
         state.is_down = True
+        log.warning(
+            "worker_down worker=%s life=%d reason=%r runs=%d",
+            _worker(state),
+            state.life,
+            reason,
+            len(state.runs),
+        )
         state.report()
     for run in state.runs.values():
         doubt_ms = run.unanswered_ms + LATE_ORDER_MS if run.unanswered else 0
@@ -331,6 +342,12 @@
         return
     if answer.kind == workerport.DONE:
         run.phase = views.ACTIVE
+        log.info(
+            "run_active task=%s run=%d lease_until_ms=%d unanswered=%d",
+            *key,
+            call.request.lease_until_ms,
+            run.unanswered,
+        )
         return
     if answer.reason == workerport.BY_LEASE:
         run.next_call_ms = state.now_ms + RETRY_MS
@@ -403,6 +420,7 @@
         if number <= state.seen_end or number in state.ends:
             continue
         state.ends[number] = list(row)
+        log.info("run_ended task=%s run=%d number=%d how=%s", task, run, number, row[3])
         state.runs.pop((task, run), None)
         state.report()
 
@@ -535,6 +553,7 @@
         return
     run.phase = views.STOPPING
     run.next_call_ms = state.now_ms
+    log.info("run_stopping task=%s run=%d", *key)
     _call_stop(state, key, run)
 
 
@@ -592,6 +611,12 @@
         return
     if state.now_ms > max(state.lease_end_ms, state.answered_ms) + LAPSE_MARGIN_MS:
         state.is_lapsed = True
+        log.warning(
+            "worker_lapsed worker=%s life=%d silent_ms=%d",
+            _worker(state),
+            state.life,
+            state.now_ms - state.answered_ms,
+        )
         # Only a grant for a later report may renew leases again.
         state.grant_until_ms = 0
         state.report()
--- a/sardinegauge/workflows/leading.py
+++ b/sardinegauge/workflows/leading.py
@@ -52,6 +52,8 @@
 
 def stop(state):
     """Forget everything that a leader knows."""
+    if state.leading.scheduler is not None:
+        log.info("scheduling_ended term=%d", state.leading.scheduler.term)
     state.leading.scheduler = None
 
 
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -104,6 +104,13 @@
 
 def _on_leadership_gained(state, event):
     state.term = event.term
+    log.info(
+        "scheduling_began term=%d workers=%d open_workflows=%d queues_version=%d",
+        event.term,
+        len(state.store.worker_by_id),
+        len(state.store.open_ids),
+        state.store.queue_set.version,
+    )
     state.wall_offset_ms = event.wall_ms - event.now_ms
     for worker in state.store.worker_by_id.values():
         _make_view(state, worker.worker, worker.life, worker.agent)
@@ -126,7 +133,19 @@
         return
     if view is None or report.life > view.life:
         view = _make_view(state, report.worker, report.life, report.agent)
+    was_usable = view.may_start(state.now_ms)
     view.update(report, state.now_ms)
+    if view.may_start(state.now_ms) != was_usable:
+        log.info(
+            "worker_use_changed worker=%s life=%d usable=%s fenced=%s draining=%s "
+            "lapsed=%s",
+            view.id,
+            view.life,
+            not was_usable,
+            view.is_fenced,
+            view.is_draining,
+            view.is_lapsed,
+        )
     _register(state, view)
     _release_former_lives(state, view)
     _record_ends(state, view, report)
@@ -279,9 +298,20 @@
 
 def _on_assigned(state, event):
     workers = {}
-    for task, _, worker, life in event.command.rows:
+    taken = set(event.answer.ids)
+    for task, run, worker, life in event.command.rows:
         state.planned.pop(task, None)
         workers[worker] = life
+        view = state.view_by_id.get(worker)
+        log.info(
+            "run_assigned task=%s run=%d worker=%s life=%d report_age_ms=%d taken=%s",
+            task,
+            run,
+            worker,
+            life,
+            state.now_ms - view.received_ms if view is not None else -1,
+            task in taken,
+        )
     for worker, life in workers.items():
         _push(state, worker, life)
 
@@ -293,6 +323,14 @@
 def _on_ends_recorded(state, event):
     command = event.command
     for number, task, run, how, _ in command.rows:
+        log.info(
+            "run_end_recorded task=%s run=%d worker=%s number=%d how=%s",
+            task,
+            run,
+            command.worker,
+            number,
+            how,
+        )
         state.recent_ends[task, run] = state.now_ms
         state.stops.pop((task, run), None)
         state.paces.pop((task, run), None)
@@ -324,6 +362,9 @@
     item = state.store.workflow_by_id.get(event.command.id)
     if item is None:
         return
+    log.info(
+        "workflow_closed id=%s state=%s reason=%r", item.id, item.state, item.reason
+    )
     workers = {(run.worker, run.life) for task in item.tasks() for run in task.runs}
     for worker, life in sorted(workers):
         _push(state, worker, life)
--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -159,7 +159,7 @@
 
 
 class Platform:
-    """A small deployment: three state processes, one front, one agent and its minion."""
+    """A small deployment: three state processes, a front, an agent and its minion."""
 
     def __init__(self, path):
         self.path = path
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -31,7 +31,11 @@
     code = "import platform; platform.system(); import sardinegauge.record"
     for folder in (".", "platform"):
         subprocess.run(
-            [sys.executable, "-c", f"import sys; sys.path.insert(0, {folder!r}); {code}"],
+            [
+                sys.executable,
+                "-c",
+                f"import sys; sys.path.insert(0, {folder!r}); {code}",
+            ],
             cwd=ROOT,
             check=True,
             timeout=30,
--- a/tests/test_workflow_scheduler.py
+++ b/tests/test_workflow_scheduler.py
@@ -5,9 +5,16 @@
 import pytest
 
 from sardinegauge import commands, machine
-from sardinegauge.workflows import ordering, placing, queues, scheduler, sharing
+from sardinegauge.workflows import (
+    ordering,
+    placing,
+    queues,
+    scheduler,
+    sharing,
+    store,
+    views,
+)
 from sardinegauge.workflows import steps as steps_module
-from sardinegauge.workflows import store, views
 
 Step = steps_module.Step
 
@@ -148,9 +155,7 @@
     leader.report(runs=[[*runs[0][:2], views.STOPPING], runs[1]])
     leader.run()
     assert len(leader.placed()) == 2
-    leader.report(
-        runs=[runs[1]], ends=[[1, *runs[0][:2], store.STOPPED, ""]]
-    )
+    leader.report(runs=[runs[1]], ends=[[1, *runs[0][:2], store.STOPPED, ""]])
     leader.run()
     assert len(leader.placed()) == 2
 
@@ -233,9 +238,7 @@
 def test_stray_and_cancelled_runs_are_stopped(leader):
     leader.submit(Step())
     leader.run()
-    leader.report(
-        runs=[["w.0.0.0", 1, views.ACTIVE], ["v.0.0.0", 1, views.ACTIVE]]
-    )
+    leader.report(runs=[["w.0.0.0", 1, views.ACTIVE], ["v.0.0.0", 1, views.ACTIVE]])
     assert leader.orders()["stops"] == [["v.0.0.0", 1]]
     leader.pushed.clear()
     leader.commit(commands.CancelWorkflow(id="w"))
@@ -353,9 +356,9 @@
     assert model.coefficient("web", "heavy") > 0.15
     assert model.coefficient("web", "light") < 0.06
     assert model.is_light("light") and not model.is_light("heavy")
-    fillers = [
-        sharing.Filler(("heavy", n), "heavy", 1.0, 1.0) for n in range(2)
-    ] + [sharing.Filler(("light", 1), "light", 1.0, 1.0)]
+    fillers = [sharing.Filler(("heavy", n), "heavy", 1.0, 1.0) for n in range(2)] + [
+        sharing.Filler(("light", 1), "light", 1.0, 1.0)
+    ]
     paces = model.paces("a", fillers)
     assert paces["light", 1] >= 90
     assert min(paces["heavy", 0], paces["heavy", 1]) < 50
--- a/tests/test_workflow_store.py
+++ b/tests/test_workflow_store.py
@@ -151,9 +151,7 @@
     log.submit(steps.Step())
     log.assign(["w.0.0.0", 1, "a", 1])
     log.apply(
-        commands.ReleaseLife(
-            worker="a", life=1, checkpoints=[["w.0.0.0", 1, "saved"]]
-        )
+        commands.ReleaseLife(worker="a", life=1, checkpoints=[["w.0.0.0", 1, "saved"]])
     )
     task = log.store.find_task("w.0.0.0")[2]
     assert (task.runs, task.checkpoint) == ([], "saved")
