--- a/sardinegauge/stateapp.py
+++ b/sardinegauge/stateapp.py
@@ -25,7 +25,7 @@
     storage,
     writer,
 )
-from sardinegauge.workflows import leading
+from sardinegauge.workflows import leading, scheduler
 
 TICK_S = 0.02
 SCHEDULER_TICK_S = 0.1
@@ -55,13 +55,14 @@
 
 def default_parts():
     """Return the modules that a replica drives in production."""
-    from sardinegauge import directory, machine, queries, scheduler
+    from sardinegauge import directory, machine, queries
+    from sardinegauge import scheduler as job_scheduler
 
     return replica.Parts(
         machine=machine,
         queries=queries,
         directory=directory,
-        scheduler=scheduler,
+        scheduler=job_scheduler,
         has_workflows=True,
     )
 
@@ -298,6 +299,12 @@
     def _count_wait(self, effect):
         self.metrics.count_wait(effect.tenant, effect.task_class, effect.wait_ms)
 
+    def _count_run(self, effect):
+        self.metrics.count_run(effect.queue, effect.how)
+
+    def _count_workflow(self, effect):
+        self.metrics.count_workflow(effect.queue, effect.state, effect.lasted_ms)
+
     def _push(self, effect):
         incarnation, agent_link = self._agent_links_by_upstream.get(
             effect.upstream, ("", None)
@@ -421,6 +428,8 @@
     replica.TaskWaited: StateApplication._count_wait,
     replica.ApplyMore: StateApplication._apply_more,
     leading.PlanSoon: StateApplication._plan_soon,
+    scheduler.RunEnded: StateApplication._count_run,
+    scheduler.WorkflowEnded: StateApplication._count_workflow,
 }
 
 commands_line = typer.Typer(add_completion=False)
--- a/sardinegauge/statemetrics.py
+++ b/sardinegauge/statemetrics.py
@@ -27,6 +27,23 @@
             ("tenant", "class"),
         )
 
+        self._workflows = self._metrics.histogram(
+            "workflow_seconds",
+            "Time of workflows from acceptance to their end.",
+            ("queue", "state"),
+        )
+        self._runs = self._metrics.counter(
+            "workflow_runs", "Runs of tasks by how they ended.", ("queue", "how")
+        )
+
+    def count_workflow(self, queue, state, lasted_ms):
+        """Count a workflow that ended."""
+        self._workflows.labels(queue, state).observe(lasted_ms / 1000)
+
+    def count_run(self, queue, how):
+        """Count a run that ended."""
+        self._runs.labels(queue, how).inc()
+
     def count_wait(self, tenant, task_class, wait_ms):
         """Count the wait of one task that runs now."""
         self._waits.labels(tenant, task_class).observe(wait_ms / 1000)
--- /dev/null
+++ b/sardinegauge/workflows/flowmetrics.py
@@ -0,0 +1,78 @@
+"""Metrics about workflows: of the gateway, the agent and the leader."""
+
+from tornado import httpserver, web
+
+from sardinegauge import link, metrics
+
+
+class GatewayMetrics:
+    """Requests of callers by queue."""
+
+    def __init__(self):
+        self.metrics = metrics.Metrics()
+        self._seconds = self.metrics.histogram(
+            "workflow_request_seconds",
+            "Time of callers' requests about workflows.",
+            ("queue", "method"),
+        )
+        self._requests = self.metrics.counter(
+            "workflow_requests",
+            "Callers' requests about workflows by how they were answered.",
+            ("queue", "method", "status"),
+        )
+        self._version = self.metrics.gauge(
+            "queues_version", "Version of the queues in force."
+        )
+
+    def count(self, queue, method, status, seconds):
+        """Count one answered request; `queue` is empty where none was found."""
+        self._seconds.labels(queue, method).observe(seconds)
+        self._requests.labels(queue, method, status).inc()
+
+    def set_version(self, version):
+        """Take the version of the queues in force."""
+        self._version.set(version)
+
+
+class HostMetrics:
+    """Calls of an agent to its worker."""
+
+    def __init__(self):
+        self.metrics = metrics.Metrics()
+        self._seconds = self.metrics.histogram(
+            "worker_call_seconds", "Time of calls to the worker.", ("call",)
+        )
+        self._calls = self.metrics.counter(
+            "worker_calls", "Calls to the worker by how they ended.", ("call", "end")
+        )
+        self._runs = self.metrics.gauge("worker_runs", "Runs on the worker.")
+
+    def count(self, call, end, seconds):
+        """Count one call; `end` is the answer's kind or reason."""
+        self._seconds.labels(call).observe(seconds)
+        self._calls.labels(call, end).inc()
+
+    def set_runs(self, count):
+        """Take the number of runs on the worker."""
+        self._runs.set(count)
+
+
+class _Page(web.RequestHandler):
+    def initialize(self, page):
+        self.page = page
+
+    def get(self):
+        """Write the metrics in the text format."""
+        self.set_header("Content-Type", metrics.CONTENT_TYPE)
+        self.write(self.page())
+
+
+def serve(address, page):
+    """Serve a metrics page at ``/metrics`` of an address; return the server."""
+    routes = [("/metrics", _Page, {"page": page})]
+    server = httpserver.HTTPServer(
+        web.Application(routes, log_function=lambda handler: None)
+    )
+    host, port = link.split_address(address)
+    server.listen(port, host)
+    return server
--- a/sardinegauge/workflows/gateway.py
+++ b/sardinegauge/workflows/gateway.py
@@ -10,7 +10,7 @@
 import logging
 
 from sardinegauge import commands, outcome, record
-from sardinegauge.workflows import queues
+from sardinegauge.workflows import flowmetrics, queues
 
 POLL_INTERVAL_S = 0.4
 # A node without a confirmed poll for this long says that it can't take requests.
@@ -48,6 +48,7 @@
         self.version = 0
         self.router = queues.Router([])
         self.confirmed_s = None
+        self.metrics = flowmetrics.GatewayMetrics()
         self._poll_lock = asyncio.Lock()
 
     @property
@@ -87,6 +88,7 @@
             found = [queues.Queue.from_dict(item) for item in json.loads(reply.queues)]
             self.router = queues.Router(found)
             self.version = reply.queues_version
+            self.metrics.set_version(self.version)
             log.info("queues_in_force version=%d queues=%d", self.version, len(found))
 
     async def find(self, host, path):
--- a/sardinegauge/workflows/hostapp.py
+++ b/sardinegauge/workflows/hostapp.py
@@ -4,7 +4,7 @@
 import json
 
 from sardinegauge import application, background, clock, messages, outcome, stateclient
-from sardinegauge.workflows import hosting, workerport
+from sardinegauge.workflows import flowmetrics, hosting, workerport
 
 TICK_S = 0.1
 # Changes that come together share one report.
@@ -24,26 +24,39 @@
         Addresses of replicas to begin with; others are learnt from the leader.
     port : workerport.WorkerPort
         Speaks the worker's protocol.
+    metrics_listen : str
+        Address of the metrics page, empty for none.
     """
 
     drain_limit_s = 1.0
 
-    def __init__(self, name, replicas, port):
+    def __init__(self, name, replicas, port, metrics_listen=""):
         super().__init__(f"agent-{name}")
         self.state = hosting.State(name)
         self.port = port
         hello = messages.Hello(role="agent", name=name)
         self.client = stateclient.StateClient(replicas, hello, self._on_push)
+        self.metrics = flowmetrics.HostMetrics()
+        self.metrics_listen = metrics_listen
+        self._metrics_server = None
         self._is_report_due = False
         self._sequence = 0
 
     async def on_start(self):
         """Connect to the replicas and begin to report."""
         self.client.start()
+        if self.metrics_listen:
+            self._metrics_server = flowmetrics.serve(self.metrics_listen, self._page)
         self.every(TICK_S, lambda now_ms: self._feed(hosting.Tick(now_ms=now_ms)))
 
+    def _page(self):
+        self.metrics.set_runs(len(self.state.runs))
+        return self.metrics.metrics.page()
+
     async def on_stop(self):
         """Close all connections; what runs goes on until its lease ends."""
+        if self._metrics_server is not None:
+            self._metrics_server.stop()
         self.client.stop()
         self.port.close()
 
@@ -77,6 +90,8 @@
     async def _call(self, effect):
         request = effect.request
         wait_ms = getattr(request, "wait_ms", 0)
+        kind = type(request).__name__
+        begun_ms = clock.monotonic_ms()
         try:
             answer = await self.port.call(
                 effect.announcement, request, CALL_TIMEOUT_S + wait_ms / 1000
@@ -84,7 +99,7 @@
         except workerport.NoAnswerError as error:
             self.log.info(
                 "worker_call_unanswered",
-                call=type(request).__name__,
+                call=kind,
                 task=getattr(request, "task", ""),
                 run=getattr(request, "run", 0),
                 error=str(error),
@@ -92,11 +107,12 @@
             event = hosting.Unanswered(
                 now_ms=clock.monotonic_ms(), call=effect, is_down=error.is_down
             )
+            end = "down" if error.is_down else "unanswered"
         else:
             if answer.kind != workerport.DONE:
                 self.log.info(
                     "worker_call_refused",
-                    call=type(request).__name__,
+                    call=kind,
                     task=getattr(request, "task", ""),
                     run=getattr(request, "run", 0),
                     reason=answer.reason or answer.kind,
@@ -104,6 +120,9 @@
             event = hosting.Answered(
                 now_ms=clock.monotonic_ms(), call=effect, answer=answer
             )
+            end = answer.reason or answer.kind
+        seconds = (clock.monotonic_ms() - begun_ms) / 1000
+        self.metrics.count(kind, end, seconds)
         self._feed(event)
 
     def _report_soon(self):
--- a/sardinegauge/workflows/leading.py
+++ b/sardinegauge/workflows/leading.py
@@ -68,8 +68,10 @@
     for effect in effects:
         if isinstance(effect, scheduler.Propose):
             replica.append_command(state, effect.command, None)
-        else:
+        elif isinstance(effect, scheduler.Push):
             _push(state, effect.worker, effect.life)
+        else:
+            state.emit(effect)
     leading = state.leading
     if leading.scheduler is None or leading.is_plan_asked:
         return
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -57,6 +57,18 @@
     __slots__ = ("life", "worker")
 
 
+class RunEnded(record.Record):
+    """Effect: count a run that ended, for the metrics."""
+
+    __slots__ = ("how", "queue")
+
+
+class WorkflowEnded(record.Record):
+    """Effect: count a workflow that ended, for the metrics."""
+
+    __slots__ = ("lasted_ms", "queue", "state")
+
+
 class State:
     """Soft state of the leader.
 
@@ -74,6 +86,7 @@
         self.stops = {}
         self.paces = {}
         self.failed_on = {}
+        self.open_ids = set(self.store.open_ids)
         self.recent_ends = collections.OrderedDict()
         self.now_ms = 0
         self.wall_ms = 0
@@ -332,6 +345,7 @@
             how,
         )
         state.recent_ends[task, run] = state.now_ms
+        _count_end(state, task, how)
         state.stops.pop((task, run), None)
         state.paces.pop((task, run), None)
         if number:
@@ -339,6 +353,31 @@
     _push(state, command.worker, command.life)
 
 
+def _count_end(state, task, how):
+    item, _, _ = state.store.find_task(task)
+    if item is None:
+        return
+    state.effects.append(RunEnded(queue=item.queue, how=how))
+    if not item.is_open and item.id in state.open_ids:
+        _note_workflow_ended(state, item)
+
+
+def _note_workflow_ended(state, item):
+    state.open_ids.discard(item.id)
+    lasted_ms = item.ended_at_ms - item.accepted_at_ms
+    log.info(
+        "workflow_ended id=%s queue=%s state=%s lasted_ms=%d reason=%r",
+        item.id,
+        item.queue,
+        item.state,
+        lasted_ms,
+        item.reason,
+    )
+    state.effects.append(
+        WorkflowEnded(queue=item.queue, state=item.state, lasted_ms=lasted_ms)
+    )
+
+
 def _note_health(state, worker, task, how):
     if how == store.DONE:
         state.health.note_success(worker)
@@ -362,9 +401,8 @@
     item = state.store.workflow_by_id.get(event.command.id)
     if item is None:
         return
-    log.info(
-        "workflow_closed id=%s state=%s reason=%r", item.id, item.state, item.reason
-    )
+    if item.id in state.open_ids and not item.is_open:
+        _note_workflow_ended(state, item)
     workers = {(run.worker, run.life) for task in item.tasks() for run in task.runs}
     for worker, life in sorted(workers):
         _push(state, worker, life)
@@ -377,6 +415,20 @@
     _push(state, event.command.worker, event.command.life)
 
 
+def _on_submitted(state, event):
+    item = state.store.workflow_by_id.get(event.command.id)
+    if item is not None and item.is_open and item.id not in state.open_ids:
+        state.open_ids.add(item.id)
+        log.info(
+            "workflow_accepted id=%s queue=%s steps=%d tasks=%d repeats=%d",
+            item.id,
+            item.queue,
+            len(item.steps),
+            sum(step.count for step in item.steps),
+            item.repeats,
+        )
+
+
 def _ignore(state, event):
     """Do nothing by itself: the plan takes up what the command changed."""
 
@@ -490,6 +542,6 @@
     commands.RegisterLife: _on_registered,
     commands.CancelWorkflow: _on_ended,
     commands.FailWorkflow: _on_ended,
-    commands.SubmitWorkflow: _ignore,
+    commands.SubmitWorkflow: _on_submitted,
     commands.SetQueues: _ignore,
 }
--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -170,7 +170,13 @@
         self.ready_port = self.ports.take()
         self.link_port = self.ports.take()
         self.minion_port = self.ports.take()
-        self.core_ips = [f"127.0.3.{n}" for n in (1, 2, 3)]
+        # Loopback addresses that no other deployment uses, since the metrics port of
+        # the roles is fixed.
+        number = self.ports.take()
+        network = f"127.{10 + number // 250 % 200}.{number % 250}"
+        self.core_ips = [f"{network}.{n}" for n in (1, 2, 3)]
+        self.front_ip = f"{network}.11"
+        self.side_ip = f"{network}.21"
         self.version = 0
         self.minion = None
         self.client = httpclient.AsyncHTTPClient(force_instance=True)
@@ -217,12 +223,12 @@
     def start_all(self):
         for ip in self.core_ips:
             self.start("core", ip)
-        self.start("front", "127.0.3.11")
-        self.start("side", "127.0.3.21")
+        self.start("front", self.front_ip)
+        self.start("side", self.side_ip)
         self.start_minion("i-1", 1000)
 
     def start_minion(self, worker_id, born):
-        self.minion = Minion(worker_id, f"127.0.3.21:{self.minion_port}", born)
+        self.minion = Minion(worker_id, f"{self.side_ip}:{self.minion_port}", born)
         self.minion.listen()
 
     def kill(self, role, ip, number=signal.SIGKILL):
@@ -256,12 +262,16 @@
             return 0, {}
         return response.code, json.loads(response.body or b"{}")
 
+    async def metrics(self, ip):
+        response = await self.client.fetch(f"http://{ip}:9464/metrics")
+        return response.body
+
     async def front(self, method, path, body=None):
-        url = f"http://127.0.3.11:{self.front_port}{path}"
+        url = f"http://{self.front_ip}:{self.front_port}{path}"
         return await self.call(method, url, body, host=HOST)
 
-    async def config(self, method, body=None, ip="127.0.3.1"):
-        url = f"http://{ip}:{self.control_port}/api/config"
+    async def config(self, method, body=None, ip=""):
+        url = f"http://{ip or self.core_ips[0]}:{self.control_port}/api/config"
         return await self.call(method, url, body)
 
     def document(self, version, *prefixes):
@@ -290,7 +300,7 @@
         """Send heartbeats until cancelled."""
         while True:
             minion = self.minion
-            url = f"http://127.0.3.21:{self.control_port}/api/instances/{minion.id}"
+            url = f"http://{self.side_ip}:{self.control_port}/api/instances/{minion.id}"
             await self.call("PUT", url, minion.heartbeat(), timeout_s=1)
             await asyncio.sleep(0.2)
 
@@ -341,5 +351,5 @@
 
 
 async def _is_ready(platform):
-    url = f"http://127.0.3.11:{platform.ready_port}/api/readiness"
+    url = f"http://{platform.front_ip}:{platform.ready_port}/api/readiness"
     return (await platform.call("GET", url))[0] == 200
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -49,7 +49,7 @@
 
 def test_metrics_page_names_exactly_the_metrics_of_the_code():
     in_code = set()
-    for name in ("entrymetrics", "agentapp", "statemetrics"):
+    for name in ("entrymetrics", "agentapp", "statemetrics", "workflows/flowmetrics"):
         source = (ROOT / "sardinegauge" / f"{name}.py").read_text(encoding="utf-8")
         in_code.update(FIRST_TEXT.findall(source))
     on_page = {row[1] for row in rows("metrics.md") if len(row) == 5}
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -80,6 +80,8 @@
         assert (await platform.front("GET", "/q/none"))[0] == 410
         assert (await platform.front("GET", "/none/a1"))[0] == 404
         assert (await platform.front("POST", "/q/c3", {"steps": 5}))[0] == 400
+        for ip in (platform.front_ip, platform.side_ip, platform.core_ips[0]):
+            assert b"sardinegauge_" in await platform.metrics(ip)
 
     play(tmp_path, scenario)
 
@@ -123,8 +125,8 @@
             platform.kill("core", ip)
         for ip in platform.core_ips:
             platform.start("core", ip, bootstrap=False)
-        platform.kill("side", "127.0.3.21")
-        platform.start("side", "127.0.3.21")
+        platform.kill("side", platform.side_ip)
+        platform.start("side", platform.side_ip)
         await platform.until(lambda: platform.state_is("a1", "completed"))
         runs = [key for key, *_ in platform.minion.starts]
         assert set(runs) == {"a1.0.0.0", "a1.0.0.1"}
@@ -165,7 +167,7 @@
 def test_front_finishes_requests_on_open_connections_when_stopped(tmp_path):
     async def scenario(platform):
         assert await platform.submit("a1", 100) == 200
-        process = platform.processes["front", "127.0.3.11"]
+        process = platform.processes["front", platform.front_ip]
         process.send_signal(signal.SIGTERM)
         answered = 0
         while process.poll() is None:
--- a/tests/test_workflow_scheduler.py
+++ b/tests/test_workflow_scheduler.py
@@ -57,7 +57,7 @@
         for effect in effects:
             if isinstance(effect, scheduler.Propose):
                 self.waiting.append(effect.command)
-            else:
+            elif isinstance(effect, scheduler.Push):
                 self.pushed.append(effect.worker)
 
     def commit(self, command):
