--- a/sardinegauge/httpcall.py
+++ b/sardinegauge/httpcall.py
@@ -73,11 +73,14 @@
     address : str
     limit : int
         Bound of connections in use and idle together.
+    idle_limit_s : float
+        How long a connection is kept without use, in seconds.
     """
 
-    def __init__(self, address, limit):
+    def __init__(self, address, limit, idle_limit_s=IDLE_LIMIT_S):
         self.address = address
         self.limit = limit
+        self.idle_limit_s = idle_limit_s
         self.busy = 0
         self._idle = collections.deque()
 
@@ -85,7 +88,8 @@
         """Return an idle connection that is still good, or None."""
         while self._idle:
             stream, idle_since_s = self._idle.pop()
-            if time.monotonic() - idle_since_s < IDLE_LIMIT_S and stream.is_clean():
+            is_fresh = time.monotonic() - idle_since_s < self.idle_limit_s
+            if is_fresh and stream.is_clean():
                 self.busy += 1
                 return stream
             stream.close()
@@ -113,7 +117,7 @@
 
     def purge(self):
         """Close connections that were idle for too long."""
-        limit_s = time.monotonic() - IDLE_LIMIT_S
+        limit_s = time.monotonic() - self.idle_limit_s
         while self._idle and self._idle[0][1] <= limit_s:
             self._idle.popleft()[0].close()
 
--- a/sardinegauge/stateapp.py
+++ b/sardinegauge/stateapp.py
@@ -1,6 +1,7 @@
 """Application of the state process: links, data folder, timers and the health page."""
 
 import asyncio
+import errno
 import gc
 import random
 import sys
@@ -28,6 +29,9 @@
 from sardinegauge.workflows import leading, scheduler
 
 TICK_S = 0.02
+# A disk without room may get some; until then the replica takes no part.
+REOPEN_INTERVAL_S = 0.5
+_FULL_DISK = (errno.ENOSPC, errno.EDQUOT)
 SCHEDULER_TICK_S = 0.1
 # Events that arrive together share one plan.
 PLAN_DELAY_S = 0.003
@@ -158,7 +162,7 @@
             self._loop.call_soon_threadsafe(self._on_durable, generation, sequence)
 
         def on_failed(error):
-            self._loop.call_soon_threadsafe(self._on_write_failed, error)
+            self._loop.call_soon_threadsafe(self._on_write_failed, generation, error)
 
         self.writer = writer.Writer(
             self.folder, on_durable, on_failed, self.writer_batch
@@ -231,10 +235,43 @@
             now_ms = clock.monotonic_ms()
             self._feed(raft.Persisted(now_ms=now_ms, sequence=sequence))
 
-    def _on_write_failed(self, error):
+    def _on_write_failed(self, generation, error):
+        if generation != self._generation:
+            return
         self.log.error("write_failed", error=str(error))
+        if getattr(error, "errno", 0) in _FULL_DISK:
+            self._close_replica()
+            background.spawn(self._reopen_replica())
+            return
         self.fail(errors.UserError(f"{self.config.data_dir}: {error}"))
 
+    def _close_replica(self):
+        """Take no part in the group: what was not written is forgotten."""
+        self._is_broken = True
+        self._generation += 1
+        self.writer.stop()
+        self.folder.close()
+        # Askers turn to other replicas at once.
+        for open_link in list(self.server.links):
+            open_link.close()
+
+    async def _reopen_replica(self):
+        """Begin again from the data folder once the disk takes bytes."""
+        while True:
+            await asyncio.sleep(REOPEN_INTERVAL_S)
+            try:
+                storage.check_writable(self.config.data_dir)
+                self._open_replica()
+            except OSError as error:
+                self.log.info("data_folder_unwritable", error=str(error))
+                continue
+            except errors.UserError as error:
+                self.fail(error)
+                return
+            self._is_broken = False
+            self._restart_links()
+            return
+
     def on_open(self, link):
         """Keep links of replicas to reach their identities."""
         if link.peer.role == "state":
@@ -256,6 +293,9 @@
 
     def on_exchange(self, exchange, message):
         """Feed a request; its reply comes back as an effect with the token."""
+        if self._is_broken:
+            exchange.link.close()
+            return
         token = self._next_token
         self._next_token += 1
         self._exchanges_by_token[token] = exchange
--- a/sardinegauge/storage.py
+++ b/sardinegauge/storage.py
@@ -28,6 +28,9 @@
 _ASIDE_MARK = "set-aside"
 # Present while a new folder is being filled: nothing in it was acknowledged yet.
 _CREATION_MARK = "creating"
+# A file that is written to see whether the disk has room.
+_PROBE = "probe"
+_PROBE_BYTES = 64 << 10
 _ASIDE_PREFIX = "aside-"
 _SNAPSHOT_SUFFIX = ".snapshot"
 _SNAPSHOT_HEAD = struct.Struct("<QQ")  # Index and term of the last entry covered.
@@ -257,9 +260,11 @@
         sealed.sync_folder(self.path)
 
     def close(self):
-        """Close all files and release the lock."""
+        """Close all files and release the lock. Safe to repeat."""
         self.segments.close()
-        os.close(self._lock)
+        if self._lock is not None:
+            os.close(self._lock)
+            self._lock = None
 
 
 def open_folder(path, name):
@@ -291,6 +296,12 @@
         raise
 
 
+def check_writable(path):
+    """Raise the error of the system if a small file can't be written durably."""
+    sealed.write(os.path.join(path, _PROBE), bytes(_PROBE_BYTES))
+    os.unlink(os.path.join(path, _PROBE))
+
+
 def is_folder_empty(path):
     """Tell whether a data folder is missing or holds no finished state."""
     folder = DataFolder(path)
--- a/tests/test_stateapp.py
+++ b/tests/test_stateapp.py
@@ -1,6 +1,7 @@
 """Guards against replicas that lose commands or their group over real links."""
 
 import asyncio
+import errno
 import json
 import shutil
 
@@ -367,3 +368,37 @@
 
     monkeypatch.setattr(statefleet.FakeScheduler, "reduce", fail)
     run_fleet(tmp_path, scenario)
+
+
+def test_replica_with_a_full_disk_waits_for_room_and_catches_up(tmp_path, monkeypatch):
+    """A process that ends itself again and again is no help to the group."""
+
+    async def scenario(fleet):
+        await submit(fleet, 1, 1)
+        await caught_up(fleet)
+        name = next(n for n in "abc" if n != fleet.leader())
+        app = fleet.apps[name]
+        is_full = True
+        append = storage.DataFolder.append
+
+        def append_if_room(folder, *arguments):
+            if is_full and folder is app.folder:
+                raise OSError(errno.ENOSPC, "No space left on device")
+            append(folder, *arguments)
+
+        def check_room(path):
+            if is_full:
+                raise OSError(errno.ENOSPC, "No space left on device")
+
+        monkeypatch.setattr(storage.DataFolder, "append", append_if_room)
+        monkeypatch.setattr(storage, "check_writable", check_room)
+        identity = app.folder.identity
+        await submit(fleet, 2, 4)
+        await statefleet.until(lambda: app._is_broken)
+        await submit(fleet, 5, 6)
+        is_full = False
+        await caught_up(fleet)
+        assert app.folder.identity == identity
+        assert not app._is_broken
+
+    run_fleet(tmp_path, scenario)
