Reach queues and workflows by the operators' calls and the command line

Cause: the product's growth was reachable only through the adapter.

Change: SetQueues, GetQueues, SubmitWorkflow, CancelWorkflow, ListWorkflows and GetWorkflow, with the subcommands queue and workflow. Malformed entries of a set of queues that are no objects are answered as invalid.

--- a/sardinegauge/calls.py
+++ b/sardinegauge/calls.py
@@ -118,6 +118,44 @@
     )
 
 
+def _document(request):
+    """Parse the document of a request: an object in JSON with comments."""
+    try:
+        document = json5.loads(request.document)
+    except ValueError as error:
+        problem = ("document", f"not JSON with comments: {error}")
+        raise BadRequestError([problem]) from error
+    if not isinstance(document, dict):
+        raise BadRequestError([("document", "must be an object")])
+    return document
+
+
+def _set_queues(request, operator):
+    document = _document(request)
+    return commands.SetQueues(
+        version=request.version,
+        queues=document.get("queues", []),
+        services=document.get("pools", []),
+        source=request.document,
+    )
+
+
+def _submit_workflow(request, operator):
+    document = _document(request)
+    known = {"payload": "", "repeats": 0, "first_at_ms": 0, "interval_ms": 0}
+    unknown = document.keys() - known.keys() - {"steps"}
+    if unknown:
+        raise BadRequestError([(name, "unknown field") for name in sorted(unknown)])
+    fields = {name: document.get(name, value) for name, value in known.items()}
+    return commands.SubmitWorkflow(
+        id=request.id, queue=request.queue, steps=document.get("steps", []), **fields
+    )
+
+
+def _cancel_workflow(request, operator):
+    return commands.CancelWorkflow(id=request.id)
+
+
 def _no_arguments(request):
     return {}
 
@@ -168,6 +206,22 @@
     _change("DeclareService", _declare_service),
     _change("DrainUpstream", _drain_upstream),
     _change("ChangeMember", _change_member),
+    _change("SetQueues", _set_queues),
+    _change("SubmitWorkflow", _submit_workflow),
+    _change("CancelWorkflow", _cancel_workflow),
+    _read("GetQueues", schema.GetQueuesReply, "queue_document"),
+    _read(
+        "ListWorkflows",
+        schema.ListWorkflowsReply,
+        "workflows",
+        lambda request: {"queue": request.queue},
+    ),
+    _read(
+        "GetWorkflow",
+        schema.Workflow,
+        "workflow_detail",
+        lambda request: {"id": request.id},
+    ),
     _read("GetConfiguration", schema.GetConfigurationReply, "configuration"),
     _read(
         "ListJobs",
--- a/sardinegauge/cli/__init__.py
+++ b/sardinegauge/cli/__init__.py
@@ -17,10 +17,12 @@
     configs,
     explanations,
     jobs,
+    queues,
     services,
     states,
     tenants,
     upstreams,
+    workflows,
 )
 
 app = typer.Typer(
@@ -36,6 +38,8 @@
 app.add_typer(upstreams.vm_app, name="vm")
 app.add_typer(states.app, name="state")
 app.add_typer(tenants.app, name="tenant")
+app.add_typer(queues.app, name="queue")
+app.add_typer(workflows.app, name="workflow")
 app.command("audit")(audits.show)
 app.command("explain")(explanations.explain)
 app.command("check")(checks.check)
--- a/sardinegauge/requests.py
+++ b/sardinegauge/requests.py
@@ -14,7 +14,7 @@
     record,
     replica,
 )
-from sardinegauge.workflows import leading
+from sardinegauge.workflows import leading, reading
 
 MAX_COMMAND_BYTES = 512 << 10
 # Entries of the leader that no quorum or not its own disk holds yet; more are refused
@@ -254,8 +254,8 @@
     if kind == "explain":
         lines = state.parts.scheduler.explain(state.scheduler, arguments["id"])
         return {"lines": lines}
-    if kind in leading.QUERIES:
-        return leading.answer(state, kind, arguments)
+    if kind in reading.KINDS:
+        return reading.answer(state.machine.workflows, kind, arguments)
     return state.parts.queries.answer(state.machine, kind, arguments)
 
 
--- a/sardinegauge/workflows/leading.py
+++ b/sardinegauge/workflows/leading.py
@@ -201,18 +201,4 @@
     return queue_set.version, json.dumps(queues, separators=(",", ":")).encode()
 
 
-def answer(state, kind, arguments):
-    """Answer a query about queues and workflows; see `queries.answer`."""
-    store = state.machine.workflows
-    if kind == "queues":
-        return {"version": store.queue_set.version, "source": store.queue_set.source}
-    if kind == "waiting":
-        return {"waiting": store.count_waiting(arguments["queue"])}
-    item = store.workflow_by_id.get(arguments["id"])
-    if item is None:
-        return {}
-    return {"state": item.state, "queue": item.queue, "reason": item.reason}
-
-
-QUERIES = frozenset({"queues", "waiting", "workflow"})
 EVENTS = {PlanNow: on_plan_now}
--- a/sardinegauge/workflows/store.py
+++ b/sardinegauge/workflows/store.py
@@ -153,7 +153,7 @@
     try:
         found = [queues.Queue.from_dict(item) for item in command.queues]
         pools = [queues.Pool.from_dict(item) for item in command.services]
-    except (TypeError, AttributeError) as error:
+    except (TypeError, ValueError, AttributeError) as error:
         return outcome.Invalid(problems=[["queues", str(error)]])
     problems = queues.check(command.version, found, pools)
     if problems:
@@ -170,7 +170,7 @@
         return outcome.Accepted(ids=[command.id])
     try:
         found = [steps.Step.from_dict(item) for item in command.steps]
-    except (TypeError, AttributeError) as error:
+    except (TypeError, ValueError, AttributeError) as error:
         return outcome.Invalid(problems=[["steps", str(error)]])
     problems = steps.check(command.replace(steps=found))
     if problems:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -87,3 +87,29 @@
     text, status = run("check", str(path), "--process", "entry")
     assert status == 2
     assert "http_listn: unknown key; did you mean http_listen?" in text
+
+
+def test_workflow_is_submitted_from_a_file_and_shown(monkeypatch, tmp_path):
+    file = tmp_path / "steps.json"
+    file.write_text('{"steps": [{"count": 2}]}  // two tasks')
+    entry = Entry(
+        monkeypatch,
+        (200, ACCEPTED),
+        (200, {"id": "w1", "state": "running", "runs": [{"task": "w1.0.0.0"}]}),
+        (200, ACCEPTED),
+    )
+    assert run("workflow", "submit", "w1", "quotes", str(file)) == ("w1\n", 0)
+    assert entry.requests[0]["queue"] == "quotes"
+    output, status = run("workflow", "show", "w1")
+    assert status == 0 and "w1.0.0.0" in output
+    assert run("workflow", "cancel", "w1") == ("w1\n", 0)
+    assert run("workflow", "submit", "w1", "quotes", str(tmp_path / "none"))[1] == 2
+
+
+def test_queues_are_set_from_a_file_with_a_version(monkeypatch, tmp_path):
+    file = tmp_path / "queues.json"
+    file.write_text("{}")
+    entry = Entry(monkeypatch, (200, {**ACCEPTED, "version": "7"}))
+    output, status = run("queue", "set", str(file), "--version", "7")
+    assert (output, status) == ("version 7 is in force\n", 0)
+    assert entry.requests[0]["version"] == 7
--- a/tests/test_operatorapi.py
+++ b/tests/test_operatorapi.py
@@ -94,3 +94,18 @@
         )
         assert reply.code == 409
         assert json.loads(reply.body)["winner"] == "bob"
+
+    def test_workflow_document_is_read_with_comments_and_unknown_fields_named(self):
+        fields = {"request_id": "r", "id": "w", "queue": "q"}
+        document = "{steps: [{count: 2}], /* none */ payload: 'x'}"
+        reply = self.call("SubmitWorkflow", {**fields, "document": document})
+        assert reply.code == 200
+        (command,) = self.state.commands
+        assert (command.steps, command.payload) == ([{"count": 2}], "x")
+        for bad in ("[", "[]", "{steps: [], stepz: 1}"):
+            reply = self.call("SubmitWorkflow", {**fields, "document": bad})
+            assert reply.code == 400
+        document = "{queues: [], pools: []}"
+        fields = {"request_id": "r", "version": 3, "document": document}
+        assert self.call("SetQueues", fields).code == 200
+        assert self.state.commands[-1].version == 3
--- a/tests/test_workflow_store.py
+++ b/tests/test_workflow_store.py
@@ -276,3 +276,12 @@
     log.index += 10**9
     log.submit(id="v")
     assert list(log.store.workflow_by_id) == ["v"]
+
+
+@pytest.mark.parametrize("bad", ["text", 5, None, ["a"], {"count": "many"}, {"x": 1}])
+def test_malformed_steps_and_queues_are_invalid(log, bad):
+    command = commands.SubmitWorkflow(id="v", queue="q", payload="", steps=[bad])
+    assert isinstance(log.apply(command), outcome.Invalid)
+    command = commands.SetQueues(version=9, queues=[bad], services=[])
+    assert isinstance(log.apply(command), outcome.Invalid)
+    assert log.store.queue_set.version == 1
