--- a/benchmarks/statecost.py
+++ b/benchmarks/statecost.py
@@ -5,7 +5,14 @@
 import time
 
 from benchmarks import leaderloss, load
-from sardinegauge import commands, messages, outcome, stateclient, storage
+from sardinegauge import (
+    commands,
+    messages,
+    outcome,
+    raftmessages,
+    stateclient,
+    storage,
+)
 from tests.fleet import fleet as fleets
 
 COMMANDS_BY_CONCURRENCY = {1: 100, 64: 1500}
@@ -78,7 +85,7 @@
         first = stored.log.last_index + 1
         for start in range(0, ENTRIES, ENTRIES_PER_APPEND):
             entries = [
-                messages.LogEntry(
+                raftmessages.LogEntry(
                     index=first + number,
                     term=stored.log.last_term,
                     kind="command",
--- a/sardinegauge/agentapp.py
+++ b/sardinegauge/agentapp.py
@@ -19,6 +19,7 @@
     forwarding,
     hostedtask,
     httpcall,
+    httpmessages,
     link,
     messages,
     pages,
@@ -247,7 +248,7 @@
         number = self.next_number
         self.next_number += 1
         now_ms = clock.monotonic_ms()
-        if isinstance(message, messages.RequestHead):
+        if isinstance(message, httpmessages.RequestHead):
             forward = forwarding.Forward(exchange, message, lambda: self.gone(number))
             self.forward_by_request[number] = forward
             self.handle(
@@ -255,7 +256,7 @@
             )
             if number in self.forward_by_request:
                 forward.start()
-        elif isinstance(message, messages.KeyQuery):
+        elif isinstance(message, httpmessages.KeyQuery):
             self.exchange_by_query[number] = exchange
             self.handle(
                 agentevents.KeyQueried(now_ms=now_ms, query=number, message=message)
@@ -326,7 +327,7 @@
 
     def response_head(self, status, headers):
         """Build a response head with the present load."""
-        return messages.ResponseHead(
+        return httpmessages.ResponseHead(
             status=status,
             headers=headers,
             in_flight=self.in_flight(),
--- a/sardinegauge/callerhttp.py
+++ b/sardinegauge/callerhttp.py
@@ -184,7 +184,7 @@
         self._answer_whole(status, fields, text.encode())
 
     def replay(self, response):
-        """Answer with a stored response, a `messages.KeyReply`."""
+        """Answer with a stored response, a `httpmessages.KeyReply`."""
         skipped = requesthead.HOP_BY_HOP | {"content-length"}
         fields = requesthead.response_fields(response.headers, skipped)
         self._add_common(fields, outcome.Verdict.RAN)
--- a/sardinegauge/checks.py
+++ b/sardinegauge/checks.py
@@ -7,7 +7,7 @@
 
 import math
 
-from sardinegauge import commands, messages
+from sardinegauge import commands, httpmessages, messages
 
 MAX_TEXT_LENGTH = 1_000
 MAX_BODY_LENGTH = 1_000_000
@@ -224,7 +224,7 @@
     },
 )
 _HEADER = fields(
-    messages.Header,
+    httpmessages.Header,
     {"name": TEXT, "value": LONG_TEXT},
 )
 _OPERATOR = {"operator": TEXT, "request_id": TEXT}
--- a/sardinegauge/claimcalls.py
+++ b/sardinegauge/claimcalls.py
@@ -11,7 +11,7 @@
     commands,
     entryevents,
     errors,
-    messages,
+    httpmessages,
     outcome,
 )
 
@@ -121,7 +121,7 @@
         self.log.warning("claim_left_open", command=type(command).__name__)
 
     async def _query(self, effect):
-        query = messages.KeyQuery(
+        query = httpmessages.KeyQuery(
             tenant=effect.tenant,
             key=effect.key,
             claim_index=effect.claim_index,
@@ -139,7 +139,7 @@
                 exchange.close()
         except (errors.LinkClosedError, TimeoutError):
             pass
-        if not isinstance(reply, messages.KeyReply):
+        if not isinstance(reply, httpmessages.KeyReply):
             reply = None
         self._answer(entryevents.KeyAnswered, effect, reply=reply)
 
--- a/sardinegauge/codec.py
+++ b/sardinegauge/codec.py
@@ -4,7 +4,7 @@
 
 import capnp
 
-from sardinegauge import errors, messages, record
+from sardinegauge import errors, httpmessages, messages, raftmessages, record
 
 capnp.remove_import_hook()
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("wire.capnp")))
@@ -19,9 +19,10 @@
 def _tables():
     """Return the field names of every message class in both spellings."""
     camel_by_class = {}
-    for cls in vars(messages).values():
-        if isinstance(cls, type) and issubclass(cls, record.Record):
-            camel_by_class[cls] = [(n, _to_camel(n)) for n in cls.field_names()]
+    for module in (messages, raftmessages, httpmessages):
+        for cls in vars(module).values():
+            if isinstance(cls, type) and issubclass(cls, record.Record):
+                camel_by_class[cls] = [(n, _to_camel(n)) for n in cls.field_names()]
     return camel_by_class
 
 
@@ -88,7 +89,7 @@
 
     Examples
     --------
-    >>> data = encode(Frame(correlation=7, message=messages.BodyEnd(length=3)))
+    >>> data = encode(Frame(correlation=7, message=httpmessages.BodyEnd(length=3)))
     >>> decode(data)
     Frame(correlation=7, is_reply=False, message=BodyEnd(length=3))
     """
--- a/sardinegauge/commands.py
+++ b/sardinegauge/commands.py
@@ -6,7 +6,7 @@
 has no other clock.
 """
 
-from sardinegauge import messages, record
+from sardinegauge import httpmessages, messages, record
 
 
 class Command(record.Record):
@@ -249,7 +249,7 @@
         "is_body_kept",
     )
     _defaults = {"at_ms": 0, "headers": list, "body": "", "is_body_kept": True}
-    _nested = {"headers": messages.Header}
+    _nested = {"headers": httpmessages.Header}
 
 
 class ReleaseClaim(Command):
--- a/sardinegauge/elections.py
+++ b/sardinegauge/elections.py
@@ -1,6 +1,6 @@
 """Elections of the agreement reducer: pre-vote, vote and their replies."""
 
-from sardinegauge import membership, messages, raftstate
+from sardinegauge import membership, raftmessages, raftstate
 
 
 def has_live_leader(state):
@@ -39,7 +39,7 @@
 
 
 def _ask_votes(state, term, pre_vote):
-    request = messages.VoteRequest(
+    request = raftmessages.VoteRequest(
         term=term,
         candidate=state.identity,
         last_index=state.log.last_index,
@@ -70,7 +70,7 @@
         )
     else:
         granted = _grant(state, request)
-    reply = messages.VoteReply(
+    reply = raftmessages.VoteReply(
         term=request.term if granted else state.term,
         voter=state.identity,
         granted=granted,
--- a/sardinegauge/entryclaims.py
+++ b/sardinegauge/entryclaims.py
@@ -11,7 +11,7 @@
     entryattempts,
     entryevents,
     entrystate,
-    messages,
+    httpmessages,
     outcome,
 )
 
@@ -87,10 +87,10 @@
 
 
 def _response_of(existing):
-    return messages.KeyReply(
+    return httpmessages.KeyReply(
         state="finished",
         status=existing["status"],
-        headers=[messages.Header.from_dict(item) for item in existing["headers"]],
+        headers=[httpmessages.Header.from_dict(item) for item in existing["headers"]],
         body=base64.b64decode(existing["body"]),
         is_body_kept=existing["is_body_kept"],
     )
--- a/sardinegauge/entryevents.py
+++ b/sardinegauge/entryevents.py
@@ -109,7 +109,7 @@
 class AttemptFinished(RequestEvent):
     """The whole response arrived.
 
-    `response` is a `messages.KeyReply` with what a claim keeps, or None without one.
+    `response` is a `httpmessages.KeyReply` with what a claim keeps, None without one.
     """
 
     __slots__ = ("attempt", "response")
@@ -197,7 +197,7 @@
 class Replay(RequestEffect):
     """Answer the caller with a stored response; final.
 
-    `response` is a `messages.KeyReply` with a body.
+    `response` is a `httpmessages.KeyReply` with a body.
     """
 
     __slots__ = ("response",)
--- a/sardinegauge/following.py
+++ b/sardinegauge/following.py
@@ -1,6 +1,6 @@
 """The follower's side of the agreement: taking entries and snapshots of a leader."""
 
-from sardinegauge import membership, messages, raftstate
+from sardinegauge import membership, raftmessages, raftstate
 
 MAX_SNAPSHOT_BYTES = 1 << 30
 
@@ -19,7 +19,7 @@
 
 def on_append_request(state, request):
     """Append a leader's entries where they continue the log; see `messages`."""
-    reply = messages.AppendReply(
+    reply = raftmessages.AppendReply(
         term=state.term,
         member=state.identity,
         read_round=request.read_round,
@@ -109,7 +109,7 @@
 
 def on_snapshot_chunk(state, chunk):
     """Collect a snapshot in order and install it when it is whole."""
-    reply = messages.SnapshotReply(
+    reply = raftmessages.SnapshotReply(
         term=state.term,
         member=state.identity,
         last_index=chunk.last_index,
--- a/sardinegauge/forwarding.py
+++ b/sardinegauge/forwarding.py
@@ -7,7 +7,7 @@
     clock,
     errors,
     httpcall,
-    messages,
+    httpmessages,
     outcome,
     requestkeys,
 )
@@ -43,7 +43,7 @@
     ----------
     exchange : link.Exchange
         Closed when the request ends.
-    head : messages.RequestHead
+    head : httpmessages.RequestHead
     on_gone : callable
         Called once when the caller leaves, the deadline passes, or a response stalls.
     """
@@ -96,19 +96,19 @@
         if message is None:
             self.is_answered = True
             self._leave("the link to the entry closed")
-        elif isinstance(message, messages.Credit):
+        elif isinstance(message, httpmessages.Credit):
             self._window += message.size
-        elif isinstance(message, messages.BodyChunk):
+        elif isinstance(message, httpmessages.BodyChunk):
             self._body_length += len(message.data)
             self._body_window -= len(message.data)
             if self._body_window < 0 or len(message.data) > CHUNK_BYTES:
                 self._is_body_broken = True
             if not self._is_body_broken:
                 self._chunks.append(message.data)
-        elif isinstance(message, messages.BodyEnd):
+        elif isinstance(message, httpmessages.BodyEnd):
             self._is_body_ended = True
             self._is_body_broken |= message.length != self._body_length
-        elif isinstance(message, messages.Abort):
+        elif isinstance(message, httpmessages.Abort):
             self.is_answered = True
             self._leave("the entry aborted")
         self._wake.set()
@@ -140,7 +140,7 @@
                 data = self._chunks.popleft()
                 yield data
                 self._body_window += len(data)
-                self._send(messages.Credit(size=len(data)))
+                self._send(httpmessages.Credit(size=len(data)))
             if self._is_body_broken:
                 raise BodyError("the request body was cut")
             if self._is_body_ended:
@@ -185,12 +185,12 @@
 
     def abort(self, verdict, reason):
         """End the exchange with a verdict."""
-        self._answer(messages.Abort(verdict=verdict, reason=reason))
+        self._answer(httpmessages.Abort(verdict=verdict, reason=reason))
 
     def refuse(self, reason, retry_after_ms, is_draining, in_flight):
         """Refuse the request with not-run and end the exchange."""
         self._answer(
-            messages.Refusal(
+            httpmessages.Refusal(
                 verdict=NOT_RUN,
                 reason=reason,
                 retry_after_ms=retry_after_ms,
@@ -202,11 +202,11 @@
 
     def replay(self, entry):
         """Answer with a stored response; it fits into the first window."""
-        head = messages.ResponseHead(status=entry.status, headers=entry.headers)
+        head = httpmessages.ResponseHead(status=entry.status, headers=entry.headers)
         self._outbox.append(head)
         if entry.body:
-            self._outbox.append(messages.BodyChunk(data=entry.body))
-        self._answer(messages.BodyEnd(length=len(entry.body)))
+            self._outbox.append(httpmessages.BodyChunk(data=entry.body))
+        self._answer(httpmessages.BodyEnd(length=len(entry.body)))
         self.close()
 
     def close(self):
@@ -229,7 +229,7 @@
         pool : httpcall.Pool
             Connections to the upstream's HTTP server.
         make_head : callable
-            Builds the `messages.ResponseHead` of a status and headers.
+            Builds the `httpmessages.ResponseHead` of a status and headers.
         may_start : callable
             Asked right before the first byte is written, since the process may have
             been frozen after the request was admitted.
@@ -282,7 +282,7 @@
             return MAY_HAVE_RUN
         finally:
             pool.give(stream)
-        self._answer(messages.BodyEnd(length=self.length))
+        self._answer(httpmessages.BodyEnd(length=self.length))
         await self._wait_written()
         return RAN
 
@@ -316,7 +316,7 @@
     async def on_head(self, status, headers):
         """See `httpcall.Receiver`."""
         self.status = status
-        self.headers = [messages.Header(name=n, value=v) for n, v in headers]
+        self.headers = [httpmessages.Header(name=n, value=v) for n, v in headers]
         self._send_soon(self.make_head(status, self.headers))
         self._deadline_timer.cancel()
         self._progress_s = asyncio.get_running_loop().time()
@@ -343,6 +343,6 @@
         self._window -= len(data)
         self._progress_s = asyncio.get_running_loop().time()
         self.length += len(data)
-        self._send_soon(messages.BodyChunk(data=data))
+        self._send_soon(httpmessages.BodyChunk(data=data))
         if len(data) >= FLUSH_BYTES:
             self._flush()
--- a/sardinegauge/link.py
+++ b/sardinegauge/link.py
@@ -14,7 +14,7 @@
 
 from tornado import iostream, tcpserver
 
-from sardinegauge import background, codec, errors, messages
+from sardinegauge import background, codec, errors, httpmessages, messages
 
 MAX_FRAME_BYTES = 1 << 20
 MAX_SEND_BUFFER_BYTES = 16 << 20
@@ -333,10 +333,10 @@
 
 
 _CONTINUATIONS = (
-    messages.BodyChunk,
-    messages.BodyEnd,
-    messages.Credit,
-    messages.Abort,
+    httpmessages.BodyChunk,
+    httpmessages.BodyEnd,
+    httpmessages.Credit,
+    httpmessages.Abort,
 )
 
 
--- a/sardinegauge/raft.py
+++ b/sardinegauge/raft.py
@@ -8,7 +8,7 @@
     elections,
     following,
     membership,
-    messages,
+    raftmessages,
     raftstate,
     record,
     replication,
@@ -204,7 +204,7 @@
     if progress.match_index == state.log.last_index:
         state.send(
             state.transfer_to,
-            messages.TimeoutNow(term=state.term, leader=state.identity),
+            raftmessages.TimeoutNow(term=state.term, leader=state.identity),
         )
 
 
@@ -362,14 +362,14 @@
 }
 
 _BY_MESSAGE = {
-    messages.VoteRequest: elections.on_vote_request,
-    messages.VoteReply: _on_vote_reply,
-    messages.AppendRequest: following.on_append_request,
-    messages.AppendReply: replication.on_append_reply,
-    messages.SnapshotChunk: following.on_snapshot_chunk,
-    messages.SnapshotReply: replication.on_snapshot_reply,
-    messages.StaleMember: _on_stale_member,
-    messages.TimeoutNow: _on_timeout_now,
+    raftmessages.VoteRequest: elections.on_vote_request,
+    raftmessages.VoteReply: _on_vote_reply,
+    raftmessages.AppendRequest: following.on_append_request,
+    raftmessages.AppendReply: replication.on_append_reply,
+    raftmessages.SnapshotChunk: following.on_snapshot_chunk,
+    raftmessages.SnapshotReply: replication.on_snapshot_reply,
+    raftmessages.StaleMember: _on_stale_member,
+    raftmessages.TimeoutNow: _on_timeout_now,
 }
 
 # Messages that other replicas send one way.
--- a/sardinegauge/raftlog.py
+++ b/sardinegauge/raftlog.py
@@ -8,7 +8,7 @@
     ----------
     base_index, base_term : int
         Last compacted entry; 0 for a log that begins at index 1.
-    entries : list of messages.LogEntry
+    entries : list of raftmessages.LogEntry
         Contiguous entries from ``base_index + 1``.
     """
 
--- a/sardinegauge/replica.py
+++ b/sardinegauge/replica.py
@@ -10,6 +10,7 @@
 from sardinegauge import (
     commands,
     directing,
+    httpmessages,
     membership,
     messages,
     outcome,
@@ -205,7 +206,9 @@
     handler = _BY_MESSAGE.get(type(event.message))
     if handler is None:
         reason = f"unexpected message {type(event.message).__name__}"
-        refusal = messages.Abort(verdict=outcome.Verdict.NOT_RUN.value, reason=reason)
+        refusal = httpmessages.Abort(
+            verdict=outcome.Verdict.NOT_RUN.value, reason=reason
+        )
         state.emit(Reply(token=event.token, message=refusal))
         return
     handler(state, event.token, event.message)
--- a/sardinegauge/replication.py
+++ b/sardinegauge/replication.py
@@ -1,6 +1,6 @@
 """The leader's side of the agreement: replication, read rounds, sending snapshots."""
 
-from sardinegauge import elections, membership, messages, raftstate
+from sardinegauge import elections, membership, raftmessages, raftstate
 
 MAX_BATCH_ENTRIES = 512
 MAX_BATCH_BYTES = 256 << 10
@@ -28,7 +28,7 @@
 
 def append(state, kind, body):
     """Append an entry to the leader's log; the caller replicates it."""
-    entry = messages.LogEntry(
+    entry = raftmessages.LogEntry(
         index=state.log.last_index + 1, term=state.term, kind=kind, body=body
     )
     state.log.append([entry])
@@ -97,13 +97,13 @@
 def _send_append(state, identity, prev_index, entries):
     # Numbers of members that left are of no use to a candidate.
     table = [
-        messages.MemberIndex(member=member, index=index)
+        raftmessages.MemberIndex(member=member, index=index)
         for member, index in state.acknowledged.items()
         if member in state.members
     ]
     state.send(
         identity,
-        messages.AppendRequest(
+        raftmessages.AppendRequest(
             term=state.term,
             leader=state.identity,
             prev_index=prev_index,
@@ -122,7 +122,7 @@
     progress.sent_ms = state.now_ms
     state.send(
         identity,
-        messages.SnapshotChunk(
+        raftmessages.SnapshotChunk(
             term=state.term,
             leader=state.identity,
             last_index=snapshot.index,
@@ -159,7 +159,7 @@
     elif elections.is_stale(state, reply.member, reply.last_index):
         state.send(
             reply.member,
-            messages.StaleMember(
+            raftmessages.StaleMember(
                 term=state.term,
                 member=reply.member,
                 acknowledged_index=state.acknowledged[reply.member],
--- a/sardinegauge/requestattempt.py
+++ b/sardinegauge/requestattempt.py
@@ -5,7 +5,14 @@
 
 from tornado import httputil
 
-from sardinegauge import agentlinks, background, errors, messages, outcome, requestbody
+from sardinegauge import (
+    agentlinks,
+    background,
+    errors,
+    httpmessages,
+    outcome,
+    requestbody,
+)
 
 CHUNK_BYTES = 64 * 1024
 WINDOW_BYTES = 256 * 1024
@@ -43,10 +50,10 @@
         Links to the agents.
     upstream : str
         Name of the upstream.
-    head : messages.RequestHead
+    head : httpmessages.RequestHead
         First message of the exchange.
     on_head : callable
-        Called with the `messages.ResponseHead` before any byte of the response goes
+        Called with the `httpmessages.ResponseHead` before any byte of the response goes
         to the caller.
     """
 
@@ -66,7 +73,7 @@
 
         Returns
         -------
-        messages.KeyReply or None
+        httpmessages.KeyReply or None
             What a claim keeps of the response, None for a request without one.
 
         Raises
@@ -105,9 +112,9 @@
             return background.spawn(self._stream_body(exchange))
         data = self.caller.body.whole()
         for start in range(0, len(data), CHUNK_BYTES):
-            chunk = messages.BodyChunk(data=data[start : start + CHUNK_BYTES])
+            chunk = httpmessages.BodyChunk(data=data[start : start + CHUNK_BYTES])
             await agentlinks.send_chunk(exchange, self._lock, chunk)
-        exchange.send(messages.BodyEnd(length=len(data)))
+        exchange.send(httpmessages.BodyEnd(length=len(data)))
         return None
 
     async def _stream_body(self, exchange):
@@ -120,10 +127,10 @@
                 for start in range(0, len(data), CHUNK_BYTES):
                     piece = data[start : start + CHUNK_BYTES]
                     await self._take_window(len(piece))
-                    chunk = messages.BodyChunk(data=piece)
+                    chunk = httpmessages.BodyChunk(data=piece)
                     await agentlinks.send_chunk(exchange, self._lock, chunk)
                 length += len(data)
-            exchange.send(messages.BodyEnd(length=length))
+            exchange.send(httpmessages.BodyEnd(length=length))
         except (errors.LinkClosedError, requestbody.BodyBrokenError):
             pass  # The exchange ends by its closed link or by the caller's absence.
 
@@ -137,10 +144,10 @@
         """Return the next message that is no credit."""
         while True:
             message = await exchange.receive(timeout_s)
-            if isinstance(message, messages.Credit):
+            if isinstance(message, httpmessages.Credit):
                 self._window += message.size
                 self._window_grew.set()
-            elif isinstance(message, messages.Abort):
+            elif isinstance(message, httpmessages.Abort):
                 verdict = _verdict_of(message.verdict)
                 raise AttemptError(verdict, message.reason)
             else:
@@ -150,9 +157,9 @@
         # The deadline timer of the request bounds this wait; the limit is a backstop.
         timeout_s = self.head.deadline_ms / 1000 + STALL_LIMIT_S
         head = await self._receive(exchange, timeout_s)
-        if isinstance(head, messages.Refusal):
+        if isinstance(head, httpmessages.Refusal):
             raise AttemptError(_verdict_of(head.verdict), head.reason, head)
-        if not isinstance(head, messages.ResponseHead):
+        if not isinstance(head, httpmessages.ResponseHead):
             _abort(exchange, "response expected")
             reason = f"the agent sent {type(head).__name__} in place of a response"
             raise AttemptError(outcome.Verdict.MAY_HAVE_RUN, reason)
@@ -167,7 +174,7 @@
         if self._kept is None:
             return None
         is_kept = len(self._kept) <= MAX_KEPT_BODY_BYTES
-        return messages.KeyReply(
+        return httpmessages.KeyReply(
             state="finished",
             status=head.status,
             headers=head.headers,
@@ -179,9 +186,9 @@
         length = consumed = 0
         while True:
             message = await self._receive(exchange, STALL_LIMIT_S)
-            if isinstance(message, messages.BodyEnd):
+            if isinstance(message, httpmessages.BodyEnd):
                 break
-            if not isinstance(message, messages.BodyChunk):
+            if not isinstance(message, httpmessages.BodyChunk):
                 _abort(exchange, "body expected")
                 raise AttemptError(outcome.Verdict.RAN, "the upstream sent no body")
             length += len(message.data)
@@ -191,7 +198,7 @@
             if consumed >= CREDIT_PORTION_BYTES:
                 # The rest may have arrived already from an agent that has stopped.
                 with contextlib.suppress(errors.LinkClosedError):
-                    exchange.send(messages.Credit(size=consumed))
+                    exchange.send(httpmessages.Credit(size=consumed))
                 consumed = 0
         if message.length != length:
             reason = f"response of {message.length} bytes ended after {length}"
@@ -228,7 +235,7 @@
 
 def _abort(exchange, reason):
     try:
-        exchange.send(messages.Abort(reason=reason))
+        exchange.send(httpmessages.Abort(reason=reason))
     except errors.LinkClosedError:
         pass
 
--- a/sardinegauge/requestfront.py
+++ b/sardinegauge/requestfront.py
@@ -14,7 +14,7 @@
     clock,
     entry,
     entryevents,
-    messages,
+    httpmessages,
     outcome,
     requestattempt,
 )
@@ -220,7 +220,7 @@
             caller,
             self.links,
             effect.upstream,
-            messages.RequestHead(
+            httpmessages.RequestHead(
                 request_id=caller.request_id,
                 tenant=head.tenant,
                 service=head.service,
@@ -316,7 +316,7 @@
 
 
 def _failure(caller, effect, error):
-    refusal = error.refusal or messages.Refusal()
+    refusal = error.refusal or httpmessages.Refusal()
     return entryevents.AttemptFailed(
         now_ms=clock.monotonic_ms(),
         number=effect.number,
--- a/sardinegauge/requesthead.py
+++ b/sardinegauge/requesthead.py
@@ -4,7 +4,7 @@
 
 from tornado import httputil
 
-from sardinegauge import messages
+from sardinegauge import httpmessages
 
 # Within the limit of the HTTP server, which closes the connection without an answer.
 MAX_HEADER_BYTES = 16 * 1024
@@ -48,7 +48,7 @@
 class Head:
     """The checked head of a request.
 
-    `headers` holds the end-to-end headers as `messages.Header` records.
+    `headers` holds the end-to-end headers as `httpmessages.Header` records.
     """
 
     __slots__ = (
@@ -105,7 +105,7 @@
     head.has_body = head.content_length > 0 or "Transfer-Encoding" in headers
     named = _connection_options(headers)
     head.headers = [
-        messages.Header(name=name, value=value)
+        httpmessages.Header(name=name, value=value)
         for name, value in pairs
         if name.lower() not in HOP_BY_HOP and name.lower() not in named
     ]
--- a/sardinegauge/requestkeys.py
+++ b/sardinegauge/requestkeys.py
@@ -21,7 +21,7 @@
     """What became of one key.
 
     `state` is ``running``, ``finished``, ``fenced`` or ``cut`` (it may have run and
-    its response is lost). `headers` is a list of `messages.Header`; `size` is what
+    its response is lost). `headers` is a list of `httpmessages.Header`; `size` is what
     headers and body take in bytes.
     """
 
--- a/sardinegauge/requesttable.py
+++ b/sardinegauge/requesttable.py
@@ -1,6 +1,6 @@
 """Requests of one agent between their arrival and their end, and their keys; pure."""
 
-from sardinegauge import admission, messages, record, requestkeys
+from sardinegauge import admission, httpmessages, messages, record, requestkeys
 
 RETRY_AFTER_MS = 1000
 # Durations kept for the percentiles of one service between two heartbeats.
@@ -158,17 +158,17 @@
             self.keys.release(*request.key)
 
     def queried(self, now_ms, query, message):
-        """Answer a `messages.KeyQuery`; fence the key if that is asked."""
+        """Answer a `httpmessages.KeyQuery`; fence the key if that is asked."""
         if message.incarnation and message.incarnation != self.incarnation:
             # What an earlier process knew of the key is lost.
-            reply = messages.KeyReply(state=requestkeys.CUT)
+            reply = httpmessages.KeyReply(state=requestkeys.CUT)
             return [AnswerKeyQuery(query=query, reply=reply)]
         key = (message.tenant, message.key, message.claim_index)
         if message.fence:
             found = self.keys.fence(now_ms, *key)
         else:
             found = self.keys.state(*key)
-        reply = messages.KeyReply(state=found)
+        reply = httpmessages.KeyReply(state=found)
         if found == requestkeys.FINISHED:
             entry = self.keys.get(*key)
             reply.status = entry.status
--- a/sardinegauge/segments.py
+++ b/sardinegauge/segments.py
@@ -14,7 +14,7 @@
 import struct
 import zlib
 
-from sardinegauge import errors, messages, sealed
+from sardinegauge import errors, raftmessages, sealed
 
 SEGMENT_BYTES = 8 << 20
 MAX_BODY_BYTES = 1 << 20
@@ -180,7 +180,7 @@
                 )
             else:
                 entries.append(
-                    messages.LogEntry(index=index, term=term, kind=kind, body=body)
+                    raftmessages.LogEntry(index=index, term=term, kind=kind, body=body)
                 )
                 segment.offsets.append(offset)
             offset = end
--- a/sardinegauge/snapshots.py
+++ b/sardinegauge/snapshots.py
@@ -11,8 +11,8 @@
 
     Examples
     --------
-    >>> from sardinegauge import messages
-    >>> to_rows(messages.Header, [messages.Header(name="a", value="b")])
+    >>> from sardinegauge import httpmessages
+    >>> to_rows(httpmessages.Header, [httpmessages.Header(name="a", value="b")])
     {'fields': ['name', 'value'], 'rows': [['a', 'b']]}
     """
     names = cls.field_names()
--- a/sardinegauge/stateapp.py
+++ b/sardinegauge/stateapp.py
@@ -26,7 +26,7 @@
     storage,
     writer,
 )
-from sardinegauge.workflows import leading, scheduler
+from sardinegauge.workflows import leading, schedulerevents
 
 TICK_S = 0.02
 # A disk without room may get some; until then the replica takes no part.
@@ -468,8 +468,8 @@
     replica.TaskWaited: StateApplication._count_wait,
     replica.ApplyMore: StateApplication._apply_more,
     leading.PlanSoon: StateApplication._plan_soon,
-    scheduler.RunEnded: StateApplication._count_run,
-    scheduler.WorkflowEnded: StateApplication._count_workflow,
+    schedulerevents.RunEnded: StateApplication._count_run,
+    schedulerevents.WorkflowEnded: StateApplication._count_workflow,
 }
 
 commands_line = typer.Typer(add_completion=False)
--- a/sardinegauge/storage.py
+++ b/sardinegauge/storage.py
@@ -11,8 +11,8 @@
 from sardinegauge import (
     errors,
     membership,
-    messages,
     raftlog,
+    raftmessages,
     raftstate,
     record,
     sealed,
@@ -112,7 +112,7 @@
             # Every initial member writes the same first entry of term 1, in which
             # no election takes place, so it counts as committed.
             body = membership.dumps(members)
-            entry = messages.LogEntry(index=1, term=1, kind="members", body=body)
+            entry = raftmessages.LogEntry(index=1, term=1, kind="members", body=body)
             self.append([entry])
         self.sync()
         self.identity = identity
--- a/sardinegauge/workflows/hostapp.py
+++ b/sardinegauge/workflows/hostapp.py
@@ -4,7 +4,13 @@
 import json
 
 from sardinegauge import application, background, clock, messages, outcome, stateclient
-from sardinegauge.workflows import flowmetrics, hosting, workerport
+from sardinegauge.workflows import (
+    flowmetrics,
+    hostevents,
+    hosting,
+    hoststate,
+    workerport,
+)
 
 TICK_S = 0.1
 # Changes that come together share one report.
@@ -32,7 +38,7 @@
 
     def __init__(self, name, replicas, port, metrics_listen=""):
         super().__init__(f"agent-{name}")
-        self.state = hosting.State(name)
+        self.state = hoststate.State(name)
         self.port = port
         hello = messages.Hello(role="agent", name=name)
         self.client = stateclient.StateClient(replicas, hello, self._on_push)
@@ -47,7 +53,7 @@
         self.client.start()
         if self.metrics_listen:
             self._metrics_server = flowmetrics.serve(self.metrics_listen, self._page)
-        self.every(TICK_S, lambda now_ms: self._feed(hosting.Tick(now_ms=now_ms)))
+        self.every(TICK_S, lambda now_ms: self._feed(hostevents.Tick(now_ms=now_ms)))
 
     def _page(self):
         self.metrics.set_runs(len(self.state.runs))
@@ -65,7 +71,7 @@
         known = self.state.announcement
         is_news = known is None or known.life != announcement.life
         self._feed(
-            hosting.Announced(now_ms=clock.monotonic_ms(), announcement=announcement)
+            hostevents.Announced(now_ms=clock.monotonic_ms(), announcement=announcement)
         )
         if is_news or announcement.is_draining != known.is_draining:
             self.log.info(
@@ -78,11 +84,11 @@
     def leave(self, worker):
         """Take note that the worker ends."""
         self.log.info("worker_left", worker=worker)
-        self._feed(hosting.Left(now_ms=clock.monotonic_ms(), worker=worker))
+        self._feed(hostevents.Left(now_ms=clock.monotonic_ms(), worker=worker))
 
     def _feed(self, event):
         for effect in hosting.reduce(self.state, event):
-            if isinstance(effect, hosting.SendReport):
+            if isinstance(effect, hostevents.SendReport):
                 self._report_soon()
             else:
                 background.spawn(self._call(effect))
@@ -104,7 +110,7 @@
                 run=getattr(request, "run", 0),
                 error=str(error),
             )
-            event = hosting.Unanswered(
+            event = hostevents.Unanswered(
                 now_ms=clock.monotonic_ms(), call=effect, is_down=error.is_down
             )
             end = "down" if error.is_down else "unanswered"
@@ -117,7 +123,7 @@
                     run=getattr(request, "run", 0),
                     reason=answer.reason or answer.kind,
                 )
-            event = hosting.Answered(
+            event = hostevents.Answered(
                 now_ms=clock.monotonic_ms(), call=effect, answer=answer
             )
             end = answer.reason or answer.kind
@@ -162,7 +168,7 @@
             return
         body = json.loads(message.body)
         self._feed(
-            hosting.OrdersReceived(
+            hostevents.OrdersReceived(
                 now_ms=clock.monotonic_ms(), message=message, body=body
             )
         )
--- a/sardinegauge/workflows/leading.py
+++ b/sardinegauge/workflows/leading.py
@@ -9,7 +9,14 @@
 import logging
 
 from sardinegauge import messages, record, replica, replication, requests
-from sardinegauge.workflows import scheduler, views
+from sardinegauge.workflows import (
+    lives,
+    orders,
+    scheduler,
+    schedulerevents,
+    schedulerstate,
+    views,
+)
 
 _MALFORMED = (ValueError, TypeError, KeyError, AttributeError)
 
@@ -42,9 +49,9 @@
 def start(state, term):
     """Begin to schedule: the machine holds all entries of earlier terms."""
     leading = state.leading
-    leading.scheduler = scheduler.State(state.machine)
+    leading.scheduler = schedulerstate.State(state.machine)
     leading.sequence = 0
-    event = scheduler.LeadershipGained(
+    event = schedulerevents.LeadershipGained(
         now_ms=state.now_ms, wall_ms=state.wall_ms, term=term
     )
     feed(state, event)
@@ -66,9 +73,9 @@
 
 def _take_up(state, effects):
     for effect in effects:
-        if isinstance(effect, scheduler.Propose):
+        if isinstance(effect, schedulerevents.Propose):
             replica.append_command(state, effect.command, None)
-        elif isinstance(effect, scheduler.Push):
+        elif isinstance(effect, schedulerevents.Push):
             _push(state, effect.worker, effect.life)
         else:
             state.emit(effect)
@@ -100,7 +107,7 @@
             log.warning("report_malformed agent=%s error=%r", message.agent, error)
             _refuse(state, token, message)
             return
-        feed(state, scheduler.ReportReceived(now_ms=state.now_ms, report=report))
+        feed(state, schedulerevents.ReportReceived(now_ms=state.now_ms, report=report))
     if message.is_lease_wanted:
         requests.ask_read(state, token, message, is_lazy=True)
     elif replication.has_quorum_contact(state.raft):
@@ -141,9 +148,9 @@
         return
     reply = _orders(state, message.worker, message.life)
     reply.sent_ms = message.sent_ms
-    if scheduler.may_grant(leading.scheduler, message.worker, message.life):
-        scheduler.note_grant(leading.scheduler, message.worker, state.now_ms)
-        reply.grant_ms = scheduler.LEASE_MS
+    if lives.may_grant(leading.scheduler, message.worker, message.life):
+        lives.note_grant(leading.scheduler, message.worker, state.now_ms)
+        reply.grant_ms = lives.LEASE_MS
     state.emit(replica.Reply(token=read.token, message=reply))
 
 
@@ -170,7 +177,7 @@
         term=leading.scheduler.term,
         sequence=leading.sequence,
         replicas=_replicas(state),
-        body=scheduler.orders(leading.scheduler, worker, life),
+        body=orders.encode(leading.scheduler, worker, life),
     )
 
 
@@ -180,13 +187,13 @@
 
 def tick(state):
     """Pass time to the scheduler."""
-    event = scheduler.Tick(now_ms=state.now_ms, wall_ms=state.wall_ms)
+    event = schedulerevents.Tick(now_ms=state.now_ms, wall_ms=state.wall_ms)
     feed(state, event)
 
 
 def on_command_applied(state, index, command, answer):
     """Tell the scheduler what the machine applied."""
-    event = scheduler.CommandApplied(
+    event = schedulerevents.CommandApplied(
         now_ms=state.now_ms, index=index, command=command, answer=answer
     )
     feed(state, event)
--- /dev/null
+++ b/sardinegauge/workflows/orders.py
@@ -0,0 +1,57 @@
+"""The orders for a worker: what its agent's newest report lacks."""
+
+import json
+
+from sardinegauge.workflows import views
+
+
+def encode(state, worker, life):
+    """Return the encode for a worker as JSON bytes.
+
+    They hold what the newest report lacks: starts as rows of task, run, payload and
+    checkpoint, stops and forgotten runs as rows of task and run, paces as rows of task,
+    run and percent, and the number of the last end taken note of. A worker is watched
+    while tasks that serve share it with fillers.
+    """
+    view = state.view_by_id.get(worker)
+    body = {
+        "seen_end": 0,
+        "starts": [],
+        "stops": [],
+        "forget": [],
+        "paces": [],
+        "is_watched": False,
+    }
+    if view is None or view.life != life or state.registered_life(worker) != life:
+        return json.dumps(body).encode()
+    body["seen_end"] = state.store.worker_by_id[worker].seen_end
+    runs = state.store.runs_of(worker, life)
+    body["is_watched"] = any(task.step.target_ms for task in runs.values()) and any(
+        task.step.is_filler for task in runs.values()
+    )
+    for key, task in runs.items():
+        item, _, _ = state.store.find_task(task.id)
+        reported = view.runs.get(key)
+        if not item.is_open or task.is_done or key in state.stops:
+            if reported is None or reported.phase in (views.ORDERED, views.ACTIVE):
+                body["stops"].append(list(key))
+        elif reported is None and key not in view.ended and _may_order(view):
+            body["starts"].append([*key, item.payload, task.checkpoint])
+        elif reported is not None and reported.phase == views.ACTIVE:
+            pace = state.paces.get(key, 100)
+            if pace != reported.pace:
+                body["paces"].append([*key, pace])
+    for key, reported in view.runs.items():
+        if key in runs or key in state.recent_ends:
+            if reported.phase == views.GONE and key not in runs:
+                body["forget"].append(list(key))
+        elif reported.phase == views.GONE:
+            body["forget"].append(list(key))
+        elif reported.phase != views.STOPPING:
+            body["stops"].append(list(key))
+    return json.dumps(body, separators=(",", ":")).encode()
+
+
+def _may_order(view):
+    """Tell whether starts make sense: a new agent does not know yet what runs."""
+    return view.is_fenced and not view.is_losing
--- a/tests/agentkit.py
+++ b/tests/agentkit.py
@@ -12,7 +12,7 @@
 
 from tornado import netutil
 
-from sardinegauge import link, messages
+from sardinegauge import httpmessages, link, messages
 from tests.fleet import ports
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -210,9 +210,11 @@
             "deadline_ms": 5000,
             "idempotent": True,
             "incarnation": self.leader.last.incarnation,
-            "headers": [messages.Header(name="Sardinegauge-Request-Id", value="r1")],
+            "headers": [
+                httpmessages.Header(name="Sardinegauge-Request-Id", value="r1")
+            ],
         }
-        return messages.RequestHead(**{**defaults, **fields})
+        return httpmessages.RequestHead(**{**defaults, **fields})
 
     async def ask(self, head, body=b""):
         """Make one request; return the final message, the head and the body."""
@@ -232,20 +234,20 @@
     while True:
         while not is_sent and window > 0 and sent < len(body):
             chunk = body[sent : sent + min(window, 64 * 1024)]
-            exchange.send(messages.BodyChunk(data=chunk))
+            exchange.send(httpmessages.BodyChunk(data=chunk))
             sent += len(chunk)
             window -= len(chunk)
         if not is_sent and sent == len(body):
-            exchange.send(messages.BodyEnd(length=sent if is_whole else sent + 1))
+            exchange.send(httpmessages.BodyEnd(length=sent if is_whole else sent + 1))
             is_sent = True
         message = await exchange.receive(WAIT_S)
-        if isinstance(message, messages.Credit):
+        if isinstance(message, httpmessages.Credit):
             window += message.size
-        elif isinstance(message, messages.ResponseHead):
+        elif isinstance(message, httpmessages.ResponseHead):
             response = message
-        elif isinstance(message, messages.BodyChunk):
+        elif isinstance(message, httpmessages.BodyChunk):
             data += message.data
-            exchange.send(messages.Credit(size=len(message.data)))
+            exchange.send(httpmessages.Credit(size=len(message.data)))
         else:
             return message, response, bytes(data)
 
--- a/tests/entryfakes.py
+++ b/tests/entryfakes.py
@@ -11,6 +11,7 @@
     commands,
     entryapp,
     errors,
+    httpmessages,
     link,
     messages,
     outcome,
@@ -66,7 +67,7 @@
 
     async def _answer(self, exchange, message):
         try:
-            if isinstance(message, messages.KeyQuery):
+            if isinstance(message, httpmessages.KeyQuery):
                 self.key_queries.append(message)
                 if self.key_replies:
                     exchange.send(self.key_replies.pop(0))
@@ -93,10 +94,10 @@
         parts, length = [], 0
         while True:
             message = await exchange.receive(10)
-            if isinstance(message, messages.Abort):
+            if isinstance(message, httpmessages.Abort):
                 self.aborts.append(message)
                 return None
-            if isinstance(message, messages.BodyEnd):
+            if isinstance(message, httpmessages.BodyEnd):
                 assert message.length == length
                 return b"".join(parts) if self.keeps_bodies else length
             length += len(message.data)
@@ -104,7 +105,7 @@
                 parts.append(message.data)
             self.taken += len(message.data)
             if self.credit:
-                exchange.send(messages.Credit(size=len(message.data) * self.credit))
+                exchange.send(httpmessages.Credit(size=len(message.data) * self.credit))
 
     def stop(self):
         self.server.close_links()
@@ -117,17 +118,19 @@
 
 def send_response(exchange, body, status=200, headers=(), in_flight=1, length=None):
     exchange.send(
-        messages.ResponseHead(status=status, headers=list(headers), in_flight=in_flight)
+        httpmessages.ResponseHead(
+            status=status, headers=list(headers), in_flight=in_flight
+        )
     )
     if body:
-        exchange.send(messages.BodyChunk(data=body))
-    exchange.send(messages.BodyEnd(length=len(body) if length is None else length))
+        exchange.send(httpmessages.BodyChunk(data=body))
+    exchange.send(httpmessages.BodyEnd(length=len(body) if length is None else length))
 
 
 def refuse(draining=False):
     async def behave(agent, exchange, head, body):
         exchange.send(
-            messages.Refusal(verdict="not-run", reason="full", draining=draining)
+            httpmessages.Refusal(verdict="not-run", reason="full", draining=draining)
         )
 
     return behave
@@ -135,7 +138,7 @@
 
 def abort(verdict):
     async def behave(agent, exchange, head, body):
-        exchange.send(messages.Abort(verdict=verdict, reason="upstream failed"))
+        exchange.send(httpmessages.Abort(verdict=verdict, reason="upstream failed"))
 
     return behave
 
--- a/tests/raftsim.py
+++ b/tests/raftsim.py
@@ -7,7 +7,13 @@
 import json
 import random
 
-from sardinegauge import membership, raft, raftlog, raftstate, storage
+from sardinegauge import (
+    membership,
+    raft,
+    raftlog,
+    raftstate,
+    storage,
+)
 
 NAMES = ("a", "b", "c")
 
@@ -23,7 +29,9 @@
         self.acknowledged = {}
         if members:
             body = membership.dumps(members)
-            entry = raft.messages.LogEntry(index=1, term=1, kind="members", body=body)
+            entry = raft.raftmessages.LogEntry(
+                index=1, term=1, kind="members", body=body
+            )
             self.term = 1
             self.log.append([entry])
 
--- a/tests/session.py
+++ b/tests/session.py
@@ -16,11 +16,13 @@
     entry,
     entryevents,
     hostedtask,
+    httpmessages,
     membership,
     messages,
     outcome,
     raft,
     raftlog,
+    raftmessages,
     raftstate,
     record,
     replica,
@@ -89,7 +91,7 @@
         self.request_by_number = {}
         member = membership.Member(identity="s1", name="s1", address="s1:1")
         body = membership.dumps({"s1": member})
-        first = messages.LogEntry(index=1, term=1, kind="members", body=body)
+        first = raftmessages.LogEntry(index=1, term=1, kind="members", body=body)
         stored = storage.Stored(term=1, log=raftlog.Log(entries=[first]))
         parts = stateapp.default_parts()
         self.state = replica.State("s1", "s1:1", stored, parts, 0)
@@ -253,7 +255,7 @@
                 self.at(HOP_MS, self._linked, name)
             elif isinstance(effect, entryevents.Send):
                 self.request_by_number[effect.number] = effect
-                head = messages.RequestHead(
+                head = httpmessages.RequestHead(
                     tenant="karri",
                     service="ordering",
                     deadline_ms=effect.deadline_ms,
@@ -304,7 +306,7 @@
             in_flight=0,
             queued=0,
         )
-        kept = messages.KeyReply(
+        kept = httpmessages.KeyReply(
             state="finished", status=200, body=b"done", is_body_kept=True
         )
         response = kept if sent.claim_index else None
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -3,7 +3,15 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from sardinegauge import agent, agentevents, hostedtask, messages, requesttable, worker
+from sardinegauge import (
+    agent,
+    agentevents,
+    hostedtask,
+    httpmessages,
+    messages,
+    requesttable,
+    worker,
+)
 from tests.agentkit import order
 
 LEASE_MS = 10_000
@@ -39,7 +47,7 @@
 
 
 def arrive(state, number, now_ms=0, deadline_ms=1000, **fields):
-    head = messages.RequestHead(
+    head = httpmessages.RequestHead(
         service="shop", incarnation="u1-1", deadline_ms=deadline_ms, **fields
     )
     return agent.reduce(
@@ -254,7 +262,7 @@
     def query(self, pick, number):
         self.queried = ("karri", "ab"[pick % 2], 1 + pick % 3)
         tenant, name, index = self.queried
-        message = messages.KeyQuery(
+        message = httpmessages.KeyQuery(
             tenant=tenant, key=name, claim_index=index, fence=number % 2 == 0
         )
         event = agentevents.KeyQueried(now_ms=self.now_ms, query=1, message=message)
@@ -429,10 +437,12 @@
 def test_another_incarnation_neither_runs_nor_answers_for_a_key():
     """Guards against a restarted agent that takes unknown keys for not-run."""
     state = ready_state()
-    head = messages.RequestHead(incarnation="u1-0", deadline_ms=1000)
+    head = httpmessages.RequestHead(incarnation="u1-0", deadline_ms=1000)
     event = agentevents.RequestArrived(now_ms=0, request=1, head=head)
     assert of(requesttable.RefuseRequest, agent.reduce(state, event))
-    query = messages.KeyQuery(key="a", claim_index=1, fence=True, incarnation="u1-0")
+    query = httpmessages.KeyQuery(
+        key="a", claim_index=1, fence=True, incarnation="u1-0"
+    )
     effects = agent.reduce(
         state, agentevents.KeyQueried(now_ms=0, query=1, message=query)
     )
--- a/tests/test_agentapp.py
+++ b/tests/test_agentapp.py
@@ -8,7 +8,7 @@
 import pytest
 from prometheus_client import parser
 
-from sardinegauge import messages
+from sardinegauge import httpmessages
 from tests import agentkit
 
 
@@ -18,7 +18,7 @@
     async def run():
         async with agentkit.Bench(tmp_path) as bench:
             final, head, data = await bench.ask(bench.head())
-            assert isinstance(final, messages.BodyEnd), final
+            assert isinstance(final, httpmessages.BodyEnd), final
             assert (head.status, final.length) == (200, len(data))
             assert json.loads(data)["request_id"] == "r1"
             body = bytes(range(256)) * 4096
@@ -55,7 +55,7 @@
     async def run():
         async with agentkit.Bench(tmp_path) as bench:
             final, _head, _data = await bench.ask(bench.head(f"/shop/x?{fault}"))
-            assert isinstance(final, messages.Abort)
+            assert isinstance(final, httpmessages.Abort)
             assert final.verdict == "may-have-run"
 
     asyncio.run(run())
@@ -69,7 +69,7 @@
             head = bench.head("/shop/x?order=o1", method="POST", has_body=True)
             exchange = bench.dialer.link.open_exchange(head)
             final = await agentkit.converse(exchange, head, b"half", is_whole=False)
-            assert isinstance(final[0], messages.Abort)
+            assert isinstance(final[0], httpmessages.Abort)
             assert bench.recorded("order") == []
 
     asyncio.run(run())
@@ -90,16 +90,19 @@
             first = bench.dialer.link.open_exchange(claimed)
             await agentkit.until(lambda: bench.recorded("order"), "the order to run")
             again, _head, _data = await bench.ask(claimed)
-            assert (type(again), again.verdict) == (messages.Abort, "may-have-run")
+            assert (type(again), again.verdict) == (
+                httpmessages.Abort,
+                "may-have-run",
+            )
             # The entry leaves; its request still ends and its response is kept.
-            first.send(messages.Abort(verdict="may-have-run"))
-            query = messages.KeyQuery(tenant="karri", key="k1", claim_index=7)
-            reply = messages.KeyReply(state="running")
+            first.send(httpmessages.Abort(verdict="may-have-run"))
+            query = httpmessages.KeyQuery(tenant="karri", key="k1", claim_index=7)
+            reply = httpmessages.KeyReply(state="running")
             while reply.state == "running":
                 reply = await bench.dialer.link.request(query, 5)
             assert (reply.state, reply.status) == ("finished", 200)
             final, head, data = await bench.ask(claimed)
-            assert (type(final), head.status) == (messages.BodyEnd, 200)
+            assert (type(final), head.status) == (httpmessages.BodyEnd, 200)
             assert data == reply.body
             assert len(bench.recorded("order", order="o1")) == 1
 
@@ -118,7 +121,7 @@
             assert final.verdict == "not-run"
             await agentkit.until(lambda: bench.leader.last.draining, "leaving")
             final, _head, _data = await bench.ask(bench.head())
-            assert (type(final), final.draining) == (messages.Refusal, True)
+            assert (type(final), final.draining) == (httpmessages.Refusal, True)
 
     asyncio.run(run())
 
@@ -154,7 +157,7 @@
             final, _head, _data = await bench.ask(bench.head())
             assert (final.verdict, final.draining) == ("not-run", True)
             final, head, _data = await slow
-            assert (type(final), head.status) == (messages.BodyEnd, 200)
+            assert (type(final), head.status) == (httpmessages.BodyEnd, 200)
             assert await asyncio.to_thread(bench.agent.wait, 10) == 0
 
     asyncio.run(run())
@@ -192,7 +195,7 @@
             await agentkit.until(lambda: bench.leader.last.draining, "the drain")
             await asyncio.sleep(0.7)  # An entry's poll of 500 ms, and some.
             final, _head, _data = await bench.ask(bench.head())
-            assert (type(final), final.verdict) == (messages.Refusal, "not-run")
+            assert (type(final), final.verdict) == (httpmessages.Refusal, "not-run")
             assert await asyncio.to_thread(bench.agent.wait, 10) == 0
 
     asyncio.run(run())
@@ -315,16 +318,16 @@
         async with agentkit.Bench(tmp_path) as bench:
             head = bench.head("/shop/x?size=3000000")
             exchange = bench.dialer.link.open_exchange(head)
-            assert isinstance(await exchange.receive(5), messages.ResponseHead)
+            assert isinstance(await exchange.receive(5), httpmessages.ResponseHead)
             size = 0
             with pytest.raises(TimeoutError):
                 while True:
                     size += len((await exchange.receive(0.5)).data)
             assert 192 * 1024 < size <= 256 * 1024
-            exchange.send(messages.Credit(size=3_000_000))
+            exchange.send(httpmessages.Credit(size=3_000_000))
             while True:
                 message = await exchange.receive(5)
-                if isinstance(message, messages.BodyEnd):
+                if isinstance(message, httpmessages.BodyEnd):
                     break
                 size += len(message.data)
             assert size == message.length == 3_000_000
@@ -339,13 +342,15 @@
         async with agentkit.Bench(tmp_path) as bench:
             head = bench.head("/shop/x?size=600000", deadline_ms=1500)
             exchange = bench.dialer.link.open_exchange(head)
-            assert isinstance(await exchange.receive(5), messages.ResponseHead)
+            assert isinstance(await exchange.receive(5), httpmessages.ResponseHead)
             await asyncio.sleep(2)
-            exchange.send(messages.Credit(size=600_000))
+            exchange.send(httpmessages.Credit(size=600_000))
             size = 0
-            while isinstance(message := await exchange.receive(5), messages.BodyChunk):
+            while isinstance(
+                message := await exchange.receive(5), httpmessages.BodyChunk
+            ):
                 size += len(message.data)
-            assert isinstance(message, messages.BodyEnd)
+            assert isinstance(message, httpmessages.BodyEnd)
             assert size == message.length == 600_000
 
     asyncio.run(run())
--- a/tests/test_claimcalls.py
+++ b/tests/test_claimcalls.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from sardinegauge import messages, outcome
+from sardinegauge import httpmessages, outcome
 from tests import entryfakes
 from tests.test_entryapp import agent, fetch, run, verdict
 
@@ -15,7 +15,7 @@
 
 async def count_up(agent, exchange, head, body):
     """Answer with a number that rises with each run."""
-    headers = [messages.Header(name="X-Order", value="7")]
+    headers = [httpmessages.Header(name="X-Order", value="7")]
     entryfakes.send_response(exchange, b"%d" % len(agent.received), 201, headers)
 
 
@@ -77,17 +77,17 @@
 
 
 def test_key_that_a_lost_entry_never_sent_is_fenced_and_runs_once():
-    response, received, claim = resend_after(messages.KeyReply(state="fenced"))
+    response, received, claim = resend_after(httpmessages.KeyReply(state="fenced"))
     assert (response.code, len(received)) == (201, 1)
     assert claim["claim_index"] != 9 and claim["state"] == "settled"
     assert received[0][0].claim_index == claim["claim_index"]
 
 
 def test_running_key_is_waited_for_and_its_response_returned():
-    finished = messages.KeyReply(
+    finished = httpmessages.KeyReply(
         state="finished", status=201, body=b"first", is_body_kept=True
     )
-    running = messages.KeyReply(state="running")
+    running = httpmessages.KeyReply(state="running")
     response, received, claim = resend_after(running, running, finished)
     assert (response.code, response.body, received) == (201, b"first", [])
     assert claim["state"] == "settled"
--- a/tests/test_entryapp.py
+++ b/tests/test_entryapp.py
@@ -10,7 +10,13 @@
 import pytest
 from tornado import httpclient, simple_httpclient
 
-from sardinegauge import entryhttp, errors, messages, requestattempt, requestfront
+from sardinegauge import (
+    entryhttp,
+    errors,
+    httpmessages,
+    requestattempt,
+    requestfront,
+)
 from tests import entryfakes
 
 
@@ -217,12 +223,12 @@
     async def short(agent, exchange, head, body):
         headers = []
         if "sized" in head.path:
-            headers = [messages.Header(name="Content-Length", value="10")]
+            headers = [httpmessages.Header(name="Content-Length", value="10")]
         entryfakes.send_response(exchange, b"12345", headers=headers, length=10)
 
     async def cut(agent, exchange, head, body):
-        exchange.send(messages.ResponseHead(status=200))
-        exchange.send(messages.BodyChunk(data=b"12345"))
+        exchange.send(httpmessages.ResponseHead(status=200))
+        exchange.send(httpmessages.BodyChunk(data=b"12345"))
         await asyncio.sleep(0.05)
         agent.server.close_links()
 
@@ -244,7 +250,7 @@
 
 def test_malformed_response_is_no_stack_trace_and_ran():
     async def bad(agent, exchange, head, body):
-        headers = [messages.Header(name="X", value="a\r\nSet-Cookie: b")]
+        headers = [httpmessages.Header(name="X", value="a\r\nSet-Cookie: b")]
         entryfakes.send_response(exchange, b"", headers=headers)
 
     response = run(lambda app: fetch(app, "/shop"), agent(bad))
@@ -255,7 +261,7 @@
 def test_head_and_empty_responses_keep_their_framing():
     async def behave(agent, exchange, head, body):
         status = 204 if head.path.endswith("empty") else 200
-        headers = [messages.Header(name="Content-Length", value="5")]
+        headers = [httpmessages.Header(name="Content-Length", value="5")]
         entryfakes.send_response(
             exchange, b"", status, headers if status == 200 else ()
         )
@@ -332,26 +338,26 @@
 
     response, told = run(test, agent(never))
     assert (response.code, verdict(response)) == (504, "may-have-run")
-    assert isinstance(told, messages.Abort)
+    assert isinstance(told, httpmessages.Abort)
 
 
 async def send_much(agent, exchange, head, body):
     """Answer with as many bytes as the body had, or 32 MiB without an end."""
     window, agent.sent, limit = 256 * 1024, 0, body or 32 << 20
-    exchange.send(messages.ResponseHead(status=200))
+    exchange.send(httpmessages.ResponseHead(status=200))
     with contextlib.suppress(errors.LinkClosedError, TimeoutError):
         while agent.sent < limit:
             while window < 64 * 1024:
                 message = await exchange.receive(10)
-                if isinstance(message, messages.Abort):
+                if isinstance(message, httpmessages.Abort):
                     return
                 window += message.size
             data = bytes(min(limit - agent.sent, 64 * 1024))
-            await exchange.send(messages.BodyChunk(data=data))
+            await exchange.send(httpmessages.BodyChunk(data=data))
             agent.sent += len(data)
             window -= len(data)
         if body:
-            exchange.send(messages.BodyEnd(length=body))
+            exchange.send(httpmessages.BodyEnd(length=body))
 
 
 def test_large_bodies_stream_both_ways_in_bounded_memory():
@@ -428,8 +434,8 @@
     monkeypatch.setattr(requestattempt, "STALL_LIMIT_S", 0.5)
 
     async def pause(agent, exchange, head, body):
-        exchange.send(messages.ResponseHead(status=200))
-        exchange.send(messages.BodyChunk(data=b"begun"))
+        exchange.send(httpmessages.ResponseHead(status=200))
+        exchange.send(httpmessages.BodyChunk(data=b"begun"))
         agent.aborts.append(await exchange.receive(10))
 
     async def test(app):
@@ -547,7 +553,7 @@
 
 def test_message_for_another_incarnation_is_not_sent():
     async def test(app):
-        query = messages.KeyQuery(tenant="karri", key="k", fence=True)
+        query = httpmessages.KeyQuery(tenant="karri", key="k", fence=True)
         with pytest.raises(errors.LinkClosedError):
             app.requests.links.open_exchange("u1", "i0", query)
         app.requests.links.open_exchange("u1", "i1", query)
--- a/tests/test_entryclaims.py
+++ b/tests/test_entryclaims.py
@@ -10,7 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from sardinegauge import entryevents, messages, outcome
+from sardinegauge import entryevents, httpmessages, outcome
 from tests import test_entry
 from tests.test_entry import MAY_HAVE_RUN, NOT_RUN, RAN
 
@@ -127,7 +127,7 @@
             session.give(
                 entryevents.HeadReceived, status=200, in_flight=1, queued=0, **ids
             )
-            response = messages.KeyReply(
+            response = httpmessages.KeyReply(
                 state="finished", status=200, body=b"done", is_body_kept=True
             )
             session.give(entryevents.AttemptFinished, response=response, **ids)
@@ -138,7 +138,7 @@
             keys = self.keys_by_agent[effect.upstream]
             state = keys.setdefault(effect.claim_index, "fenced")
             if fate > 1:
-                reply = messages.KeyReply(
+                reply = httpmessages.KeyReply(
                     state=state, status=200, body=b"done", is_body_kept=True
                 )
         session.give(
@@ -256,7 +256,7 @@
     session = test_entry.Session()
     session.arrive(1, is_idempotent=False, key="k")
     _claimed(session, **OPEN)
-    reply = messages.KeyReply(
+    reply = httpmessages.KeyReply(
         state="finished", status=201, body=b"done", is_body_kept=True
     )
     effects = session.give(entryevents.KeyAnswered, number=1, reply=reply, seed=1)
@@ -269,7 +269,7 @@
         session = test_entry.Session()
         session.arrive(1, is_idempotent=False, key="k")
         _claimed(session, **OPEN)
-        reply = messages.KeyReply(state=state)
+        reply = httpmessages.KeyReply(state=state)
         session.give(entryevents.KeyAnswered, number=1, reply=reply, seed=1)
         final = session.finals[1]
         assert (final.status, final.verdict) == (504, MAY_HAVE_RUN)
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -125,7 +125,7 @@
 def test_vote_counts_only_after_it_is_durable():
     simulator = raftsim.Simulator()
     node = simulator.nodes["a"]
-    request = raft.messages.VoteRequest(
+    request = raft.raftmessages.VoteRequest(
         term=2, candidate="b", last_index=9, last_term=1
     )
     simulator.feed(node, raft.Received(now_ms=0, message=request))
@@ -148,7 +148,7 @@
     replies = [
         message.match_index
         for name, _, message in simulator.bag
-        if name == follower.name and isinstance(message, raft.messages.AppendReply)
+        if name == follower.name and isinstance(message, raft.raftmessages.AppendReply)
     ]
     assert all(index < last for index in replies)
     assert leader.state.commit_index < last
@@ -207,10 +207,10 @@
     simulator.bag.clear()
     behind.is_isolated = False
     table = [
-        raft.messages.MemberIndex(member=member, index=index)
+        raft.raftmessages.MemberIndex(member=member, index=index)
         for member, index in leader.state.acknowledged.items()
     ]
-    message = raft.messages.AppendRequest(
+    message = raft.raftmessages.AppendRequest(
         term=leader.state.term,
         leader=leader.identity,
         prev_index=committed,
--- a/tests/test_raftguards.py
+++ b/tests/test_raftguards.py
@@ -1,6 +1,6 @@
 """Guards single rules of the agreement that random runs seldom need."""
 
-from sardinegauge import membership, messages, raft, raftstate
+from sardinegauge import membership, raft, raftmessages, raftstate
 from tests import raftsim
 
 
@@ -18,12 +18,12 @@
 
 
 def entry(index, term, kind="command", body=b"x"):
-    return messages.LogEntry(index=index, term=term, kind=kind, body=body)
+    return raftmessages.LogEntry(index=index, term=term, kind=kind, body=body)
 
 
 def append(term, prev, entries=(), **fields):
     """Return a request of leader b; `prev` is a pair of index and term."""
-    return messages.AppendRequest(
+    return raftmessages.AppendRequest(
         term=term,
         leader="b",
         prev_index=prev[0],
@@ -38,7 +38,7 @@
     simulator.now_ms += 5000
     simulator.tick(node)
     term = node.state.term + 1
-    reply = messages.VoteReply(
+    reply = raftmessages.VoteReply(
         term=term, voter="b", granted=True, pre_vote=True, last_index=9
     )
     receive(simulator, node, reply)
@@ -58,7 +58,7 @@
     node = simulator.nodes["a"]
     receive(simulator, node, append(2, (1, 1)))
     write_all(simulator, node)
-    request = messages.VoteRequest(
+    request = raftmessages.VoteRequest(
         term=3, candidate="c", last_index=9, last_term=9, pre_vote=True
     )
     (reply,) = receive(simulator, node, request)
@@ -97,7 +97,7 @@
     lead(simulator, node)
     simulator.read(node)
     term = node.state.term
-    reply = messages.AppendReply(
+    reply = raftmessages.AppendReply(
         term=term, member="c", success=True, match_index=2, read_round=9
     )
     receive(simulator, node, reply)
@@ -131,7 +131,7 @@
     receive(simulator, node, append(2, (1, 1), [entry(i, 2) for i in range(2, 9)]))
     write_all(simulator, node)
     lead(simulator, node)
-    refusal = messages.AppendReply(
+    refusal = raftmessages.AppendReply(
         term=node.state.term,
         member="c",
         prev_index=8,
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -8,6 +8,7 @@
     messages,
     raft,
     raftlog,
+    raftmessages,
     raftstate,
     replica,
     storage,
@@ -25,11 +26,11 @@
         }
         member = members["a"]
         body = membership.dumps(members)
-        entries = [messages.LogEntry(index=1, term=1, kind="members", body=body)]
+        entries = [raftmessages.LogEntry(index=1, term=1, kind="members", body=body)]
         for index in range(2, 2 + command_count):
             command = b'{"kind":"ExpireClaims","before_ms":1}'
             entries.append(
-                messages.LogEntry(index=index, term=1, kind="command", body=command)
+                raftmessages.LogEntry(index=index, term=1, kind="command", body=command)
             )
         stored = storage.Stored(term=1, log=raftlog.Log(entries=entries))
         self.state = replica.State(
@@ -69,12 +70,14 @@
         """Win an election by the vote of b; return the reply b acknowledges with."""
         self.feed(raft.Tick(now_ms=self.now_ms, jitter=0.0))
         for is_pre_vote in (True, False):
-            vote = messages.VoteReply(
+            vote = raftmessages.VoteReply(
                 term=2, voter="b", granted=True, pre_vote=is_pre_vote, last_index=1
             )
             self.feed(raft.Received(now_ms=self.now_ms, message=vote))
             self.sync()
-        reply = messages.AppendReply(term=2, member="b", success=True, match_index=2)
+        reply = raftmessages.AppendReply(
+            term=2, member="b", success=True, match_index=2
+        )
         self.feed(raft.Received(now_ms=self.now_ms, message=reply))
         assert self.state.is_leading
         return reply
@@ -155,7 +158,7 @@
     group.lead()
     body = b'{"kind":"ExpireClaims","before_ms":1}'
     token = group.ask(messages.Propose(command=body))
-    request = messages.VoteRequest(term=9, candidate="b", last_index=9, last_term=8)
+    request = raftmessages.VoteRequest(term=9, candidate="b", last_index=9, last_term=8)
     group.feed(raft.Received(now_ms=group.now_ms, message=request))
     assert group.replies[token].verdict == "may-have-run"
     late = group.ask(messages.Propose(command=body))
--- a/tests/test_requestkeys.py
+++ b/tests/test_requestkeys.py
@@ -1,8 +1,8 @@
 """Guards the bounds of the table of request keys."""
 
-from sardinegauge import messages, requestkeys
+from sardinegauge import httpmessages, requestkeys
 
-HEADERS = [messages.Header(name="Content-Type", value="text/plain")]
+HEADERS = [httpmessages.Header(name="Content-Type", value="text/plain")]
 
 
 def finished(keys, index, size):
--- a/tests/test_stateapp.py
+++ b/tests/test_stateapp.py
@@ -10,6 +10,7 @@
 from sardinegauge import (
     commands,
     errors,
+    httpmessages,
     link,
     messages,
     outcome,
@@ -211,8 +212,8 @@
             query = messages.Query(kind=kind, arguments=arguments)
             reply = await leader.link.request(query, 5)
             assert reply.verdict == "ran" and (reply.answer or reply.reason)
-        reply = await leader.link.request(messages.KeyQuery(), 5)
-        assert isinstance(reply, messages.Abort)
+        reply = await leader.link.request(httpmessages.KeyQuery(), 5)
+        assert isinstance(reply, httpmessages.Abort)
         await submit(fleet, 2, 2)
         assert await caught_up(fleet) == ["job1", "job2"]
 
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -5,14 +5,23 @@
 
 import pytest
 
-from sardinegauge import errors, messages, raftstate, segments, storage, writer
+from sardinegauge import (
+    errors,
+    raftmessages,
+    raftstate,
+    segments,
+    storage,
+    writer,
+)
 
 ADDRESSES = {"a": "127.0.0.1:1", "b": "127.0.0.1:2", "c": "127.0.0.1:3"}
 
 
 def entries(first, last, term=2, size=8):
     return [
-        messages.LogEntry(index=i, term=term, kind="command", body=b"%0*d" % (size, i))
+        raftmessages.LogEntry(
+            index=i, term=term, kind="command", body=b"%0*d" % (size, i)
+        )
         for i in range(first, last + 1)
     ]
 
--- a/tests/test_workflow_hosting.py
+++ b/tests/test_workflow_hosting.py
@@ -3,7 +3,13 @@
 import pytest
 
 from sardinegauge import messages
-from sardinegauge.workflows import hosting, views, workerport
+from sardinegauge.workflows import (
+    hostevents,
+    hosting,
+    hoststate,
+    views,
+    workerport,
+)
 
 KEY = ("w.0.0.0", 1)
 
@@ -12,7 +18,7 @@
     """Drives the reducer with a worker whose answers the test gives."""
 
     def __init__(self):
-        self.state = hosting.State("vm-1")
+        self.state = hoststate.State("vm-1")
         self.now_ms = 100_000
         self.sequence = 0
         self.calls = []
@@ -23,7 +29,7 @@
     def feed(self, event_class, **fields):
         event = event_class(now_ms=self.now_ms, **fields)
         for effect in hosting.reduce(self.state, event):
-            if isinstance(effect, hosting.SendReport):
+            if isinstance(effect, hostevents.SendReport):
                 self.reports += 1
             else:
                 self.calls.append(effect)
@@ -37,7 +43,7 @@
             sequence=sequence,
             **fields,
         )
-        self.feed(hosting.Announced, announcement=announcement)
+        self.feed(hostevents.Announced, announcement=announcement)
 
     def take(self, kind):
         found = [call for call in self.calls if isinstance(call.request, kind)]
@@ -46,7 +52,7 @@
 
     def answer(self, call, **fields):
         answer = workerport.Answer(clock_ms=self.now_ms - 50_000, **fields)
-        self.feed(hosting.Answered, call=call, answer=answer)
+        self.feed(hostevents.Answered, call=call, answer=answer)
 
     def answer_holds(self, running=(), ended=()):
         for call in self.take(workerport.HoldCall):
@@ -77,7 +83,7 @@
             sent_ms=self.now_ms,
             grant_ms=grant_ms,
         )
-        self.feed(hosting.OrdersReceived, message=message, body=body)
+        self.feed(hostevents.OrdersReceived, message=message, body=body)
 
     def start(self):
         self.order(starts=[[*KEY, "payload", ""]])
@@ -86,7 +92,7 @@
 
     def tick(self, ms=100):
         self.now_ms += ms
-        self.feed(hosting.Tick)
+        self.feed(hostevents.Tick)
 
     def phase(self, key=KEY):
         run = self.state.runs.get(key)
@@ -120,7 +126,7 @@
 
 def test_unanswered_start_is_repeated_and_one_listed_run_is_enough(agent):
     call = agent.start()
-    agent.feed(hosting.Unanswered, call=call, is_down=False)
+    agent.feed(hostevents.Unanswered, call=call, is_down=False)
     agent.tick()
     (again,) = agent.take(workerport.StartCall)
     assert again.request.run == 1
@@ -137,7 +143,7 @@
 def test_refused_start_after_an_unanswered_one_is_stopped_first(agent):
     """The unanswered order may be carried out after the refusal."""
     call = agent.start()
-    agent.feed(hosting.Unanswered, call=call, is_down=False)
+    agent.feed(hostevents.Unanswered, call=call, is_down=False)
     agent.tick()
     (again,) = agent.take(workerport.StartCall)
     agent.answer(again, kind=workerport.REFUSED, reason=workerport.BY_ROOM)
@@ -207,7 +213,7 @@
     while not agent.state.is_lapsed:
         agent.tick()
         for call in agent.take(workerport.HoldCall):
-            agent.feed(hosting.Unanswered, call=call, is_down=False)
+            agent.feed(hostevents.Unanswered, call=call, is_down=False)
         assert agent.now_ms < begun_ms + 10_000
     assert agent.now_ms > begun_ms + 4500
     # A grant from before must not renew the leases of runs that are given up.
@@ -221,7 +227,7 @@
     for _ in range(3):
         agent.tick()
         for call in agent.take(workerport.HoldCall):
-            agent.feed(hosting.Unanswered, call=call, is_down=True)
+            agent.feed(hostevents.Unanswered, call=call, is_down=True)
     assert agent.phase() == views.GONE
     assert not hosting.report_fields(agent.state)["is_fenced"]
 
@@ -229,11 +235,11 @@
 def test_crash_leaves_an_unanswered_start_in_doubt(agent):
     """A next life of the worker may still carry out the order."""
     call = agent.start()
-    agent.feed(hosting.Unanswered, call=call, is_down=False)
+    agent.feed(hostevents.Unanswered, call=call, is_down=False)
     for _ in range(5):
         agent.tick()
         for call in agent.take(workerport.HoldCall):
-            agent.feed(hosting.Unanswered, call=call, is_down=True)
+            agent.feed(hostevents.Unanswered, call=call, is_down=True)
     assert agent.phase() == views.ORDERED
     agent.tick(hosting.LATE_ORDER_MS)
     assert agent.phase() == views.GONE
@@ -286,7 +292,7 @@
     agent.answer(agent.start())
     agent.order(paces=[[*KEY, 30]])
     (call,) = agent.take(workerport.PaceCall)
-    agent.feed(hosting.Unanswered, call=call, is_down=False)
+    agent.feed(hostevents.Unanswered, call=call, is_down=False)
     agent.now_ms += 200
     agent.order(paces=[[*KEY, 30]])
     (call,) = agent.take(workerport.PaceCall)
--- a/tests/test_workflow_scheduler.py
+++ b/tests/test_workflow_scheduler.py
@@ -6,10 +6,14 @@
 
 from sardinegauge import commands, machine
 from sardinegauge.workflows import (
+    lives,
     ordering,
+    orders,
     placing,
     queues,
     scheduler,
+    schedulerevents,
+    schedulerstate,
     sharing,
     store,
     views,
@@ -46,8 +50,8 @@
         return self.machine.workflows
 
     def lead(self, term=1):
-        self.state = scheduler.State(self.machine)
-        self.feed(scheduler.LeadershipGained, wall_ms=self.now_ms, term=term)
+        self.state = schedulerstate.State(self.machine)
+        self.feed(schedulerevents.LeadershipGained, wall_ms=self.now_ms, term=term)
 
     def feed(self, event_class, **fields):
         event = event_class(now_ms=self.now_ms, **fields)
@@ -55,9 +59,9 @@
 
     def take(self, effects):
         for effect in effects:
-            if isinstance(effect, scheduler.Propose):
+            if isinstance(effect, schedulerevents.Propose):
                 self.waiting.append(effect.command)
-            elif isinstance(effect, scheduler.Push):
+            elif isinstance(effect, schedulerevents.Push):
                 self.pushed.append(effect.worker)
 
     def commit(self, command):
@@ -66,7 +70,7 @@
         answer = machine.apply(self.machine, self.index, command)
         if hasattr(self, "state"):
             self.feed(
-                scheduler.CommandApplied,
+                schedulerevents.CommandApplied,
                 index=self.index,
                 command=command,
                 answer=answer,
@@ -102,7 +106,7 @@
             ends=[list(row) for row in ends],
             **values,
         )
-        self.feed(scheduler.ReportReceived, report=report)
+        self.feed(schedulerevents.ReportReceived, report=report)
 
     def submit(self, *found, id="w", queue="q", **fields):
         plain = [step.to_sparse_dict() for step in found]
@@ -112,7 +116,7 @@
         return self.commit(command)
 
     def orders(self, worker="a", life=1):
-        return json.loads(scheduler.orders(self.state, worker, life))
+        return json.loads(orders.encode(self.state, worker, life))
 
     def placed(self):
         """Return the worker of each running task by its id."""
@@ -125,7 +129,7 @@
 
     def tick(self, ms):
         self.now_ms += ms
-        self.feed(scheduler.Tick, wall_ms=self.now_ms)
+        self.feed(schedulerevents.Tick, wall_ms=self.now_ms)
 
 
 @pytest.fixture
@@ -179,15 +183,15 @@
 def test_life_is_released_only_after_the_last_lease_that_was_granted(leader):
     leader.submit(Step())
     leader.run()
-    scheduler.note_grant(leader.state, "a", leader.now_ms)
-    leader.tick(scheduler.LEASE_MS)
+    lives.note_grant(leader.state, "a", leader.now_ms)
+    leader.tick(lives.LEASE_MS)
     assert leader.waiting == []
-    leader.tick(scheduler.LEASE_MARGIN_MS + 10)
+    leader.tick(lives.LEASE_MARGIN_MS + 10)
     (release,) = leader.waiting
     assert isinstance(release, commands.ReleaseLife)
-    assert not scheduler.may_grant(leader.state, "a", 1)
+    assert not lives.may_grant(leader.state, "a", 1)
     leader.run()
-    assert scheduler.may_grant(leader.state, "a", 1)
+    assert lives.may_grant(leader.state, "a", 1)
     assert leader.placed() == {}
 
 
@@ -196,9 +200,9 @@
     leader.run()
     leader.now_ms += 60_000
     leader.lead(term=2)
-    leader.tick(scheduler.LEASE_MS)
+    leader.tick(lives.LEASE_MS)
     assert leader.waiting == []
-    leader.tick(scheduler.LEASE_MARGIN_MS + 10)
+    leader.tick(lives.LEASE_MARGIN_MS + 10)
     assert [type(command) for command in leader.waiting] == [commands.ReleaseLife]
 
 
@@ -395,7 +399,7 @@
     )
     for _ in range(4):
         leader.now_ms += 250
-        leader.feed(scheduler.ReportReceived, report=report)
+        leader.feed(schedulerevents.ReportReceived, report=report)
     leader.report("a" if host == "b" else "b")
     leader.submit(
         Step(count=2, cpu_millis=2000, image="sweep", is_filler=True), id="fill"
