Break the circle of replica, requests and directing; send polls only what changed

Cause: the three modules imported one another, and a doctest could not import leading alone.

Change: reads, replicaeffects and replicasteps hold what the three share. Queues travel compressed, and a poll gets those that changed since its version.

--- a/sardinegauge/calls.py
+++ b/sardinegauge/calls.py
@@ -4,6 +4,7 @@
 
 from sardinegauge import commands, record
 from sardinegauge import operator_pb2 as schema
+from sardinegauge.workflows import queues
 
 # The leader hears from a live member every 100 ms.
 LIVE_LIMIT_MS = 1000
@@ -132,10 +133,14 @@
 
 def _set_queues(request, operator):
     document = _document(request)
+    try:
+        found = [queues.Queue.from_dict(item) for item in document.get("queues", [])]
+        pools = [queues.Pool.from_dict(item) for item in document.get("pools", [])]
+    except (TypeError, ValueError) as error:
+        raise BadRequestError([("document", str(error))]) from error
     return commands.SetQueues(
         version=request.version,
-        queues=document.get("queues", []),
-        services=document.get("pools", []),
+        packed=queues.pack(found, pools),
         source=request.document,
     )
 
--- a/sardinegauge/checks.py
+++ b/sardinegauge/checks.py
@@ -306,8 +306,7 @@
     commands.ExpireClaims: {"before_ms": COUNT},
     commands.SetQueues: {
         "version": integer(1),
-        "queues": items(plain),
-        "services": items(plain),
+        "packed": text(MAX_BODY_LENGTH),
         "source": text(MAX_BODY_LENGTH, is_empty_allowed=True),
     },
     # The steps are checked by `workflows.steps`.
--- a/sardinegauge/commands.py
+++ b/sardinegauge/commands.py
@@ -267,12 +267,12 @@
 class SetQueues(Command):
     """Put a set of queues in force if its version is the highest so far.
 
-    `queues` are `workflows.queues.Queue` records as plain dicts, `services` are
-    `workflows.queues.ServicePool` ones. `source` is the text the operator sent, kept
-    to be read back. Answers: `Accepted` with the version in force, or `Invalid`.
+    `packed` is made by `workflows.queues.pack`. `source` is the text the operator
+    sent, kept to be read back. Answers: `Accepted` with the version in force, or
+    `Invalid`.
     """
 
-    __slots__ = ("version", "queues", "services", "source")
+    __slots__ = ("version", "packed", "source")
     _defaults = {"at_ms": 0, "source": ""}
 
 
--- a/sardinegauge/configuration.py
+++ b/sardinegauge/configuration.py
@@ -2,6 +2,7 @@
 
 import copy
 import difflib
+import json
 
 from sardinegauge import checks, outcome, record
 
@@ -126,3 +127,10 @@
         operator=command.operator,
     )
     return outcome.Accepted(version=current.version + 1)
+
+
+def since(current, version):
+    """Return version and JSON of the configuration; no JSON if `version` is it."""
+    if current.version <= version:
+        return current.version, b""
+    return current.version, json.dumps(current.document).encode()
--- a/sardinegauge/directing.py
+++ b/sardinegauge/directing.py
@@ -6,8 +6,19 @@
 must not stop tasks with an old table.
 """
 
-from sardinegauge import messages, record, replica, requests
-
+import logging
+
+from sardinegauge import (
+    commands,
+    configuration,
+    messages,
+    reads,
+    record,
+    replicaeffects,
+    replicasteps,
+)
+
+log = logging.getLogger(__name__)
 LEASE_MS = 10_000
 # A heartbeat waits this long for a first table, which needs a registered worker.
 TABLE_WAIT_MS = 1000
@@ -69,15 +80,15 @@
     event = state.parts.scheduler.HeartbeatReceived(
         now_ms=state.now_ms, heartbeat=heartbeat
     )
-    replica.feed_scheduler(state, event)
-    requests.ask_read(state, token, heartbeat)
+    feed_scheduler(state, event)
+    reads.ask_read(state, token, heartbeat)
 
 
 def _refuse(state, token, sequence, reason):
     reply = messages.Directive(
         leader=state.raft.leader_address, sequence=sequence, reason=reason
     )
-    state.emit(replica.Reply(token=token, message=reply))
+    state.emit(replicaeffects.Reply(token=token, message=reply))
 
 
 def _drop(state, agent, reason):
@@ -111,7 +122,7 @@
         return
     agents.is_push_round_open = True
     upstreams, agents.waiting_pushes = agents.waiting_pushes, set()
-    requests.ask_read(state, None, PushRound(upstreams=upstreams))
+    reads.ask_read(state, None, PushRound(upstreams=upstreams))
 
 
 def on_push_ready(state, read):
@@ -123,7 +134,7 @@
         if agent is None or agent.directive is None or upstream in agents.losing:
             continue
         state.emit(
-            replica.Push(
+            replicaeffects.Push(
                 upstream=upstream,
                 incarnation=agent.incarnation,
                 message=_complete(state, agent, sequence=0, lease_ms=0),
@@ -157,7 +168,7 @@
         return
     heartbeat = agent.heartbeat
     message = _complete(state, agent, heartbeat.sequence, LEASE_MS)
-    state.emit(replica.Reply(token=agent.token, message=message))
+    state.emit(replicaeffects.Reply(token=agent.token, message=message))
     agent.heartbeat = None
     agent.token = None
 
@@ -166,7 +177,7 @@
     held = agent.heartbeat.config_version if agent.heartbeat is not None else None
     version, config = state.machine.configuration.version, b""
     if held is not None:
-        version, config = requests.configuration_since(state, held)
+        version, config = configuration.since(state.machine.configuration, held)
     return agent.directive.replace(
         confirmed=True,
         leader=state.raft.leader_address,
@@ -204,3 +215,28 @@
             continue
         if state.now_ms - agent.received_ms >= TABLE_WAIT_MS:
             _drop(state, agent, "no table of tasks yet")
+
+
+def feed_scheduler(state, event):
+    """Pass an event to the scheduler and take up its effects."""
+    parts = state.parts.scheduler
+    try:
+        effects = parts.reduce(state.scheduler, event)
+    except Exception:
+        # Its state is soft, so the replica goes on without this decision.
+        log.exception("scheduler_failed event=%s", type(event).__name__)
+        return
+    for effect in effects:
+        if isinstance(effect, parts.Propose):
+            _propose_own(state, effect.command)
+        else:
+            on_direct(state, effect)
+
+
+def _propose_own(state, command):
+    if isinstance(command, commands.WorkerLost):
+        on_worker_losing(state, command.upstream)
+    replicasteps.append_command(state, command, None)
+
+
+reads.refusals.update({messages.Heartbeat: on_read_failed, PushRound: on_read_failed})
--- a/sardinegauge/replica.py
+++ b/sardinegauge/replica.py
@@ -16,7 +16,10 @@
     outcome,
     raft,
     raftstate,
+    reads,
     record,
+    replicaeffects,
+    replicasteps,
     requests,
     snapshotting,
 )
@@ -55,30 +58,6 @@
     __slots__ = ("now_ms",)
 
 
-class Reply(record.Record):
-    """Effect: answer the request with this token."""
-
-    __slots__ = ("message", "token")
-
-
-class Push(record.Record):
-    """Effect: send a message to an agent outside its heartbeat exchange."""
-
-    __slots__ = ("incarnation", "message", "upstream")
-
-
-class TaskWaited(record.Record):
-    """Effect: count that a task runs after waiting `wait_ms`, for the histogram."""
-
-    __slots__ = ("task_class", "tenant", "wait_ms")
-
-
-class ApplyMore(record.Record):
-    """Effect: send `ApplyNext` soon, after other events had their turn."""
-
-    __slots__ = ()
-
-
 class Parts(record.Record):
     """The modules a replica drives, see section 16 of the design page."""
 
@@ -86,12 +65,6 @@
     _defaults = {"has_workflows": False}
 
 
-class Proposal(record.Record):
-    """A command in the log that awaits its answer; `token` is None for own ones."""
-
-    __slots__ = ("command", "token")
-
-
 class State:
     """State of one replica.
 
@@ -127,7 +100,7 @@
         self.gained_term = 0
         self.is_stopping = False
         self.proposals_by_index = {}
-        self.requests = requests.Requests()
+        self.reads = reads.Reads()
         self.agents = directing.Agents()
         self.leading = leading.Leading()
         self.effects = []
@@ -147,7 +120,7 @@
     state.effects = []
     state.now_ms = max(state.now_ms, event.now_ms)
     if isinstance(event, raft.Event):
-        feed_raft(state, event)
+        replicasteps.feed_raft(state, event)
     else:
         _BY_EVENT[type(event)](state, event)
     _apply_committed(state)
@@ -155,52 +128,6 @@
     return effects
 
 
-def feed_raft(state, event):
-    """Pass an event to the agreement reducer and take up its effects."""
-    for effect in raft.reduce(state.raft, event):
-        handler = _BY_RAFT_EFFECT.get(type(effect))
-        if handler is None:
-            state.emit(effect)
-        else:
-            handler(state, effect)
-
-
-def feed_scheduler(state, event):
-    """Pass an event to the scheduler and take up its effects."""
-    parts = state.parts.scheduler
-    try:
-        effects = parts.reduce(state.scheduler, event)
-    except Exception:
-        # Its state is soft, so the replica goes on without this decision.
-        log.exception("scheduler_failed event=%s", type(event).__name__)
-        return
-    for effect in effects:
-        if isinstance(effect, parts.Propose):
-            _propose_own(state, effect.command)
-        else:
-            directing.on_direct(state, effect)
-
-
-def _propose_own(state, command):
-    if isinstance(command, commands.WorkerLost):
-        directing.on_worker_losing(state, command.upstream)
-    append_command(state, command, None)
-
-
-def append_command(state, command, token):
-    """Stamp a command, append it to the log and remember who awaits the answer."""
-    command.at_ms = state.wall_ms
-    body = commands.REGISTRY.dumps(command)
-    remember_proposal(state, command, token)
-    feed_raft(state, raft.Appended(now_ms=state.now_ms, bodies=[body]))
-
-
-def remember_proposal(state, command, token):
-    """Expect the answer of the entry that is appended next."""
-    index = state.raft.log.last_index + 1
-    state.proposals_by_index[index] = Proposal(command=command, token=token)
-
-
 def _on_asked(state, event):
     state.wall_ms = event.wall_ms
     handler = _BY_MESSAGE.get(type(event.message))
@@ -209,7 +136,7 @@
         refusal = httpmessages.Abort(
             verdict=outcome.Verdict.NOT_RUN.value, reason=reason
         )
-        state.emit(Reply(token=event.token, message=refusal))
+        state.emit(replicaeffects.Reply(token=event.token, message=refusal))
         return
     handler(state, event.token, event.message)
 
@@ -217,7 +144,7 @@
 def _on_scheduler_tick(state, event):
     state.wall_ms = event.wall_ms
     if state.is_leading:
-        feed_scheduler(state, state.parts.scheduler.Tick(now_ms=state.now_ms))
+        directing.feed_scheduler(state, state.parts.scheduler.Tick(now_ms=state.now_ms))
         leading.tick(state)
     directing.expire(state)
 
@@ -228,7 +155,7 @@
 
 def _on_stop_asked(state, event):
     state.is_stopping = True
-    feed_raft(state, raft.TransferAsked(now_ms=state.now_ms))
+    replicasteps.feed_raft(state, raft.TransferAsked(now_ms=state.now_ms))
 
 
 # Committed entries.
@@ -246,7 +173,7 @@
     _take_snapshot(state)
     # The steps above may have committed more, as in a group of one.
     if state.applied_index < state.raft.commit_index:
-        state.emit(ApplyMore())
+        state.emit(replicaeffects.ApplyMore())
 
 
 def _apply(state, entry):
@@ -266,7 +193,7 @@
     if isinstance(command, commands.WorkerLost):
         directing.on_worker_lost(state, command.upstream)
     if state.is_leading:
-        feed_scheduler(
+        directing.feed_scheduler(
             state,
             state.parts.scheduler.CommandApplied(
                 now_ms=state.now_ms, index=entry.index, command=command, answer=answer
@@ -288,7 +215,7 @@
     for task in waiting:
         if task.state == "running":
             state.emit(
-                TaskWaited(
+                replicaeffects.TaskWaited(
                     tenant=task.tenant,
                     task_class=task.task_class,
                     wait_ms=max(0, command.at_ms - task.pending_since_ms),
@@ -311,7 +238,7 @@
     if state.snapshotting is not None:
         event = snapshotting.step(state)
         if event is not None:
-            feed_raft(state, event)
+            replicasteps.feed_raft(state, event)
         return
     new_entries = state.applied_index - state.raft.snapshot.index
     is_large = state.raft.log.size_bytes >= SNAPSHOT_LOG_BYTES
@@ -321,12 +248,12 @@
 
 def _answer_reads(state):
     """Answer the confirmed reads whose entries are applied."""
-    if not state.requests.confirmed:
+    if not state.reads.confirmed:
         return
-    waiting, state.requests.confirmed = state.requests.confirmed, []
+    waiting, state.reads.confirmed = state.reads.confirmed, []
     for read in waiting:
         if read.index > state.applied_index or not state.is_leading:
-            state.requests.confirmed.append(read)
+            state.reads.confirmed.append(read)
         else:
             _ANSWERS[type(read.message)](state, read)
 
@@ -353,7 +280,7 @@
         now_ms=state.now_ms, term=state.gained_term
     )
     term, state.gained_term = state.gained_term, 0
-    feed_scheduler(state, event)
+    directing.feed_scheduler(state, event)
     if state.parts.has_workflows:
         leading.start(state, term)
 
@@ -362,7 +289,7 @@
     state.gained_term = 0
     if state.scheduler is not None:
         lost = state.parts.scheduler.LeadershipLost(now_ms=state.now_ms)
-        feed_scheduler(state, lost)
+        directing.feed_scheduler(state, lost)
         state.scheduler = None
     directing.on_leadership_lost(state)
     leading.stop(state)
@@ -370,11 +297,11 @@
 
 
 def _on_read_ready(state, effect):
-    requests.on_read_ready(state, effect.read, effect.index)
+    reads.on_read_ready(state, effect.read, effect.index)
 
 
 def _on_read_failed(state, effect):
-    requests.on_read_failed(state, effect.read)
+    reads.on_read_failed(state, effect.read)
 
 
 _BY_EVENT = {
@@ -387,8 +314,8 @@
 
 _BY_MESSAGE = {
     messages.Propose: requests.on_propose,
-    messages.Query: requests.ask_read,
-    messages.Poll: requests.ask_read,
+    messages.Query: reads.ask_read,
+    messages.Poll: reads.ask_read,
     messages.Heartbeat: directing.on_heartbeat,
     messages.JoinRequest: requests.on_join,
     messages.WorkerReport: leading.on_report,
@@ -402,42 +329,12 @@
     messages.WorkerReport: leading.on_read_ready,
 }
 
-_BY_RAFT_EFFECT = {
-    raftstate.RestoreMachine: _on_restore_machine,
-    raftstate.LeadershipGained: _on_leadership_gained,
-    raftstate.LeadershipLost: _on_leadership_lost,
-    raftstate.ReadReady: _on_read_ready,
-    raftstate.ReadFailed: _on_read_failed,
-}
-
-
-def status(state):
-    """Return what the health page and the query ``members`` show, as a plain dict."""
-    agreement = state.raft
-    members = []
-    for member in agreement.members.values():
-        progress = agreement.progress.get(member.identity)
-        is_self = member.identity == agreement.identity
-        members.append(
-            {
-                **member.to_dict(),
-                "is_leader": member.identity == agreement.leader,
-                "match_index": agreement.durable_index
-                if is_self
-                else progress.match_index
-                if progress
-                else agreement.acknowledged.get(member.identity, 0),
-                "silent_ms": state.now_ms - progress.ack_ms if progress else 0,
-            }
-        )
-    return {
-        "identity": agreement.identity,
-        "role": agreement.role,
-        "term": agreement.term,
-        "leader": agreement.leader_address,
-        "last_index": agreement.log.last_index,
-        "commit_index": agreement.commit_index,
-        "applied_index": state.applied_index,
-        "snapshot_index": agreement.snapshot.index,
-        "members": members,
+replicasteps.raft_handlers.update(
+    {
+        raftstate.RestoreMachine: _on_restore_machine,
+        raftstate.LeadershipGained: _on_leadership_gained,
+        raftstate.LeadershipLost: _on_leadership_lost,
+        raftstate.ReadReady: _on_read_ready,
+        raftstate.ReadFailed: _on_read_failed,
     }
+)
--- /dev/null
+++ b/sardinegauge/replicasteps.py
@@ -0,0 +1,67 @@
+"""Steps of the state process that its parts share: the log, and its status.
+
+`replica` registers in `raft_handlers` what takes up an effect of the agreement; other
+effects go to the application.
+"""
+
+from sardinegauge import commands, raft, replicaeffects
+
+raft_handlers = {}
+
+
+def feed_raft(state, event):
+    """Pass an event to the agreement reducer and take up its effects."""
+    for effect in raft.reduce(state.raft, event):
+        handler = raft_handlers.get(type(effect))
+        if handler is None:
+            state.emit(effect)
+        else:
+            handler(state, effect)
+
+
+def append_command(state, command, token):
+    """Stamp a command, append it to the log and remember who awaits the answer."""
+    command.at_ms = state.wall_ms
+    body = commands.REGISTRY.dumps(command)
+    remember_proposal(state, command, token)
+    feed_raft(state, raft.Appended(now_ms=state.now_ms, bodies=[body]))
+
+
+def remember_proposal(state, command, token):
+    """Expect the answer of the entry that is appended next."""
+    index = state.raft.log.last_index + 1
+    state.proposals_by_index[index] = replicaeffects.Proposal(
+        command=command, token=token
+    )
+
+
+def status(state):
+    """Return what the health page and the query ``members`` show, as a plain dict."""
+    agreement = state.raft
+    members = []
+    for member in agreement.members.values():
+        progress = agreement.progress.get(member.identity)
+        is_self = member.identity == agreement.identity
+        members.append(
+            {
+                **member.to_dict(),
+                "is_leader": member.identity == agreement.leader,
+                "match_index": agreement.durable_index
+                if is_self
+                else progress.match_index
+                if progress
+                else agreement.acknowledged.get(member.identity, 0),
+                "silent_ms": state.now_ms - progress.ack_ms if progress else 0,
+            }
+        )
+    return {
+        "identity": agreement.identity,
+        "role": agreement.role,
+        "term": agreement.term,
+        "leader": agreement.leader_address,
+        "last_index": agreement.log.last_index,
+        "commit_index": agreement.commit_index,
+        "applied_index": state.applied_index,
+        "snapshot_index": agreement.snapshot.index,
+        "members": members,
+    }
--- a/sardinegauge/requests.py
+++ b/sardinegauge/requests.py
@@ -5,16 +5,17 @@
 
 from sardinegauge import (
     commands,
-    directing,
+    configuration,
     membership,
     messages,
     outcome,
     raft,
     raftstate,
-    record,
-    replica,
+    reads,
+    replicaeffects,
+    replicasteps,
 )
-from sardinegauge.workflows import leading, reading
+from sardinegauge.workflows import reading
 
 MAX_COMMAND_BYTES = 512 << 10
 # Entries of the leader that no quorum or not its own disk holds yet; more are refused
@@ -27,25 +28,9 @@
 log = logging.getLogger(__name__)
 
 
-class Read(record.Record):
-    """A request that waits for its read round and for entries up to `index`."""
-
-    __slots__ = ("index", "is_confirmed", "message", "token")
-    _defaults = {"index": 0, "is_confirmed": False}
-
-
-class Requests:
-    """Reads in progress by their number."""
-
-    def __init__(self):
-        self.reads = {}
-        self.confirmed = []
-        self.next_read = 1
-
-
 def _reply(state, token, message):
     if token is not None:
-        state.emit(replica.Reply(token=token, message=message))
+        state.emit(replicaeffects.Reply(token=token, message=message))
 
 
 def reply_ran(state, token, answer, index=0):
@@ -91,7 +76,7 @@
     if isinstance(command, dict):
         _change_member(state, token, command)
     else:
-        replica.append_command(state, command, token)
+        replicasteps.append_command(state, command, token)
 
 
 def _proposal_problem(state):
@@ -144,9 +129,9 @@
         else:
             reply_not_run(state, token, problem)
         return
-    replica.remember_proposal(state, None, token)
+    replicasteps.remember_proposal(state, None, token)
     event = raft.MemberChangeAsked(now_ms=state.now_ms, **change)
-    replica.feed_raft(state, event)
+    replicasteps.feed_raft(state, event)
 
 
 def on_join(state, token, message):
@@ -160,7 +145,9 @@
             failure_domain=message.failure_domain,
             is_voter=False,
         )
-        replica.feed_raft(state, raft.JoinAsked(now_ms=state.now_ms, member=member))
+        replicasteps.feed_raft(
+            state, raft.JoinAsked(now_ms=state.now_ms, member=member)
+        )
     reply = messages.JoinReply(
         accepted=state.raft.role == raftstate.LEADER
         and message.identity in state.raft.members,
@@ -172,27 +159,6 @@
 # Reads.
 
 
-def ask_read(state, token, message, is_lazy=False):
-    """Queue a request until a read round confirms the leadership."""
-    read = state.requests.next_read
-    state.requests.next_read += 1
-    state.requests.reads[read] = Read(message=message, token=token)
-    event = raft.ReadAsked(now_ms=state.now_ms, read=read, is_lazy=is_lazy)
-    replica.feed_raft(state, event)
-
-
-def on_read_ready(state, read, index):
-    """Note that a read may be answered once `index` is applied."""
-    waiting = state.requests.reads.pop(read)
-    waiting.index = index
-    state.requests.confirmed.append(waiting)
-
-
-def on_read_failed(state, read):
-    """Refuse a read that this replica cannot confirm."""
-    _refuse_read(state, state.requests.reads.pop(read))
-
-
 def on_leadership_lost(state):
     """Give every waiting request its answer."""
     for proposal in state.proposals_by_index.values():
@@ -203,31 +169,30 @@
         )
         _reply(state, proposal.token, reply)
     state.proposals_by_index.clear()
-    confirmed, state.requests.confirmed = state.requests.confirmed, []
+    confirmed, state.reads.confirmed = state.reads.confirmed, []
     for read in confirmed:
-        _refuse_read(state, read)
+        reads.refuse(state, read)
 
 
-def _refuse_read(state, read):
-    leader = state.raft.leader_address
-    message = read.message
-    if isinstance(message, messages.Query):
-        reply = messages.QueryReply(
-            verdict=outcome.Verdict.NOT_RUN.value,
-            leader=leader,
-            reason="not the leader",
-        )
-    elif isinstance(message, messages.Poll):
-        reply = messages.PollReply(leader=leader, sequence=message.sequence)
-    elif isinstance(message, messages.WorkerReport):
-        leading.on_read_failed(state, read)
-        return
-    else:
-        directing.on_read_failed(state, read)
-        return
+def _refuse_query(state, read):
+    reply = messages.QueryReply(
+        verdict=outcome.Verdict.NOT_RUN.value,
+        leader=state.raft.leader_address,
+        reason="not the leader",
+    )
+    _reply(state, read.token, reply)
+
+
+def _refuse_poll(state, read):
+    reply = messages.PollReply(
+        leader=state.raft.leader_address, sequence=read.message.sequence
+    )
     _reply(state, read.token, reply)
 
 
+reads.refusals.update({messages.Query: _refuse_query, messages.Poll: _refuse_poll})
+
+
 def answer_query(state, read):
     """Answer a confirmed query."""
     reply = messages.QueryReply(
@@ -250,7 +215,7 @@
 
 def _query(state, kind, arguments):
     if kind == "members":
-        return replica.status(state)
+        return replicasteps.status(state)
     if kind == "explain":
         lines = state.parts.scheduler.explain(state.scheduler, arguments["id"])
         return {"lines": lines}
@@ -259,28 +224,24 @@
     return state.parts.queries.answer(state.machine, kind, arguments)
 
 
-def configuration_since(state, version):
-    """Return version and JSON of the configuration; no JSON if `version` is it."""
-    current = state.machine.configuration
-    if current.version <= version:
-        return current.version, b""
-    return current.version, json.dumps(current.document).encode()
-
-
 def answer_poll(state, read):
     """Answer a confirmed poll with what is newer than it holds."""
     poll = read.message
     try:
-        config_version, config = configuration_since(state, poll.config_version)
+        config_version, config = configuration.since(
+            state.machine.configuration, poll.config_version
+        )
         version, is_full, upstreams = state.parts.directory.changes(
             state.machine, poll.directory_version
         )
     except Exception:
         log.exception("poll_failed name=%s", poll.name)
-        _refuse_read(state, read)
+        reads.refuse(state, read)
         return
     if state.parts.has_workflows:
-        queues_version, queues = leading.poll_part(state, poll.queues_version)
+        queues_version, queues = reading.poll_part(
+            state.machine.workflows, poll.queues_version
+        )
     else:
         queues_version, queues = 0, b""
     reply = messages.PollReply(
--- a/sardinegauge/statepages.py
+++ b/sardinegauge/statepages.py
@@ -4,7 +4,7 @@
 
 from tornado import web
 
-from sardinegauge import replica, statemetrics
+from sardinegauge import replicasteps, statemetrics
 
 
 def make(app):
@@ -33,7 +33,7 @@
 
     def get(self):
         """Write the status."""
-        status = replica.status(self.app.state)
+        status = replicasteps.status(self.app.state)
         if not status["leader"]:
             self.set_status(503)
         self.set_header("Content-Type", "application/json")
--- a/sardinegauge/wire.capnp
+++ b/sardinegauge/wire.capnp
@@ -202,7 +202,7 @@
   directory @6 :List(Upstream);  # entries changed since the version polled with
   sequence @7 :UInt64;
   queuesVersion @8 :UInt64;
-  queues @9 :Data;  # JSON, empty when unchanged
+  queues @9 :Data;  # compressed JSON of what changed, empty when nothing did
   replicas @10 :List(Text);  # addresses of the members
 }
 
--- a/sardinegauge/workflows/gateway.py
+++ b/sardinegauge/workflows/gateway.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import logging
+import zlib
 
 from sardinegauge import commands, outcome, record
 from sardinegauge.workflows import flowmetrics, queues
@@ -47,6 +48,7 @@
         self.client = client
         self.version = 0
         self.router = queues.Router([])
+        self._by_name = {}
         self.confirmed_s = None
         self.metrics = flowmetrics.GatewayMetrics()
         self._poll_lock = asyncio.Lock()
@@ -85,11 +87,22 @@
         self.client.learn(reply.replicas)
         self.confirmed_s = begun_s
         if reply.queues_version > self.version:
-            found = [queues.Queue.from_dict(item) for item in json.loads(reply.queues)]
-            self.router = queues.Router(found)
+            self._apply(json.loads(zlib.decompress(reply.queues)))
             self.version = reply.queues_version
             self.metrics.set_version(self.version)
-            log.info("queues_in_force version=%d queues=%d", self.version, len(found))
+            log.info(
+                "queues_in_force version=%d queues=%d", self.version, len(self._by_name)
+            )
+
+    def _apply(self, changes):
+        if changes["is_full"]:
+            self._by_name = {}
+        for name in changes["removed"]:
+            self._by_name.pop(name, None)
+        for item in changes["queues"]:
+            queue = queues.Queue.from_dict(item)
+            self._by_name[queue.name] = queue
+        self.router = queues.Router(self._by_name.values())
 
     async def find(self, host, path):
         """Return queue and rest of the path, `NoQueue`, or `outcome.Refused`."""
--- a/sardinegauge/workflows/leading.py
+++ b/sardinegauge/workflows/leading.py
@@ -8,7 +8,14 @@
 import json
 import logging
 
-from sardinegauge import messages, record, replica, replication, requests
+from sardinegauge import (
+    messages,
+    reads,
+    record,
+    replicaeffects,
+    replicasteps,
+    replication,
+)
 from sardinegauge.workflows import (
     lives,
     orders,
@@ -74,7 +81,7 @@
 def _take_up(state, effects):
     for effect in effects:
         if isinstance(effect, schedulerevents.Propose):
-            replica.append_command(state, effect.command, None)
+            replicasteps.append_command(state, effect.command, None)
         elif isinstance(effect, schedulerevents.Push):
             _push(state, effect.worker, effect.life)
         else:
@@ -109,11 +116,11 @@
             return
         feed(state, schedulerevents.ReportReceived(now_ms=state.now_ms, report=report))
     if message.is_lease_wanted:
-        requests.ask_read(state, token, message, is_lazy=True)
+        reads.ask_read(state, token, message, is_lazy=True)
     elif replication.has_quorum_contact(state.raft):
         reply = _orders(state, message.worker, message.life)
         reply.sent_ms = message.sent_ms
-        state.emit(replica.Reply(token=token, message=reply))
+        state.emit(replicaeffects.Reply(token=token, message=reply))
     else:
         _refuse(state, token, message)
 
@@ -131,7 +138,7 @@
         sent_ms=message.sent_ms,
         replicas=_replicas(state),
     )
-    state.emit(replica.Reply(token=token, message=reply))
+    state.emit(replicaeffects.Reply(token=token, message=reply))
 
 
 def on_read_failed(state, read):
@@ -151,14 +158,14 @@
     if lives.may_grant(leading.scheduler, message.worker, message.life):
         lives.note_grant(leading.scheduler, message.worker, state.now_ms)
         reply.grant_ms = lives.LEASE_MS
-    state.emit(replica.Reply(token=read.token, message=reply))
+    state.emit(replicaeffects.Reply(token=read.token, message=reply))
 
 
 def _push(state, worker, life):
     if not replication.has_quorum_contact(state.raft):
         return
     state.emit(
-        replica.Push(
+        replicaeffects.Push(
             upstream=worker,
             incarnation=str(life),
             message=_orders(state, worker, life),
@@ -199,13 +206,6 @@
     feed(state, event)
 
 
-def poll_part(state, version):
-    """Return version and JSON of the queues in force; no JSON if `version` is it."""
-    queue_set = state.machine.workflows.queue_set
-    if queue_set.version <= version:
-        return queue_set.version, b""
-    queues = [queue.to_sparse_dict() for queue in queue_set.by_name.values()]
-    return queue_set.version, json.dumps(queues, separators=(",", ":")).encode()
-
-
 EVENTS = {PlanNow: on_plan_now}
+
+reads.refusals[messages.WorkerReport] = on_read_failed
--- a/sardinegauge/workflows/queues.py
+++ b/sardinegauge/workflows/queues.py
@@ -1,8 +1,16 @@
 """Queues and pools of workers, as one set with a version; the highest version wins."""
 
+import base64
+import json
+import operator
+import zlib
+
 from sardinegauge import checks, record
 
 MAX_QUEUES = 20_000
+# Removed queues whose names a poll can still be told; older polls get the whole set.
+MAX_REMOVED = 5_000
+COMPRESSION_LEVEL = 1
 
 
 class Advice(record.Record):
@@ -55,13 +63,27 @@
     _defaults = {"is_capacity_enforced": False, "is_spare": False}
 
 
+_row = operator.attrgetter(*Queue.field_names())
+
+
 class QueueSet:
     """All queues in force, and the last known settings of those removed since.
 
     Workflows of a removed queue still run to their end, so its settings stay.
+    `changed_by_name` and `removed_by_name` tell in which version a queue last changed
+    or went; polls from a version before `oldest_change` get the whole set.
     """
 
-    __slots__ = ("by_name", "known_by_name", "pool_by_name", "source", "version")
+    __slots__ = (
+        "by_name",
+        "changed_by_name",
+        "known_by_name",
+        "oldest_change",
+        "pool_by_name",
+        "removed_by_name",
+        "source",
+        "version",
+    )
 
     def __init__(self):
         self.version = 0
@@ -69,21 +91,61 @@
         self.known_by_name = {}
         self.pool_by_name = {}
         self.source = ""
+        self.changed_by_name = {}
+        self.removed_by_name = {}
+        self.oldest_change = 0
 
     def replace(self, version, queues, pools, source):
         """Put a new set in force; return False if its version is not higher."""
         if version <= self.version:
             return False
+        by_name = {queue.name: queue for queue in queues}
+        self._note_changes(version, by_name)
         self.version = version
-        self.by_name = {queue.name: queue for queue in queues}
+        self.by_name = by_name
         self.known_by_name.update(self.by_name)
         self.pool_by_name = {pool.name: pool for pool in pools}
         self.source = source
         return True
 
+    def _note_changes(self, version, by_name):
+        for name, queue in by_name.items():
+            known = self.by_name.get(name)
+            if known is None or _row(known) != _row(queue):
+                self.changed_by_name[name] = version
+                self.removed_by_name.pop(name, None)
+        for name in self.by_name.keys() - by_name.keys():
+            del self.changed_by_name[name]
+            self.removed_by_name[name] = version
+        while len(self.removed_by_name) > MAX_REMOVED:
+            oldest = next(iter(self.removed_by_name))
+            self.oldest_change = self.removed_by_name.pop(oldest)
+
+    def changes(self, since):
+        """Return what changed after a version.
+
+        Returns
+        -------
+        tuple of (bool, list of Queue, list of str)
+            Whether the list is the whole set, the changed queues, and the names of
+            those that were removed.
+        """
+        if since < self.oldest_change or not since:
+            return True, list(self.by_name.values()), []
+        changed = [
+            self.by_name[name]
+            for name, version in self.changed_by_name.items()
+            if version > since
+        ]
+        removed = [n for n, version in self.removed_by_name.items() if version > since]
+        return False, changed, removed
+
     def to_snapshot(self):
         """Return the set as plain data."""
         return {
+            "changed": self.changed_by_name,
+            "removed_at": self.removed_by_name,
+            "oldest_change": self.oldest_change,
             "version": self.version,
             "queues": [queue.to_dict() for queue in self.by_name.values()],
             "removed": [
@@ -108,9 +170,56 @@
             [Pool.from_dict(item) for item in data["pools"]],
             data["source"],
         )
+        queue_set.changed_by_name = dict(data["changed"])
+        queue_set.removed_by_name = dict(data["removed_at"])
+        queue_set.oldest_change = data["oldest_change"]
         return queue_set
 
 
+def pack(queues, pools):
+    """Return queues and pools as text that is small in the log.
+
+    Examples
+    --------
+    >>> packed = pack([Queue(name="q", host="", prefix="/", pool="p")], [])
+    >>> unpack(packed)[0][0].prefix
+    '/'
+    """
+    plain = {
+        "queues": [queue.to_sparse_dict() for queue in queues],
+        "pools": [pool.to_sparse_dict() for pool in pools],
+    }
+    return pack_text(json.dumps(plain, separators=(",", ":")).encode())
+
+
+def unpack(packed):
+    """Return lists of `Queue` and `Pool` of the result of `pack`.
+
+    Raises
+    ------
+    ValueError, TypeError, KeyError, AttributeError
+        If it can't be read.
+    """
+    plain = json.loads(unpack_text(packed))
+    return (
+        [Queue.from_dict(item) for item in plain["queues"]],
+        [Pool.from_dict(item) for item in plain["pools"]],
+    )
+
+
+def pack_text(data):
+    """Return bytes in a compressed form that JSON can hold."""
+    return base64.b64encode(zlib.compress(data, COMPRESSION_LEVEL)).decode()
+
+
+def unpack_text(packed):
+    """Return the bytes of the result of `pack_text`; ValueError if it is damaged."""
+    try:
+        return zlib.decompress(base64.b64decode(packed))
+    except zlib.error as error:
+        raise ValueError(str(error)) from error
+
+
 class Router:
     """Finds the queue of a request by host and path prefix.
 
@@ -123,20 +232,19 @@
     True
     """
 
-    __slots__ = ("_by_host",)
+    __slots__ = ("_by_place", "_lengths")
 
     def __init__(self, queues):
-        self._by_host = {}
-        for queue in queues:
-            self._by_host.setdefault(queue.host, []).append(queue)
-        for found in self._by_host.values():
-            found.sort(key=lambda queue: -len(queue.prefix))
+        self._by_place = {(queue.host, queue.prefix): queue for queue in queues}
+        lengths = {len(queue.prefix) for queue in queues}
+        self._lengths = sorted(lengths, reverse=True)
 
     def find(self, host, path):
         """Return the queue and the rest of the path, or None."""
-        for queue in self._by_host.get(host, ()):
-            if path.startswith(queue.prefix):
-                return queue, path[len(queue.prefix) :]
+        for length in self._lengths:
+            queue = self._by_place.get((host, path[:length]))
+            if queue is not None and len(path) >= length:
+                return queue, path[length:]
         return None
 
 
--- a/sardinegauge/workflows/reading.py
+++ b/sardinegauge/workflows/reading.py
@@ -1,6 +1,9 @@
 """Reads of queues and workflows as plain dicts; see `queries` for the rest."""
 
 import json
+import zlib
+
+from sardinegauge.workflows import queues
 
 MAX_LISTED = 1000
 
@@ -90,6 +93,25 @@
     return {**_row(item), "runs": runs[:MAX_LISTED]}
 
 
+def poll_part(store, version):
+    """Return the version in force and what changed since one, as packed JSON.
+
+    There is no JSON if `version` is the one in force.
+    """
+    queue_set = store.queue_set
+    if queue_set.version <= version:
+        return queue_set.version, b""
+    is_full, changed, removed = queue_set.changes(version)
+    plain = {
+        "is_full": is_full,
+        "queues": [queue.to_sparse_dict() for queue in changed],
+        "removed": removed,
+    }
+    data = json.dumps(plain, separators=(",", ":")).encode()
+    # Entries may have thin links, and the names of queues are long.
+    return queue_set.version, zlib.compress(data, queues.COMPRESSION_LEVEL)
+
+
 _ANSWERS = {
     "queues": _queues,
     "queue_document": _queue_document,
--- a/sardinegauge/workflows/store.py
+++ b/sardinegauge/workflows/store.py
@@ -151,9 +151,8 @@
 def set_queues(machine, index, command):
     """Put a set of queues in force; an outdated version changes nothing."""
     try:
-        found = [queues.Queue.from_dict(item) for item in command.queues]
-        pools = [queues.Pool.from_dict(item) for item in command.services]
-    except (TypeError, ValueError, AttributeError) as error:
+        found, pools = queues.unpack(command.packed)
+    except (TypeError, ValueError, KeyError, AttributeError) as error:
         return outcome.Invalid(problems=[["queues", str(error)]])
     problems = queues.check(command.version, found, pools)
     if problems:
--- a/tests/session.py
+++ b/tests/session.py
@@ -26,6 +26,7 @@
     raftstate,
     record,
     replica,
+    replicaeffects,
     requesttable,
     stateapp,
     storage,
@@ -171,12 +172,12 @@
             if isinstance(effect, raftstate.Persist):
                 done = raft.Persisted(now_ms=0, sequence=effect.sequence)
                 self.at(DISK_MS, self.to_replica, done)
-            elif isinstance(effect, replica.Reply):
+            elif isinstance(effect, replicaeffects.Reply):
                 on_reply, arguments = self.reply_by_token.pop(effect.token)
                 self.at(HOP_MS, on_reply, effect.message, *arguments)
-            elif isinstance(effect, replica.Push):
+            elif isinstance(effect, replicaeffects.Push):
                 self.at(HOP_MS, self.directive, effect.message, effect.upstream)
-            elif isinstance(effect, replica.ApplyMore):
+            elif isinstance(effect, replicaeffects.ApplyMore):
                 self.at(0, self.to_replica, replica.ApplyNext(now_ms=0))
 
     # The agents
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -11,6 +11,7 @@
     raftmessages,
     raftstate,
     replica,
+    replicaeffects,
     storage,
 )
 from tests import statefleet
@@ -47,11 +48,11 @@
         for effect in replica.reduce(self.state, event):
             if isinstance(effect, raftstate.Persist):
                 self.sequence = effect.sequence
-            elif isinstance(effect, replica.Reply):
+            elif isinstance(effect, replicaeffects.Reply):
                 self.replies[effect.token] = effect.message
             elif isinstance(effect, raftstate.Send):
                 self.sent.append(effect)
-            elif isinstance(effect, replica.Push):
+            elif isinstance(effect, replicaeffects.Push):
                 self.pushes.append(effect.message)
 
     def sync(self):
--- a/tests/test_workflow_scheduler.py
+++ b/tests/test_workflow_scheduler.py
@@ -39,8 +39,7 @@
         self.commit(
             commands.SetQueues(
                 version=1,
-                queues=[queue.to_dict(), other.to_dict()],
-                services=[queues.Pool(name="p").to_dict()],
+                packed=queues.pack([queue, other], [queues.Pool(name="p")]),
             )
         )
         self.lead()
--- a/tests/test_workflow_store.py
+++ b/tests/test_workflow_store.py
@@ -34,8 +34,7 @@
         return self.apply(
             commands.SetQueues(
                 version=version,
-                queues=[queue.to_sparse_dict() for queue in found or (QUEUE,)],
-                services=[POOL.to_sparse_dict()],
+                packed=queues.pack(found or (QUEUE,), [POOL]),
                 source=source,
             )
         )
@@ -282,6 +281,46 @@
 def test_malformed_steps_and_queues_are_invalid(log, bad):
     command = commands.SubmitWorkflow(id="v", queue="q", payload="", steps=[bad])
     assert isinstance(log.apply(command), outcome.Invalid)
-    command = commands.SetQueues(version=9, queues=[bad], services=[])
+    plain = json.dumps({"queues": [bad], "pools": []}).encode()
+    command = commands.SetQueues(version=9, packed=queues.pack_text(plain))
     assert isinstance(log.apply(command), outcome.Invalid)
     assert log.store.queue_set.version == 1
+
+
+def test_poll_from_any_version_leads_to_the_queues_in_force(log):
+    """Load pattern: a storm of versions of a large set over a thin link."""
+    rows = {1: {"q": QUEUE}}
+    for version in range(2, 40):
+        found = dict(rows[version - 1])
+        name = f"q{version % 7}"
+        if version % 3:
+            found[name] = QUEUE.replace(
+                name=name, prefix=f"/{name}/", timeout_ms=version
+            )
+        else:
+            found.pop(name, None)
+        log.set_queues(version, *found.values())
+        rows[version] = found
+    queue_set = log.store.queue_set
+    for since, found in rows.items():
+        is_full, changed, removed = queue_set.changes(since)
+        assert not is_full and len(changed) < 8
+        for queue_name in removed:
+            found.pop(queue_name, None)
+        found.update({queue.name: queue for queue in changed})
+        assert found == queue_set.by_name
+    assert queue_set.changes(0)[0]
+
+
+def test_longest_prefix_of_the_host_finds_the_queue():
+    router = queues.Router(
+        [
+            QUEUE,
+            QUEUE.replace(name="long", prefix="/q/long/"),
+            QUEUE.replace(name="any", host="other", prefix=""),
+        ]
+    )
+    assert router.find("h", "/q/long/7")[0].name == "long"
+    assert router.find("h", "/q/lon") == (QUEUE, "lon")
+    assert router.find("h", "/") is None
+    assert router.find("other", "/x")[1] == "/x"
