Let fillers give way by rank, begin at their pace and move when slow

Cause: fillers of all workflows shared the little room beside serving tasks, so that most were late, and each new one ran at full pace until its first report.

Tests replay the loads.

--- a/sardinegauge/workflows/fillers.py
+++ b/sardinegauge/workflows/fillers.py
@@ -1,7 +1,78 @@
-"""Fillers on a worker, and their pace beside tasks that serve."""
+"""Fillers on a worker, their pace beside tasks that serve, and when they move."""
+
+import math
 
 from sardinegauge.workflows import sharing, views
 
+# A filler at this pace or less for so long moves, if another worker has room for it.
+SLOW_PACE = 35
+SLOW_MS = 1200
+# What a move costs: the stop, the way through the log, and the restore.
+MOVE_COST_MS = 2000
+# A move must save this much besides.
+MOVE_GAIN_MS = 1500
+MOVES_AT_ONCE = 3
+MIN_MOVE_HEADROOM = 0.03
+
+
+def move_slow(state):
+    """Stop the fillers that would be done sooner on another worker."""
+    moving = sum(reason == SLOW for reason in state.stops.values())
+    for key, since_ms in sorted(state.slow_since_ms.items(), key=lambda pair: pair[1]):
+        if moving >= MOVES_AT_ONCE:
+            return
+        if state.now_ms - since_ms < SLOW_MS or key in state.stops:
+            continue
+        item, _, task = state.store.find_task(key[0])
+        run = _run_of(task, key)
+        if run is None or not item.is_open or not task.step.is_checkpointing:
+            del state.slow_since_ms[key]
+            continue
+        if _gain_ms(state, key, run, task) > MOVE_GAIN_MS and _has_room(
+            state, run, task, state.store.queue_of(item).pool
+        ):
+            moving += 1
+            state.stops[key] = SLOW
+            state.push(run.worker, run.life)
+
+
+SLOW = "slow"
+
+
+def _run_of(task, key):
+    if task is None:
+        return None
+    return next((run for run in task.runs if run.number == key[1]), None)
+
+
+def _gain_ms(state, key, run, task):
+    """Return how much sooner a filler would be done after a move."""
+    view = state.view_by_id.get(run.worker)
+    reported = view.runs.get(key) if view is not None else None
+    if reported is None:
+        return 0
+    left_ms = (1 - reported.progress / 100) * task.step.estimate_ms
+    pace = state.paces.get(key, 100)
+    here_ms = left_ms * 100 / pace if pace else math.inf
+    return here_ms - left_ms - MOVE_COST_MS
+
+
+def _has_room(state, run, task, pool):
+    """Tell whether another worker could run a filler at full pace."""
+    step = task.step
+    for view in state.view_by_id.values():
+        if view.id == run.worker or view.pool != pool:
+            continue
+        if not view.may_start(state.now_ms) or state.health.is_resting(view.id):
+            continue
+        amount = sharing.amount_of(step.cpu_millis, view.capacity)
+        headroom = state.sharing.headroom(
+            view.id, on_worker(state, view), step.image, amount
+        )
+        if headroom > MIN_MOVE_HEADROOM:
+            return True
+    return False
+
 
 def on_worker(state, view):
     """Return the `sharing.Filler` of each filler on a worker."""
@@ -9,11 +80,20 @@
     for key, task in state.store.runs_of(view.id, view.life).items():
         reported = view.runs.get(key)
         if task.step.is_filler and key not in view.ended:
-            found.append(_filler(view, key, task.step, reported))
+            rank = _rank(state, task)
+            found.append(_filler(view, key, task.step, reported, rank))
     return found
 
 
-def _filler(view, key, step, reported):
+def _rank(state, task):
+    """Return the rank of a task's workflow, as it waits for room."""
+    item, occurrence, _ = state.store.find_task(task.id)
+    queue = state.store.queue_of(item)
+    wall_ms = state.now_ms + state.wall_offset_ms
+    return state.planner.order.key(item, queue, occurrence, wall_ms)
+
+
+def _filler(view, key, step, reported, rank):
     """Return the `sharing.Filler` of a run, by its use of cores where that is known."""
     amount = sharing.amount_of(step.cpu_millis, view.capacity)
     measured = 0.0
@@ -22,7 +102,7 @@
         # At a low pace the use says little about the full pace.
         if reported.pace >= 50:
             amount = measured * 100 / reported.pace
-    return sharing.Filler(key, step.image, amount, measured)
+    return sharing.Filler(key, step.image, amount, measured, rank)
 
 
 def pace(state, view):
@@ -41,9 +121,19 @@
         if filler.key in view.runs and view.runs[filler.key].phase == views.ACTIVE
     ]
     state.sharing.observe(view.id, rows, active, state.now_ms)
+    if set_paces(state, view):
+        state.push(view.id, view.life)
+
+
+def set_paces(state, view):
+    """Set the paces of all fillers on a worker; tell whether any changed."""
+    fillers = on_worker(state, view)
     is_changed = False
     for key, pace in state.sharing.paces(view.id, fillers).items():
         is_changed = is_changed or state.paces.get(key, 100) != pace
         state.paces[key] = pace
-    if is_changed:
-        state.push(view.id, view.life)
+        if pace > SLOW_PACE:
+            state.slow_since_ms.pop(key, None)
+        else:
+            state.slow_since_ms.setdefault(key, state.now_ms)
+    return is_changed
--- a/sardinegauge/workflows/hostedruns.py
+++ b/sardinegauge/workflows/hostedruns.py
@@ -12,14 +12,18 @@
 log = logging.getLogger(__name__)
 
 
-def start(state, task, number, payload, checkpoint, ticket=""):
-    """Start a run, unless it is known already."""
+def start(state, task, number, payload, checkpoint, ticket="", percent=100):
+    """Start a run at a pace; of one that is known only the pace counts."""
     key = (task, number)
-    if key in state.runs or is_ended(state, key):
+    if key in state.runs:
+        pace(state, key, percent)
+        return
+    if is_ended(state, key):
         return
     run = state.runs[key] = hoststate.HostedRun(
         views.ORDERED, payload, checkpoint, ticket
     )
+    run.wanted_pace = percent
     if state.is_draining:
         # An agent before this one may have started the run already.
         run.phase = views.STOPPING
@@ -62,7 +66,10 @@
 def pace(state, key, percent):
     """Have a run work at a share of its speed."""
     run = state.runs.get(key)
-    if run is None or run.phase != views.ACTIVE or run.pace == percent:
+    if run is None:
+        return
+    run.wanted_pace = percent
+    if run.phase != views.ACTIVE or run.pace == percent:
         return
     if state.now_ms - run.paced_ms < RETRY_MS:
         return
--- a/sardinegauge/workflows/hosting.py
+++ b/sardinegauge/workflows/hosting.py
@@ -160,6 +160,7 @@
             call.request.lease_until_ms,
             run.unanswered,
         )
+        hostedruns.pace(state, key, run.wanted_pace)
         return
     if answer.reason == workerport.BY_LEASE:
         run.next_call_ms = state.now_ms + hostedruns.RETRY_MS
--- a/sardinegauge/workflows/hoststate.py
+++ b/sardinegauge/workflows/hoststate.py
@@ -37,6 +37,7 @@
         "ticket",
         "unanswered",
         "unanswered_ms",
+        "wanted_pace",
     )
 
     def __init__(self, phase, payload="", checkpoint="", ticket=""):
@@ -49,6 +50,7 @@
         self.load = 0
         self.reason = ""
         self.pace = 100
+        self.wanted_pace = 100
         self.paced_ms = 0
         self.unanswered = 0
         self.unanswered_ms = 0
--- a/sardinegauge/workflows/orders.py
+++ b/sardinegauge/workflows/orders.py
@@ -6,12 +6,12 @@
 
 
 def encode(state, worker, life):
-    """Return the encode for a worker as JSON bytes.
+    """Return the orders for a worker as JSON bytes.
 
-    They hold what the newest report lacks: starts as rows of task, run, payload and
-    checkpoint, stops and forgotten runs as rows of task and run, paces as rows of task,
-    run and percent, and the number of the last end taken note of. A worker is watched
-    while tasks that serve share it with fillers.
+    They hold what the newest report lacks: starts as rows of task, run, payload,
+    checkpoint, ticket and pace, stops and forgotten runs as rows of task and run,
+    paces as rows of task, run and percent, and the number of the last end taken note
+    of. A worker is watched while tasks that serve share it with fillers.
     """
     view = state.view_by_id.get(worker)
     body = {
@@ -36,7 +36,9 @@
             if reported is None or reported.phase in (views.ORDERED, views.ACTIVE):
                 body["stops"].append(list(key))
         elif reported is None and key not in view.ended and _may_order(view):
-            body["starts"].append([*key, item.payload, task.checkpoint])
+            pace = state.paces.get(key, 100)
+            start = [*key, item.payload, task.checkpoint, "", pace]
+            body["starts"].append(start)
         elif reported is not None and reported.phase == views.ACTIVE:
             pace = state.paces.get(key, 100)
             if pace != reported.pace:
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -119,6 +119,10 @@
             task in taken,
         )
     for worker, life in workers.items():
+        view = state.view_by_id.get(worker)
+        if view is not None and view.life == life:
+            # A filler begins at its pace, before its first latencies are reported.
+            fillers.set_paces(state, view)
         state.push(worker, life)
 
 
@@ -137,6 +141,7 @@
         _count_end(state, task, how)
         state.stops.pop((task, run), None)
         state.paces.pop((task, run), None)
+        state.slow_since_ms.pop((task, run), None)
         if number:
             _note_health(state, command.worker, task, how)
     state.push(command.worker, command.life)
@@ -227,6 +232,7 @@
 def _on_tick(state, event):
     state.wall_ms = event.wall_ms
     state.wall_offset_ms = event.wall_ms - event.now_ms
+    fillers.move_slow(state)
     for view in list(state.view_by_id.values()):
         is_over = state.now_ms > view.grant_until_ms
         if is_over and not view.is_fresh(state.now_ms):
--- a/sardinegauge/workflows/schedulerstate.py
+++ b/sardinegauge/workflows/schedulerstate.py
@@ -21,6 +21,7 @@
         self.planned = {}
         self.stops = {}
         self.paces = {}
+        self.slow_since_ms = {}
         self.failed_on = {}
         self.open_ids = set(self.store.open_ids)
         self.recent_ends = collections.OrderedDict()
--- a/sardinegauge/workflows/sharing.py
+++ b/sardinegauge/workflows/sharing.py
@@ -34,9 +34,9 @@
 PAIR_DRIFT = 0.0001
 NOISE_VARIANCE = 0.0006
 # Paces are whole multiples of this percentage.
-PACE_STEP = 10
-# A slower filler would better run elsewhere.
-SLOW_PACE = 40
+PACE_STEP = 5
+# Fillers with a smaller effect on the pressure do not give way.
+MIN_EFFECT = 0.015
 
 
 def pressure_of(latency_ms, target_ms):
@@ -85,16 +85,18 @@
 class Filler:
     """A filler beside serving tasks.
 
-    `amount` is what it would use at full pace, `measured` what it used lately.
+    `amount` is what it would use at full pace, `measured` what it used lately. Of two
+    fillers the one with the higher `rank` gives way first.
     """
 
-    __slots__ = ("amount", "image", "key", "measured")
+    __slots__ = ("amount", "image", "key", "measured", "rank")
 
-    def __init__(self, key, image, amount, measured):
+    def __init__(self, key, image, amount, measured, rank=()):
         self.key = key
         self.image = image
         self.amount = amount
         self.measured = measured
+        self.rank = rank
 
 
 class Sharing:
@@ -200,7 +202,8 @@
     def paces(self, worker, fillers):
         """Return the pace in percent of each filler by its key.
 
-        The filler that disturbs a suffering task most gives way first.
+        Fillers give way by their rank, so that work which can still be in time keeps
+        its speed; those that hardly disturb a suffering task keep theirs in any case.
         """
         share = {filler.key: 1.0 for filler in fillers}
         serving = self.serving_by_worker.get(worker, {}).values()
@@ -210,9 +213,12 @@
             ]
             excess = task.own.mean - SAFE_PRESSURE
             excess += sum(effect * share[f.key] for effect, f in effects)
-            for effect, filler in sorted(effects, key=lambda pair: -pair[0]):
-                if excess <= 0.0 or effect <= 0.0:
+            effects.sort(key=lambda pair: (pair[1].rank, pair[0]), reverse=True)
+            for effect, filler in effects:
+                if excess <= 0.0:
                     break
+                if effect < MIN_EFFECT:
+                    continue
                 taken = min(share[filler.key] * effect, excess)
                 share[filler.key] -= taken / effect
                 excess -= taken
--- a/tests/test_workflow_hosting.py
+++ b/tests/test_workflow_hosting.py
@@ -298,3 +298,12 @@
     (call,) = agent.take(workerport.PaceCall)
     agent.answer(call)
     assert hosting.report_fields(agent.state)["runs"][0][-1] == 30
+
+
+def test_run_begins_at_the_pace_of_its_order(agent):
+    """Load pattern: a filler comes to a worker whose serving tasks have no room."""
+    agent.order(starts=[[*KEY, "payload", "", "", 20]])
+    (call,) = agent.take(workerport.StartCall)
+    agent.answer(call)
+    (pace,) = agent.take(workerport.PaceCall)
+    assert pace.request.percent == 20
--- a/tests/test_workflow_scheduler.py
+++ b/tests/test_workflow_scheduler.py
@@ -144,7 +144,7 @@
     leader.take(scheduler.plan(leader.state, leader.now_ms))
     assert leader.orders()["starts"] == []
     leader.run()
-    assert leader.orders()["starts"] == [["w.0.0.0", 1, "x", ""]]
+    assert leader.orders()["starts"] == [["w.0.0.0", 1, "x", "", "", 100]]
     leader.report(runs=[["w.0.0.0", 1, views.ACTIVE]])
     assert leader.orders()["starts"] == []
 
@@ -409,3 +409,38 @@
 
 def test_baseline_of_placement_takes_the_first_worker():
     assert placing.FirstFit().choose(Step(), None, ["a", "b"], ()) == "a"
+
+
+def test_work_that_is_too_late_gives_way_before_work_in_time():
+    """Load pattern: more fillers than the serving tasks bear, some of them hopeless."""
+    model = sharing.Sharing()
+    model.observe("a", [(("s", 1), "web", 30.0, 50)], [], 0)
+    fillers = [
+        sharing.Filler((name, 1), "sweep", 2.0, 0.0, rank)
+        for name, rank in (("in time", (2, 0, 50)), ("late", (2, 1, 10)))
+    ]
+    paces = model.paces("a", fillers)
+    assert paces["in time", 1] > paces["late", 1] == 0
+
+
+def test_slow_filler_moves_where_it_runs_at_full_pace():
+    """Load pattern: a filler beside serving tasks at their limit, a free worker."""
+    leader = Leader()
+    leader.report("a")
+    leader.run()
+    leader.submit(
+        Step(cpu_millis=4000, estimate_ms=9000, is_filler=True, is_checkpointing=True)
+    )
+    leader.run()
+    leader.report("b")
+    leader.report("a", runs=[["w.0.0.0", 1, views.ACTIVE]])
+    key = ("w.0.0.0", 1)
+    leader.state.paces[key] = 10
+    leader.state.slow_since_ms[key] = leader.now_ms
+    leader.tick(100)
+    assert leader.orders()["stops"] == []
+    leader.now_ms += 1300
+    leader.report("b")
+    leader.state.paces[key] = 10
+    leader.tick(0)
+    assert leader.orders()["stops"] == [list(key)]
