Find the leader to join by what others answer; lease for 5.6 s

Cause of the other change: an outage of the core of 4.5 s let all leases run out.

Change: a replica asks over all its links, also those that members opened, and dials the leader that others name. Leases last 5.6 s and are renewed with each report.

--- a/sardinegauge/stateapp.py
+++ b/sardinegauge/stateapp.py
@@ -40,6 +40,8 @@
 GC_ALLOCATIONS = 50_000
 JOIN_INTERVAL_S = 0.5
 JOIN_TIMEOUT_S = 1.0
+# Addresses of leaders that others named, the newest ones.
+MAX_LEARNT_ADDRESSES = 8
 # A member without a leader for this long asks whether it still is a member.
 LEADERLESS_MS = 3000
 HANDOVER_POLL_S = 0.02
@@ -106,6 +108,7 @@
         self._loop = None
         self._is_broken = False
         self._join_answer = None
+        self._learnt_addresses = []
 
     # Life cycle.
 
@@ -374,6 +377,7 @@
     def _match_dialers(self):
         """Keep one dialer to each peer of the settings and to each member."""
         wanted = set(self.config.peers)
+        wanted |= set(self._learnt_addresses)
         wanted |= {member.address for member in self.state.raft.members.values()}
         wanted -= {self.address, self.config.listen}
         for address in wanted - self._dialers_by_address.keys():
@@ -417,15 +421,20 @@
             address=self.address,
             failure_domain=self.config.failure_domain,
         )
-        for dialer in list(self._dialers_by_address.values()):
-            if dialer.is_open:
-                background.spawn(self._ask_join(dialer.link, request))
+        # Links that members opened count as well: the seeds may all be outdated.
+        link_by_peer = {peer.peer.identity: peer for peer in self._links}
+        for peer in link_by_peer.values():
+            background.spawn(self._ask_join(peer, request))
 
     async def _ask_join(self, peer, request):
         try:
             reply = await peer.request(request, JOIN_TIMEOUT_S)
         except (errors.LinkClosedError, TimeoutError):
             return
+        if reply.leader and reply.leader not in self._learnt_addresses:
+            self._learnt_addresses.append(reply.leader)
+            del self._learnt_addresses[:-MAX_LEARNT_ADDRESSES]
+            self._match_dialers()
         answer = (reply.accepted, reply.leader)
         if answer != self._join_answer:
             self._join_answer = answer
--- a/sardinegauge/workflows/hoststate.py
+++ b/sardinegauge/workflows/hoststate.py
@@ -5,7 +5,7 @@
 # The slowest clock of a worker, as a share of true time.
 SLOWEST_CLOCK = 0.98
 # The agent asks for a new grant when the present one has less than this left.
-RENEW_MS = 3300
+RENEW_MS = 5000
 # A grant that ends sooner starts nothing.
 MIN_LEASE_MS = 300
 REPORT_INTERVAL_MS = 400
--- a/sardinegauge/workflows/lives.py
+++ b/sardinegauge/workflows/lives.py
@@ -6,7 +6,7 @@
 from sardinegauge.workflows import views
 
 # How long a lease lasts from the moment the report was sent that asked for it.
-LEASE_MS = 4500
+LEASE_MS = 5600
 # Clocks of two VMs may run at slightly different speeds.
 LEASE_MARGIN_MS = 250
 log = logging.getLogger(__name__)
--- a/tests/test_stateapp.py
+++ b/tests/test_stateapp.py
@@ -15,6 +15,7 @@
     messages,
     outcome,
     replica,
+    stateapp,
     stateclient,
     storage,
 )
@@ -403,3 +404,26 @@
         assert not app._is_broken
 
     run_fleet(tmp_path, scenario)
+
+
+def test_replica_that_lost_its_folder_joins_though_its_peers_do_not_lead(tmp_path):
+    """Seeds may be outdated: the leader is found by what followers answer."""
+
+    async def scenario(fleet):
+        await submit(fleet, 1, 3)
+        await caught_up(fleet)
+        lost, follower = (n for n in "abc" if n != fleet.leader())
+        await fleet.stop(lost)
+        fleet.lose_folder(lost)
+        config = fleet.config(lost)
+        config.peers = [fleet.address_by_name[follower]]
+        # At another address, members have no link to it either.
+        config.listen = statefleet.free_addresses(1)[0]
+        app = stateapp.StateApplication(config, statefleet.parts())
+        fleet.apps[lost] = app
+        await app.on_start()
+        identity = app.state.raft.identity
+        leader = fleet.apps[fleet.leader()]
+        await statefleet.until(lambda: identity in leader.state.raft.members)
+
+    run_fleet(tmp_path, scenario)
