Give room to the least work left among what can end in time

Ruled out: too few workers or lost leases, since the logs of the incident show no lapse and one planned loss of a worker.

--- a/sardinegauge/workflows/hostapp.py
+++ b/sardinegauge/workflows/hostapp.py
@@ -37,7 +37,7 @@
     drain_limit_s = 1.0
 
     def __init__(self, name, replicas, port, metrics_listen=""):
-        super().__init__(f"agent-{name}")
+        super().__init__(name)
         self.state = hoststate.State(name)
         self.port = port
         hello = messages.Hello(role="agent", name=name)
--- a/sardinegauge/workflows/planner.py
+++ b/sardinegauge/workflows/planner.py
@@ -16,7 +16,7 @@
     """
 
     def __init__(self, order=None, place=None):
-        self.order = order or ordering.ByDeadline()
+        self.order = order or ordering.ByRest()
         self.place = place or placing.Sorted()
 
     def plan(self, state, now_ms, wall_ms):
--- a/tests/test_workflow_scheduler.py
+++ b/tests/test_workflow_scheduler.py
@@ -444,3 +444,24 @@
     leader.state.paces[key] = 10
     leader.tick(0)
     assert leader.orders()["stops"] == [list(key)]
+
+
+def test_least_work_left_goes_first_among_work_in_time():
+    """Load pattern: a burst of batch work of which only a part can end in time."""
+    leader = Leader()
+    leader.report()
+    leader.run()
+    order = ordering.ByRest()
+    queue = leader.store.queue_set.by_name["q"].replace(stretch=3.0)
+    keys = {}
+    for name, count, estimate_ms in (
+        ("small", 2, 1000),
+        ("large", 9, 1000),
+        ("hopeless", 1, 100),
+    ):
+        step = Step(count=count, cpu_millis=1000, estimate_ms=estimate_ms)
+        leader.submit(step, id=name)
+        item = leader.store.workflow_by_id[name]
+        wall_ms = item.accepted_at_ms + 1000
+        keys[name] = order.key(item, queue, item.occurrence(0), wall_ms)
+    assert sorted(keys, key=keys.get) == ["small", "large", "hopeless"]
