--- a/sardinegauge/stateapp.py
+++ b/sardinegauge/stateapp.py
@@ -14,6 +14,7 @@
     background,
     clock,
     errors,
+    joining,
     link,
     logs,
     messages,
@@ -38,12 +39,6 @@
 PLAN_DELAY_S = 0.003
 # Allocations between collections of the youngest generation.
 GC_ALLOCATIONS = 50_000
-JOIN_INTERVAL_S = 0.5
-JOIN_TIMEOUT_S = 1.0
-# Addresses of leaders that others named, the newest ones.
-MAX_LEARNT_ADDRESSES = 8
-# A member without a leader for this long asks whether it still is a member.
-LEADERLESS_MS = 3000
 HANDOVER_POLL_S = 0.02
 # Entries poll every 500 ms and agents every 1 s; until then they may still ask here
 # and must be told the new leader, since a closed link leaves their request in doubt.
@@ -100,15 +95,14 @@
         self.hello = None
         self.writer_batch = writer.MAX_BATCH_WRITES
         self._dialers_by_address = {}
-        self._links = set()
+        self.replica_links = set()
         self._exchanges_by_token = {}
         self._agent_links_by_upstream = {}
         self._next_token = 1
         self._generation = 0
         self._loop = None
         self._is_broken = False
-        self._join_answer = None
-        self._learnt_addresses = []
+        self._joiner = joining.Joiner(self)
 
     # Life cycle.
 
@@ -125,10 +119,10 @@
         host, port = link.split_address(self.config.listen)
         self.server.listen(port, host)
         self._listen_http()
-        self._match_dialers()
+        self.match_dialers()
         self.every(TICK_S, self._pass_time)
         self.every(SCHEDULER_TICK_S, self._run_scheduler)
-        self.every(JOIN_INTERVAL_S, self._join)
+        self.every(joining.INTERVAL_S, self._joiner.ask)
 
     def _open_replica(self):
         self.folder, stored = storage.open_folder(
@@ -279,11 +273,11 @@
     def on_open(self, link):
         """Keep links of replicas to reach their identities."""
         if link.peer.role == "state":
-            self._links.add(link)
+            self.replica_links.add(link)
 
     def on_close(self, link):
         """Forget a closed link."""
-        self._links.discard(link)
+        self.replica_links.discard(link)
         for upstream, (_, agent_link) in list(self._agent_links_by_upstream.items()):
             if agent_link is link:
                 del self._agent_links_by_upstream[upstream]
@@ -321,7 +315,7 @@
     # Effects.
 
     def _send(self, effect):
-        for candidate in self._links:
+        for candidate in self.replica_links:
             if candidate.peer.identity == effect.member and candidate.is_open:
                 try:
                     candidate.send(effect.message)
@@ -372,12 +366,12 @@
             voters=sum(member.is_voter for member in members),
             identities=",".join(member.identity for member in members),
         )
-        self._match_dialers()
+        self.match_dialers()
 
-    def _match_dialers(self):
+    def match_dialers(self):
         """Keep one dialer to each peer of the settings and to each member."""
         wanted = set(self.config.peers)
-        wanted |= set(self._learnt_addresses)
+        wanted |= set(self._joiner.addresses)
         wanted |= {member.address for member in self.state.raft.members.values()}
         wanted -= {self.address, self.config.listen}
         for address in wanted - self._dialers_by_address.keys():
@@ -391,7 +385,7 @@
         """Use other addresses of peers, as after a change of the settings file."""
         if addresses != self.config.peers:
             self.config.peers = list(addresses)
-            self._match_dialers()
+            self.match_dialers()
 
     def members(self):
         """Return the members of the group as far as this replica knows."""
@@ -403,43 +397,6 @@
             lambda: self._feed(leading.PlanNow(now_ms=clock.monotonic_ms())),
         )
 
-    # Joining.
-
-    async def _join(self, now_ms):
-        """Ask the leader for membership while there is none, as far as known here."""
-        state = self.state.raft
-        is_lost = now_ms - state.leader_contact_ms > LEADERLESS_MS
-        if state.role == raftstate.LEADER:
-            return
-        if state.identity in state.members and not is_lost:
-            known = state.members[state.identity]
-            if known.address == self.address:
-                return
-        request = messages.JoinRequest(
-            identity=state.identity,
-            name=self.config.name,
-            address=self.address,
-            failure_domain=self.config.failure_domain,
-        )
-        # Links that members opened count as well: the seeds may all be outdated.
-        link_by_peer = {peer.peer.identity: peer for peer in self._links}
-        for peer in link_by_peer.values():
-            background.spawn(self._ask_join(peer, request))
-
-    async def _ask_join(self, peer, request):
-        try:
-            reply = await peer.request(request, JOIN_TIMEOUT_S)
-        except (errors.LinkClosedError, TimeoutError):
-            return
-        if reply.leader and reply.leader not in self._learnt_addresses:
-            self._learnt_addresses.append(reply.leader)
-            del self._learnt_addresses[:-MAX_LEARNT_ADDRESSES]
-            self._match_dialers()
-        answer = (reply.accepted, reply.leader)
-        if answer != self._join_answer:
-            self._join_answer = answer
-            self.log.info("join_answered", accepted=reply.accepted, leader=reply.leader)
-
     def _rejoin(self, effect):
         """Set the outdated state aside and begin with a new identity."""
         self.log.error(
@@ -463,7 +420,7 @@
         for dialer in self._dialers_by_address.values():
             dialer.stop()
         self._dialers_by_address.clear()
-        self._match_dialers()
+        self.match_dialers()
 
 
 _EXECUTE = {
