Let an agent turn to a life that answers, and simulate runs under faults

Cause: a simulation of leader, agents and workers in virtual time showed two runs of one task: a worker that came back under its id before the agent noticed took a start that was meant for its former life, and the agent called the run gone when a list named the new life. Runs whose start was on its way at a crash were called gone too.

Change: the agent begins the new life at once, and leaves the former one's runs to the leader; calls that are open at a crash stay in doubt. A life that is registered twice keeps its ends.

--- a/sardinegauge/workflows/hosting.py
+++ b/sardinegauge/workflows/hosting.py
@@ -85,7 +85,8 @@
         state.report()
     for run in state.runs.values():
         doubt_ms = run.unanswered_ms + LATE_ORDER_MS if run.unanswered else 0
-        if run.phase != views.GONE and state.now_ms >= doubt_ms:
+        is_certain = state.now_ms >= doubt_ms and not run.is_call_open
+        if run.phase != views.GONE and is_certain:
             run.phase = views.GONE
             run.reason = reason
 
@@ -98,12 +99,12 @@
     if answer.kind == workerport.OTHER_LIFE or (
         answer.life and answer.life != state.life
     ):
-        # The announcement of the new life is on its way.
-        _life_over(state, "restarted")
-        _close(state, call)
+        _on_other_life(state, call, answer.life)
         return
     if state.is_down and answer.life == 0:
+        # It may be the answer of a next life.
         _close(state, call)
+        _note_unanswered(state, call)
         return
     state.answered_ms = state.now_ms
     state.down_calls = 0
@@ -131,16 +132,38 @@
     if call.life != state.life:
         return
     _close(state, call)
+    if not event.is_down:
+        _note_unanswered(state, call)
+    if event.is_down:
+        state.down_calls += 1
+        if state.down_calls >= DOWN_CALLS:
+            _life_over(state, "crashed")
+
+
+def _note_unanswered(state, call):
+    """Note that a start may be carried out at any time from now on."""
     request = call.request
-    if isinstance(request, workerport.StartCall) and not event.is_down:
+    if isinstance(request, workerport.StartCall):
         run = state.runs.get((request.task, request.run))
         if run is not None:
             run.unanswered += 1
             run.unanswered_ms = state.now_ms
-    if event.is_down:
-        state.down_calls += 1
-        if state.down_calls >= DOWN_CALLS:
-            _life_over(state, "crashed")
+
+
+def _on_other_life(state, call, life):
+    """Turn to a next life that answered before it announced itself.
+
+    It may have carried out starts that were meant for the former one. The leader takes
+    back the former life's runs once the new one is fenced and has none of them.
+    """
+    _close(state, call)
+    if life > state.life:
+        state.begin_life(state.announcement.replace(life=life, sequence=0))
+        hostedruns.hold(state)
+        state.report()
+    elif not state.is_down:
+        state.is_down = True
+        state.report()
 
 
 def _on_start_answer(state, call, answer):
--- a/sardinegauge/workflows/store.py
+++ b/sardinegauge/workflows/store.py
@@ -208,9 +208,13 @@
 
 def register_life(machine, index, command):
     """Take note of a worker's new life; runs of former lives stay until released."""
-    machine.workflows.worker_by_id[command.worker] = WorkerLife(
-        worker=command.worker, life=command.life, agent=command.agent
-    )
+    worker_by_id = machine.workflows.worker_by_id
+    known = worker_by_id.get(command.worker)
+    # Two reports may propose the same life; its ends must not count twice.
+    if known is None or known.life != command.life:
+        worker_by_id[command.worker] = WorkerLife(
+            worker=command.worker, life=command.life, agent=command.agent
+        )
     return outcome.Accepted()
 
 
--- /dev/null
+++ b/tests/test_workflow_simulation.py
@@ -0,0 +1,500 @@
+"""Guards the promises about runs over many interleavings, in virtual time.
+
+Leader, agents and workers run together: the real reducers against a model of workers
+that crash, answer late, lose answers, and come back under the same id. Every start is
+checked against what runs anywhere at that moment.
+"""
+
+import heapq
+import itertools
+import json
+import random
+
+import pytest
+
+from sardinegauge import commands, machine, messages
+from sardinegauge.workflows import (
+    hostevents,
+    hosting,
+    hoststate,
+    lives,
+    orders,
+    queues,
+    scheduler,
+    schedulerevents,
+    schedulerstate,
+    views,
+    workerport,
+)
+from sardinegauge.workflows import steps as steps_module
+
+CAPACITY_MILLIS = 8000
+FAULTS_END_MS = 40_000
+END_MS = 110_000
+CALL_TIMEOUT_MS = 300
+# An end that comes after its lease ran out counts for starts this much later.
+START_SLACK_MS = 1000
+
+
+class Worker:
+    """A worker with leases, fences and run numbers, as the protocol has them."""
+
+    def __init__(self, world, number):
+        self.world = world
+        self.id = f"i-{number}"
+        self.agent = f"vm-{number}"
+        self.life = 1000 + number
+        self.is_up = True
+        self.begin()
+
+    def begin(self):
+        self.started_ms = self.world.now_ms
+        self.fence = 0
+        self.until_ms = 0
+        self.running = {}
+        self.ended = []
+        self.blocked = {}
+
+    @property
+    def clock_ms(self):
+        # Two percent slow, and begun anew with each life.
+        return 100 + int((self.world.now_ms - self.started_ms) * 0.98)
+
+    def update(self):
+        for key, end_ms in list(self.running.items()):
+            if self.world.now_ms >= end_ms:
+                self.end(key, "done")
+            elif self.clock_ms >= self.until_ms:
+                self.end(key, "lapsed")
+
+    def end(self, key, how):
+        del self.running[key]
+        self.ended.append([len(self.ended) + 1, *key, how, ""])
+        task, run = key
+        self.blocked[task] = max(self.blocked.get(task, 0), run)
+
+    def crash(self):
+        self.is_up = False
+        self.running = {}
+
+    def restart(self):
+        self.life += 100
+        self.is_up = True
+        self.begin()
+
+    def carry_out(self, request):
+        """Carry out a call and return its answer."""
+        self.update()
+        if request.fence < self.fence:
+            return self.answer(workerport.REFUSED, workerport.BY_FENCE)
+        self.fence = request.fence
+        return getattr(self, type(request).__name__)(request)
+
+    def answer(self, kind=workerport.DONE, reason="", **fields):
+        return workerport.Answer(
+            kind=kind, reason=reason, clock_ms=self.clock_ms, **fields
+        )
+
+    def StartCall(self, request):
+        key = (request.task, request.run)
+        if key in self.running:
+            return self.answer()
+        if request.run <= self.blocked.get(request.task, 0):
+            return self.answer(workerport.REFUSED, workerport.BY_OLD_RUN)
+        if request.lease_until_ms <= self.clock_ms:
+            return self.answer(workerport.REFUSED, workerport.BY_LEASE)
+        self.until_ms = max(self.until_ms, request.lease_until_ms)
+        self.world.check_start(self, key)
+        self.running[key] = self.world.now_ms + int(request.payload)
+        return self.answer()
+
+    def StopCall(self, request):
+        key = (request.task, request.run)
+        if key in self.running:
+            self.end(key, "stopped")
+        else:
+            known = self.blocked.get(request.task, 0)
+            self.blocked[request.task] = max(known, request.run)
+        return self.answer()
+
+    def HoldCall(self, request):
+        self.until_ms = max(self.until_ms, request.lease_until_ms)
+        return self.answer(
+            life=self.life,
+            running=[[*key, "", 50, 0] for key in self.running],
+            ended=[row for row in self.ended if row[0] > request.seen_end],
+        )
+
+    def PaceCall(self, request):
+        return self.answer()
+
+
+class Agent:
+    """An agent whose effects the world carries out."""
+
+    def __init__(self, world, worker):
+        self.world = world
+        self.worker = worker
+        self.is_cut = False
+        self.restart()
+
+    def restart(self):
+        self.state = hoststate.State(self.worker.agent)
+        self.sequence = 0
+
+    def feed(self, event):
+        state = self.state
+        for effect in hosting.reduce(state, event):
+            if isinstance(effect, hostevents.SendReport):
+                self.world.later(1, self.report)
+            else:
+                self.world.call(self, state, effect)
+
+    def tick(self):
+        self.feed(hostevents.Tick(now_ms=self.world.now_ms))
+
+    def announce(self):
+        worker = self.worker
+        if not worker.is_up:
+            return
+        self.sequence += 1
+        announcement = workerport.Announcement(
+            worker=worker.id,
+            life=worker.life,
+            address="a",
+            pool="p",
+            cpu_millis=CAPACITY_MILLIS,
+            memory_mb=1000,
+            sequence=self.world.next(),
+        )
+        self.feed(
+            hostevents.Announced(now_ms=self.world.now_ms, announcement=announcement)
+        )
+
+    def report(self):
+        if self.is_cut or not self.state.announcement:
+            return
+        fields = hosting.report_fields(self.state)
+        report = views.Report(
+            agent=self.state.agent,
+            worker=self.state.announcement.worker,
+            life=self.state.life,
+            **json.loads(json.dumps(fields)),
+        )
+        state, sent_ms = self.state, self.world.now_ms
+        is_wanted = state.is_lease_wanted
+        self.world.later(
+            self.world.random.randint(1, 30),
+            lambda: self.world.on_report(self, state, report, sent_ms, is_wanted),
+        )
+
+    def take_orders(self, state, message):
+        if self.is_cut or state is not self.state:
+            return
+        body = json.loads(message.body)
+        self.feed(
+            hostevents.OrdersReceived(
+                now_ms=self.world.now_ms, message=message, body=body
+            )
+        )
+
+
+class World:
+    """Virtual time, the leader, and all faults drawn from a seed."""
+
+    def __init__(self, seed, worker_count=4):
+        self.random = random.Random(seed)
+        self.now_ms = 1_000_000
+        self.begun_ms = self.now_ms
+        self.events = []
+        self.numbers = itertools.count(1)
+        self.machine = machine.Machine()
+        self.index = 0
+        self.term = 0
+        self.order_sequence = 0
+        self.commit_ms = 0
+        self.is_check_due = True
+        self.done_since_ms = {}
+        self.violations = []
+        self.workers = [Worker(self, n) for n in range(worker_count)]
+        self.agents = [Agent(self, worker) for worker in self.workers]
+        queue = queues.Queue(
+            name="q", host="", prefix="", pool="p", max_attempts=99, timeout_ms=1
+        )
+        packed = queues.pack([queue], [queues.Pool(name="p")])
+        self.apply(commands.SetQueues(version=1, packed=packed))
+        self.lead()
+
+    def next(self):
+        return next(self.numbers)
+
+    def later(self, delay_ms, action):
+        entry = (self.now_ms + delay_ms, self.next(), action)
+        heapq.heappush(self.events, entry)
+
+    # The leader.
+
+    def lead(self):
+        self.term += 1
+        self.order_sequence = 0
+        self.leader = schedulerstate.State(self.machine)
+        self.feed(
+            schedulerevents.LeadershipGained(
+                now_ms=self.now_ms, wall_ms=self.now_ms, term=self.term
+            )
+        )
+
+    def feed(self, event):
+        self.take(self.leader, scheduler.reduce(self.leader, event))
+
+    def take(self, leader, effects):
+        for effect in effects:
+            if isinstance(effect, schedulerevents.Propose):
+                # The log keeps the order of proposals.
+                due_ms = self.now_ms + self.random.randint(5, 40)
+                self.commit_ms = max(due_ms, self.commit_ms)
+                self.later(
+                    self.commit_ms - self.now_ms,
+                    lambda c=effect.command: self.commit(leader, c),
+                )
+            elif isinstance(effect, schedulerevents.Push):
+                self.push(leader, effect.worker, effect.life)
+
+    def commit(self, leader, command):
+        # What a deposed leader proposed is lost or was committed before its end.
+        if leader is not self.leader:
+            return
+        answer = self.apply(command)
+        self.feed(
+            schedulerevents.CommandApplied(
+                now_ms=self.now_ms, index=self.index, command=command, answer=answer
+            )
+        )
+
+    def apply(self, command):
+        self.index += 1
+        command.at_ms = self.now_ms
+        if isinstance(command, commands.RecordEnds):
+            self.note_done(command)
+        return machine.apply(self.machine, self.index, command)
+
+    def note_done(self, command):
+        """Remember since when starts of a task break a promise.
+
+        An end of a run whose leases had run out may meet a start that is on its way.
+        """
+        for _, task, run, how, _ in command.rows:
+            _, _, found = self.machine.workflows.find_task(task)
+            if how == "done" and found is not None and not found.is_done:
+                is_held = found.find_run(run, command.worker, command.life) is not None
+                slack_ms = 0 if is_held else START_SLACK_MS
+                self.done_since_ms[task] = self.now_ms + slack_ms
+
+    def orders(self, leader, worker, life, sent_ms=0, grant_ms=0):
+        self.order_sequence += 1
+        return messages.WorkerOrders(
+            confirmed=True,
+            worker=worker,
+            life=life,
+            term=leader.term,
+            sequence=self.order_sequence,
+            sent_ms=sent_ms,
+            grant_ms=grant_ms,
+            body=orders.encode(leader, worker, life),
+        )
+
+    def push(self, leader, worker, life):
+        message = self.orders(leader, worker, life)
+        for agent in self.agents:
+            if agent.worker.id == worker:
+                state = agent.state
+                self.later(
+                    self.random.randint(1, 10),
+                    lambda a=agent, s=state: a.take_orders(s, message),
+                )
+
+    def on_report(self, agent, state, report, sent_ms, is_lease_wanted):
+        leader = self.leader
+        event = schedulerevents.ReportReceived(now_ms=self.now_ms, report=report)
+        self.feed(event)
+
+        def reply():
+            if leader is not self.leader:
+                return
+            grant_ms = 0
+            if is_lease_wanted and lives.may_grant(leader, report.worker, report.life):
+                lives.note_grant(leader, report.worker, self.now_ms)
+                grant_ms = lives.LEASE_MS
+            message = self.orders(leader, report.worker, report.life, sent_ms, grant_ms)
+            self.later(
+                self.random.randint(1, 10), lambda: agent.take_orders(state, message)
+            )
+
+        self.later(self.random.randint(1, 100), reply)
+
+    # Calls of agents to workers.
+
+    def call(self, agent, state, effect):
+        worker = agent.worker
+        draw = self.random.random() if self.is_faulty else 1.0
+        if not worker.is_up:
+            self.later(1, lambda: self.unanswered(agent, state, effect, True))
+        elif draw < 0.05:
+            self.later(
+                self.random.randint(2000, 12_000),
+                lambda: self.carry_out_late(worker, effect),
+            )
+            self.later(
+                CALL_TIMEOUT_MS, lambda: self.unanswered(agent, state, effect, False)
+            )
+        else:
+            self.later(
+                self.random.randint(0, 3),
+                lambda: self.carry_out(agent, state, effect, draw < 0.08),
+            )
+
+    def carry_out_late(self, worker, effect):
+        """Carry out a call in whatever life the worker has by now.
+
+        A start that meets a next life before its fence can't be prevented; what counts
+        is that nothing else starts beside it.
+        """
+        if worker.is_up:
+            self.is_check_due = worker.life == effect.life
+            worker.carry_out(effect.request)
+            self.is_check_due = True
+
+    def carry_out(self, agent, state, effect, is_answer_lost):
+        worker = agent.worker
+        if not worker.is_up:
+            self.unanswered(agent, state, effect, True)
+            return
+        answer = worker.carry_out(effect.request)
+        if is_answer_lost:
+            self.later(
+                CALL_TIMEOUT_MS, lambda: self.unanswered(agent, state, effect, False)
+            )
+            return
+
+        def deliver():
+            if state is agent.state:
+                agent.feed(
+                    hostevents.Answered(now_ms=self.now_ms, call=effect, answer=answer)
+                )
+
+        self.later(self.random.randint(0, 3), deliver)
+
+    def unanswered(self, agent, state, effect, is_down):
+        if state is agent.state:
+            agent.feed(
+                hostevents.Unanswered(now_ms=self.now_ms, call=effect, is_down=is_down)
+            )
+
+    # Faults and checks.
+
+    @property
+    def is_faulty(self):
+        return self.now_ms < self.begun_ms + FAULTS_END_MS
+
+    def fault(self):
+        if not self.is_faulty:
+            return
+        self.later(self.random.randint(300, 2500), self.fault)
+        agent = self.random.choice(self.agents)
+        kind = self.random.choice(
+            ("crash", "restart agent", "cut", "new leader", "cancel")
+        )
+        if kind == "crash" and agent.worker.is_up:
+            agent.worker.crash()
+            self.later(self.random.randint(50, 3000), agent.worker.restart)
+        elif kind == "restart agent":
+            agent.restart()
+        elif kind == "cut" and not agent.is_cut:
+            agent.is_cut = True
+            self.later(
+                self.random.randint(500, 9000),
+                lambda: setattr(agent, "is_cut", False),
+            )
+        elif kind == "new leader":
+            self.lead()
+        elif kind == "cancel":
+            found = list(self.machine.workflows.open_ids)
+            if found and self.random.random() < 0.3:
+                command = commands.CancelWorkflow(id=self.random.choice(found))
+                self.commit(self.leader, command)
+
+    def check_start(self, worker, key):
+        if not self.is_check_due:
+            return
+        task, run = key
+        for other in self.workers:
+            if not other.is_up:
+                continue
+            other.update()
+            for running, number in other.running:
+                if running == task:
+                    self.violations.append(
+                        f"{self.now_ms - self.begun_ms}: {task} run {run} on "
+                        f"{worker.id} beside run {number} on {other.id}"
+                    )
+        _, _, found = self.machine.workflows.find_task(task)
+        if self.now_ms > self.done_since_ms.get(task, float("inf")):
+            self.violations.append(f"{self.now_ms}: {task} run {run} after its end")
+        used = found.step.cpu_millis if found is not None else 0
+        for running, _ in worker.running:
+            _, _, other = self.machine.workflows.find_task(running)
+            used += other.step.cpu_millis
+        if used > CAPACITY_MILLIS:
+            self.violations.append(f"{self.now_ms}: {worker.id} has {used} of room")
+
+    def submit(self, number):
+        step = steps_module.Step(
+            count=self.random.randint(1, 4),
+            cpu_millis=self.random.choice((1000, 2000, 3000)),
+            estimate_ms=1000,
+        )
+        command = commands.SubmitWorkflow(
+            id=f"w{number}",
+            queue="q",
+            payload=str(self.random.randint(200, 6000)),
+            steps=[step.to_sparse_dict(), {**step.to_sparse_dict(), "after": [0]}],
+        )
+        self.commit(self.leader, command)
+
+    def repeat(self, interval_ms, action):
+        def again():
+            action()
+            self.later(interval_ms, again)
+
+        self.later(self.random.randint(0, interval_ms), again)
+
+    def tick(self):
+        event = schedulerevents.Tick(now_ms=self.now_ms, wall_ms=self.now_ms)
+        self.feed(event)
+        self.take(self.leader, scheduler.plan(self.leader, self.now_ms))
+
+    def run(self):
+        self.repeat(50, self.tick)
+        for agent in self.agents:
+            self.repeat(100, agent.tick)
+            self.repeat(1000, agent.announce)
+        for number in range(12):
+            self.later(number * 2500 + 500, lambda n=number: self.submit(n))
+        self.later(1000, self.fault)
+        while self.now_ms < self.begun_ms + END_MS:
+            self.now_ms, _, action = heapq.heappop(self.events)
+            action()
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_promises_hold_under_faults_and_all_work_ends(seed):
+    world = World(seed)
+    world.run()
+    assert world.violations == []
+    store = world.machine.workflows
+    assert {item.state for item in store.workflow_by_id.values()} <= {
+        "completed",
+        "cancelled",
+    }
+    assert len(store.workflow_by_id) == 12
+    assert store.runs_by_life == {}
--- a/tests/test_workflow_store.py
+++ b/tests/test_workflow_store.py
@@ -324,3 +324,12 @@
     assert router.find("h", "/q/lon") == (QUEUE, "lon")
     assert router.find("h", "/") is None
     assert router.find("other", "/x")[1] == "/x"
+
+
+def test_life_that_is_registered_twice_keeps_its_ends(log):
+    log.submit()
+    log.assign(["w.0.0.0", 1, "a", 1])
+    log.end([1, "w.0.0.0", 1, "failed", ""])
+    log.register()
+    log.end([1, "w.0.0.0", 1, "failed", ""])
+    assert log.store.find_task("w.0.0.0")[2].failures == 1
