--- /dev/null
+++ b/tests/test_workflow_gateway.py
@@ -0,0 +1,152 @@
+"""Guards against refusals that are not true and queues that go back."""
+
+import asyncio
+import json
+import zlib
+
+from sardinegauge import messages, outcome, stateclient
+from sardinegauge.workflows import gateway, queues
+
+QUEUE = queues.Queue(name="q", host="h", prefix="/q/", pool="p", timeout_ms=1)
+
+
+class FakeClient:
+    """Answers with what the test set."""
+
+    def __init__(self):
+        self.polls = []
+        self.proposed = []
+        self.answer = outcome.Answered(outcome.Accepted(ids=["w"]))
+        self.value = {}
+
+    def learn(self, members):
+        pass
+
+    async def poll(self, config_version, directory_version, queues_version):
+        if not self.polls:
+            return outcome.Refused(reason="no leader")
+        return outcome.Answered(self.polls.pop(0))
+
+    async def propose_idempotent(self, command, timeout_s):
+        self.proposed.append(command)
+        return self.answer
+
+    async def query(self, kind, arguments, timeout_s):
+        return self.value
+
+
+def reply(version, found=(), removed=(), is_full=False):
+    plain = {
+        "is_full": is_full,
+        "queues": [queue.to_sparse_dict() for queue in found],
+        "removed": list(removed),
+    }
+    data = zlib.compress(json.dumps(plain).encode())
+    return messages.PollReply(confirmed=True, queues_version=version, queues=data)
+
+
+def run(scenario):
+    async def main():
+        client = FakeClient()
+        await scenario(client, gateway.Gateway(client))
+
+    asyncio.run(main())
+
+
+def test_no_request_is_refused_as_unknown_before_a_configuration_came():
+    async def scenario(client, gate):
+        assert isinstance(await gate.find("h", "/q/1"), outcome.Refused)
+        client.polls = [reply(1, [QUEUE], is_full=True)]
+        assert await gate.find("h", "/q/1") == (QUEUE, "1")
+
+    run(scenario)
+
+
+def test_unknown_queue_is_polled_for_before_it_is_refused():
+    async def scenario(client, gate):
+        other = QUEUE.replace(name="new", prefix="/new/")
+        client.polls = [reply(1, [QUEUE], is_full=True), reply(2, [other])]
+        assert await gate.poll()
+        assert await gate.find("h", "/new/1") == (other, "1")
+        client.polls = [messages.PollReply(confirmed=True, queues_version=2)]
+        assert isinstance(await gate.find("h", "/none/1"), gateway.NoQueue)
+        assert isinstance(await gate.find("h", "/none/1"), outcome.Refused)
+
+    run(scenario)
+
+
+def test_queues_never_go_back_to_an_older_version():
+    async def scenario(client, gate):
+        client.polls = [
+            reply(5, [QUEUE], is_full=True),
+            reply(7, [], removed=["q"]),
+            reply(5, [QUEUE], is_full=True),
+        ]
+        for _ in range(3):
+            assert await gate.poll()
+        assert gate.version == 7
+        assert gate.router.find("h", "/q/1") is None
+
+    run(scenario)
+
+
+def test_readiness_ends_when_no_leader_confirms_any_more():
+    async def scenario(client, gate):
+        now_s = asyncio.get_running_loop().time()
+        assert not gate.is_ready(now_s)
+        client.polls = [reply(1, [QUEUE], is_full=True)]
+        await gate.poll()
+        assert gate.is_ready(now_s)
+        assert not gate.is_ready(now_s + gateway.EVIDENCE_S + 1)
+
+    run(scenario)
+
+
+def test_outcomes_tell_whether_a_workflow_may_have_been_accepted():
+    async def scenario(client, gate):
+        fields = {"payload": "", "steps": []}
+        for answer in (
+            outcome.Refused(reason="no leader"),
+            outcome.Lost(reason="no answer"),
+        ):
+            client.answer = answer
+            assert await gate.submit(QUEUE, "w", fields, 1) is answer
+        client.answer = outcome.Answered(outcome.Impossible(reason="no such queue"))
+        assert isinstance(await gate.submit(QUEUE, "w", fields, 1), gateway.NoQueue)
+        assert isinstance(await gate.cancel("w", 1), gateway.NoWorkflow)
+
+    run(scenario)
+
+
+def test_questions_are_refused_without_a_leader_and_empty_for_the_unknown():
+    async def scenario(client, gate):
+        client.value = outcome.Refused(reason="no leader")
+        assert isinstance(await gate.state_of("w", 1), outcome.Refused)
+        client.value = outcome.Answered({})
+        assert isinstance(await gate.state_of("w", 1), gateway.NoWorkflow)
+        client.value = outcome.Answered({"state": "running"})
+        assert await gate.state_of("w", 1) == "running"
+        client.value = outcome.Answered({"waiting": 3})
+        assert await gate.waiting(QUEUE, 1) == 3
+
+    run(scenario)
+
+
+def test_repeated_proposal_is_refused_only_if_no_attempt_may_have_run(monkeypatch):
+    """A 503 promises that the workflow never runs."""
+
+    async def scenario(answers):
+        client = stateclient.StateClient([], messages.Hello(role="entry"))
+        monkeypatch.setattr(stateclient, "RETRY_S", 0.001)
+
+        async def propose(command, timeout_s):
+            return answers.pop(0) if len(answers) > 1 else answers[0]
+
+        monkeypatch.setattr(client, "propose", propose)
+        return await client.propose_idempotent(None, 0.05)
+
+    refused, lost = outcome.Refused(reason="r"), outcome.Lost(reason="l")
+    ran = outcome.Answered("ran")
+    assert isinstance(asyncio.run(scenario([refused])), outcome.Refused)
+    assert asyncio.run(scenario([refused, lost, refused])) is lost
+    assert asyncio.run(scenario([lost, refused, ran])) is ran
