--- a/sardinegauge/makeroom.py
+++ b/sardinegauge/makeroom.py
@@ -31,11 +31,11 @@
 class Hold:
     """A worker kept for one unit until a time in ms."""
 
-    __slots__ = ("holder", "is_aged", "until_ms")
+    __slots__ = ("holder", "is_aged", "expires_ms")
 
-    def __init__(self, holder, until_ms, is_aged):
+    def __init__(self, holder, expires_ms, is_aged):
         self.holder = holder
-        self.until_ms = until_ms
+        self.expires_ms = expires_ms
         self.is_aged = is_aged
 
 
@@ -78,7 +78,7 @@
 def expire_holds(state, now_ms):
     """Give up holds whose time is over."""
     for upstream, hold in list(state.hold_by_upstream.items()):
-        if now_ms >= hold.until_ms:
+        if now_ms >= hold.expires_ms:
             _release(state, upstream)
 
 
--- a/sardinegauge/stateapp.py
+++ b/sardinegauge/stateapp.py
@@ -99,6 +99,7 @@
         self._generation = 0
         self._loop = None
         self._is_broken = False
+        self._join_answer = None
 
     # Life cycle.
 
@@ -313,7 +314,16 @@
             lambda: self._feed(replica.ApplyNext(now_ms=clock.monotonic_ms()))
         )
 
-    def _match_dialers(self, effect=None):
+    def _on_members_changed(self, effect):
+        members = self.members()
+        self.log.info(
+            "members_changed",
+            voters=sum(member.is_voter for member in members),
+            identities=",".join(member.identity for member in members),
+        )
+        self._match_dialers()
+
+    def _match_dialers(self):
         """Keep one dialer to each peer of the settings and to each member."""
         wanted = set(self.config.peers)
         wanted |= {member.address for member in self.state.raft.members.values()}
@@ -368,7 +378,10 @@
             reply = await peer.request(request, JOIN_TIMEOUT_S)
         except (errors.LinkClosedError, TimeoutError):
             return
-        self.log.info("join_answered", accepted=reply.accepted, leader=reply.leader)
+        answer = (reply.accepted, reply.leader)
+        if answer != self._join_answer:
+            self._join_answer = answer
+            self.log.info("join_answered", accepted=reply.accepted, leader=reply.leader)
 
     def _rejoin(self, effect):
         """Set the outdated state aside and begin with a new identity."""
@@ -401,7 +414,7 @@
     raftstate.Persist: StateApplication._write,
     raftstate.InstallSnapshot: StateApplication._write,
     raftstate.SaveSnapshot: StateApplication._write,
-    raftstate.MembersChanged: StateApplication._match_dialers,
+    raftstate.MembersChanged: StateApplication._on_members_changed,
     raftstate.Rejoin: StateApplication._rejoin,
     replica.Reply: StateApplication._reply,
     replica.Push: StateApplication._push,
--- a/sardinegauge/workflows/hosting.py
+++ b/sardinegauge/workflows/hosting.py
@@ -439,8 +439,8 @@
     if message.worker != _worker(state) or message.life != state.life:
         return
     if message.grant_ms and not state.is_lapsed:
-        until_ms = message.sent_ms + message.grant_ms
-        state.grant_until_ms = max(state.grant_until_ms, until_ms)
+        lease_until_ms = message.sent_ms + message.grant_ms
+        state.grant_until_ms = max(state.grant_until_ms, lease_until_ms)
     body = event.body
     state.is_watched = body["is_watched"]
     _see_ends(state, body["seen_end"])
@@ -487,8 +487,8 @@
 
 
 def _call_start(state, key, run):
-    until_ms = state.lease_until_ms()
-    if run.is_call_open or not until_ms or not state.is_fenced:
+    lease_until_ms = state.lease_until_ms()
+    if run.is_call_open or not lease_until_ms or not state.is_fenced:
         return
     run.is_call_open = True
     state.lease_end_ms = max(state.lease_end_ms, state.grant_until_ms)
@@ -499,7 +499,7 @@
             payload=run.payload,
             checkpoint=run.checkpoint,
             ticket=run.ticket,
-            until_ms=until_ms,
+            lease_until_ms=lease_until_ms,
             fence=state.fence,
         )
     )
@@ -552,13 +552,13 @@
             wait_ms = WATCH_WAIT_MS if state.is_watched else HOLD_WAIT_MS
         if not state.is_fenced or not state.is_responsive:
             wait_ms = 0
-    until_ms = state.lease_until_ms() if state.runs else 0
-    if until_ms:
+    lease_until_ms = state.lease_until_ms() if state.runs else 0
+    if lease_until_ms:
         state.lease_end_ms = max(state.lease_end_ms, state.grant_until_ms)
     state.holds_open += 1
     state.call(
         workerport.HoldCall(
-            until_ms=until_ms,
+            lease_until_ms=lease_until_ms,
             fence=state.fence,
             seen_end=state.seen_end,
             wait_ms=wait_ms,
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -199,7 +199,10 @@
         return
     for worker, life in list(state.store.runs_by_life):
         if worker == view.id and life < view.life:
-            _propose_release(state, worker, life)
+            runs = state.store.runs_of(worker, life)
+            # A delayed order may have started a run here before the fence.
+            if not any(_is_there(view, key) for key in runs):
+                _propose_release(state, worker, life)
     for other in list(state.view_by_id.values()):
         if other.agent == view.agent and other.id != view.id and other.life < view.life:
             _propose_release(state, other.id, other.life)
@@ -208,6 +211,11 @@
         _propose_release(state, view.id, view.life)
 
 
+def _is_there(view, key):
+    reported = view.runs.get(key)
+    return reported is not None and reported.phase != views.GONE
+
+
 def _propose_release(state, worker, life):
     runs = state.store.runs_of(worker, life)
     if not runs:
@@ -322,6 +330,9 @@
 
 
 def _on_registered(state, event):
+    view = state.view_by_id.get(event.command.worker)
+    if view is not None and view.life == event.command.life:
+        _release_former_lives(state, view)
     _push(state, event.command.worker, event.command.life)
 
 
--- a/sardinegauge/workflows/workerport.py
+++ b/sardinegauge/workflows/workerport.py
@@ -20,7 +20,7 @@
 
 
 class StartCall(record.Record):
-    """Start a run; `until_ms` is the end of its lease on the worker's clock."""
+    """Start a run; `lease_until_ms` is the end of its lease on the worker's clock."""
 
     __slots__ = (
         "task",
@@ -28,7 +28,7 @@
         "payload",
         "checkpoint",
         "ticket",
-        "until_ms",
+        "lease_until_ms",
         "fence",
     )
 
@@ -42,10 +42,10 @@
 class HoldCall(record.Record):
     """Renew the leases of all runs and list what runs and what ended.
 
-    `until_ms` 0 renews nothing. The answer waits up to `wait_ms` for an end.
+    `lease_until_ms` 0 renews nothing. The answer waits up to `wait_ms` for an end.
     """
 
-    __slots__ = ("until_ms", "fence", "seen_end", "wait_ms")
+    __slots__ = ("lease_until_ms", "fence", "seen_end", "wait_ms")
 
 
 class PaceCall(record.Record):
--- /dev/null
+++ b/tests/platformkit.py
@@ -0,0 +1,345 @@
+"""A stand-in of the users' platform: settings files, a minion, an operator, a client.
+
+It follows the platform's published protocol as far as the tests need it. The roles run
+as real processes, each on a loopback address of its own.
+"""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+from tornado import httpclient, httpserver, web
+
+from tests.fleet import ports
+
+ROOT = pathlib.Path(__file__).resolve().parents[1]
+SERVICE = "svc"
+HOST = "shop.example"
+PREFIX = "/q/"
+START_LIMIT_S = 30
+
+
+class Minion:
+    """Runs tasks in virtual form: a task is done after its `spec`'s milliseconds."""
+
+    def __init__(self, worker_id, address, born):
+        self.id = worker_id
+        self.address = address
+        self.born = born
+        self.state = "ready"
+        self.sequence = 0
+        self.fence = 0
+        self.running = {}
+        self.ended = []
+        self.blocked = {}
+        self.until_ms = 0
+        self.starts = []
+        self.unanswered_starts = 0
+        self.server = None
+
+    @property
+    def clock_ms(self):
+        return int(time.monotonic() * 1000) % 10**9
+
+    def listen(self):
+        routes = [(r"/api/(.*)", MinionHandler, {"minion": self})]
+        self.server = httpserver.HTTPServer(web.Application(routes, log_function=str))
+        host, port = self.address.split(":")
+        self.server.listen(int(port), host)
+
+    def stop(self):
+        self.server.stop()
+
+    def update(self):
+        """End what is done or whose lease has run out."""
+        now_ms = self.clock_ms
+        for key, (end_ms, _) in list(self.running.items()):
+            if now_ms >= min(end_ms, self.until_ms):
+                self.end(key, "done" if now_ms >= end_ms else "lapsed")
+
+    def end(self, key, how):
+        del self.running[key]
+        self.ended.append([len(self.ended) + 1, *key, how, ""])
+        self.blocked[key[0]] = max(self.blocked.get(key[0], 0), key[1])
+
+    def heartbeat(self):
+        self.sequence += 1
+        return {
+            "service": SERVICE,
+            "address": self.address,
+            "zone": "z",
+            "version": "v1",
+            "slots": 8,
+            "state": self.state,
+            "cold_remaining_ms": 0,
+            "capacity": {"cpu": 8000, "mem_mb": 8000, "gpu": 0},
+            "labels": ["a", "r1"],
+            "clock_ms": self.clock_ms,
+            "seq": self.sequence,
+            "born": self.born,
+        }
+
+
+class MinionHandler(web.RequestHandler):
+    """The minion's calls."""
+
+    def initialize(self, minion):
+        self.minion = minion
+
+    async def post(self, call):
+        minion = self.minion
+        body = json.loads(self.request.body)
+        expected = self.request.headers.get("X-Sardinegauge-Expect-Instance")
+        if expected not in (None, minion.id):
+            self.answer(421, {})
+            return
+        if body["fence"] < minion.fence:
+            self.answer(409, {"reason": "fence"})
+            return
+        minion.fence = body["fence"]
+        minion.update()
+        await getattr(self, call.replace("-", "_"))(body)
+
+    def answer(self, status, body):
+        self.set_status(status)
+        minion = self.minion
+        self.finish({"clock_ms": minion.clock_ms, "born": minion.born, **body})
+
+    async def run_start(self, body):
+        minion = self.minion
+        key = (body["task"], body["run"])
+        minion.until_ms = max(minion.until_ms, body["until_ms"])
+        if key in minion.running:
+            self.answer(200, {})
+        elif body["run"] <= minion.blocked.get(body["task"], 0):
+            self.answer(409, {"reason": "old"})
+        else:
+            minion.starts.append(key)
+            work_ms = int(body["spec"])
+            minion.running[key] = (minion.clock_ms + work_ms, body["spec"])
+            if minion.unanswered_starts:
+                minion.unanswered_starts -= 1
+                await asyncio.sleep(3)
+            self.answer(200, {})
+
+    async def run_stop(self, body):
+        key = (body["task"], body["run"])
+        if key in self.minion.running:
+            self.minion.end(key, "stopped")
+        else:
+            task, run = key
+            blocked = self.minion.blocked
+            blocked[task] = max(blocked.get(task, 0), run)
+        self.answer(200, {})
+
+    async def pace(self, body):
+        self.answer(200, {})
+
+    async def hold(self, body):
+        minion = self.minion
+        minion.until_ms = max(minion.until_ms, body.get("until_ms", 0))
+        seen = body["last_seen"]
+        limit_s = time.monotonic() + body.get("wait_ms", 0) / 1000
+        while time.monotonic() < limit_s and len(minion.ended) <= seen:
+            await asyncio.sleep(0.02)
+            minion.update()
+        self.answer(
+            200,
+            {
+                "running": [[*key, "", 50, 0] for key in minion.running],
+                "ended": [row for row in minion.ended if row[0] > seen],
+            },
+        )
+
+
+class Platform:
+    """A small deployment: three state processes, one front, one agent and its minion."""
+
+    def __init__(self, path):
+        self.path = path
+        self.processes = {}
+        self.ports = ports.PortPool()
+        self.control_port = self.ports.take()
+        self.front_port = self.ports.take()
+        self.ready_port = self.ports.take()
+        self.link_port = self.ports.take()
+        self.minion_port = self.ports.take()
+        self.core_ips = [f"127.0.3.{n}" for n in (1, 2, 3)]
+        self.version = 0
+        self.minion = None
+        self.client = httpclient.AsyncHTTPClient(force_instance=True)
+
+    def settings(self, role, ip, **fields):
+        data_dir = self.path / f"{ip}-data"
+        if role == "core":
+            data_dir.mkdir(exist_ok=True)
+        return {
+            "node": f"{role}-{ip}",
+            "ip": ip,
+            "zone": "z",
+            "listen": {
+                "front": f"{ip}:{self.front_port}",
+                "ready": f"{ip}:{self.ready_port}",
+                "control": f"{ip}:{self.control_port}",
+            },
+            "internal_port_range": [self.link_port, self.link_port + 9],
+            "seeds": [f"{ip}:{self.control_port}" for ip in self.core_ips],
+            "bootstrap": True,
+            "data_dir": str(data_dir) if role == "core" else None,
+            "bounds": {"grace_s": 3},
+            "fault_tolerance": {"machines": 1, "zones": 0, "regions": 0},
+            **fields,
+        }
+
+    def start(self, role, ip, **fields):
+        path = self.path / f"{role}-{ip}.json"
+        path.write_text(json.dumps(self.settings(role, ip, **fields)))
+        environment = {
+            **os.environ,
+            "SARDINEGAUGE_SETTINGS": str(path),
+            "PYTHONUNBUFFERED": "1",
+        }
+        with open(self.path / f"{role}-{ip}.log", "ab") as output:
+            self.processes[role, ip] = subprocess.Popen(
+                [sys.executable, "platform", role],
+                cwd=ROOT,
+                env=environment,
+                stdout=output,
+                stderr=output,
+            )
+
+    def start_all(self):
+        for ip in self.core_ips:
+            self.start("core", ip)
+        self.start("front", "127.0.3.11")
+        self.start("side", "127.0.3.21")
+        self.start_minion("i-1", 1000)
+
+    def start_minion(self, worker_id, born):
+        self.minion = Minion(worker_id, f"127.0.3.21:{self.minion_port}", born)
+        self.minion.listen()
+
+    def kill(self, role, ip, number=signal.SIGKILL):
+        process = self.processes.pop((role, ip))
+        process.send_signal(number)
+        return process.wait(timeout=10)
+
+    def stop_all(self):
+        for process in self.processes.values():
+            process.kill()
+        for process in self.processes.values():
+            process.wait(timeout=10)
+        if self.minion is not None:
+            self.minion.stop()
+        self.ports.close()
+
+    async def call(self, method, url, body=None, host=None, timeout_s=4):
+        request = httpclient.HTTPRequest(
+            url,
+            method=method,
+            body=json.dumps(body) if body is not None else None,
+            headers={"Host": host} if host else {},
+            request_timeout=timeout_s,
+            allow_nonstandard_methods=True,
+        )
+        try:
+            response = await self.client.fetch(request, raise_error=False)
+        except OSError:
+            return 0, {}
+        if response.code == 599:
+            return 0, {}
+        return response.code, json.loads(response.body or b"{}")
+
+    async def front(self, method, path, body=None):
+        url = f"http://127.0.3.11:{self.front_port}{path}"
+        return await self.call(method, url, body, host=HOST)
+
+    async def config(self, method, body=None, ip="127.0.3.1"):
+        url = f"http://{ip}:{self.control_port}/api/config"
+        return await self.call(method, url, body)
+
+    def document(self, version, *prefixes):
+        return {
+            "version": version,
+            "routes": [
+                {
+                    "name": f"r{number}",
+                    "host": HOST,
+                    "path_prefix": prefix,
+                    "type": "unsafe",
+                    "timeout_ms": 3000,
+                    "latency_slo_ms": 250,
+                    "priority": 0,
+                    "service": SERVICE,
+                    "attempts": 3,
+                    "stretch": 1.5,
+                }
+                for number, prefix in enumerate(prefixes or (PREFIX,))
+            ],
+            "services": [{"name": SERVICE, "enforces_capacity": False}],
+            "limits": {},
+        }
+
+    async def beat(self):
+        """Send heartbeats until cancelled."""
+        while True:
+            minion = self.minion
+            url = f"http://127.0.3.21:{self.control_port}/api/instances/{minion.id}"
+            await self.call("PUT", url, minion.heartbeat(), timeout_s=1)
+            await asyncio.sleep(0.2)
+
+    async def until(self, condition, limit_s=START_LIMIT_S):
+        """Wait for a condition; a coroutine function or a plain one."""
+        deadline = time.monotonic() + limit_s
+        while True:
+            found = condition()
+            if asyncio.iscoroutine(found):
+                found = await found
+            if found:
+                return found
+            if time.monotonic() > deadline:
+                raise AssertionError(f"not within {limit_s} s: {condition}")
+            await asyncio.sleep(0.05)
+
+    async def accepted(self, document):
+        await self.until(lambda: self._is_accepted(document))
+
+    async def _is_accepted(self, document):
+        return (await self.config("PUT", document))[0] == 200
+
+    async def submit(self, job_id, work_ms, count=2, **fields):
+        step = {"count": count, "cpu": 1000, "mem_mb": 10, "estimate_ms": work_ms}
+        body = {"spec": str(work_ms), "steps": [{**step, **fields}]}
+        return (await self.front("POST", PREFIX + job_id, body))[0]
+
+    async def state_is(self, job_id, state):
+        return (await self.front("GET", PREFIX + job_id))[1].get("state") == state
+
+
+@contextlib.asynccontextmanager
+async def running(path):
+    """Run a deployment with its first configuration in force."""
+    platform = Platform(path)
+    beats = None
+    try:
+        platform.start_all()
+        beats = asyncio.ensure_future(platform.beat())
+        await platform.accepted(platform.document(1))
+        await platform.until(lambda: _is_ready(platform))
+        yield platform
+    finally:
+        if beats is not None:
+            beats.cancel()
+        platform.stop_all()
+        platform.client.close()
+
+
+async def _is_ready(platform):
+    url = f"http://127.0.3.11:{platform.ready_port}/api/readiness"
+    return (await platform.call("GET", url))[0] == 200
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,182 @@
+"""Guards the whole path on the users' platform, with processes and a stand-in."""
+
+import asyncio
+import pathlib
+import re
+import signal
+import subprocess
+import sys
+
+import pytest
+
+from tests import platformkit
+
+ROOT = platformkit.ROOT
+# Names of the platform's wire that must not leave the adapter.
+PLATFORM_WORDS = re.compile(
+    r"run-start|run_start|last_seen|\buntil_ms\b|cold_remaining|heartbeat_url|"
+    r"latency_slo_ms|may_miss|data_rack|\bminions?\b|max_per_server|fleetbench"
+)
+
+
+def play(tmp_path, scenario):
+    async def run():
+        async with platformkit.running(tmp_path) as platform:
+            await scenario(platform)
+
+    asyncio.run(run())
+
+
+def test_adapter_does_not_hide_the_standard_module_platform():
+    code = "import platform; platform.system(); import sardinegauge.record"
+    for folder in (".", "platform"):
+        subprocess.run(
+            [sys.executable, "-c", f"import sys; sys.path.insert(0, {folder!r}); {code}"],
+            cwd=ROOT,
+            check=True,
+            timeout=30,
+        )
+    assert not (ROOT / "platform" / "__init__.py").exists()
+
+
+def test_product_uses_no_words_of_the_platform():
+    found = [
+        f"{path.name}: {match.group()}"
+        for path in pathlib.Path(ROOT / "sardinegauge").rglob("*.py")
+        for match in PLATFORM_WORDS.finditer(path.read_text(encoding="utf-8"))
+    ]
+    assert found == []
+
+
+def test_usage_and_missing_settings_are_told(tmp_path):
+    for arguments, status in (([], 2), (["nonsense"], 2), (["front"], 2)):
+        ended = subprocess.run(
+            [sys.executable, "platform", *arguments],
+            cwd=ROOT,
+            env={"PATH": ""},
+            capture_output=True,
+            timeout=30,
+        )
+        assert ended.returncode == status, ended.stderr
+        assert ended.stderr
+
+
+def test_jobs_are_accepted_run_shown_and_cancelled(tmp_path):
+    async def scenario(platform):
+        assert await platform.submit("a1", 200) == 200
+        assert await platform.submit("a1", 200) == 200
+        await platform.until(lambda: platform.state_is("a1", "completed"))
+        assert sorted(platform.minion.starts) == [("a1.0.0.0", 1), ("a1.0.0.1", 1)]
+        assert await platform.submit("b2", 60_000, persistent=True) == 200
+        await platform.until(lambda: len(platform.minion.running) == 2)
+        assert (await platform.front("DELETE", "/q/b2"))[0] == 200
+        await platform.until(lambda: not platform.minion.running)
+        assert await platform.state_is("b2", "cancelled")
+        assert (await platform.front("GET", "/q/"))[1] == {"waiting": 0}
+        assert (await platform.front("GET", "/q/none"))[0] == 410
+        assert (await platform.front("GET", "/none/a1"))[0] == 404
+        assert (await platform.front("POST", "/q/c3", {"steps": 5}))[0] == 400
+
+    play(tmp_path, scenario)
+
+
+def test_unanswered_start_and_lost_lease_make_no_second_run(tmp_path):
+    async def scenario(platform):
+        platform.minion.unanswered_starts = 1
+        assert await platform.submit("a1", 1500, count=1) == 200
+        await platform.until(lambda: platform.state_is("a1", "completed"))
+        assert platform.minion.starts == [("a1.0.0.0", 1)]
+
+    play(tmp_path, scenario)
+
+
+def test_configuration_is_kept_read_back_and_in_force(tmp_path):
+    async def scenario(platform):
+        second = platform.document(5, "/q/", "/new/")
+        await platform.accepted(second)
+        await platform.until(lambda: platform.front("GET", "/new/"))
+        assert (await platform.front("GET", "/new/"))[1] == {"waiting": 0}
+        for ip in platform.core_ips:
+            assert (await platform.config("GET", ip=ip)) == (200, second)
+        assert (await platform.config("PUT", platform.document(4)))[0] == 200
+        assert (await platform.config("GET"))[1] == second
+        bad = platform.document(9)
+        bad["routes"][0]["service"] = "unknown"
+        assert (await platform.config("PUT", bad))[0] == 400
+        bad = platform.document(9)
+        bad["routes"][0]["timeout_ms"] = 0
+        assert (await platform.config("PUT", bad))[0] == 400
+        assert (await platform.config("GET"))[1] == second
+
+    play(tmp_path, scenario)
+
+
+def test_state_survives_the_loss_of_any_process(tmp_path):
+    async def scenario(platform):
+        assert await platform.submit("a1", 4000, count=2) == 200
+        await platform.until(lambda: len(platform.minion.running) == 2)
+        for ip in platform.core_ips:
+            platform.kill("core", ip)
+        for ip in platform.core_ips:
+            platform.start("core", ip, bootstrap=False)
+        platform.kill("side", "127.0.3.21")
+        platform.start("side", "127.0.3.21")
+        await platform.until(lambda: platform.state_is("a1", "completed"))
+        runs = [key for key, *_ in platform.minion.starts]
+        assert set(runs) == {"a1.0.0.0", "a1.0.0.1"}
+        assert (await platform.config("GET"))[1] == platform.document(1)
+
+    play(tmp_path, scenario)
+
+
+def test_lost_disk_is_replaced_without_an_operator(tmp_path):
+    async def scenario(platform):
+        ip = platform.core_ips[0]
+        platform.kill("core", ip)
+        for file in (tmp_path / f"{ip}-data").rglob("*"):
+            if file.is_file():
+                file.unlink()
+        platform.start("core", ip, bootstrap=False)
+        await platform.accepted(platform.document(2))
+        # With the new voter the loss of another one stops nothing.
+        await platform.until(lambda: is_promoted(tmp_path, ip))
+        platform.kill("core", platform.core_ips[1])
+        await platform.until(lambda: is_read(platform, ip))
+
+    def is_promoted(path, ip):
+        lines = (path / f"core-{ip}.log").read_text().splitlines()
+        changes = [line for line in lines if "'members_changed'" in line]
+        if not changes:
+            return False
+        identities = changes[-1].partition("identities='")[2].rstrip("'").split(",")
+        # The identity of a seed is its address, a later one has a random suffix.
+        return ip not in identities and "voters=3" in changes[-1]
+
+    async def is_read(platform, ip):
+        return (await platform.config("GET", ip=ip)) == (200, platform.document(2))
+
+    play(tmp_path, scenario)
+
+
+def test_front_finishes_requests_on_open_connections_when_stopped(tmp_path):
+    async def scenario(platform):
+        assert await platform.submit("a1", 100) == 200
+        process = platform.processes["front", "127.0.3.11"]
+        process.send_signal(signal.SIGTERM)
+        answered = 0
+        while process.poll() is None:
+            status, _ = await platform.front("GET", "/q/a1")
+            if status:
+                assert status == 200
+                answered += 1
+            await asyncio.sleep(0.1)
+        assert answered > 3
+        assert process.returncode == 0
+
+    play(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("name", ["front", "side", "core"])
+def test_deploy_file_names_every_role(name):
+    text = (ROOT / "deploy" / "system.toml").read_text(encoding="utf-8")
+    assert f'run = "python3 platform {name}"' in text
