--- a/sardinegauge/workflows/hostapp.py
+++ b/sardinegauge/workflows/hostapp.py
@@ -5,6 +5,7 @@
 
 from sardinegauge import application, background, clock, messages, outcome, stateclient
 from sardinegauge.workflows import (
+    adviceport,
     flowmetrics,
     hostevents,
     hosting,
@@ -32,14 +33,17 @@
         Speaks the worker's protocol.
     metrics_listen : str
         Address of the metrics page, empty for none.
+    advice : adviceport.AdvicePort or None
+        Asks the policy service, where a deployment has one.
     """
 
     drain_limit_s = 1.0
 
-    def __init__(self, name, replicas, port, metrics_listen=""):
+    def __init__(self, name, replicas, port, metrics_listen="", advice=None):
         super().__init__(name)
         self.state = hoststate.State(name)
         self.port = port
+        self.advice = advice or adviceport.NoService()
         hello = messages.Hello(role="agent", name=name)
         self.client = stateclient.StateClient(replicas, hello, self._on_push)
         self.metrics = flowmetrics.HostMetrics()
@@ -65,6 +69,7 @@
             self._metrics_server.stop()
         self.client.stop()
         self.port.close()
+        self.advice.close()
 
     def announce(self, announcement):
         """Take what the worker says of itself, a `workerport.Announcement`."""
@@ -90,6 +95,8 @@
         for effect in hosting.reduce(self.state, event):
             if isinstance(effect, hostevents.SendReport):
                 self._report_soon()
+            elif isinstance(effect, hostevents.AskAdvice):
+                background.spawn(self._ask_advice(effect))
             else:
                 background.spawn(self._call(effect))
 
@@ -131,6 +138,28 @@
         self.metrics.count(kind, end, seconds)
         self._feed(event)
 
+    async def _ask_advice(self, effect):
+        begun_ms = clock.monotonic_ms()
+        tickets, valid_ms = None, 0
+        end = "done"
+        try:
+            answer = await self.advice.ask(effect.step, effect.workers)
+            tickets, valid_ms = answer.tickets, answer.valid_ms
+        except adviceport.NoAdviceError as error:
+            end = "unanswered"
+            self.log.info("advice_unanswered", step=effect.step, error=str(error))
+        seconds = (clock.monotonic_ms() - begun_ms) / 1000
+        self.metrics.count("AskAdvice", end, seconds)
+        self._feed(
+            hostevents.Advised(
+                now_ms=clock.monotonic_ms(),
+                step=effect.step,
+                workers=effect.workers,
+                tickets=tickets,
+                valid_ms=valid_ms,
+            )
+        )
+
     def _report_soon(self):
         if self._is_report_due:
             return
--- a/sardinegauge/workflows/hostevents.py
+++ b/sardinegauge/workflows/hostevents.py
@@ -33,6 +33,22 @@
     __slots__ = ("body", "message", "now_ms")
 
 
+class Advised(record.Record):
+    """Event: the policy service answered; `tickets` is None if it did not.
+
+    `tickets` are rows of worker and ticket, valid for `valid_ms`.
+    """
+
+    __slots__ = ("now_ms", "step", "tickets", "valid_ms", "workers")
+    _defaults = {"tickets": None, "valid_ms": 0}
+
+
+class AskAdvice(record.Record):
+    """Effect: ask the policy service, and report `Advised`."""
+
+    __slots__ = ("step", "workers")
+
+
 class Tick(record.Record):
     """Event: time passed; expected every 100 ms."""
 
--- a/sardinegauge/workflows/hosting.py
+++ b/sardinegauge/workflows/hosting.py
@@ -9,6 +9,7 @@
 import logging
 
 from sardinegauge.workflows import (
+    hostedadvice,
     hostedruns,
     hostevents,
     hoststate,
@@ -301,6 +302,8 @@
         hostedruns.start(state, *row)
     for task, run, percent in body["paces"]:
         hostedruns.pace(state, (task, run), percent)
+    # A leader of an earlier release sends no questions.
+    hostedadvice.take(state, body.get("questions", []))
 
 
 def _worker(state):
@@ -321,6 +324,7 @@
         _check_lapse(state)
         hostedruns.retry(state)
         hostedruns.hold(state)
+    hostedadvice.retry(state)
     if state.now_ms >= state.report_due_ms:
         state.report()
 
@@ -376,6 +380,7 @@
             for key, run in state.runs.items()
         ],
         "ends": [state.ends[number] for number in sorted(state.ends)],
+        "advice": hostedadvice.rows(state),
     }
 
 
@@ -386,6 +391,7 @@
     hostevents.Unanswered: _on_unanswered,
     hostevents.OrdersReceived: _on_orders,
     hostevents.Tick: _on_tick,
+    hostevents.Advised: hostedadvice.on_advised,
 }
 _ON_ANSWER = {
     workerport.StartCall: _on_start_answer,
--- a/sardinegauge/workflows/hoststate.py
+++ b/sardinegauge/workflows/hoststate.py
@@ -74,6 +74,7 @@
         self.step = 0
         self.report_due_ms = 0
         self.effects = []
+        self.question_by_step = {}
         self._begin(0)
 
     def _begin(self, life):
--- a/sardinegauge/workflows/orders.py
+++ b/sardinegauge/workflows/orders.py
@@ -10,8 +10,9 @@
 
     They hold what the newest report lacks: starts as rows of task, run, payload,
     checkpoint, ticket and pace, stops and forgotten runs as rows of task and run,
-    paces as rows of task, run and percent, and the number of the last end taken note
-    of. A worker is watched while tasks that serve share it with fillers.
+    paces as rows of task, run and percent, questions to the policy service as rows of
+    step and workers, and the number of the last end taken note of. A worker is watched
+    while tasks that serve share it with fillers.
     """
     view = state.view_by_id.get(worker)
     body = {
@@ -21,6 +22,7 @@
         "forget": [],
         "paces": [],
         "is_watched": False,
+        "questions": state.advising.questions_of(worker),
     }
     if view is None or view.life != life or state.registered_life(worker) != life:
         return json.dumps(body).encode()
@@ -36,8 +38,14 @@
             if reported is None or reported.phase in (views.ORDERED, views.ACTIVE):
                 body["stops"].append(list(key))
         elif reported is None and key not in view.ended and _may_order(view):
+            ticket = ""
+            if state.store.queue_of(item).advice is not None:
+                step = task.id.rpartition(".")[0]
+                ticket = state.advising.ticket(step, worker, life, state.now_ms)
+                if not ticket:
+                    continue
             pace = state.paces.get(key, 100)
-            start = [*key, item.payload, task.checkpoint, "", pace]
+            start = [*key, item.payload, task.checkpoint, ticket, pace]
             body["starts"].append(start)
         elif reported is not None and reported.phase == views.ACTIVE:
             pace = state.paces.get(key, 100)
--- a/sardinegauge/workflows/placing.py
+++ b/sardinegauge/workflows/placing.py
@@ -78,6 +78,10 @@
 class Placing(abc.ABC):
     """Chooses among workers that all fit."""
 
+    def score(self, step, candidate, failed_on):
+        """Return how well a task of the step would run on the candidate."""
+        return 0.0
+
     @abc.abstractmethod
     def choose(self, step, task, candidates, failed_on):
         """Return one of the candidates; there is at least one.
--- a/sardinegauge/workflows/planner.py
+++ b/sardinegauge/workflows/planner.py
@@ -31,6 +31,28 @@
                 break
         return rows
 
+    def _advised(self, state, task, advice, fitting):
+        """Return the candidates with a ticket, and ask for tickets that are missing."""
+        step = task.id.rpartition(".")[0]
+        known = state.advising
+        allowed = [
+            candidate
+            for candidate in fitting
+            if not known.is_refused(step, candidate.view.id, candidate.view.life)
+        ]
+        allowed.sort(key=lambda c: self.place.score(task.step, c, ()), reverse=True)
+        known.want(
+            step,
+            [(c.view.id, c.view.life, c.free.fits(task.step)) for c in allowed],
+            advice,
+            state.now_ms,
+        )
+        return [
+            candidate
+            for candidate in allowed
+            if known.ticket(step, candidate.view.id, candidate.view.life, state.now_ms)
+        ]
+
     def _waiting_steps(self, state, wall_ms):
         """Return the steps with waiting tasks, the first to get room first."""
         found = []
@@ -55,15 +77,17 @@
         if not waiting:
             return []
         step = tasks[0].step
-        pool = state.store.queue_of(item).pool
+        queue = state.store.queue_of(item)
         fitting = [
             candidate
             for candidate in candidates
-            if candidate.view.pool == pool
+            if candidate.view.pool == queue.pool
             and (
                 not step.required_label or step.required_label in candidate.view.labels
             )
         ]
+        if queue.advice is not None:
+            fitting = self._advised(state, waiting[0], queue.advice, fitting)
         counts = _counts_by_worker(tasks, state) if step.max_per_worker else {}
         if step.is_gang:
             return self._plan_gang(state, tasks, waiting, step, fitting, counts)
@@ -81,6 +105,7 @@
             candidate
             for candidate in candidates
             if candidate.free.fits(step)
+            and not self._is_refused(state, task, candidate)
             and (
                 not step.max_per_worker
                 or counts.get(candidate.view.id, 0) < step.max_per_worker
@@ -91,6 +116,10 @@
         failed_on = state.failed_on.get(task.id, ())
         return self.place.choose(step, task, able, failed_on)
 
+    def _is_refused(self, state, task, candidate):
+        expires_ms = state.refused_until_ms.get((task.id, candidate.view.id), 0)
+        return state.now_ms < expires_ms
+
     def _plan_gang(self, state, tasks, waiting, step, candidates, counts):
         """Place all members at once or none; in one rack where that matters."""
         if len(waiting) < len(tasks):
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -7,10 +7,21 @@
 import logging
 
 from sardinegauge import commands
-from sardinegauge.workflows import fillers, lives, schedulerevents, store, views
+from sardinegauge.workflows import (
+    fillers,
+    lives,
+    schedulerevents,
+    store,
+    views,
+    workerport,
+)
 
 # An end is remembered this long, so that an older report makes no stray run of it.
 RECENT_END_MS = 5000
+# A worker that refused a task isn't offered it again for this long.
+REFUSED_REST_MS = 500
+# Why a run that was not ordered yet shall stop.
+NO_TICKET = "no ticket"
 log = logging.getLogger(__name__)
 
 
@@ -60,12 +71,26 @@
         )
     lives.register(state, view)
     lives.release_former(state, view)
+    _take_advice(state, report)
     _record_ends(state, view, report)
     _forget_recent(state)
     fillers.pace(state, view)
     state.is_plan_due = True
 
 
+def _take_advice(state, report):
+    """Take answers of the policy service about the present lives of workers."""
+    for step, workers, tickets, valid_ms in report.advice:
+        if step not in state.advising.question_by_step:
+            continue
+        state.advising.note_answer(
+            step,
+            {worker: state.registered_life(worker) for worker in workers},
+            dict(tickets),
+            state.now_ms + valid_ms,
+        )
+
+
 def _record_ends(state, view, report):
     """Put ends into the log that are not there yet."""
     if state.registered_life(view.id) != view.life:
@@ -80,12 +105,22 @@
             continue
         if key in state.store.runs_of(view.id, view.life):
             view.proposed_gone.add(key)
+            _note_refusal(state, view, key, reported)
             rows.append([0, task, run, store.REFUSED, reported.checkpoint])
     if rows:
         command = commands.RecordEnds(worker=view.id, life=view.life, rows=rows)
         state.propose(command)
 
 
+def _note_refusal(state, view, key, reported):
+    """Keep a task off a worker that refused it, so that starts don't repeat at once."""
+    if reported.reason == workerport.BY_TICKET:
+        step = key[0].rpartition(".")[0]
+        state.advising.forget_ticket(step, view.id, view.life)
+    if reported.reason in workerport.REFUSALS:
+        state.refused_until_ms[key[0], view.id] = state.now_ms + REFUSED_REST_MS
+
+
 def _forget_recent(state):
     limit_ms = state.now_ms - RECENT_END_MS
     while state.recent_ends:
@@ -158,6 +193,7 @@
 
 def _note_workflow_ended(state, item):
     state.open_ids.discard(item.id)
+    state.advising.forget(item.id)
     lasted_ms = item.ended_at_ms - item.accepted_at_ms
     log.info(
         "workflow_ended id=%s queue=%s state=%s lasted_ms=%d reason=%r",
@@ -233,6 +269,8 @@
     state.wall_ms = event.wall_ms
     state.wall_offset_ms = event.wall_ms - event.now_ms
     fillers.move_slow(state)
+    _forget_refusals(state)
+    _renew_tickets(state)
     for view in list(state.view_by_id.values()):
         is_over = state.now_ms > view.grant_until_ms
         if is_over and not view.is_fresh(state.now_ms):
@@ -240,17 +278,61 @@
     state.is_plan_due = True
 
 
+def _forget_refusals(state):
+    for key, expires_ms in list(state.refused_until_ms.items()):
+        if state.now_ms >= expires_ms:
+            del state.refused_until_ms[key]
+
+
+def _renew_tickets(state):
+    """See to tickets of runs whose start was not ordered yet.
+
+    They lack one after a change of leader, or if it ran out on the way.
+    """
+    queue_set = state.store.queue_set
+    if not any(queue.advice for queue in queue_set.known_by_name.values()):
+        return
+    for view in state.view_by_id.values():
+        for key, task in state.store.runs_of(view.id, view.life).items():
+            if key in view.runs or key in view.ended or key in state.stops:
+                continue
+            item, _, _ = state.store.find_task(task.id)
+            advice = state.store.queue_of(item).advice
+            if advice is None or not item.is_open:
+                continue
+            step = task.id.rpartition(".")[0]
+            if state.advising.is_refused(step, view.id, view.life):
+                state.stops[key] = NO_TICKET
+                state.push(view.id, view.life)
+            elif not state.advising.ticket(step, view.id, view.life, state.now_ms):
+                asked = [(view.id, view.life, True)]
+                state.advising.want(step, asked, advice, state.now_ms)
+
+
+def _ask_advice(state):
+    """Have idle agents ask what the plan lacks."""
+    askers = [
+        view.id
+        for view in state.view_by_id.values()
+        if view.is_fresh(state.now_ms) and view.life == state.registered_life(view.id)
+    ]
+    for worker in state.advising.take_wanted(askers, state.now_ms):
+        state.push(worker, state.registered_life(worker))
+
+
 def plan(state, now_ms):
     """Propose the assignments that are possible now; return the effects."""
     state.effects = []
     state.now_ms = max(state.now_ms, now_ms)
     state.is_plan_due = False
+    state.advising.expire(state.now_ms)
     wall_ms = state.now_ms + state.wall_offset_ms
     rows = state.planner.plan(state, state.now_ms, wall_ms)
     for task, _, worker, _ in rows:
         state.planned[task] = worker
     if rows:
         state.propose(commands.AssignRuns(rows=rows))
+    _ask_advice(state)
     effects, state.effects = state.effects, []
     return effects
 
--- a/sardinegauge/workflows/schedulerstate.py
+++ b/sardinegauge/workflows/schedulerstate.py
@@ -2,7 +2,13 @@
 
 import collections
 
-from sardinegauge.workflows import health, planner, schedulerevents, sharing
+from sardinegauge.workflows import (
+    advising,
+    health,
+    planner,
+    schedulerevents,
+    sharing,
+)
 
 
 class State:
@@ -10,6 +16,8 @@
 
     `planned` holds the worker by task id of runs that are on their way into the log,
     `stops` the reasons by task id and run number of runs that shall stop.
+    `refused_until_ms` tells by task id and worker until when a worker that refused a
+    task isn't offered it again.
     """
 
     def __init__(self, machine):
@@ -17,12 +25,14 @@
         self.planner = planner.Planner()
         self.health = health.Health()
         self.sharing = sharing.Sharing()
+        self.advising = advising.Advising()
         self.view_by_id = {}
         self.planned = {}
         self.stops = {}
         self.paces = {}
         self.slow_since_ms = {}
         self.failed_on = {}
+        self.refused_until_ms = {}
         self.open_ids = set(self.store.open_ids)
         self.recent_ends = collections.OrderedDict()
         self.now_ms = 0
--- a/sardinegauge/workflows/views.py
+++ b/sardinegauge/workflows/views.py
@@ -57,8 +57,10 @@
     """A decoded `messages.WorkerReport`.
 
     `runs` are rows of task, run, phase, checkpoint, progress, load, reason and pace;
-    `ends` rows of number, task, run, how and checkpoint. `is_lapsed` says that every
-    lease of this life has run out and none was renewed, or that the life is over.
+    `ends` rows of number, task, run, how and checkpoint; `advice` rows of step, the
+    workers asked about, rows of worker and ticket, and how long those are valid in ms.
+    `is_lapsed` says that every lease of this life has run out and none was renewed, or
+    that the life is over.
     """
 
     __slots__ = (
@@ -79,6 +81,7 @@
         "seen_end",
         "runs",
         "ends",
+        "advice",
     )
     _defaults = {
         "pool": "",
@@ -95,6 +98,7 @@
         "seen_end": 0,
         "runs": list,
         "ends": list,
+        "advice": list,
     }
 
 
--- a/sardinegauge/workflows/workerport.py
+++ b/sardinegauge/workflows/workerport.py
@@ -17,6 +17,9 @@
 BY_TICKET = "ticket"
 UNHEALTHY = "unhealthy"
 MALFORMED = "malformed"
+REFUSALS = frozenset(
+    {BY_FENCE, BY_OLD_RUN, BY_LEASE, BY_ROOM, BY_TICKET, UNHEALTHY, MALFORMED}
+)
 
 
 class StartCall(record.Record):
--- a/tests/sitevariants.py
+++ b/tests/sitevariants.py
@@ -40,12 +40,17 @@
     return re.sub(r"count = 4, app", "count = 3, app", text)
 
 
+def advised(text):
+    """A service decides which workers may run a step."""
+    return text.replace("uneven = ", "advice = {}, uneven = ")
+
+
 def wide(text):
     """More machines at the side, and enough room for gangs everywhere."""
     return gangs(re.sub(r"count = ([34]), app", r"count = 6, app", text))
 
 
-VARIANTS = (guarded, gangs, scheduled, located, mixed, wide)
+VARIANTS = (guarded, gangs, scheduled, located, mixed, advised, wide)
 
 
 def main():
--- a/tests/test_wireformat.py
+++ b/tests/test_wireformat.py
@@ -207,3 +207,12 @@
     assert node.link_address == "10.1.0.2:7000"
     assert (node.replicas, node.seed_ips) == (["10.1.0.3:7000"], ["10.1.0.3"])
     assert (node.max_losses, node.is_first_start) == (2, True)
+
+
+def test_advice_is_decoded_or_refused_as_a_whole():
+    body = {"good": [["i-1", "t"]], "valid_ms": 3000}
+    advice = wireformat.decode_advice(body)
+    assert (advice.tickets, advice.valid_ms) == ([["i-1", "t"]], 3000)
+    for broken in ([], {}, {"good": [["i-1"]]}, {"good": "x"}):
+        with pytest.raises(wireformat.DecodeError):
+            wireformat.decode_advice(broken)
--- /dev/null
+++ b/tests/test_workflow_advising.py
@@ -0,0 +1,222 @@
+"""Guards against starts without a ticket, and against a queue in front of one asker.
+
+The load replayed is a burst of small steps while each question takes half a second.
+"""
+
+import pytest
+
+from sardinegauge import commands
+from sardinegauge.workflows import (
+    hostedadvice,
+    hostevents,
+    hosting,
+    hoststate,
+    queues,
+    store,
+    views,
+)
+from sardinegauge.workflows import steps as steps_module
+from tests import test_workflow_scheduler
+
+VALID_MS = 3000
+
+
+class Leader(test_workflow_scheduler.Leader):
+    """A leader whose queue has a policy service."""
+
+    def __init__(self, workers="abc"):
+        super().__init__()
+        advice = queues.Advice(decide_ms=480, each_ms=2, valid_ms=VALID_MS)
+        queue = queues.Queue(
+            name="q",
+            host="h",
+            prefix="/q/",
+            pool="p",
+            max_attempts=9,
+            timeout_ms=1,
+            advice=advice,
+        )
+        packed = queues.pack([queue], [queues.Pool(name="p")])
+        self.commit(commands.SetQueues(version=2, packed=packed))
+        self.workers = workers
+        for worker in workers:
+            self.report(worker)
+        self.run()
+
+    def questions(self):
+        """Return the questions by the worker whose agent asks."""
+        found = {w: self.orders(w)["questions"] for w in self.workers}
+        return {worker: rows for worker, rows in found.items() if rows}
+
+    def answer(self, asker, allowed, valid_ms=VALID_MS, **fields):
+        """Report an answer in which a ticket is named after its worker."""
+        ((step, workers),) = self.questions()[asker]
+        tickets = [[w, f"t-{w}"] for w in workers if w in allowed]
+        self.report(asker, advice=[[step, workers, tickets, valid_ms]], **fields)
+        self.run()
+
+
+@pytest.fixture
+def leader():
+    return Leader()
+
+
+def test_task_starts_only_on_a_worker_with_a_ticket_and_carries_it(leader):
+    leader.submit(steps_module.Step(count=2, cpu_millis=1000))
+    leader.run()
+    assert leader.placed() == {}
+    ((asker, ((step, workers),)),) = leader.questions().items()
+    assert (step, sorted(workers)) == ("w.0.0", ["a", "b", "c"])
+    leader.answer(asker, "b")
+    assert set(leader.placed().values()) == {"b"}
+    assert [start[4] for start in leader.orders("b")["starts"]] == ["t-b", "t-b"]
+    assert leader.questions() == {}
+
+
+def test_steps_of_a_burst_are_asked_by_as_many_agents(leader):
+    for number in range(5):
+        leader.submit(steps_module.Step(), id=f"w{number}")
+    leader.run()
+    asked = leader.questions()
+    assert sorted(asked) == ["a", "b", "c"]
+    assert all(len(rows) == 1 for rows in asked.values())
+    leader.answer("a", "a")
+    assert len(leader.questions()) == 3
+
+
+def test_ticket_is_renewed_only_for_workers_with_room_that_are_allowed(leader):
+    leader.submit(steps_module.Step(count=9, cpu_millis=4000))
+    leader.run()
+    ((asker, _),) = leader.questions().items()
+    leader.answer(asker, "ab", VALID_MS)
+    assert len(leader.placed()) == 4
+    leader.now_ms += VALID_MS
+    for worker in leader.workers:
+        runs = [[*key, views.ACTIVE] for key in leader.store.runs_of(worker, 1)]
+        if worker != "b":
+            leader.report(worker, runs=runs)
+    key = next(iter(leader.store.runs_of("b", 1)))
+    others = [k for k in leader.store.runs_of("b", 1) if k != key]
+    leader.report(
+        "b",
+        runs=[[*k, views.ACTIVE] for k in others],
+        ends=[[1, *key, store.DONE, ""]],
+    )
+    leader.run()
+    ((asker, rows),) = leader.questions().items()
+    assert rows == [["w.0.0", ["b"]]]
+
+
+def test_agent_that_brings_no_answer_is_not_waited_for_forever(leader):
+    leader.submit(steps_module.Step())
+    leader.run()
+    ((first, _),) = leader.questions().items()
+    leader.now_ms += 10_000
+    for worker in leader.workers:
+        if worker != first:
+            leader.report(worker)
+    leader.run()
+    ((second, _),) = leader.questions().items()
+    assert second != first
+
+
+def test_new_leader_asks_before_it_orders_a_start_that_was_assigned(leader):
+    leader.submit(steps_module.Step())
+    leader.run()
+    ((asker, _),) = leader.questions().items()
+    leader.answer(asker, "b")
+    leader.lead(term=2)
+    for worker in leader.workers:
+        leader.report(worker)
+    assert leader.orders("b")["starts"] == []
+    leader.tick(100)
+    leader.run()
+    ((asker, rows),) = leader.questions().items()
+    assert rows == [["w.0.0", ["b"]]]
+    leader.answer(asker, "b")
+    assert leader.orders("b")["starts"][0][4] == "t-b"
+
+
+def test_assigned_run_is_taken_back_where_the_service_says_no(leader):
+    leader.submit(steps_module.Step())
+    leader.run()
+    ((asker, _),) = leader.questions().items()
+    leader.answer(asker, "b")
+    leader.lead(term=2)
+    for worker in leader.workers:
+        leader.report(worker)
+    leader.tick(100)
+    leader.run()
+    ((asker, _),) = leader.questions().items()
+    leader.answer(asker, "")
+    leader.tick(100)
+    assert leader.orders("b")["stops"] == [["w.0.0.0", 1]]
+
+
+def test_refused_start_does_not_repeat_at_once_on_the_same_worker(leader):
+    # Without the pause a refusal led to the next start within milliseconds, and the
+    # processes did nothing else.
+    leader.submit(steps_module.Step())
+    leader.run()
+    ((asker, _),) = leader.questions().items()
+    leader.answer(asker, "b")
+    row = next(iter(leader.store.runs_of("b", 1)))
+    report = [*row, views.GONE, "", 0, 0, "room", 100]
+    fields = dict(pool="p", labels=["k", "r1"], is_fenced=True, runs=[report])
+    leader.feed(
+        test_workflow_scheduler.schedulerevents.ReportReceived,
+        report=views.Report(
+            agent="agent-b", worker="b", life=1, cpu_millis=8000, memory_mb=9, **fields
+        ),
+    )
+    leader.run()
+    assert leader.placed() == {}
+    leader.now_ms += 600
+    leader.report("b")
+    leader.run()
+    assert leader.placed() == {"w.0.0.0": "b"}
+
+
+class Agent:
+    """An agent's state that takes orders and answers of the policy service."""
+
+    def __init__(self):
+        self.state = hoststate.State("agent")
+        self.now_ms = 1000
+
+    def take(self, rows):
+        self.state.now_ms = self.now_ms
+        self.state.effects = []
+        hostedadvice.take(self.state, rows)
+        effects, self.state.effects = self.state.effects, []
+        return [(e.step, e.workers) for e in effects]
+
+    def advised(self, step, workers, tickets=None):
+        event = hostevents.Advised(
+            now_ms=self.now_ms,
+            step=step,
+            workers=workers,
+            tickets=tickets,
+            valid_ms=VALID_MS,
+        )
+        hosting.reduce(self.state, event)
+
+
+def test_agent_asks_once_and_reports_how_long_tickets_still_hold():
+    agent = Agent()
+    assert agent.take([["w.0.0", ["a"]]]) == [("w.0.0", ["a"])]
+    assert agent.take([["w.0.0", ["a"]]]) == []
+    agent.advised("w.0.0", ["a"], [["a", "t"]])
+    agent.state.now_ms += 500
+    assert hostedadvice.rows(agent.state) == [["w.0.0", ["a"], [["a", "t"]], 2500]]
+    agent.take([])
+    assert hostedadvice.rows(agent.state) == []
+
+
+def test_agent_asks_again_after_a_pause_when_there_was_no_answer():
+    agent = Agent()
+    agent.take([["w.0.0", ["a"]]])
+    agent.advised("w.0.0", ["a"])
+    assert agent.take([["w.0.0", ["a"]]]) == []
+    agent.now_ms += hostedadvice.RETRY_MS
+    assert agent.take([["w.0.0", ["a"]]]) == [("w.0.0", ["a"])]
