--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 setup: $(VENV)/.ready
 	mkdir -p run
 
-.PHONY: demo test check faults measure schema golden
+.PHONY: demo test check faults measure report schema golden
 
 $(VENV)/.ready: requirements.txt requirements-dev.txt pyproject.toml
 	test -x $(PY) || $(PYTHON) -m venv $(VENV)
@@ -34,6 +34,11 @@
 measure: $(VENV)/.ready
 	$(PY) -m benchmarks.measure
 
+# Where days of the users' bench lose worth; LOGS are outputs of days with all logs.
+report: $(VENV)/.ready
+	$(PY) -m pip install --quiet --disable-pip-version-check -r requirements-report.txt
+	$(PY) -m benchmarks.worthreport --output run/report $(LOGS)
+
 # The generated module is committed; only a change of the schema needs this target.
 schema: $(VENV)/.ready
 	$(PY) -m grpc_tools.protoc -I schema --python_out=sardinegauge schema/operator.proto
--- /dev/null
+++ b/benchmarks/worthreport.py
@@ -0,0 +1,291 @@
+"""Where time and worth are lost on days of the users' bench, as text and as plots.
+
+    python -m benchmarks.worthreport --journal journal --output run/report LOG...
+
+LOG is the output of a day that was played with the logs of all processes. The worth of
+the days comes from the journal.
+"""
+
+import argparse
+import collections
+import json
+import pathlib
+import statistics
+
+from sardinegauge import logstory
+
+# Parts of a workflow's time along the chain of tasks that ended last, in order.
+WAITING = "waiting for room"
+ORDERING = "being ordered"
+REPEATING = "lost runs"
+RUNNING = "running"
+SHOWING = "until shown"
+PARTS = (WAITING, ORDERING, REPEATING, RUNNING, SHOWING)
+
+
+class Run:
+    """Times in s of one run of a task, None where the logs do not tell."""
+
+    __slots__ = ("active_s", "assigned_s", "ended_s", "how")
+
+    def __init__(self, assigned_s):
+        self.assigned_s = assigned_s
+        self.active_s = None
+        self.ended_s = None
+        self.how = ""
+
+
+class Workflow:
+    """Times in s of a workflow, with the runs by task and run number."""
+
+    __slots__ = ("accepted_s", "ended_s", "queue", "runs_by_task", "state")
+
+    def __init__(self, queue, accepted_s):
+        self.queue = queue
+        self.accepted_s = accepted_s
+        self.ended_s = None
+        self.state = "open"
+        self.runs_by_task = collections.defaultdict(dict)
+
+
+class Day:
+    """What the logs of one day tell: workflows by id and answers by status."""
+
+    def __init__(self, lines):
+        self.workflow_by_id = {}
+        self.answers = collections.Counter()
+        self.moves = 0
+        parsed = [line for line in map(logstory.parse, lines) if line is not None]
+        for line in sorted(parsed, key=lambda line: line.timestamp):
+            read = _READ_BY_EVENT.get(line.event)
+            if read is not None:
+                read(self, line.fields, logstory.seconds(line.timestamp))
+
+    def _accepted(self, fields, at_s):
+        self.workflow_by_id.setdefault(fields["id"], Workflow(fields["queue"], at_s))
+
+    def _ended(self, fields, at_s):
+        found = self.workflow_by_id.get(fields["id"])
+        if found is not None and found.ended_s is None:
+            found.ended_s = at_s
+            found.state = fields["state"]
+
+    def _assigned(self, fields, at_s):
+        found = self._runs(fields)
+        if found is not None:
+            found.setdefault(fields["run"], Run(at_s))
+
+    def _active(self, fields, at_s):
+        found = self._runs(fields)
+        if found and fields["run"] in found and found[fields["run"]].active_s is None:
+            found[fields["run"]].active_s = at_s
+
+    def _run_ended(self, fields, at_s):
+        found = self._runs(fields)
+        if found and fields["run"] in found and found[fields["run"]].ended_s is None:
+            found[fields["run"]].ended_s = at_s
+            found[fields["run"]].how = fields["how"]
+
+    def _runs(self, fields):
+        found = self.workflow_by_id.get(fields["task"].partition(".")[0])
+        return found.runs_by_task[fields["task"]] if found is not None else None
+
+    def _answered(self, fields, at_s):
+        if fields.get("method") == "POST":
+            self.answers[fields["status"]] += 1
+
+    def _moved(self, fields, at_s):
+        self.moves += 1
+
+
+_READ_BY_EVENT = {
+    "workflow_accepted": Day._accepted,
+    "workflow_ended": Day._ended,
+    "run_assigned": Day._assigned,
+    "run_active": Day._active,
+    "run_end_recorded": Day._run_ended,
+    "request_answered": Day._answered,
+    "filler_moved": Day._moved,
+}
+
+
+def breakdown(workflow):
+    """Return the seconds of a completed workflow by part.
+
+    It follows the tasks that ended last, from the end back to the acceptance.
+
+    Examples
+    --------
+    >>> item = Workflow("q", 0.0)
+    >>> run = item.runs_by_task["w.0.0.0"]["1"] = Run(1.0)
+    >>> run.active_s, run.ended_s, run.how = 1.5, 3.5, "done"
+    >>> item.ended_s = 4.0
+    >>> breakdown(item)["waiting for room"], breakdown(item)["running"]
+    (1.0, 2.0)
+    """
+    parts = dict.fromkeys(PARTS, 0.0)
+    point_s = workflow.ended_s
+    is_last = True
+    while True:
+        step = _last_ended(workflow, point_s, is_last)
+        if step is None:
+            break
+        runs, done = step
+        parts[SHOWING if is_last else WAITING] += point_s - done.ended_s
+        begun_s = done.active_s if done.active_s is not None else done.assigned_s
+        first_s = min(run.assigned_s for run in runs)
+        parts[RUNNING] += done.ended_s - begun_s
+        parts[ORDERING] += begun_s - done.assigned_s
+        parts[REPEATING] += done.assigned_s - first_s
+        point_s = first_s
+        is_last = False
+    parts[WAITING] += point_s - workflow.accepted_s
+    return parts
+
+
+def _last_ended(workflow, before_s, is_last):
+    """Return the runs of the task that ended last by a time, and its done run."""
+    found = None
+    for runs in workflow.runs_by_task.values():
+        for run in runs.values():
+            is_done = run.how == "done" and run.ended_s is not None
+            if not is_done or run.ended_s > before_s:
+                continue
+            if found is None or run.ended_s > found[1].ended_s:
+                found = (list(runs.values()), run)
+    return found
+
+
+def mean_parts(day):
+    """Return by queue the number of completed workflows and the mean of each part."""
+    by_queue = collections.defaultdict(list)
+    for item in day.workflow_by_id.values():
+        if item.state == "completed":
+            by_queue[item.queue].append(breakdown(item))
+    return {
+        queue: (
+            len(found),
+            {part: statistics.fmean(parts[part] for parts in found) for part in PARTS},
+        )
+        for queue, found in sorted(by_queue.items())
+    }
+
+
+def day_text(name, day):
+    """Return lines on one day."""
+    states = collections.Counter(w.state for w in day.workflow_by_id.values())
+    runs = [
+        run
+        for item in day.workflow_by_id.values()
+        for by_number in item.runs_by_task.values()
+        for run in by_number.values()
+    ]
+    ends = collections.Counter(run.how or "open or lost" for run in runs)
+    lines = [
+        f"{name}: {_counts(states)}",
+        f"  submissions by status: {_counts(day.answers)}",
+        f"  runs: {_counts(ends)}; moved fillers: {day.moves}",
+        "  mean seconds of completed workflows by queue:",
+    ]
+    for queue, (count, parts) in mean_parts(day).items():
+        values = ", ".join(f"{part} {value:.2f}" for part, value in parts.items())
+        lines.append(f"    {queue} ({count}): {values}")
+    return lines
+
+
+def _counts(counter):
+    return ", ".join(f"{key} {count}" for key, count in counter.most_common()) or "none"
+
+
+def journal_rows(folder):
+    """Return the days of all entries as dicts, the oldest first."""
+    rows = []
+    for path in sorted(pathlib.Path(folder).glob("*.json")):
+        entry = json.loads(path.read_text(encoding="utf-8"))
+        for day in entry.get("days") or []:
+            rows.append({"entry": entry["id"], "site": entry.get("site"), **day})
+    return rows
+
+
+def journal_text(rows):
+    """Return lines on the newest play of each standard day, and on broken rules."""
+    newest = {}
+    for row in rows:
+        if row.get("slot") and row.get("G") is not None:
+            newest[row["site"], row["name"]] = row
+    lines = ["newest play of each day: worth before prices, worth, largest price"]
+    for (site, name), row in sorted(newest.items(), key=lambda item: str(item[0])):
+        prices = sorted(row.get("prices") or [], key=lambda price: -price[2])
+        largest = f"{prices[0][0]} {prices[0][2]:.3f}" if prices else "-"
+        lines.append(
+            f"  {site} {name} ({row['entry']}): {row['served']:.3f} {row['G']:.3f} "
+            f"{largest}"
+        )
+    broken = [row for row in rows if row.get("rules")]
+    lines.append(f"plays with a broken rule: {len(broken)} of {len(rows)}")
+    for row in broken:
+        rules = ", ".join(f"{rule} {count}" for rule, count in row["rules"].items())
+        lines.append(f"  {row['site']} {row['name']} seed {row['seed']}: {rules}")
+    return lines
+
+
+def plot(days, rows, path):
+    """Write a page of plots: parts by queue of each day, worth of standard days."""
+    from matplotlib import pyplot
+
+    figure, (times, worth) = pyplot.subplots(2, 1, figsize=(12, 10))
+    labels, left = [], []
+    means = [
+        (f"{name}\n{queue}", parts)
+        for name, day in days.items()
+        for queue, (_, parts) in mean_parts(day).items()
+    ]
+    labels = [label for label, _ in means]
+    left = [0.0] * len(means)
+    for part in PARTS:
+        values = [parts[part] for _, parts in means]
+        times.barh(labels, values, left=left, label=part)
+        left = [a + b for a, b in zip(left, values)]
+    times.set_xlabel("mean seconds of a completed workflow")
+    if means:
+        times.legend()
+    by_day = collections.defaultdict(list)
+    for row in rows:
+        if row.get("slot") and row.get("G") is not None:
+            by_day[f"{row['site']} {row['name']}"].append(row["G"])
+    for name, values in sorted(by_day.items()):
+        worth.plot(range(len(values)), values, marker=".", label=name)
+    worth.set_xlabel("play")
+    worth.set_ylabel("worth")
+    if by_day:
+        worth.legend(fontsize="x-small", ncols=2)
+    figure.tight_layout()
+    figure.savefig(path)
+
+
+def main():
+    """Write the report; return the exit status."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--journal", default="journal")
+    parser.add_argument("--output", default="run/report", help="path without suffix")
+    parser.add_argument("logs", nargs="*")
+    arguments = parser.parse_args()
+    days = {}
+    for name in arguments.logs:
+        path = pathlib.Path(name)
+        with open(path, encoding="utf-8", errors="replace") as file:
+            days[path.stem] = Day(file)
+    rows = journal_rows(arguments.journal)
+    lines = journal_text(rows)
+    for name, day in days.items():
+        lines += day_text(name, day)
+    output = pathlib.Path(arguments.output)
+    output.parent.mkdir(parents=True, exist_ok=True)
+    output.with_suffix(".txt").write_text("\n".join(lines) + "\n", encoding="utf-8")
+    plot(days, rows, output.with_suffix(".svg"))
+    print("\n".join(lines))
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/sardinegauge/workflows/fillers.py
+++ b/sardinegauge/workflows/fillers.py
@@ -1,5 +1,6 @@
 """Fillers on a worker, their pace beside tasks that serve, and when they move."""
 
+import logging
 import math
 
 from sardinegauge.workflows import sharing, views
@@ -12,7 +13,12 @@
 # A move must save this much besides.
 MOVE_GAIN_MS = 1500
 MOVES_AT_ONCE = 3
+# A filler that stands still would gain without bound.
+MAX_LOGGED_GAIN_MS = 1e6
+# Why a run that is moved stops.
+SLOW = "slow"
 MIN_MOVE_HEADROOM = 0.03
+log = logging.getLogger(__name__)
 
 
 def move_slow(state):
@@ -28,15 +34,20 @@
         if run is None or not item.is_open or not task.step.is_checkpointing:
             del state.slow_since_ms[key]
             continue
-        if _gain_ms(state, key, run, task) > MOVE_GAIN_MS and _has_room(
-            state, run, task, state.store.queue_of(item).pool
-        ):
+        gain_ms = _gain_ms(state, key, run, task)
+        pool = state.store.queue_of(item).pool
+        if gain_ms > MOVE_GAIN_MS and _has_room(state, run, task, pool):
             moving += 1
             state.stops[key] = SLOW
             state.push(run.worker, run.life)
-
-
-SLOW = "slow"
+            log.info(
+                "filler_moved task=%s run=%d worker=%s pace=%d slow_ms=%d gain_ms=%.0f",
+                *key,
+                run.worker,
+                state.paces.get(key, 100),
+                state.now_ms - since_ms,
+                min(gain_ms, MAX_LOGGED_GAIN_MS),
+            )
 
 
 def _run_of(task, key):
@@ -129,7 +140,7 @@
     """Set the paces of all fillers on a worker; tell whether any changed."""
     fillers = on_worker(state, view)
     is_changed = False
-    for key, pace in state.sharing.paces(view.id, fillers).items():
+    for key, pace in state.sharing.paces(view.id, fillers, state.now_ms).items():
         is_changed = is_changed or state.paces.get(key, 100) != pace
         state.paces[key] = pace
         if pace > SLOW_PACE:
--- a/sardinegauge/workflows/sharing.py
+++ b/sardinegauge/workflows/sharing.py
@@ -37,6 +37,11 @@
 PACE_STEP = 5
 # Fillers with a smaller effect on the pressure do not give way.
 MIN_EFFECT = 0.015
+# Whatever the estimates say, all fillers beside a task that was over its target for so
+# long slow down, and stand still after as long again.
+OVER_MS = 900
+# Latencies are rough, so a little below the target counts as over it.
+OVER_SHARE = 0.95
 
 
 def pressure_of(latency_ms, target_ms):
@@ -72,14 +77,28 @@
 
 
 class Serving:
-    """A serving task beside fillers: its image and the estimate of its own part."""
+    """A serving task beside fillers: its image and the estimate of its own part.
 
-    __slots__ = ("image", "own", "seen_ms")
+    `over_since_ms` is since when its latency has been over the target, or None.
+    """
+
+    __slots__ = ("image", "over_since_ms", "own")
 
     def __init__(self, image, now_ms):
         self.image = image
         self.own = Estimate(OWN_PRESSURE, OWN_VARIANCE, now_ms)
-        self.seen_ms = now_ms
+        self.over_since_ms = None
+
+    def note(self, latency_ms, target_ms, now_ms):
+        """Note whether a latency is over the target."""
+        if latency_ms < OVER_SHARE * target_ms:
+            self.over_since_ms = None
+        elif self.over_since_ms is None:
+            self.over_since_ms = now_ms
+
+    def over_ms(self, now_ms):
+        """Return for how long the latency has been over the target."""
+        return now_ms - self.over_since_ms if self.over_since_ms is not None else 0
 
 
 class Filler:
@@ -148,6 +167,7 @@
         mixed = {i: (before.get(i, 0.0) + amounts.get(i, 0.0)) / 2 for i in images}
         for key, image, latency_ms, target_ms in rows:
             serving = found[key] = known.get(key) or Serving(image, now_ms)
+            serving.note(latency_ms, target_ms, now_ms)
             if latency_ms > 0:
                 pressure = pressure_of(latency_ms, target_ms)
                 self._learn(serving, pressure, mixed, now_ms)
@@ -199,11 +219,12 @@
             least = min(least, PLACING_PRESSURE - pressure)
         return least
 
-    def paces(self, worker, fillers):
+    def paces(self, worker, fillers, now_ms):
         """Return the pace in percent of each filler by its key.
 
         Fillers give way by their rank, so that work which can still be in time keeps
-        its speed; those that hardly disturb a suffering task keep theirs in any case.
+        its speed; those that hardly disturb a suffering task keep theirs, unless it
+        suffers on.
         """
         share = {filler.key: 1.0 for filler in fillers}
         serving = self.serving_by_worker.get(worker, {}).values()
@@ -222,8 +243,10 @@
                 taken = min(share[filler.key] * effect, excess)
                 share[filler.key] -= taken / effect
                 excess -= taken
+        over_ms = max((task.over_ms(now_ms) for task in serving), default=0)
+        limit = min(max(2.0 - over_ms / OVER_MS, 0.0), 1.0)
         return {
-            key: int(100 * value // PACE_STEP) * PACE_STEP
+            key: int(100 * value * limit // PACE_STEP) * PACE_STEP
             for key, value in share.items()
         }
 
--- a/sardinegauge/workflows/store.py
+++ b/sardinegauge/workflows/store.py
@@ -19,10 +19,13 @@
 
 
 class WorkerLife(record.Record):
-    """The newest registered life of a worker, and the last end taken note of."""
+    """The newest registered life of a worker, and the last end taken note of.
 
-    __slots__ = ("worker", "life", "agent", "seen_end")
-    _defaults = {"seen_end": 0}
+    `replaced_at_ms` is when a newer worker registered beside the same agent, or 0.
+    """
+
+    __slots__ = ("worker", "life", "agent", "seen_end", "replaced_at_ms")
+    _defaults = {"seen_end": 0, "replaced_at_ms": 0}
 
 
 class Store:
@@ -133,7 +136,7 @@
 
 
 def _expire(store, now_ms):
-    """Forget the workflows that ended long ago, oldest first."""
+    """Forget workflows that ended and workers that were replaced long ago."""
     for item_id in list(store.ended_ids):
         item = store.workflow_by_id[item_id]
         if now_ms - item.ended_at_ms < RETENTION_MS:
@@ -143,6 +146,10 @@
                 _drop_run(store, task, run)
         del store.workflow_by_id[item_id]
         del store.ended_ids[item_id]
+    for worker in list(store.worker_by_id.values()):
+        is_over = 0 < worker.replaced_at_ms < now_ms - RETENTION_MS
+        if is_over and not store.runs_of(worker.worker, worker.life):
+            del store.worker_by_id[worker.worker]
 
 
 # Commands of callers and operators.
@@ -215,6 +222,9 @@
         worker_by_id[command.worker] = WorkerLife(
             worker=command.worker, life=command.life, agent=command.agent
         )
+        for other in worker_by_id.values():
+            if other.agent == command.agent and other.life < command.life:
+                other.replaced_at_ms = other.replaced_at_ms or command.at_ms
     return outcome.Accepted()
 
 
--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -41,6 +41,8 @@
         self.until_ms = 0
         self.starts = []
         self.unanswered_starts = 0
+        # Tickets by step; a start of a step named here needs its ticket.
+        self.ticket_by_step = {}
         self.server = None
 
     @property
@@ -115,7 +117,10 @@
         minion = self.minion
         key = (body["task"], body["run"])
         minion.until_ms = max(minion.until_ms, body["until_ms"])
-        if key in minion.running:
+        wanted = minion.ticket_by_step.get(body["task"].rpartition(".")[0])
+        if wanted and body.get("ticket") != wanted:
+            self.answer(409, {"reason": "ticket"})
+        elif key in minion.running:
             self.answer(200, {})
         elif body["run"] <= minion.blocked.get(body["task"], 0):
             self.answer(409, {"reason": "old"})
@@ -158,6 +163,27 @@
         )
 
 
+class AdviseHandler(web.RequestHandler):
+    """The service that decides which minions may run a step; every one may."""
+
+    def initialize(self, platform):
+        self.platform = platform
+
+    async def post(self):
+        body = json.loads(self.request.body)
+        self.platform.questions.append((body["step"], body["workers"]))
+        await asyncio.sleep(0.05)
+        if self.platform.unadvised:
+            self.platform.unadvised -= 1
+            self.set_status(429)
+            self.finish({})
+            return
+        ticket = f"t-{len(self.platform.questions)}"
+        self.platform.minion.ticket_by_step[body["step"]] = ticket
+        good = [[worker, ticket] for worker in body["workers"]]
+        self.finish({"good": good, "valid_ms": 3000})
+
+
 class Platform:
     """A small deployment: three state processes, a front, an agent and its minion."""
 
@@ -177,6 +203,10 @@
         self.core_ips = [f"{network}.{n}" for n in (1, 2, 3)]
         self.front_ip = f"{network}.11"
         self.side_ip = f"{network}.21"
+        self.advice_port = self.ports.take()
+        self.advice_server = None
+        self.questions = []
+        self.unadvised = 0
         self.version = 0
         self.minion = None
         self.client = httpclient.AsyncHTTPClient(force_instance=True)
@@ -198,6 +228,7 @@
             "seeds": [f"{ip}:{self.control_port}" for ip in self.core_ips],
             "bootstrap": True,
             "data_dir": str(data_dir) if role == "core" else None,
+            "advice": f"{self.side_ip}:{self.advice_port}",
             "bounds": {"grace_s": 3},
             "fault_tolerance": {"machines": 1, "zones": 0, "regions": 0},
             **fields,
@@ -226,6 +257,9 @@
         self.start("front", self.front_ip)
         self.start("side", self.side_ip)
         self.start_minion("i-1", 1000)
+        routes = [(r"/api/advise", AdviseHandler, {"platform": self})]
+        self.advice_server = httpserver.HTTPServer(web.Application(routes))
+        self.advice_server.listen(self.advice_port, self.side_ip)
 
     def start_minion(self, worker_id, born):
         self.minion = Minion(worker_id, f"{self.side_ip}:{self.minion_port}", born)
@@ -243,6 +277,8 @@
             process.wait(timeout=10)
         if self.minion is not None:
             self.minion.stop()
+        if self.advice_server is not None:
+            self.advice_server.stop()
         self.ports.close()
 
     async def call(self, method, url, body=None, host=None, timeout_s=4):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -96,6 +96,22 @@
     play(tmp_path, scenario)
 
 
+def test_queue_with_advice_starts_tasks_with_a_ticket(tmp_path):
+    # Without a ticket each start was refused, and was repeated within milliseconds.
+    async def scenario(platform):
+        document = platform.document(2)
+        advice = {"decide_ms": 50, "each_ms": 1, "valid_ms": 3000}
+        document["routes"][0]["advice"] = advice
+        await platform.accepted(document)
+        platform.unadvised = 1
+        assert await platform.submit("a1", 200) == 200
+        await platform.until(lambda: platform.state_is("a1", "completed"))
+        assert len(platform.minion.starts) == 2
+        assert platform.questions == 2 * [("a1.0.0", ["i-1"])]
+
+    play(tmp_path, scenario)
+
+
 def test_configuration_is_kept_read_back_and_in_force(tmp_path):
     async def scenario(platform):
         second = platform.document(5, "/q/", "/new/")
--- a/tests/test_workflow_scheduler.py
+++ b/tests/test_workflow_scheduler.py
@@ -363,7 +363,7 @@
     fillers = [sharing.Filler(("heavy", n), "heavy", 1.0, 1.0) for n in range(2)] + [
         sharing.Filler(("light", 1), "light", 1.0, 1.0)
     ]
-    paces = model.paces("a", fillers)
+    paces = model.paces("a", fillers, 0)
     assert paces["light", 1] >= 90
     assert min(paces["heavy", 0], paces["heavy", 1]) < 50
     assert model.headroom("a", [], "light", 1.0) > model.headroom("a", [], "heavy", 1.0)
@@ -420,7 +420,7 @@
         sharing.Filler((name, 1), "sweep", 2.0, 0.0, rank)
         for name, rank in (("in time", (2, 0, 50)), ("late", (2, 1, 10)))
     ]
-    paces = model.paces("a", fillers)
+    paces = model.paces("a", fillers, 0)
     assert paces["in time", 1] > paces["late", 1] == 0
 
 
--- a/tests/test_workflow_store.py
+++ b/tests/test_workflow_store.py
@@ -5,7 +5,7 @@
 import pytest
 
 from sardinegauge import commands, machine, outcome
-from sardinegauge.workflows import queues, steps, workflow
+from sardinegauge.workflows import queues, steps, store, workflow
 
 QUEUE = queues.Queue(
     name="q", host="h", prefix="/q/", pool="p", max_attempts=2, timeout_ms=3000
@@ -333,3 +333,18 @@
     log.register()
     log.end([1, "w.0.0.0", 1, "failed", ""])
     assert log.store.find_task("w.0.0.0")[2].failures == 1
+
+
+def test_replaced_worker_is_forgotten_after_the_retention(log, monkeypatch):
+    # Each minion that came and went stayed in the state and in its snapshots.
+    monkeypatch.setattr(store, "RETENTION_MS", 3)
+    log.submit()
+    log.register("a", 1)
+    log.assign(["w.0.0.0", 1, "a", 1])
+    log.register("b", 2)
+    log.index += 10
+    log.submit(id="w2")
+    assert sorted(log.store.worker_by_id) == ["a", "b"]
+    log.end([1, "w.0.0.0", 1, "stopped", ""])
+    log.submit(id="w3")
+    assert sorted(log.store.worker_by_id) == ["b"]
