--- a/sardinegauge/checks.py
+++ b/sardinegauge/checks.py
@@ -182,6 +182,8 @@
 OPTIONAL_TEXT = text(is_empty_allowed=True)
 COUNT = integer()
 SIZE = number()
+# A learned effect; it may be negative.
+ESTIMATE = number(-MAX_NUMBER)
 LONG_TEXT = text(MAX_BODY_LENGTH, is_empty_allowed=True)
 
 _ROOM = fields(
@@ -312,7 +314,9 @@
     # The steps are checked by `workflows.steps`.
     commands.SubmitWorkflow: {"id": TEXT, "queue": TEXT, "steps": items(plain)},
     commands.CancelWorkflow: {"id": TEXT},
-    commands.FailWorkflow: {"id": TEXT, "reason": LONG_TEXT},
+    commands.KeepEstimates: {
+        "rows": items(row(OPTIONAL_TEXT, OPTIONAL_TEXT, ESTIMATE, ESTIMATE))
+    },
     commands.RegisterLife: {**_LIFE, "agent": TEXT},
     commands.AssignRuns: {"rows": items(row(TEXT, COUNT, TEXT, COUNT))},
     commands.RecordEnds: {
--- a/sardinegauge/commands.py
+++ b/sardinegauge/commands.py
@@ -336,10 +336,13 @@
     _defaults = {"at_ms": 0, "checkpoints": list}
 
 
-class FailWorkflow(Command):
-    """Fail a workflow that can never be completed, for a reason."""
+class KeepEstimates(Command):
+    """Keep what the leader learned about disturbance by fillers, for its successor.
 
-    __slots__ = ("id", "reason")
+    `rows` are those of `workflows.sharing.Sharing.to_rows`; they replace earlier ones.
+    """
+
+    __slots__ = ("rows",)
 
 
 REGISTRY = record.Registry.of_module(globals(), Command)
--- a/sardinegauge/machine.py
+++ b/sardinegauge/machine.py
@@ -88,7 +88,7 @@
     commands.SetQueues: store.set_queues,
     commands.SubmitWorkflow: store.submit,
     commands.CancelWorkflow: store.cancel,
-    commands.FailWorkflow: store.fail,
+    commands.KeepEstimates: store.keep_estimates,
     commands.RegisterLife: store.register_life,
     commands.AssignRuns: store.assign_runs,
     commands.RecordEnds: store.record_ends,
--- a/sardinegauge/workflows/fillers.py
+++ b/sardinegauge/workflows/fillers.py
@@ -7,7 +7,7 @@
 
 # A filler at this pace or less for so long moves, if another worker has room for it.
 SLOW_PACE = 35
-SLOW_MS = 1200
+SLOW_MS = 2000
 # What a move costs: the stop, the way through the log, and the restore.
 MOVE_COST_MS = 2000
 # A move must save this much besides.
@@ -17,17 +17,20 @@
 MAX_LOGGED_GAIN_MS = 1e6
 # Why a run that is moved stops.
 SLOW = "slow"
-MIN_MOVE_HEADROOM = 0.03
+MIN_MOVE_HEADROOM = 0.1
 log = logging.getLogger(__name__)
 
 
 def move_slow(state):
-    """Stop the fillers that would be done sooner on another worker."""
+    """Stop the fillers that would be done sooner on another worker, once for each."""
     moving = sum(reason == SLOW for reason in state.stops.values())
     for key, since_ms in sorted(state.slow_since_ms.items(), key=lambda pair: pair[1]):
         if moving >= MOVES_AT_ONCE:
             return
-        if state.now_ms - since_ms < SLOW_MS or key in state.stops:
+        # A task that was slow on two workers would be slow on a third as well.
+        if key in state.stops or key[0] in state.moved_tasks:
+            continue
+        if state.now_ms - since_ms < SLOW_MS:
             continue
         item, _, task = state.store.find_task(key[0])
         run = _run_of(task, key)
@@ -39,6 +42,7 @@
         if gain_ms > MOVE_GAIN_MS and _has_room(state, run, task, pool):
             moving += 1
             state.stops[key] = SLOW
+            state.moved_tasks.add(key[0])
             state.push(run.worker, run.life)
             log.info(
                 "filler_moved task=%s run=%d worker=%s pace=%d slow_ms=%d gain_ms=%.0f",
@@ -132,6 +136,15 @@
         if filler.key in view.runs and view.runs[filler.key].phase == views.ACTIVE
     ]
     state.sharing.observe(view.id, rows, active, state.now_ms)
+    over_ms = state.sharing.over_ms(view.id, state.now_ms)
+    if over_ms > sharing.OVER_MS and active:
+        log.info(
+            "fillers_slowed worker=%s over_ms=%d fillers=%d latencies=%s",
+            view.id,
+            over_ms,
+            len(active),
+            ",".join(f"{row[2]}/{row[3]}" for row in rows),
+        )
     if set_paces(state, view):
         state.push(view.id, view.life)
 
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -20,6 +20,8 @@
 RECENT_END_MS = 5000
 # A worker that refused a task isn't offered it again for this long.
 REFUSED_REST_MS = 500
+# Between copies of the learned disturbance in the log.
+KEEP_INTERVAL_MS = 2000
 # Why a run that was not ordered yet shall stop.
 NO_TICKET = "no ticket"
 log = logging.getLogger(__name__)
@@ -45,6 +47,8 @@
         state.store.queue_set.version,
     )
     state.wall_offset_ms = event.wall_ms - event.now_ms
+    state.sharing.load_rows(state.store.estimates, state.now_ms)
+    state.kept_ms = state.now_ms
     for worker in state.store.worker_by_id.values():
         lives.make_view(state, worker.worker, worker.life, worker.agent)
 
@@ -193,6 +197,7 @@
 
 def _note_workflow_ended(state, item):
     state.open_ids.discard(item.id)
+    state.moved_tasks -= {task.id for task in item.tasks()}
     state.advising.forget(item.id)
     lasted_ms = item.ended_at_ms - item.accepted_at_ms
     log.info(
@@ -271,6 +276,7 @@
     fillers.move_slow(state)
     _forget_refusals(state)
     _renew_tickets(state)
+    _keep_estimates(state)
     for view in list(state.view_by_id.values()):
         is_over = state.now_ms > view.grant_until_ms
         if is_over and not view.is_fresh(state.now_ms):
@@ -284,6 +290,16 @@
             del state.refused_until_ms[key]
 
 
+def _keep_estimates(state):
+    """Put what was learned into the log, since a new leader would learn by harm."""
+    if state.now_ms - state.kept_ms < KEEP_INTERVAL_MS:
+        return
+    state.kept_ms = state.now_ms
+    rows = state.sharing.to_rows()
+    if rows and rows != state.store.estimates:
+        state.propose(commands.KeepEstimates(rows=rows))
+
+
 def _renew_tickets(state):
     """See to tickets of runs whose start was not ordered yet.
 
@@ -349,7 +365,6 @@
     commands.ReleaseLife: _on_released,
     commands.RegisterLife: _on_registered,
     commands.CancelWorkflow: _on_ended,
-    commands.FailWorkflow: _on_ended,
     commands.SubmitWorkflow: _on_submitted,
     commands.SetQueues: _ignore,
 }
--- a/sardinegauge/workflows/schedulerstate.py
+++ b/sardinegauge/workflows/schedulerstate.py
@@ -25,12 +25,14 @@
         self.planner = planner.Planner()
         self.health = health.Health()
         self.sharing = sharing.Sharing()
+        self.kept_ms = 0
         self.advising = advising.Advising()
         self.view_by_id = {}
         self.planned = {}
         self.stops = {}
         self.paces = {}
         self.slow_since_ms = {}
+        self.moved_tasks = set()
         self.failed_on = {}
         self.refused_until_ms = {}
         self.open_ids = set(self.store.open_ids)
--- a/sardinegauge/workflows/sharing.py
+++ b/sardinegauge/workflows/sharing.py
@@ -132,6 +132,31 @@
         self._amounts = {}
         self.serving_by_worker = {}
 
+    def to_rows(self):
+        """Return what was learned about images, for `load_rows` of another leader.
+
+        Returns
+        -------
+        list of list
+            Rows of serving image, empty for the part of all pairs, filler image, mean
+            and variance.
+        """
+        rows = [["", image, *_rounded(part)] for image, part in self._fillers.items()]
+        return rows + [[*key, *_rounded(part)] for key, part in self._pairs.items()]
+
+    def load_rows(self, rows, now_ms):
+        """Take over what an earlier leader learned; malformed rows are left out."""
+        for row in rows:
+            try:
+                serving, filler, mean, variance = row
+                part = Estimate(float(mean), float(variance), now_ms)
+            except (TypeError, ValueError):
+                continue
+            if serving:
+                self._pairs[serving, filler] = part
+            else:
+                self._fillers[filler] = part
+
     def coefficient(self, serving_image, filler_image):
         """Return by how much one unit of a filler raises a serving task's pressure."""
         filler = self._fillers.get(filler_image)
@@ -219,6 +244,11 @@
             least = min(least, PLACING_PRESSURE - pressure)
         return least
 
+    def over_ms(self, worker, now_ms):
+        """Return for how long a serving task of a worker has been over its target."""
+        serving = self.serving_by_worker.get(worker, {}).values()
+        return max((task.over_ms(now_ms) for task in serving), default=0)
+
     def paces(self, worker, fillers, now_ms):
         """Return the pace in percent of each filler by its key.
 
@@ -243,7 +273,7 @@
                 taken = min(share[filler.key] * effect, excess)
                 share[filler.key] -= taken / effect
                 excess -= taken
-        over_ms = max((task.over_ms(now_ms) for task in serving), default=0)
+        over_ms = self.over_ms(worker, now_ms)
         limit = min(max(2.0 - over_ms / OVER_MS, 0.0), 1.0)
         return {
             key: int(100 * value * limit // PACE_STEP) * PACE_STEP
@@ -251,6 +281,10 @@
         }
 
 
+def _rounded(part):
+    return round(part.mean, 4), round(part.variance, 6)
+
+
 def _amount_by_image(fillers):
     amounts = {}
     for filler in fillers:
--- a/sardinegauge/workflows/store.py
+++ b/sardinegauge/workflows/store.py
@@ -1,6 +1,6 @@
 """Replicated state of queues, workflows and workers' lives; part of the machine."""
 
-from sardinegauge import checks, outcome, record
+from sardinegauge import outcome, record
 from sardinegauge.workflows import queues, steps, workflow
 
 # An ended workflow is known this long, so that late duplicates of its request and
@@ -32,12 +32,14 @@
     """All workflows, queues and lives.
 
     `open_ids` holds the ids of open workflows in order of acceptance (a dict without
-    values), `runs_by_life` the tasks of all runs by worker and life, keyed by task id
+    values), `estimates` the rows of the newest `commands.KeepEstimates`, `runs_by_life`
+    the tasks of all runs by worker and life, keyed by task id
     and run number.
     """
 
     __slots__ = (
         "ended_ids",
+        "estimates",
         "open_ids",
         "queue_set",
         "runs_by_life",
@@ -51,6 +53,7 @@
         self.worker_by_id = {}
         self.open_ids = {}
         self.ended_ids = {}
+        self.estimates = []
         self.runs_by_life = {}
 
     def find_task(self, task_id):
@@ -99,11 +102,14 @@
             "queues": self.queue_set.to_snapshot(),
             "workflows": [w.to_snapshot() for w in self.workflow_by_id.values()],
             "workers": [w.to_dict() for w in self.worker_by_id.values()],
+            "estimates": self.estimates,
         }
 
     def load_snapshot(self, data):
         """Rebuild everything from the result of `to_snapshot`."""
         self.queue_set = queues.QueueSet.from_snapshot(data["queues"])
+        # Snapshots of earlier releases hold none.
+        self.estimates = data.get("estimates", [])
         for item in data["workers"]:
             self.worker_by_id[item["worker"]] = WorkerLife.from_dict(item)
         for item in data["workflows"]:
@@ -200,17 +206,13 @@
     return outcome.Accepted(ids=[command.id])
 
 
-def fail(machine, index, command):
-    """Fail an open workflow that can never be completed."""
-    store = machine.workflows
-    item = store.workflow_by_id.get(command.id)
-    if item is not None and item.is_open:
-        reason = checks.clip(command.reason)
-        _end_workflow(store, item, workflow.FAILED, command.at_ms, reason)
-    return outcome.Accepted()
+# Commands of the leader.
 
 
-# Commands of the leader.
+def keep_estimates(machine, index, command):
+    """Keep estimates for the next leader; nothing else is decided by them."""
+    machine.workflows.estimates = command.rows
+    return outcome.Accepted()
 
 
 def register_life(machine, index, command):
--- a/tests/test_workflow_scheduler.py
+++ b/tests/test_workflow_scheduler.py
@@ -440,11 +440,20 @@
     leader.state.slow_since_ms[key] = leader.now_ms
     leader.tick(100)
     assert leader.orders()["stops"] == []
-    leader.now_ms += 1300
+    leader.now_ms += 2100
     leader.report("b")
     leader.state.paces[key] = 10
     leader.tick(0)
     assert leader.orders()["stops"] == [list(key)]
+    # It moves once, or it would be stopped and restored over and over.
+    leader.report("a", ends=[[1, *key, store.STOPPED, "c"]])
+    leader.run()
+    key = ("w.0.0.0", 2)
+    ((_, host),) = leader.placed().items()
+    leader.state.paces[key] = 10
+    leader.state.slow_since_ms[key] = leader.now_ms - 9000
+    leader.tick(0)
+    assert leader.orders(host)["stops"] == []
 
 
 def test_least_work_left_goes_first_among_work_in_time():
--- a/tests/test_workflow_sharing.py
+++ b/tests/test_workflow_sharing.py
@@ -1,6 +1,8 @@
 """Guards against serving tasks that stay over their target beside fillers."""
 
-from sardinegauge.workflows import sharing
+from sardinegauge.workflows import sharing, views
+from sardinegauge.workflows import steps as steps_module
+from tests import test_workflow_scheduler
 
 TARGET_MS = 50
 REPORT_MS = 300
@@ -36,3 +38,49 @@
             "a", [(("s", 1), "web", latency_ms, TARGET_MS)], fillers, 300 * number
         )
     assert model.paces("a", fillers, 40 * REPORT_MS) == {("f", 1): 100}
+
+
+def test_new_leader_knows_what_the_one_before_learned():
+    """Load pattern: a change of the leader while fillers run beside serving tasks."""
+    leader = test_workflow_scheduler.Leader()
+    leader.report()
+    leader.submit(
+        steps_module.Step(image="web", target_ms=TARGET_MS, is_persistent=True)
+    )
+    leader.submit(steps_module.Step(image="sweep", is_filler=True), id="f")
+    leader.run()
+    for number in range(20):
+        leader.now_ms += REPORT_MS
+        latency_ms = 12 if number % 2 else 30
+        cores = 0 if number % 2 else 1500
+        rows = [
+            ["w.0.0.0", 1, views.ACTIVE, "", 100, latency_ms, "", 100],
+            ["f.0.0.0", 1, views.ACTIVE, "", 50, cores, "", 100],
+        ]
+        report = views.Report(
+            agent="agent-a",
+            worker="a",
+            life=1,
+            pool="p",
+            cpu_millis=8000,
+            memory_mb=8000,
+            is_fenced=True,
+            runs=rows,
+        )
+        leader.feed(
+            test_workflow_scheduler.schedulerevents.ReportReceived, report=report
+        )
+        leader.tick(0)
+        leader.run()
+    learned = leader.state.sharing.coefficient("web", "sweep")
+    assert abs(learned - sharing.FILLER_PRESSURE) > 0.01
+    leader.lead(term=2)
+    known = leader.state.sharing.coefficient("web", "sweep")
+    assert abs(known - learned) < 0.02
+
+
+def test_malformed_estimates_are_left_out():
+    model = sharing.Sharing()
+    model.load_rows([["", "a"], 5, ["", "b", "x", 1], ["", "c", 0.3, 0.01]], 0)
+    assert model.coefficient("web", "c") == 0.3
+    assert model.coefficient("web", "b") == sharing.FILLER_PRESSURE
