--- a/benchmarks/agentcost.py
+++ b/benchmarks/agentcost.py
@@ -6,7 +6,8 @@
 import time
 
 from benchmarks import leaderloss, requestbench
-from sardinegauge import commands, link, messages, outcome, stateclient
+from sardinegauge import commands, outcome
+from sardinegauge.links import link, messages, stateclient
 from tests.fleet import fleet as fleets
 
 WARM_S = 30.0
--- a/benchmarks/fakeworkers.py
+++ b/benchmarks/fakeworkers.py
@@ -28,7 +28,7 @@
 import math
 import random
 
-from sardinegauge import messages
+from sardinegauge.links import messages
 
 LAG_MS = 5_000
 WARM_UP_MS = 300_000
--- a/benchmarks/machinecost.py
+++ b/benchmarks/machinecost.py
@@ -10,7 +10,8 @@
 import statistics
 import time
 
-from sardinegauge import commands, directory, machine, queries
+from sardinegauge import commands
+from sardinegauge.state import directory, machine, queries
 from tests import driver
 
 WORKERS = 1_300
--- a/benchmarks/manyagents.py
+++ b/benchmarks/manyagents.py
@@ -10,7 +10,8 @@
 import json
 import random
 
-from sardinegauge import clock, messages, outcome, stateclient
+from sardinegauge import clock, outcome
+from sardinegauge.links import messages, stateclient
 
 INTERVAL_S = 1.0
 TIMEOUT_S = 0.9
--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -10,15 +10,10 @@
 import random
 
 from benchmarks import fakeworkers
-from sardinegauge import (
-    commands,
-    estimates,
-    messages,
-    placement,
-    preemption,
-    scheduler,
-)
-from sardinegauge import machine as machines
+from sardinegauge import commands
+from sardinegauge.links import messages
+from sardinegauge.scheduling import estimates, placement, preemption, scheduler
+from sardinegauge.state import machine as machines
 
 TICK_MS = 100
 DEPLOYMENTS = {
--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -16,8 +16,10 @@
 import random
 import time
 
-from sardinegauge import commands, messages, scheduler
-from sardinegauge import machine as machines
+from sardinegauge import commands
+from sardinegauge.links import messages
+from sardinegauge.scheduling import scheduler
+from sardinegauge.state import machine as machines
 
 WORKERS, RUNNING, SERVICES, TENANTS, STARTS_PER_S = 1300, 21_000, 10_000, 42, 210
 COMMIT_MS = 20
--- a/benchmarks/statecost.py
+++ b/benchmarks/statecost.py
@@ -5,14 +5,9 @@
 import time
 
 from benchmarks import leaderloss, load
-from sardinegauge import (
-    commands,
-    messages,
-    outcome,
-    raftmessages,
-    stateclient,
-    storage,
-)
+from sardinegauge import commands, outcome
+from sardinegauge.agreement import raftmessages, storage
+from sardinegauge.links import messages, stateclient
 from tests.fleet import fleet as fleets
 
 COMMANDS_BY_CONCURRENCY = {1: 100, 64: 1500}
@@ -150,7 +145,7 @@
     """Return all lines of the state."""
     folder = pathlib.Path(folder)
     alone = await measure_commit(folder / "single", "benchmarks.singlewrites")
-    group = await measure_commit(folder / "group", "sardinegauge.stateapp")
+    group = await measure_commit(folder / "group", "sardinegauge.state.stateapp")
     lines = []
     for concurrency, values in group.items():
         for text, unit, value, baseline in zip(
--- /dev/null
+++ b/sardinegauge/agents/__init__.py
@@ -0,0 +1,1 @@
+"""The agent process: requests and tasks beside one upstream."""
--- a/sardinegauge/admission.py
+++ b/sardinegauge/agents/admission.py
@@ -2,7 +2,8 @@
 
 import collections
 
-from sardinegauge import messages, record
+from sardinegauge import record
+from sardinegauge.links import messages
 
 DEFAULT_QUEUE = 32
 MAX_TRACKED_SERVICES = 64
--- a/sardinegauge/agent.py
+++ b/sardinegauge/agents/agent.py
@@ -6,7 +6,8 @@
 
 import json
 
-from sardinegauge import admission, agentevents, messages, requesttable, taskhost
+from sardinegauge.agents import admission, agentevents, requesttable, taskhost
+from sardinegauge.links import messages
 
 HEARTBEAT_INTERVAL_MS = 1000
 # Changes within this time share one heartbeat.
--- a/sardinegauge/agentapp.py
+++ b/sardinegauge/agents/agentapp.py
@@ -10,27 +10,26 @@
 from tornado import netutil
 
 from sardinegauge import (
-    agent,
-    agentevents,
     application,
     background,
     clock,
     errors,
-    forwarding,
-    hostedtask,
-    httpcall,
-    httpmessages,
-    link,
-    messages,
     pages,
     plainlogs,
     plainmetrics,
-    requesttable,
     settings,
+)
+from sardinegauge.agents import (
+    agent,
+    agentevents,
+    forwarding,
+    hostedtask,
+    requesttable,
     upstreamwatch,
     worker,
     workercalls,
 )
+from sardinegauge.links import httpcall, httpmessages, link, messages
 
 # Each wake-up costs about 0.1 ms; leases and retries need no finer step.
 TICK_S = 0.25
--- a/sardinegauge/forwarding.py
+++ b/sardinegauge/agents/forwarding.py
@@ -3,14 +3,9 @@
 import asyncio
 import collections
 
-from sardinegauge import (
-    clock,
-    errors,
-    httpcall,
-    httpmessages,
-    outcome,
-    requestkeys,
-)
+from sardinegauge import clock, errors, outcome
+from sardinegauge.agents import requestkeys
+from sardinegauge.links import httpcall, httpmessages
 
 WINDOW_BYTES = 256 * 1024
 CHUNK_BYTES = httpcall.CHUNK_BYTES
--- a/sardinegauge/hostedtask.py
+++ b/sardinegauge/agents/hostedtask.py
@@ -1,6 +1,7 @@
 """Records of the task host: phases, calls to the worker and one hosted task."""
 
-from sardinegauge import messages, record
+from sardinegauge import record
+from sardinegauge.links import messages
 
 STARTING = "starting"
 RUNNING = "running"
--- a/sardinegauge/requesttable.py
+++ b/sardinegauge/agents/requesttable.py
@@ -1,6 +1,8 @@
 """Requests of one agent between their arrival and their end, and their keys; pure."""
 
-from sardinegauge import admission, httpmessages, messages, record, requestkeys
+from sardinegauge import record
+from sardinegauge.agents import admission, requestkeys
+from sardinegauge.links import httpmessages, messages
 
 RETRY_AFTER_MS = 1000
 # Durations kept for the percentiles of one service between two heartbeats.
--- a/sardinegauge/taskhost.py
+++ b/sardinegauge/agents/taskhost.py
@@ -5,7 +5,7 @@
 until the leader's table no longer lists it.
 """
 
-from sardinegauge import hostedtask
+from sardinegauge.agents import hostedtask
 
 # A call that failed is repeated after the short time. The long one is above every
 # timeout of a call and covers a failure that was not reported.
--- a/sardinegauge/upstreamwatch.py
+++ b/sardinegauge/agents/upstreamwatch.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from sardinegauge import background, clock, httpcall
+from sardinegauge import background, clock
+from sardinegauge.links import httpcall
 
 PROBE_INTERVAL_S = 1.0
 # After a refused connection, until the upstream counts as unreachable.
--- a/sardinegauge/worker.py
+++ b/sardinegauge/agents/worker.py
@@ -2,7 +2,9 @@
 
 import abc
 
-from sardinegauge import clock, hostedtask, httpcall, record
+from sardinegauge import clock, record
+from sardinegauge.agents import hostedtask
+from sardinegauge.links import httpcall
 
 CALL_TIMEOUT_S = 1.0
 # Saving progress takes longer than other calls; retries of the agent allow for it.
--- a/sardinegauge/workercalls.py
+++ b/sardinegauge/agents/workercalls.py
@@ -1,6 +1,7 @@
 """Executes the effects on the worker and reports their answers as events."""
 
-from sardinegauge import agentevents, clock, hostedtask, worker
+from sardinegauge import clock
+from sardinegauge.agents import agentevents, hostedtask, worker
 
 
 class WorkerCalls:
--- a/sardinegauge/elections.py
+++ b/sardinegauge/agreement/elections.py
@@ -1,6 +1,6 @@
 """Elections of the agreement reducer: pre-vote, vote and their replies."""
 
-from sardinegauge import membership, raftmessages, raftstate
+from sardinegauge.agreement import membership, raftmessages, raftstate
 
 
 def has_live_leader(state):
--- a/sardinegauge/following.py
+++ b/sardinegauge/agreement/following.py
@@ -1,6 +1,6 @@
 """The follower's side of the agreement: taking entries and snapshots of a leader."""
 
-from sardinegauge import membership, raftmessages, raftstate
+from sardinegauge.agreement import membership, raftmessages, raftstate
 
 MAX_SNAPSHOT_BYTES = 1 << 30
 
--- a/sardinegauge/joining.py
+++ b/sardinegauge/agreement/joining.py
@@ -1,6 +1,8 @@
 """How a replica that is no member, or hears no leader, asks to become one."""
 
-from sardinegauge import background, errors, messages, raftstate
+from sardinegauge import background, errors
+from sardinegauge.agreement import raftstate
+from sardinegauge.links import messages
 
 INTERVAL_S = 0.5
 TIMEOUT_S = 1.0
--- a/sardinegauge/raft.py
+++ b/sardinegauge/agreement/raft.py
@@ -4,13 +4,13 @@
 module holds the effects; `elections`, `replication` and `following` the protocol.
 """
 
-from sardinegauge import (
+from sardinegauge import record
+from sardinegauge.agreement import (
     elections,
     following,
     membership,
     raftmessages,
     raftstate,
-    record,
     replication,
 )
 
--- a/sardinegauge/raftstate.py
+++ b/sardinegauge/agreement/raftstate.py
@@ -2,7 +2,8 @@
 
 import collections
 
-from sardinegauge import membership, record
+from sardinegauge import record
+from sardinegauge.agreement import membership
 
 HEARTBEAT_MS = 100
 ELECTION_MIN_MS = 600
--- a/sardinegauge/reads.py
+++ b/sardinegauge/agreement/reads.py
@@ -3,7 +3,9 @@
 The module that handles a message registers in `refusals` how to refuse it.
 """
 
-from sardinegauge import raft, record, replicasteps
+from sardinegauge import record
+from sardinegauge.agreement import raft
+from sardinegauge.state import replicasteps
 
 refusals = {}
 
--- a/sardinegauge/replication.py
+++ b/sardinegauge/agreement/replication.py
@@ -1,6 +1,6 @@
 """The leader's side of the agreement: replication, read rounds, sending snapshots."""
 
-from sardinegauge import elections, membership, raftmessages, raftstate
+from sardinegauge.agreement import elections, membership, raftmessages, raftstate
 
 MAX_BATCH_ENTRIES = 512
 MAX_BATCH_BYTES = 256 << 10
--- a/sardinegauge/segments.py
+++ b/sardinegauge/agreement/segments.py
@@ -14,7 +14,8 @@
 import struct
 import zlib
 
-from sardinegauge import errors, raftmessages, sealed
+from sardinegauge import errors
+from sardinegauge.agreement import raftmessages, sealed
 
 SEGMENT_BYTES = 8 << 20
 MAX_BODY_BYTES = 1 << 20
--- a/sardinegauge/snapshotting.py
+++ b/sardinegauge/agreement/snapshotting.py
@@ -4,7 +4,7 @@
 import gc
 import json
 
-from sardinegauge import raft
+from sardinegauge.agreement import raft
 
 
 class Snapshotting:
--- a/sardinegauge/storage.py
+++ b/sardinegauge/agreement/storage.py
@@ -8,13 +8,12 @@
 import secrets
 import struct
 
-from sardinegauge import (
-    errors,
+from sardinegauge import errors, record
+from sardinegauge.agreement import (
     membership,
     raftlog,
     raftmessages,
     raftstate,
-    record,
     sealed,
     segments,
 )
--- a/sardinegauge/writer.py
+++ b/sardinegauge/agreement/writer.py
@@ -3,7 +3,7 @@
 import queue
 import threading
 
-from sardinegauge import raftstate
+from sardinegauge.agreement import raftstate
 
 MAX_BATCH_WRITES = 1024
 
--- a/sardinegauge/checks.py
+++ b/sardinegauge/checks.py
@@ -7,7 +7,8 @@
 
 import math
 
-from sardinegauge import commands, httpmessages, messages
+from sardinegauge import commands
+from sardinegauge.links import httpmessages, messages
 
 MAX_TEXT_LENGTH = 1_000
 MAX_BODY_LENGTH = 1_000_000
--- a/sardinegauge/cli/checks.py
+++ b/sardinegauge/cli/checks.py
@@ -8,9 +8,9 @@
 from sardinegauge import errors, settings
 
 MODULE_BY_PROCESS = {
-    "state": "sardinegauge.stateapp",
-    "entry": "sardinegauge.entryapp",
-    "agent": "sardinegauge.agentapp",
+    "state": "sardinegauge.state.stateapp",
+    "entry": "sardinegauge.entries.entryapp",
+    "agent": "sardinegauge.agents.agentapp",
 }
 
 
--- a/sardinegauge/commands.py
+++ b/sardinegauge/commands.py
@@ -6,7 +6,8 @@
 has no other clock.
 """
 
-from sardinegauge import httpmessages, messages, record
+from sardinegauge import record
+from sardinegauge.links import httpmessages, messages
 
 
 class Command(record.Record):
--- /dev/null
+++ b/sardinegauge/entries/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process: callers' requests and operators' calls."""
--- a/sardinegauge/agentlinks.py
+++ b/sardinegauge/entries/agentlinks.py
@@ -4,7 +4,8 @@
 
 from tornado import iostream
 
-from sardinegauge import errors, link
+from sardinegauge import errors
+from sardinegauge.links import link
 
 
 class _AgentHandler(link.Handler):
--- a/sardinegauge/callerhttp.py
+++ b/sardinegauge/entries/callerhttp.py
@@ -9,7 +9,8 @@
 
 from tornado import httputil
 
-from sardinegauge import outcome, requestbody, requesthead
+from sardinegauge import outcome
+from sardinegauge.entries import requestbody, requesthead
 
 MAX_BUFFERED_BODY_BYTES = 256 * 1024
 # Bytes of an unwanted body that are taken after an early answer. Closing at once would
--- a/sardinegauge/claimcalls.py
+++ b/sardinegauge/entries/claimcalls.py
@@ -5,15 +5,9 @@
 import hashlib
 import random
 
-from sardinegauge import (
-    background,
-    clock,
-    commands,
-    entryevents,
-    errors,
-    httpmessages,
-    outcome,
-)
+from sardinegauge import background, clock, commands, errors, outcome
+from sardinegauge.entries import entryevents
+from sardinegauge.links import httpmessages
 
 # Short enough that a lost leader costs one try, not the whole deadline.
 PROPOSE_LIMIT_S = 3.0
--- a/sardinegauge/entry.py
+++ b/sardinegauge/entries/entry.py
@@ -7,13 +7,13 @@
 
 import json
 
-from sardinegauge import (
+from sardinegauge import outcome
+from sardinegauge.entries import (
     entryattempts,
     entryclaims,
     entryevents,
     entrystate,
     limits,
-    outcome,
     retrybudget,
     upstreamtable,
 )
--- a/sardinegauge/entryapp.py
+++ b/sardinegauge/entries/entryapp.py
@@ -3,23 +3,15 @@
 import argparse
 import asyncio
 
-from sardinegauge import (
-    application,
-    background,
-    clock,
+from sardinegauge import application, background, clock, errors, logs, outcome, settings
+from sardinegauge.entries import (
     entry,
     entryevents,
     entryhttp,
     entrymetrics,
-    errors,
-    link,
-    logs,
-    messages,
-    outcome,
     requestfront,
-    settings,
-    stateclient,
 )
+from sardinegauge.links import link, messages, stateclient
 
 POLL_INTERVAL_S = 0.5
 DRAIN_CHECK_S = 0.02
--- a/sardinegauge/entryattempts.py
+++ b/sardinegauge/entries/entryattempts.py
@@ -1,6 +1,7 @@
 """Part of the entry's reducer: attempts, and whether another one is made."""
 
-from sardinegauge import entryevents, entrystate, outcome
+from sardinegauge import outcome
+from sardinegauge.entries import entryevents, entrystate
 
 MAX_ATTEMPTS = 4
 
--- a/sardinegauge/entryclaims.py
+++ b/sardinegauge/entries/entryclaims.py
@@ -7,13 +7,9 @@
 
 import base64
 
-from sardinegauge import (
-    entryattempts,
-    entryevents,
-    entrystate,
-    httpmessages,
-    outcome,
-)
+from sardinegauge import outcome
+from sardinegauge.entries import entryattempts, entryevents, entrystate
+from sardinegauge.links import httpmessages
 
 # Claims, releases and queries of one request before it is given up.
 MAX_ROUNDS = 12
--- a/sardinegauge/entryhttp.py
+++ b/sardinegauge/entries/entryhttp.py
@@ -4,7 +4,8 @@
 
 from tornado import httpserver, httputil, web
 
-from sardinegauge import callerhttp, entrymetrics, link, operatorapi
+from sardinegauge.entries import callerhttp, entrymetrics, operatorapi
+from sardinegauge.links import link
 
 RESERVED_PREFIXES = ("/-/", "/sardinegauge.v1.")
 # Longest wait for a request's head, and of an idle connection between requests.
--- a/sardinegauge/entrystate.py
+++ b/sardinegauge/entries/entrystate.py
@@ -1,10 +1,10 @@
 """State of the entry's reducer, and the ways in which a request leaves it."""
 
-from sardinegauge import (
+from sardinegauge import outcome
+from sardinegauge.entries import (
     balancer,
     entryevents,
     limits,
-    outcome,
     retrybudget,
     upstreamtable,
 )
--- a/sardinegauge/requestattempt.py
+++ b/sardinegauge/entries/requestattempt.py
@@ -5,14 +5,9 @@
 
 from tornado import httputil
 
-from sardinegauge import (
-    agentlinks,
-    background,
-    errors,
-    httpmessages,
-    outcome,
-    requestbody,
-)
+from sardinegauge import background, errors, outcome
+from sardinegauge.entries import agentlinks, requestbody
+from sardinegauge.links import httpmessages
 
 CHUNK_BYTES = 64 * 1024
 WINDOW_BYTES = 256 * 1024
--- a/sardinegauge/requestfront.py
+++ b/sardinegauge/entries/requestfront.py
@@ -6,18 +6,16 @@
 import random
 import time
 
-from sardinegauge import (
+from sardinegauge import background, clock, outcome
+from sardinegauge.entries import (
     agentlinks,
-    background,
     callerhttp,
     claimcalls,
-    clock,
     entry,
     entryevents,
-    httpmessages,
-    outcome,
     requestattempt,
 )
+from sardinegauge.links import httpmessages
 
 # Longest silence of a caller within its body.
 BODY_STALL_S = 10.0
--- a/sardinegauge/requesthead.py
+++ b/sardinegauge/entries/requesthead.py
@@ -4,7 +4,7 @@
 
 from tornado import httputil
 
-from sardinegauge import httpmessages
+from sardinegauge.links import httpmessages
 
 # Within the limit of the HTTP server, which closes the connection without an answer.
 MAX_HEADER_BYTES = 16 * 1024
--- /dev/null
+++ b/sardinegauge/links/__init__.py
@@ -0,0 +1,1 @@
+"""Connections between processes, and what goes over them."""
--- a/sardinegauge/codec.py
+++ b/sardinegauge/links/codec.py
@@ -4,7 +4,9 @@
 
 import capnp
 
-from sardinegauge import errors, httpmessages, messages, raftmessages, record
+from sardinegauge import errors, record
+from sardinegauge.agreement import raftmessages
+from sardinegauge.links import httpmessages, messages
 
 capnp.remove_import_hook()
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("wire.capnp")))
--- a/sardinegauge/httpcall.py
+++ b/sardinegauge/links/httpcall.py
@@ -13,7 +13,7 @@
 
 from tornado import http1connection, httputil, iostream
 
-from sardinegauge import link
+from sardinegauge.links import link
 
 CONNECT_TIMEOUT_S = 1.0
 CHUNK_BYTES = 64 * 1024
--- a/sardinegauge/link.py
+++ b/sardinegauge/links/link.py
@@ -14,7 +14,8 @@
 
 from tornado import iostream, tcpserver
 
-from sardinegauge import background, codec, errors, httpmessages, messages
+from sardinegauge import background, errors
+from sardinegauge.links import codec, httpmessages, messages
 
 MAX_FRAME_BYTES = 1 << 20
 MAX_SEND_BUFFER_BYTES = 16 << 20
--- a/sardinegauge/stateclient.py
+++ b/sardinegauge/links/stateclient.py
@@ -4,7 +4,8 @@
 import json
 import random
 
-from sardinegauge import commands, errors, link, messages, outcome
+from sardinegauge import commands, errors, outcome
+from sardinegauge.links import link, messages
 
 # A leader that is frozen or cut off answers nothing; the others are asked then.
 POLL_ATTEMPT_S = 0.4
--- /dev/null
+++ b/sardinegauge/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""The leader's scheduler of jobs and services."""
--- a/sardinegauge/capacity.py
+++ b/sardinegauge/scheduling/capacity.py
@@ -2,7 +2,8 @@
 
 import bisect
 
-from sardinegauge import pacing, record
+from sardinegauge import record
+from sardinegauge.scheduling import pacing
 
 # Workers are grouped by whole free cores; larger workers share the last group.
 CORE_BUCKETS = 128
--- a/sardinegauge/drains.py
+++ b/sardinegauge/scheduling/drains.py
@@ -1,6 +1,6 @@
 """Moves work away from draining workers, a little at a time."""
 
-from sardinegauge import preemption
+from sardinegauge.scheduling import preemption
 
 # Tasks that start to leave one draining worker per second.
 MOVES_PER_S = 2
--- a/sardinegauge/estimates.py
+++ b/sardinegauge/scheduling/estimates.py
@@ -9,7 +9,7 @@
 import abc
 import math
 
-from sardinegauge import capacity
+from sardinegauge.scheduling import capacity
 
 # Usage of a task's first seconds says little about the rest of its run.
 WARM_UP_MS = 5_000
--- a/sardinegauge/heartbeats.py
+++ b/sardinegauge/scheduling/heartbeats.py
@@ -1,6 +1,7 @@
 """Intake of heartbeats: announcements, leases, changed phases and usage."""
 
-from sardinegauge import commands, estimates, pacing, quarantine
+from sardinegauge import commands
+from sardinegauge.scheduling import estimates, pacing, quarantine
 
 LEASE_MS = 10_000
 # The agent's clock may run this much slower than the leader's over one lease.
--- a/sardinegauge/makeroom.py
+++ b/sardinegauge/scheduling/makeroom.py
@@ -6,7 +6,7 @@
 for the unit that asked, so that the room is not taken by others.
 """
 
-from sardinegauge import pending, preemption, quotas
+from sardinegauge.scheduling import pending, preemption, quotas
 
 # Workers looked at for one demand, drawn at random in a larger fleet.
 WORKERS_TRIED = 24
--- a/sardinegauge/placement.py
+++ b/sardinegauge/scheduling/placement.py
@@ -2,7 +2,7 @@
 
 import abc
 
-from sardinegauge import estimates, views
+from sardinegauge.scheduling import estimates, views
 
 # A job's task goes back to a worker where it failed only when nothing else has room.
 FAILED_HERE = 5.0
--- a/sardinegauge/planning.py
+++ b/sardinegauge/scheduling/planning.py
@@ -7,7 +7,8 @@
 
 import heapq
 
-from sardinegauge import commands, makeroom, pending, placement, quarantine, quotas
+from sardinegauge import commands
+from sardinegauge.scheduling import makeroom, pending, placement, quarantine, quotas
 
 # Units tried per round and class; the rest of a long queue waits for the next round.
 UNITS_PER_ROUND = 256
--- a/sardinegauge/preemption.py
+++ b/sardinegauge/scheduling/preemption.py
@@ -9,7 +9,8 @@
 import abc
 import math
 
-from sardinegauge import commands, interference, views
+from sardinegauge import commands
+from sardinegauge.scheduling import interference, views
 
 DEFAULT_THROTTLE_STEPS = (0.6, 0.3)
 REVIEW_EVERY_MS = 1_000
--- a/sardinegauge/quotas.py
+++ b/sardinegauge/scheduling/quotas.py
@@ -1,6 +1,6 @@
 """Tenants' quotas: who is within them, and who borrows idle quota of others."""
 
-from sardinegauge import tenants
+from sardinegauge.state import tenants
 
 DIMENSIONS = ("cores", "memory_mb", "accelerators")
 
--- a/sardinegauge/resizing.py
+++ b/sardinegauge/scheduling/resizing.py
@@ -1,6 +1,7 @@
 """Reservations of placed tasks follow their usage reports."""
 
-from sardinegauge import commands, estimates, preemption, views
+from sardinegauge import commands
+from sardinegauge.scheduling import estimates, preemption, views
 
 OUTGREW = "outgrew its reservation and its worker"
 
--- a/sardinegauge/scheduler.py
+++ b/sardinegauge/scheduling/scheduler.py
@@ -5,9 +5,8 @@
 rebuilds from the machine and from heartbeats.
 """
 
-from sardinegauge import (
-    commands,
-    directives,
+from sardinegauge import commands, record
+from sardinegauge.scheduling import (
     drains,
     explanations,
     heartbeats,
@@ -15,11 +14,11 @@
     planning,
     preemption,
     quarantine,
-    record,
     resizing,
     softstate,
     views,
 )
+from sardinegauge.state import directives
 
 State = softstate.State
 # Workers whose reservations are checked in one second.
--- a/sardinegauge/softstate.py
+++ b/sardinegauge/scheduling/softstate.py
@@ -7,9 +7,9 @@
 import collections
 import random
 
-from sardinegauge import (
+from sardinegauge import record
+from sardinegauge.scheduling import (
     capacity,
-    directives,
     estimates,
     heartbeats,
     inflight,
@@ -21,9 +21,9 @@
     quarantine,
     quotas,
     reasons,
-    record,
     views,
 )
+from sardinegauge.state import directives
 
 
 class Weights(record.Record):
--- a/sardinegauge/views.py
+++ b/sardinegauge/scheduling/views.py
@@ -2,7 +2,7 @@
 
 import math
 
-from sardinegauge import interference
+from sardinegauge.scheduling import interference
 
 # Weight of the newest p99 in the smoothed one.
 P99_WEIGHT = 0.4
--- a/sardinegauge/audit.py
+++ b/sardinegauge/state/audit.py
@@ -2,7 +2,8 @@
 
 import collections
 
-from sardinegauge import record, snapshots
+from sardinegauge import record
+from sardinegauge.state import snapshots
 
 MAX_RECORDS = 10_000
 """About ten hours at the target size: 5,400 changes and 17,000 jobs a day."""
--- a/sardinegauge/claims.py
+++ b/sardinegauge/state/claims.py
@@ -1,6 +1,7 @@
 """Claims of request keys: a non-idempotent request runs at one upstream only."""
 
-from sardinegauge import outcome, record, snapshots
+from sardinegauge import outcome, record
+from sardinegauge.state import snapshots
 
 MAX_CLAIMS = 500_000
 """Above this, new claims are refused: dropping one could run its request twice."""
--- a/sardinegauge/directing.py
+++ b/sardinegauge/state/directing.py
@@ -8,15 +8,10 @@
 
 import logging
 
-from sardinegauge import (
-    commands,
-    configuration,
-    messages,
-    reads,
-    record,
-    replicaeffects,
-    replicasteps,
-)
+from sardinegauge import commands, record
+from sardinegauge.agreement import reads
+from sardinegauge.links import messages
+from sardinegauge.state import configuration, replicaeffects, replicasteps
 
 log = logging.getLogger(__name__)
 LEASE_MS = 10_000
--- a/sardinegauge/directives.py
+++ b/sardinegauge/state/directives.py
@@ -1,6 +1,6 @@
 """The whole table of tasks that each agent shall run."""
 
-from sardinegauge import messages
+from sardinegauge.links import messages
 
 # States of a task in which its worker still holds it, with the order that it gets. A
 # task in any other state that the worker still holds shall stop.
--- a/sardinegauge/directory.py
+++ b/sardinegauge/state/directory.py
@@ -1,6 +1,6 @@
 """The directory of upstreams as entries see it, with changes since a version."""
 
-from sardinegauge import messages
+from sardinegauge.links import messages
 
 
 def changes(machine, version):
--- a/sardinegauge/jobs.py
+++ b/sardinegauge/state/jobs.py
@@ -1,6 +1,7 @@
 """Batch jobs: submission, end, and the bounded memory of ended ones."""
 
-from sardinegauge import checks, outcome, record, snapshots, tasks
+from sardinegauge import checks, outcome, record
+from sardinegauge.state import snapshots, tasks
 
 MAX_ENDED_JOBS = 5_000
 """Ended jobs kept for operators: about seven hours at 17,000 jobs a day."""
--- a/sardinegauge/lifecycle.py
+++ b/sardinegauge/state/lifecycle.py
@@ -2,7 +2,8 @@
 
 import math
 
-from sardinegauge import checks, jobs, outcome, services, tasks
+from sardinegauge import checks, outcome
+from sardinegauge.state import jobs, services, tasks
 
 _UNDONE = (
     "epoch",
--- a/sardinegauge/machine.py
+++ b/sardinegauge/state/machine.py
@@ -6,15 +6,13 @@
 `outcome.Invalid`.
 """
 
-from sardinegauge import (
+from sardinegauge import checks, commands, outcome
+from sardinegauge.state import (
     audit,
-    checks,
     claims,
-    commands,
     configuration,
     jobs,
     lifecycle,
-    outcome,
     replies,
     services,
     tasks,
--- a/sardinegauge/queries.py
+++ b/sardinegauge/state/queries.py
@@ -3,7 +3,7 @@
 import itertools
 import json
 
-from sardinegauge import directory, tenants
+from sardinegauge.state import directory, tenants
 
 DEFAULT_AUDIT_LIMIT = 100
 MAX_AUDIT_LIMIT = 2_000
@@ -39,7 +39,7 @@
 
     Examples
     --------
-    >>> from sardinegauge import machine
+    >>> from sardinegauge.state import machine
     >>> answer(machine.Machine(), "configuration", {})
     {'version': 0, 'document': '{}', 'operator': ''}
     """
--- a/sardinegauge/replica.py
+++ b/sardinegauge/state/replica.py
@@ -7,22 +7,10 @@
 import json
 import logging
 
-from sardinegauge import (
-    commands,
-    directing,
-    httpmessages,
-    membership,
-    messages,
-    outcome,
-    raft,
-    raftstate,
-    reads,
-    record,
-    replicaeffects,
-    replicasteps,
-    requests,
-    snapshotting,
-)
+from sardinegauge import commands, outcome, record
+from sardinegauge.agreement import membership, raft, raftstate, reads, snapshotting
+from sardinegauge.links import httpmessages, messages
+from sardinegauge.state import directing, replicaeffects, replicasteps, requests
 from sardinegauge.workflows import leading
 
 # Entries applied for one event, so that a long log leaves room for heartbeats.
--- a/sardinegauge/replicasteps.py
+++ b/sardinegauge/state/replicasteps.py
@@ -4,7 +4,9 @@
 effects go to the application.
 """
 
-from sardinegauge import commands, raft, replicaeffects
+from sardinegauge import commands
+from sardinegauge.agreement import raft
+from sardinegauge.state import replicaeffects
 
 raft_handlers = {}
 
--- a/sardinegauge/replies.py
+++ b/sardinegauge/state/replies.py
@@ -4,7 +4,8 @@
 import hashlib
 import json
 
-from sardinegauge import outcome, record, snapshots
+from sardinegauge import outcome, record
+from sardinegauge.state import snapshots
 
 MAX_REPLIES = 50_000
 """Two days of operators' calls at the target size; above this the oldest go, so that a
--- a/sardinegauge/requests.py
+++ b/sardinegauge/state/requests.py
@@ -3,18 +3,10 @@
 import json
 import logging
 
-from sardinegauge import (
-    commands,
-    configuration,
-    membership,
-    messages,
-    outcome,
-    raft,
-    raftstate,
-    reads,
-    replicaeffects,
-    replicasteps,
-)
+from sardinegauge import commands, outcome
+from sardinegauge.agreement import membership, raft, raftstate, reads
+from sardinegauge.links import messages
+from sardinegauge.state import configuration, replicaeffects, replicasteps
 from sardinegauge.workflows import reading
 
 MAX_COMMAND_BYTES = 512 << 10
--- a/sardinegauge/services.py
+++ b/sardinegauge/state/services.py
@@ -1,6 +1,7 @@
 """Declared services and their latency-critical tasks."""
 
-from sardinegauge import outcome, record, snapshots, tasks
+from sardinegauge import outcome, record
+from sardinegauge.state import snapshots, tasks
 
 _RETIRE_ORDER = {"pending": 0, "assigned": 1, "evicting": 2, "running": 3}
 
--- a/sardinegauge/snapshots.py
+++ b/sardinegauge/state/snapshots.py
@@ -11,7 +11,7 @@
 
     Examples
     --------
-    >>> from sardinegauge import httpmessages
+    >>> from sardinegauge.links import httpmessages
     >>> to_rows(httpmessages.Header, [httpmessages.Header(name="a", value="b")])
     {'fields': ['name', 'value'], 'rows': [['a', 'b']]}
     """
--- a/sardinegauge/stateapp.py
+++ b/sardinegauge/state/stateapp.py
@@ -9,25 +9,10 @@
 import typer
 from tornado import httpserver
 
-from sardinegauge import (
-    application,
-    background,
-    clock,
-    errors,
-    joining,
-    link,
-    logs,
-    messages,
-    raft,
-    raftstate,
-    replica,
-    replicaeffects,
-    settings,
-    statemetrics,
-    statepages,
-    storage,
-    writer,
-)
+from sardinegauge import application, background, clock, errors, logs, settings
+from sardinegauge.agreement import joining, raft, raftstate, storage, writer
+from sardinegauge.links import link, messages
+from sardinegauge.state import replica, replicaeffects, statemetrics, statepages
 from sardinegauge.workflows import leading, schedulerevents
 
 TICK_S = 0.02
@@ -57,8 +42,8 @@
 
 def default_parts():
     """Return the modules that a replica drives in production."""
-    from sardinegauge import directory, machine, queries
-    from sardinegauge import scheduler as job_scheduler
+    from sardinegauge.scheduling import scheduler as job_scheduler
+    from sardinegauge.state import directory, machine, queries
 
     return replica.Parts(
         machine=machine,
--- a/sardinegauge/statemetrics.py
+++ b/sardinegauge/state/statemetrics.py
@@ -1,6 +1,7 @@
 """Metrics of the state process."""
 
-from sardinegauge import metrics, raftstate
+from sardinegauge import metrics
+from sardinegauge.agreement import raftstate
 
 CONTENT_TYPE = metrics.CONTENT_TYPE
 
--- a/sardinegauge/statepages.py
+++ b/sardinegauge/state/statepages.py
@@ -4,7 +4,7 @@
 
 from tornado import web
 
-from sardinegauge import replicasteps, statemetrics
+from sardinegauge.state import replicasteps, statemetrics
 
 
 def make(app):
--- a/sardinegauge/tasks.py
+++ b/sardinegauge/state/tasks.py
@@ -5,7 +5,8 @@
 place (a cancelled one, say) keeps the place and its reservation until then.
 """
 
-from sardinegauge import record, snapshots, tenants
+from sardinegauge import record
+from sardinegauge.state import snapshots, tenants
 
 ENDED_STATES = frozenset({"finished", "failed", "cancelled", "impossible"})
 MAX_FAILED_UPSTREAMS = 10
--- a/sardinegauge/workers.py
+++ b/sardinegauge/state/workers.py
@@ -2,7 +2,9 @@
 
 import math
 
-from sardinegauge import checks, lifecycle, messages, outcome, record, snapshots
+from sardinegauge import checks, outcome, record
+from sardinegauge.links import messages
+from sardinegauge.state import lifecycle, snapshots
 
 MAX_PAST_INCARNATIONS = 16
 MAX_LOST_WORKERS = 1_000
--- a/sardinegauge/workflows/flowmetrics.py
+++ b/sardinegauge/workflows/flowmetrics.py
@@ -2,7 +2,8 @@
 
 from tornado import httpserver, web
 
-from sardinegauge import link, metrics
+from sardinegauge import metrics
+from sardinegauge.links import link
 
 
 class GatewayMetrics:
--- a/sardinegauge/workflows/hostapp.py
+++ b/sardinegauge/workflows/hostapp.py
@@ -3,7 +3,8 @@
 import asyncio
 import json
 
-from sardinegauge import application, background, clock, messages, outcome, stateclient
+from sardinegauge import application, background, clock, outcome
+from sardinegauge.links import messages, stateclient
 from sardinegauge.workflows import (
     adviceport,
     flowmetrics,
--- a/sardinegauge/workflows/leading.py
+++ b/sardinegauge/workflows/leading.py
@@ -8,14 +8,10 @@
 import json
 import logging
 
-from sardinegauge import (
-    messages,
-    reads,
-    record,
-    replicaeffects,
-    replicasteps,
-    replication,
-)
+from sardinegauge import record
+from sardinegauge.agreement import reads, replication
+from sardinegauge.links import messages
+from sardinegauge.state import replicaeffects, replicasteps
 from sardinegauge.workflows import (
     lives,
     orders,
--- a/tests/agentkit.py
+++ b/tests/agentkit.py
@@ -12,7 +12,7 @@
 
 from tornado import netutil
 
-from sardinegauge import httpmessages, link, messages
+from sardinegauge.links import httpmessages, link, messages
 from tests.fleet import ports
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -140,7 +140,7 @@
         self.settings_path = self.folder / "agent.json"
         self.settings_path.write_text(json.dumps(self.settings))
         self.agent = self.spawn(
-            "sardinegauge.agentapp", "--settings", str(self.settings_path)
+            "sardinegauge.agents.agentapp", "--settings", str(self.settings_path)
         )
         return self.agent
 
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -2,7 +2,9 @@
 
 import json
 
-from sardinegauge import commands, machine, messages
+from sardinegauge import commands
+from sardinegauge.links import messages
+from sardinegauge.state import machine
 
 ROOM = dict(cores=4.0, memory_mb=4000, accelerators=1, tasks=8, connections=64)
 JOB = dict(name="sweep", tenant="irbid", cores=1.0, memory_mb=100)
--- a/tests/entryfakes.py
+++ b/tests/entryfakes.py
@@ -6,17 +6,9 @@
 
 from tornado import netutil
 
-from sardinegauge import (
-    background,
-    commands,
-    entryapp,
-    errors,
-    httpmessages,
-    link,
-    messages,
-    outcome,
-    settings,
-)
+from sardinegauge import background, commands, errors, outcome, settings
+from sardinegauge.entries import entryapp
+from sardinegauge.links import httpmessages, link, messages
 
 
 class FakeAgent(link.Handler):
--- a/tests/fleet/fleet.py
+++ b/tests/fleet/fleet.py
@@ -14,6 +14,9 @@
 from tests.fleet import ports, relay
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
+STATE_MODULE = "sardinegauge.state.stateapp"
+AGENT_MODULE = "sardinegauge.agents.agentapp"
+ENTRY_MODULE = "sardinegauge.entries.entryapp"
 TOKENS = {"token-ada": "ada", "token-bob": "bob"}
 START_LIMIT_S = 20.0
 STOP_LIMIT_S = 40.0
@@ -155,11 +158,13 @@
             "initial_members": {n: self.advertise_by_name[n] for n in self.state_names},
         }
         path = self._write_settings(name, settings)
-        init = self._add(name, "sardinegauge.stateapp", "init", "--settings", path)
+        init = self._add(
+            name, "sardinegauge.state.stateapp", "init", "--settings", path
+        )
         await init.start()
         if await init.child.wait() != 0:
             raise RuntimeError(f"init of {name} failed, see {init.log_path}")
-        self._add(name, "sardinegauge.stateapp", "--settings", path)
+        self._add(name, STATE_MODULE, "--settings", path)
 
     def _http(self, name):
         if name not in self.http_by_name:
@@ -199,7 +204,9 @@
             "memory_mb": 60_000,
         }
         path = self._write_settings(name, settings)
-        await self._add(name, "sardinegauge.agentapp", "--settings", path).start()
+        await self._add(
+            name, "sardinegauge.agents.agentapp", "--settings", path
+        ).start()
 
     async def _start_entry(self, name):
         settings = {
@@ -210,7 +217,9 @@
             "operator_tokens": TOKENS,
         }
         path = self._write_settings(name, settings)
-        await self._add(name, "sardinegauge.entryapp", "--settings", path).start()
+        await self._add(
+            name, "sardinegauge.entries.entryapp", "--settings", path
+        ).start()
 
     async def wait_ready(self, entry, limit_s=START_LIMIT_S):
         """Wait until an entry serves requests of the service."""
--- a/tests/fleet/relay.py
+++ b/tests/fleet/relay.py
@@ -8,7 +8,7 @@
 import collections
 import struct
 
-from sardinegauge import codec
+from sardinegauge.links import codec
 
 _LENGTH = struct.Struct("<I")
 _CHUNK_BYTES = 65536
--- a/tests/raftsim.py
+++ b/tests/raftsim.py
@@ -7,13 +7,7 @@
 import json
 import random
 
-from sardinegauge import (
-    membership,
-    raft,
-    raftlog,
-    raftstate,
-    storage,
-)
+from sardinegauge.agreement import membership, raft, raftlog, raftstate, storage
 
 NAMES = ("a", "b", "c")
 
--- a/tests/schedulerdriver.py
+++ b/tests/schedulerdriver.py
@@ -1,7 +1,9 @@
 """Runs the scheduler against the real machine in virtual time, for tests."""
 
-from sardinegauge import commands, messages, scheduler
-from sardinegauge import machine as machines
+from sardinegauge import commands
+from sardinegauge.links import messages
+from sardinegauge.scheduling import scheduler
+from sardinegauge.state import machine as machines
 
 WALL_MS = 1_000_000
 
--- a/tests/session.py
+++ b/tests/session.py
@@ -10,29 +10,20 @@
 import itertools
 import json
 
-from sardinegauge import (
-    agent,
-    agentevents,
-    entry,
-    entryevents,
-    hostedtask,
-    httpmessages,
+from sardinegauge import commands as log_commands
+from sardinegauge import outcome, record
+from sardinegauge.agents import agent, agentevents, hostedtask, requesttable, worker
+from sardinegauge.agreement import (
     membership,
-    messages,
-    outcome,
     raft,
     raftlog,
     raftmessages,
     raftstate,
-    record,
-    replica,
-    replicaeffects,
-    requesttable,
-    stateapp,
     storage,
-    worker,
 )
-from sardinegauge import commands as log_commands
+from sardinegauge.entries import entry, entryevents
+from sardinegauge.links import httpmessages, messages
+from sardinegauge.state import replica, replicaeffects, stateapp
 
 HOP_MS = 5
 DISK_MS = 2
--- a/tests/statefleet.py
+++ b/tests/statefleet.py
@@ -6,16 +6,10 @@
 import socket
 import types
 
-from sardinegauge import (
-    messages,
-    outcome,
-    record,
-    replica,
-    settings,
-    stateapp,
-    stateclient,
-    storage,
-)
+from sardinegauge import outcome, record, settings
+from sardinegauge.agreement import storage
+from sardinegauge.links import messages, stateclient
+from sardinegauge.state import replica, stateapp
 
 
 class FakeMachine:
--- a/tests/stateprocess.py
+++ b/tests/stateprocess.py
@@ -1,6 +1,6 @@
 """One replica as a process with the small machine of `statefleet`."""
 
-from sardinegauge import stateapp
+from sardinegauge.state import stateapp
 from tests import statefleet
 
 if __name__ == "__main__":
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -3,15 +3,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from sardinegauge import (
-    agent,
-    agentevents,
-    hostedtask,
-    httpmessages,
-    messages,
-    requesttable,
-    worker,
-)
+from sardinegauge.agents import agent, agentevents, hostedtask, requesttable, worker
+from sardinegauge.links import httpmessages, messages
 from tests.agentkit import order
 
 LEASE_MS = 10_000
--- a/tests/test_agentapp.py
+++ b/tests/test_agentapp.py
@@ -8,7 +8,7 @@
 import pytest
 from prometheus_client import parser
 
-from sardinegauge import httpmessages
+from sardinegauge.links import httpmessages
 from tests import agentkit
 
 
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -2,7 +2,7 @@
 
 import random
 
-from sardinegauge import balancer, upstreamtable
+from sardinegauge.entries import balancer, upstreamtable
 
 
 def _upstreams(count):
--- a/tests/test_claimcalls.py
+++ b/tests/test_claimcalls.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from sardinegauge import httpmessages, outcome
+from sardinegauge import outcome
+from sardinegauge.links import httpmessages
 from tests import entryfakes
 from tests.test_entryapp import agent, fetch, run, verdict
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,6 +1,7 @@
 """Guards against an order that runs twice, and a resend with another answer."""
 
-from sardinegauge import audit, claims, outcome, queries
+from sardinegauge import outcome
+from sardinegauge.state import audit, claims, queries
 from tests import driver
 
 KEY = {"tenant": "karri", "key": "k1"}
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -6,7 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from sardinegauge import codec, errors, messages, record
+from sardinegauge import errors, record
+from sardinegauge.links import codec, messages
 
 MESSAGE_CLASSES = [
     cls
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from sardinegauge import checks, commands, configuration, machine, outcome
+from sardinegauge import checks, commands, outcome
+from sardinegauge.state import configuration, machine
 from tests import driver
 
 SOUND = {
--- a/tests/test_directives.py
+++ b/tests/test_directives.py
@@ -1,6 +1,9 @@
 """Guards against orders that would start an epoch a second time."""
 
-from sardinegauge import commands, directives, machine, messages, softstate
+from sardinegauge import commands
+from sardinegauge.links import messages
+from sardinegauge.scheduling import softstate
+from sardinegauge.state import directives, machine
 
 ROOM = messages.Room(cores=8, memory_mb=8000, accelerators=0, tasks=8, connections=64)
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -6,7 +6,10 @@
 import json5
 import pytest
 
-from sardinegauge import agentapp, configuration, entryapp, settings, stateapp
+from sardinegauge import settings
+from sardinegauge.agents import agentapp
+from sardinegauge.entries import entryapp
+from sardinegauge.state import configuration, stateapp
 
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 MODULE_BY_PROCESS = {"state": stateapp, "entry": entryapp, "agent": agentapp}
@@ -49,7 +52,12 @@
 
 def test_metrics_page_names_exactly_the_metrics_of_the_code():
     in_code = set()
-    for name in ("entrymetrics", "agentapp", "statemetrics", "workflows/flowmetrics"):
+    for name in (
+        "entries/entrymetrics",
+        "agents/agentapp",
+        "state/statemetrics",
+        "workflows/flowmetrics",
+    ):
         source = (ROOT / "sardinegauge" / f"{name}.py").read_text(encoding="utf-8")
         in_code.update(FIRST_TEXT.findall(source))
     on_page = {row[1] for row in rows("metrics.md") if len(row) == 5}
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -5,7 +5,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from sardinegauge import entry, entryevents, messages, outcome, retrybudget
+from sardinegauge import outcome
+from sardinegauge.entries import entry, entryevents, retrybudget
+from sardinegauge.links import messages
 
 NOT_RUN = outcome.Verdict.NOT_RUN
 MAY_HAVE_RUN = outcome.Verdict.MAY_HAVE_RUN
--- a/tests/test_entryapp.py
+++ b/tests/test_entryapp.py
@@ -10,13 +10,9 @@
 import pytest
 from tornado import httpclient, simple_httpclient
 
-from sardinegauge import (
-    entryhttp,
-    errors,
-    httpmessages,
-    requestattempt,
-    requestfront,
-)
+from sardinegauge import errors
+from sardinegauge.entries import entryhttp, requestattempt, requestfront
+from sardinegauge.links import httpmessages
 from tests import entryfakes
 
 
--- a/tests/test_entryclaims.py
+++ b/tests/test_entryclaims.py
@@ -10,7 +10,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from sardinegauge import entryevents, httpmessages, outcome
+from sardinegauge import outcome
+from sardinegauge.entries import entryevents
+from sardinegauge.links import httpmessages
 from tests import test_entry
 from tests.test_entry import MAY_HAVE_RUN, NOT_RUN, RAN
 
--- a/tests/test_httpcall.py
+++ b/tests/test_httpcall.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sardinegauge import httpcall
+from sardinegauge.links import httpcall
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 WRONG = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong"
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -1,6 +1,7 @@
 """Guards against jobs and services that lose tasks, or that end and come back."""
 
-from sardinegauge import jobs, outcome, queries
+from sardinegauge import outcome
+from sardinegauge.state import jobs, queries
 from tests import driver
 
 
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -5,7 +5,8 @@
 import pytest
 from tornado import netutil, tcpclient
 
-from sardinegauge import background, errors, link, messages
+from sardinegauge import background, errors
+from sardinegauge.links import link, messages
 
 
 class Echo(link.Handler):
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -6,7 +6,7 @@
 import subprocess
 import sys
 
-from sardinegauge import machine, queries
+from sardinegauge.state import machine, queries
 from tests import driver
 
 
--- a/tests/test_machine_properties.py
+++ b/tests/test_machine_properties.py
@@ -11,7 +11,9 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from sardinegauge import commands, machine, messages, outcome
+from sardinegauge import commands, outcome
+from sardinegauge.links import messages
+from sardinegauge.state import machine
 from tests import driver
 
 STOPS = ("stopped", "finished", "failed", "refused")
--- a/tests/test_operatorapi.py
+++ b/tests/test_operatorapi.py
@@ -4,7 +4,8 @@
 
 from tornado import testing, web
 
-from sardinegauge import logs, operatorapi, outcome
+from sardinegauge import logs, outcome
+from sardinegauge.entries import operatorapi
 
 TOKENS = {"secret-a": "ada", "secret-b": "bob"}
 
--- a/tests/test_policyparts.py
+++ b/tests/test_policyparts.py
@@ -5,10 +5,10 @@
 
 import pytest
 
-from sardinegauge import (
+from sardinegauge.links import messages
+from sardinegauge.scheduling import (
     estimates,
     interference,
-    messages,
     pacing,
     placement,
     preemption,
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -4,7 +4,7 @@
 import pytest
 from hypothesis import strategies
 
-from sardinegauge import membership, raft, raftstate, replication
+from sardinegauge.agreement import membership, raft, raftstate, replication
 from tests import raftsim
 
 CALM = {
--- a/tests/test_raftguards.py
+++ b/tests/test_raftguards.py
@@ -1,6 +1,6 @@
 """Guards single rules of the agreement that random runs seldom need."""
 
-from sardinegauge import membership, raft, raftmessages, raftstate
+from sardinegauge.agreement import membership, raft, raftmessages, raftstate
 from tests import raftsim
 
 
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -2,18 +2,17 @@
 
 import json
 
-from sardinegauge import (
-    commands,
+from sardinegauge import commands
+from sardinegauge.agreement import (
     membership,
-    messages,
     raft,
     raftlog,
     raftmessages,
     raftstate,
-    replica,
-    replicaeffects,
     storage,
 )
+from sardinegauge.links import messages
+from sardinegauge.state import replica, replicaeffects
 from tests import statefleet
 
 
@@ -228,7 +227,7 @@
 
 
 def test_commands_are_refused_while_a_slow_disk_holds_too_many(monkeypatch):
-    monkeypatch.setattr("sardinegauge.requests.MAX_UNCOMMITTED", 5)
+    monkeypatch.setattr("sardinegauge.state.requests.MAX_UNCOMMITTED", 5)
     group = Group("abc")
     reply = group.lead_three()
     body = b'{"kind":"ExpireClaims","before_ms":1}'
--- a/tests/test_requestkeys.py
+++ b/tests/test_requestkeys.py
@@ -1,6 +1,7 @@
 """Guards the bounds of the table of request keys."""
 
-from sardinegauge import httpmessages, requestkeys
+from sardinegauge.agents import requestkeys
+from sardinegauge.links import httpmessages
 
 HEADERS = [httpmessages.Header(name="Content-Type", value="text/plain")]
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -3,7 +3,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from sardinegauge import commands, heartbeats, inflight, messages, placement, scheduler
+from sardinegauge import commands
+from sardinegauge.links import messages
+from sardinegauge.scheduling import heartbeats, inflight, placement, scheduler
 from tests import schedulerdriver
 
 LOST_MS = heartbeats.LEASE_MS + heartbeats.DRIFT_MS
--- a/tests/test_stateapp.py
+++ b/tests/test_stateapp.py
@@ -7,18 +7,10 @@
 
 from tornado import httpclient
 
-from sardinegauge import (
-    commands,
-    errors,
-    httpmessages,
-    link,
-    messages,
-    outcome,
-    replica,
-    stateapp,
-    stateclient,
-    storage,
-)
+from sardinegauge import commands, errors, outcome
+from sardinegauge.agreement import storage
+from sardinegauge.links import httpmessages, link, messages, stateclient
+from sardinegauge.state import replica, stateapp
 from tests import statefleet
 
 
@@ -141,9 +133,9 @@
 
 
 def test_far_behind_replica_gets_a_snapshot_and_keeps_it(tmp_path, monkeypatch):
-    monkeypatch.setattr("sardinegauge.raft.TRAILING_ENTRIES", 5)
-    monkeypatch.setattr("sardinegauge.replica.SNAPSHOT_ENTRIES", 20)
-    monkeypatch.setattr("sardinegauge.replication.SNAPSHOT_CHUNK_BYTES", 500)
+    monkeypatch.setattr("sardinegauge.agreement.raft.TRAILING_ENTRIES", 5)
+    monkeypatch.setattr("sardinegauge.state.replica.SNAPSHOT_ENTRIES", 20)
+    monkeypatch.setattr("sardinegauge.agreement.replication.SNAPSHOT_CHUNK_BYTES", 500)
 
     async def scenario(fleet):
         await submit(fleet, 1, 3)
--- a/tests/test_stateprocess.py
+++ b/tests/test_stateprocess.py
@@ -10,7 +10,8 @@
 
 import pytest
 
-from sardinegauge import commands, messages, outcome, stateclient
+from sardinegauge import commands, outcome
+from sardinegauge.links import messages, stateclient
 from tests import statefleet
 
 ROOT = pathlib.Path(__file__).parent.parent
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -5,14 +5,8 @@
 
 import pytest
 
-from sardinegauge import (
-    errors,
-    raftmessages,
-    raftstate,
-    segments,
-    storage,
-    writer,
-)
+from sardinegauge import errors
+from sardinegauge.agreement import raftmessages, raftstate, segments, storage, writer
 
 ADDRESSES = {"a": "127.0.0.1:1", "b": "127.0.0.1:2", "c": "127.0.0.1:3"}
 
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -1,7 +1,8 @@
 """Guards against tasks of a lost agent that are forgotten or run twice, and against a
 directory that misses a change."""
 
-from sardinegauge import directory, outcome, workers
+from sardinegauge import outcome
+from sardinegauge.state import directory, workers
 from tests import driver
 
 
--- a/tests/test_workflow_gateway.py
+++ b/tests/test_workflow_gateway.py
@@ -4,7 +4,8 @@
 import json
 import zlib
 
-from sardinegauge import messages, outcome, stateclient
+from sardinegauge import outcome
+from sardinegauge.links import messages, stateclient
 from sardinegauge.workflows import gateway, queues
 
 QUEUE = queues.Queue(name="q", host="h", prefix="/q/", pool="p", timeout_ms=1)
--- a/tests/test_workflow_hosting.py
+++ b/tests/test_workflow_hosting.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from sardinegauge import messages
+from sardinegauge.links import messages
 from sardinegauge.workflows import (
     hostevents,
     hosting,
--- a/tests/test_workflow_scheduler.py
+++ b/tests/test_workflow_scheduler.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from sardinegauge import commands, machine
+from sardinegauge import commands
+from sardinegauge.state import machine
 from sardinegauge.workflows import (
     lives,
     ordering,
--- a/tests/test_workflow_simulation.py
+++ b/tests/test_workflow_simulation.py
@@ -12,7 +12,9 @@
 
 import pytest
 
-from sardinegauge import commands, machine, messages
+from sardinegauge import commands
+from sardinegauge.links import messages
+from sardinegauge.state import machine
 from sardinegauge.workflows import (
     hostevents,
     hosting,
--- a/tests/test_workflow_store.py
+++ b/tests/test_workflow_store.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from sardinegauge import commands, machine, outcome
+from sardinegauge import commands, outcome
+from sardinegauge.state import machine
 from sardinegauge.workflows import queues, steps, store, workflow
 
 QUEUE = queues.Queue(
