--- a/sardinegauge/logstory.py
+++ b/sardinegauge/logstory.py
@@ -18,7 +18,6 @@
     }
 )
 _PAIR = re.compile(r"""(\w+)=('(?:[^'\\]|\\.)*'|"(?:[^"\\]|\\.)*"|\S+)""")
-_HEAD_KEYS = frozenset({"timestamp", "level", "process", "event"})
 
 
 class Line:
--- a/sardinegauge/workflows/advising.py
+++ b/sardinegauge/workflows/advising.py
@@ -83,8 +83,11 @@
         if step in self.question_by_step:
             return
         tickets = self._tickets(step)
-        missing = []
+        # Runs that were assigned but not ordered yet may wait for tickets as well.
+        missing, _ = self.wanted_by_step.get(step, ([], advice))
         for worker, life, has_room in candidates:
+            if worker in missing:
+                continue
             found = tickets.get((worker, life))
             is_valid = (
                 found is not None and now_ms + TICKET_MARGIN_MS < found.expires_ms
@@ -92,7 +95,8 @@
             if found is None or (found.text and has_room and not is_valid):
                 missing.append(worker)
         if missing:
-            self.wanted_by_step[step] = (missing[:MAX_ASKED], advice)
+            del missing[MAX_ASKED:]
+            self.wanted_by_step[step] = (missing, advice)
 
     def expire(self, now_ms):
         """Give up questions whose agent brought no answer in time."""
@@ -158,7 +162,8 @@
 
     def forget_ticket(self, step, worker, life):
         """Drop a ticket that a worker refused."""
-        self._tickets(step).pop((worker, life), None)
+        by_step = self._tickets_by_workflow.get(step.split(".")[0], {})
+        by_step.get(step, {}).pop((worker, life), None)
 
     def forget(self, workflow):
         """Drop everything about an ended workflow."""
--- a/tests/test_workflow_advising.py
+++ b/tests/test_workflow_advising.py
@@ -7,6 +7,7 @@
 
 from sardinegauge import commands
 from sardinegauge.workflows import (
+    advising,
     hostedadvice,
     hostevents,
     hosting,
@@ -137,6 +138,16 @@
     assert leader.orders("b")["starts"][0][4] == "t-b"
 
 
+def test_assigned_run_gets_its_ticket_though_other_tasks_of_its_step_wait():
+    # The plan's wants replaced those of runs that were assigned but not ordered.
+    book = advising.Advising()
+    advice = queues.Advice(decide_ms=480)
+    book.want("w.0.0", [("b", 1, True)], advice, 0)
+    book.want("w.0.0", [("a", 1, True), ("b", 1, True)], advice, 0)
+    book.take_wanted(["c"], 0)
+    assert book.questions_of("c") == [["w.0.0", ["b", "a"]]]
+
+
 def test_assigned_run_is_taken_back_where_the_service_says_no(leader):
     leader.submit(steps_module.Step())
     leader.run()
