--- a/Makefile
+++ b/Makefile
@@ -3,13 +3,14 @@
 PYTHON ?= python3.11
 PY := $(VENV)/bin/python
 SEED ?= 1
+RUNS ?= 1
 
 # Creates the environment and the folder that the README's tour writes to.
 .PHONY: setup
 setup: $(VENV)/.ready
 	mkdir -p run
 
-.PHONY: demo test check faults measure report schema golden
+.PHONY: demo test check faults soak measure report schema golden
 
 $(VENV)/.ready: requirements.txt requirements-dev.txt pyproject.toml
 	test -x $(PY) || $(PYTHON) -m venv $(VENV)
@@ -31,6 +32,10 @@
 faults: $(VENV)/.ready
 	$(PY) -m tests.fleet.faults --seed $(SEED)
 
+# The platform's roles under faults from outside; RUNS plays that many seeds.
+soak: $(VENV)/.ready
+	$(PY) -m tests.platformsoak --seed $(SEED) --seeds $(RUNS)
+
 measure: $(VENV)/.ready
 	$(PY) -m benchmarks.measure
 
--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -65,6 +65,10 @@
             if now_ms >= min(end_ms, self.until_ms):
                 self.end(key, "done" if now_ms >= end_ms else "lapsed")
 
+    def begin(self, key):
+        """Take note of a start; checks of a soak hook in here."""
+        self.starts.append(key)
+
     def end(self, key, how):
         del self.running[key]
         self.ended.append([len(self.ended) + 1, *key, how, ""])
@@ -125,7 +129,7 @@
         elif body["run"] <= minion.blocked.get(body["task"], 0):
             self.answer(409, {"reason": "old"})
         else:
-            minion.starts.append(key)
+            minion.begin(key)
             work_ms = int(body["spec"])
             minion.running[key] = (minion.clock_ms + work_ms, body["spec"])
             if minion.unanswered_starts:
