--- a/sardinegauge/workflows/hosting.py
+++ b/sardinegauge/workflows/hosting.py
@@ -42,7 +42,12 @@
 def _on_announced(state, event):
     announcement = event.announcement
     known = state.announcement
-    if known is None or announcement.life > state.life:
+    # A worker of another id counts even if its life was seen before its announcement.
+    is_other = known is not None and announcement.worker != known.worker
+    is_new = announcement.life > state.life or (
+        is_other and announcement.life == state.life
+    )
+    if known is None or is_new:
         state.begin_life(announcement)
         hostedruns.hold(state)
         state.report()
@@ -100,7 +105,7 @@
     if answer.kind == workerport.OTHER_LIFE or (
         answer.life and answer.life != state.life
     ):
-        _on_other_life(state, call, answer.life)
+        _on_other_life(state, call, answer)
         return
     if state.is_down and answer.life == 0:
         # It may be the answer of a next life.
@@ -151,15 +156,17 @@
             run.unanswered_ms = state.now_ms
 
 
-def _on_other_life(state, call, life):
+def _on_other_life(state, call, answer):
     """Turn to a next life that answered before it announced itself.
 
     It may have carried out starts that were meant for the former one. The leader takes
-    back the former life's runs once the new one is fenced and has none of them.
+    back the former life's runs once the new one is fenced and has none of them. A
+    refusal comes from a worker of another id, whose announcement tells the rest.
     """
     _close(state, call)
-    if life > state.life:
-        state.begin_life(state.announcement.replace(life=life, sequence=0))
+    is_same_worker = answer.kind != workerport.OTHER_LIFE
+    if is_same_worker and answer.life > state.life:
+        state.begin_life(state.announcement.replace(life=answer.life, sequence=0))
         hostedruns.hold(state)
         state.report()
     elif not state.is_down:
--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -23,6 +23,7 @@
 HOST = "shop.example"
 PREFIX = "/q/"
 START_LIMIT_S = 30
+MAX_CALLS = 500
 
 
 class Minion:
@@ -213,7 +214,9 @@
         self.unadvised = 0
         self.version = 0
         self.minion = None
-        self.client = httpclient.AsyncHTTPClient(force_instance=True)
+        self.client = httpclient.AsyncHTTPClient(
+            force_instance=True, max_clients=MAX_CALLS
+        )
 
     def settings(self, role, ip, **fields):
         data_dir = self.path / f"{ip}-data"
@@ -296,7 +299,7 @@
         )
         try:
             response = await self.client.fetch(request, raise_error=False)
-        except OSError:
+        except (OSError, httpclient.HTTPClientError):
             return 0, {}
         if response.code == 599:
             return 0, {}
--- a/tests/test_workflow_hosting.py
+++ b/tests/test_workflow_hosting.py
@@ -34,9 +34,9 @@
             else:
                 self.calls.append(effect)
 
-    def announce(self, life=1, sequence=1, **fields):
+    def announce(self, life=1, sequence=1, worker="i-1", **fields):
         announcement = workerport.Announcement(
-            worker="i-1",
+            worker=worker,
             life=life,
             address="10.0.0.1:80",
             pool="p",
@@ -258,6 +258,31 @@
     assert agent.state.life == 2
 
 
+def test_worker_of_another_id_counts_though_its_life_was_seen_before(agent):
+    """Its refusals name its life; the agent took it for a life of the former worker.
+
+    The announcement then brought nothing new, and the worker was never used.
+    """
+    agent.tick()
+    (hold,) = agent.take(workerport.HoldCall)[-1:]
+    agent.answer(hold, kind=workerport.OTHER_LIFE, life=2)
+    assert (agent.state.life, agent.state.is_down) == (1, True)
+    agent.announce(life=2, worker="i-2")
+    agent.answer_holds()
+    assert agent.state.announcement.worker == "i-2"
+    assert agent.state.is_fenced and not agent.state.is_down
+
+
+def test_same_worker_in_a_next_life_is_taken_from_its_answers(agent):
+    agent.tick()
+    (hold,) = agent.take(workerport.HoldCall)[-1:]
+    agent.answer(hold, life=2, running=[], ended=[])
+    assert agent.state.life == 2
+    # Its announcement, with another sequence of numbers, still counts.
+    agent.announce(life=2, sequence=1, is_draining=True)
+    assert agent.state.is_draining
+
+
 def test_late_run_in_a_new_life_is_reported(agent):
     """An order of the former life was carried out before the new fence."""
     agent.announce(life=2, sequence=1)
