--- a/sardinegauge/workflows/fillers.py
+++ b/sardinegauge/workflows/fillers.py
@@ -28,7 +28,7 @@
         if moving >= MOVES_AT_ONCE:
             return
         # A task that was slow on two workers would be slow on a third as well.
-        if key in state.stops or key[0] in state.moved_tasks:
+        if key in state.stops or key[0] in state.moved_from:
             continue
         if state.now_ms - since_ms < SLOW_MS:
             continue
@@ -42,7 +42,7 @@
         if gain_ms > MOVE_GAIN_MS and _has_room(state, run, task, pool):
             moving += 1
             state.stops[key] = SLOW
-            state.moved_tasks.add(key[0])
+            state.moved_from[key[0]] = run.worker
             state.push(run.worker, run.life)
             log.info(
                 "filler_moved task=%s run=%d worker=%s pace=%d slow_ms=%d gain_ms=%.0f",
--- a/sardinegauge/workflows/placing.py
+++ b/sardinegauge/workflows/placing.py
@@ -10,7 +10,7 @@
 
 # Weights of a worker's share of free room and of what speaks against it.
 FAR_PENALTY = 0.8
-FAILED_HERE_PENALTY = 2.0
+AVOIDED_PENALTY = 2.0
 SERVING_TOGETHER = 0.5
 # A serving task uses about this share of its cores.
 SERVING_USE = 0.55
@@ -78,22 +78,22 @@
 class Placing(abc.ABC):
     """Chooses among workers that all fit."""
 
-    def score(self, step, candidate, failed_on):
+    def score(self, step, candidate, avoided):
         """Return how well a task of the step would run on the candidate."""
         return 0.0
 
     @abc.abstractmethod
-    def choose(self, step, task, candidates, failed_on):
+    def choose(self, step, task, candidates, avoided):
         """Return one of the candidates; there is at least one.
 
-        `failed_on` holds the ids of workers on which the task failed before.
+        `avoided` holds the ids of workers on which the task failed, or which it left.
         """
 
 
 class FirstFit(Placing):
     """The first worker that fits."""
 
-    def choose(self, step, task, candidates, failed_on):
+    def choose(self, step, task, candidates, avoided):
         """Return the first candidate."""
         return candidates[0]
 
@@ -106,11 +106,11 @@
     that serve. Other tasks go where most cores are idle.
     """
 
-    def choose(self, step, task, candidates, failed_on):
+    def choose(self, step, task, candidates, avoided):
         """Return the candidate with the highest score."""
-        return max(candidates, key=lambda c: self.score(step, c, failed_on))
+        return max(candidates, key=lambda c: self.score(step, c, avoided))
 
-    def score(self, step, candidate, failed_on):
+    def score(self, step, candidate, avoided):
         """Return how well a task of the step would run on the candidate."""
         if step.target_ms:
             score = _serving_score(step, candidate)
@@ -120,8 +120,8 @@
             score = candidate.idle_millis / max(candidate.view.capacity.cpu_millis, 1)
         if step.preferred_rack and step.preferred_rack not in candidate.view.labels:
             score -= FAR_PENALTY
-        if candidate.view.id in failed_on:
-            score -= FAILED_HERE_PENALTY
+        if candidate.view.id in avoided:
+            score -= AVOIDED_PENALTY
         return score - candidate.penalty
 
 
--- a/sardinegauge/workflows/planner.py
+++ b/sardinegauge/workflows/planner.py
@@ -113,8 +113,10 @@
         ]
         if not able:
             return None
-        failed_on = state.failed_on.get(task.id, ())
-        return self.place.choose(step, task, able, failed_on)
+        avoided = set(state.failed_on.get(task.id, ()))
+        if task.id in state.moved_from:
+            avoided.add(state.moved_from[task.id])
+        return self.place.choose(step, task, able, avoided)
 
     def _is_refused(self, state, task, candidate):
         expires_ms = state.refused_until_ms.get((task.id, candidate.view.id), 0)
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -197,7 +197,8 @@
 
 def _note_workflow_ended(state, item):
     state.open_ids.discard(item.id)
-    state.moved_tasks -= {task.id for task in item.tasks()}
+    for task in item.tasks():
+        state.moved_from.pop(task.id, None)
     state.advising.forget(item.id)
     lasted_ms = item.ended_at_ms - item.accepted_at_ms
     log.info(
--- a/sardinegauge/workflows/schedulerstate.py
+++ b/sardinegauge/workflows/schedulerstate.py
@@ -16,6 +16,7 @@
 
     `planned` holds the worker by task id of runs that are on their way into the log,
     `stops` the reasons by task id and run number of runs that shall stop.
+    `moved_from` holds the worker by task id that a filler was moved away from,
     `refused_until_ms` tells by task id and worker until when a worker that refused a
     task isn't offered it again.
     """
@@ -32,7 +33,7 @@
         self.stops = {}
         self.paces = {}
         self.slow_since_ms = {}
-        self.moved_tasks = set()
+        self.moved_from = {}
         self.failed_on = {}
         self.refused_until_ms = {}
         self.open_ids = set(self.store.open_ids)
--- a/tests/test_workflow_scheduler.py
+++ b/tests/test_workflow_scheduler.py
@@ -446,11 +446,14 @@
     leader.state.paces[key] = 10
     leader.tick(0)
     assert leader.orders()["stops"] == [list(key)]
-    # It moves once, or it would be stopped and restored over and over.
+    # The worker that it left has the most idle cores again, and got it back.
+    leader.report("b", cpu_millis=7000)
     leader.report("a", ends=[[1, *key, store.STOPPED, "c"]])
     leader.run()
     key = ("w.0.0.0", 2)
     ((_, host),) = leader.placed().items()
+    assert host == "b"
+    # It moves once, or it would be stopped and restored over and over.
     leader.state.paces[key] = 10
     leader.state.slow_since_ms[key] = leader.now_ms - 9000
     leader.tick(0)
