--- a/sardinegauge/workflows/hosting.py
+++ b/sardinegauge/workflows/hosting.py
@@ -184,13 +184,7 @@
     if run.phase != views.ORDERED:
         return
     if answer.kind == workerport.DONE:
-        run.phase = views.ACTIVE
-        log.info(
-            "run_active task=%s run=%d lease_until_ms=%d unanswered=%d",
-            *key,
-            call.request.lease_until_ms,
-            run.unanswered,
-        )
+        _note_active(key, run, "answer")
         hostedruns.pace(state, key, run.wanted_pace)
         return
     if answer.reason == workerport.BY_LEASE:
@@ -204,6 +198,16 @@
     state.report()
 
 
+def _note_active(key, run, source):
+    run.phase = views.ACTIVE
+    log.info(
+        "run_active task=%s run=%d seen_in=%s unanswered=%d",
+        *key,
+        source,
+        run.unanswered,
+    )
+
+
 def _on_stop_answer(state, call, answer):
     run = state.runs.get((call.request.task, call.request.run))
     if run is None:
@@ -268,9 +272,9 @@
             continue
         run = state.runs.get(key)
         if run is None:
-            run = state.runs[key] = hoststate.HostedRun(views.ACTIVE)
-        elif run.phase in (views.ORDERED, views.GONE):
-            run.phase = views.ACTIVE
+            run = state.runs[key] = hoststate.HostedRun(views.ORDERED)
+        if run.phase in (views.ORDERED, views.GONE):
+            _note_active(key, run, "list")
         run.saved = saved
         run.progress = progress
         run.load = load
--- a/tests/test_workflow_hosting.py
+++ b/tests/test_workflow_hosting.py
@@ -304,6 +304,18 @@
     assert agent.phase() == views.GONE
 
 
+def test_run_is_logged_as_active_also_where_the_list_comes_first(agent, caplog):
+    # The story of a task then lacked its start.
+    caplog.set_level("INFO")
+    call = agent.start()
+    agent.tick(700)
+    agent.answer_holds(running=[[*KEY, "", 1, 0]])
+    agent.answer(call)
+    lines = [r.message for r in caplog.records if r.message.startswith("run_active")]
+    assert len(lines) == 1
+    assert "seen_in=list" in lines[0]
+
+
 def test_list_of_the_same_millisecond_does_not_make_a_run_vanish(agent):
     call = agent.start()
     agent.tick(0)
