--- a/benchmarks/measure.py
+++ b/benchmarks/measure.py
@@ -25,6 +25,7 @@
 ORDER_SHARE = 1 / 4
 OPEN_LOOP_S = 8
 POLICY_OPTIONS = ("--seeds", "1", "--seconds", "600", "--jobs", "3")
+FLOW_OPTIONS = ("--seeds", "3")
 SCALE_OPTIONS = ("--seconds", "5", "--shares", "0.25,1.0")
 
 
@@ -171,6 +172,11 @@
     return await run_module("benchmarks.policies", *POLICY_OPTIONS)
 
 
+async def measure_workflows(folder):
+    """Orderings and placings of workflows in virtual time, with their own table."""
+    return await run_module("benchmarks.flowpolicies", *FLOW_OPTIONS)
+
+
 async def measure_scale(folder):
     """Scheduler and machine at the target's size, with its own table."""
     return await run_module("benchmarks.scale", *SCALE_OPTIONS)
@@ -184,6 +190,7 @@
     "leader": leaderloss.measure,
     "state": statecost.measure,
     "policies": measure_policies,
+    "workflows": measure_workflows,
     "scale": measure_scale,
 }
 
