--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 
 # The platform's roles under faults from outside; RUNS plays that many seeds.
 soak: $(VENV)/.ready
-	$(PY) -m tests.platformsoak --seed $(SEED) --seeds $(RUNS)
+	$(PY) -m tests.soak --seed $(SEED) --seeds $(RUNS)
 
 measure: $(VENV)/.ready
 	$(PY) -m benchmarks.measure
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""The soak of the platform's roles under faults from outside."""
