--- a/sardinegauge/workflows/lives.py
+++ b/sardinegauge/workflows/lives.py
@@ -9,6 +9,9 @@
 LEASE_MS = 5600
 # Clocks of two VMs may run at slightly different speeds.
 LEASE_MARGIN_MS = 250
+# After the last lease, a delayed order of a former life may still start a run in a life
+# that was never fenced: it arrives up to 13 s late, and its lease lasts at most 6 s.
+LATE_RUN_MS = 15_000
 log = logging.getLogger(__name__)
 
 
@@ -43,12 +46,36 @@
             # A delayed order may have started a run here before the fence.
             if not any(_is_there(view, key) for key in runs):
                 release(state, worker, life)
+    _release_others(state, view)
+    if view.is_lapsed:
+        release(state, view.id, view.life)
+
+
+def _release_others(state, view):
+    """Take back all runs of workers that were beside the same agent before this one."""
+    for worker, life in list(state.store.runs_by_life):
+        known = state.store.worker_by_id.get(worker)
+        is_beside = known is not None and known.agent == view.agent
+        if is_beside and worker != view.id and life < view.life:
+            release(state, worker, life)
     for other in list(state.view_by_id.values()):
         if other.agent == view.agent and other.id != view.id and other.life < view.life:
-            release(state, other.id, other.life)
             del state.view_by_id[other.id]
-    if view.is_lapsed:
-        release(state, view.id, view.life)
+
+
+def release_silent(state, view):
+    """Take back the runs of a worker that is silent and whose leases are over.
+
+    Runs of former lives follow later, since no fence keeps them from a delayed start.
+    """
+    if view.is_fresh(state.now_ms) or state.now_ms <= view.grant_until_ms:
+        return
+    release(state, view.id, view.life)
+    if state.now_ms <= view.grant_until_ms + LATE_RUN_MS:
+        return
+    for worker, life in list(state.store.runs_by_life):
+        if worker == view.id and life < view.life:
+            release(state, worker, life)
 
 
 def _is_there(view, key):
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -279,9 +279,7 @@
     _renew_tickets(state)
     _keep_estimates(state)
     for view in list(state.view_by_id.values()):
-        is_over = state.now_ms > view.grant_until_ms
-        if is_over and not view.is_fresh(state.now_ms):
-            lives.release(state, view.id, view.life)
+        lives.release_silent(state, view)
     state.is_plan_due = True
 
 
--- a/tests/test_workflow_scheduler.py
+++ b/tests/test_workflow_scheduler.py
@@ -195,6 +195,41 @@
     assert leader.placed() == {}
 
 
+def test_runs_of_all_lives_are_taken_back_when_another_worker_is_beside_the_agent():
+    """A worker that came back under its id and was replaced before it was fenced.
+
+    Its view went away with its second life, and the runs of the first one stayed.
+    """
+    leader = Leader()
+    leader.report("a", life=1, agent="vm")
+    leader.run()
+    leader.submit(Step())
+    leader.run()
+    leader.report("a", life=2, agent="vm", is_fenced=False)
+    leader.run()
+    assert leader.placed() == {"w.0.0.0": "a"}
+    leader.report("b", life=3, agent="vm")
+    leader.run()
+    assert leader.placed() == {"w.0.0.0": "b"}
+
+
+def test_runs_of_a_former_life_are_taken_back_though_the_next_one_is_lost_unfenced():
+    leader = Leader()
+    leader.report("a", life=1)
+    leader.run()
+    leader.submit(Step())
+    leader.run()
+    leader.report("a", life=2, is_fenced=False)
+    leader.run()
+    leader.tick(lives.LEASE_MS + lives.LEASE_MARGIN_MS + 10)
+    leader.run()
+    # A delayed order may still run there.
+    assert leader.placed() == {"w.0.0.0": "a"}
+    leader.tick(lives.LATE_RUN_MS)
+    leader.run()
+    assert leader.placed() == {}
+
+
 def test_new_leader_waits_for_leases_of_the_one_before(leader):
     leader.submit(Step())
     leader.run()
