Let a busy leader hand over when it is stopped

Cause: a leadership transfer ends once its target holds the whole log, but the leader went on to append the commands of its scheduler. A target that was told to stand then lacked the newest entry and lost the election, or no target ever held the whole log. Each request to transfer, repeated every 20 ms, could also choose another target.

Change: a replica that stops appends no command and starts no change of members, and a transfer keeps its target while that is live.

--- a/sardinegauge/agreement/raft.py
+++ b/sardinegauge/agreement/raft.py
@@ -53,7 +53,10 @@
 
 
 class Proposed(Event):
-    """Proposes commands, each the body of one entry; followers ignore the event."""
+    """Proposes commands, each the body of one entry.
+
+    Followers ignore the event, and so does a leader that transfers the leadership.
+    """
 
     __slots__ = ("bodies",)
 
@@ -159,7 +162,7 @@
 
 
 def _on_proposed(state, event):
-    if state.role != raftstate.LEADER:
+    if state.role != raftstate.LEADER or state.transfer_target:
         return
     for body in event.bodies:
         replication.append(state, "command", body)
@@ -192,6 +195,10 @@
 def _on_transfer_requested(state, _event):
     if state.role != raftstate.LEADER:
         return
+    # A second target could become a candidate in the same term as the first.
+    if state.transfer_target and _is_live(state, state.transfer_target):
+        _transfer_if_ready(state)
+        return
     candidates = [
         (progress.match_index, identity)
         for identity, progress in state.progress.items()
@@ -223,10 +230,11 @@
     """Tell whether the leader must not start a membership change.
 
     The last change must be committed, and so must the first entry of the leader's
-    term.
+    term. A leader that transfers the leadership appends nothing.
     """
     return (
-        not state.has_committed_term_entry
+        bool(state.transfer_target)
+        or not state.has_committed_term_entry
         or state.members_history[-1][0] > state.commit_index
     )
 
--- a/sardinegauge/state/replicasteps.py
+++ b/sardinegauge/state/replicasteps.py
@@ -24,8 +24,12 @@
 def append_command(state, command, token):
     """Set the time of a command and append it to the log.
 
-    Its answer goes to the request with `token`, or nowhere if that is None.
+    Its answer goes to the request with `token`, or nowhere if that is None. A replica
+    that stops appends nothing more: the next leader must hold the whole log, and it
+    proposes anew what the scheduler of this replica would have proposed.
     """
+    if state.is_stopping:
+        return
     command.at_ms = state.wall_ms
     body = commands.REGISTRY.dumps(command)
     register_proposal(state, command, token)
--- a/tests/test_raftguards.py
+++ b/tests/test_raftguards.py
@@ -228,3 +228,49 @@
     leader.disk.log.truncate_from(10)
     leader.start(simulator.now_ms)
     assert leader.state.commit_index == 9
+
+
+def test_busy_leader_hands_over_at_once():
+    """Entries appended during a transfer made its target lose the election.
+
+    The group then had no leader until an election timeout, or the old leader stayed.
+    """
+    simulator = raftsim.Simulator()
+    simulator.run(3000)
+    (old,) = simulator.leaders()
+    simulator.propose(old)
+    began_ms = simulator.now_ms
+    while old.state.role == raftstate.LEADER:
+        assert simulator.now_ms - began_ms < 200
+        event = raft.TransferRequested(now_ms=simulator.now_ms)
+        simulator.process_event(old, event)
+        last_index = old.state.log.last_index
+        simulator.propose(old)
+        assert old.state.log.last_index == last_index
+        # Messages take 10 ms and writes 20 ms, so a new entry is always in flight.
+        in_transit, simulator.in_transit = simulator.in_transit, []
+        for item in in_transit:
+            simulator.in_transit.append(item)
+            simulator.deliver(len(simulator.in_transit) - 1)
+        simulator.now_ms += 10
+        for node in simulator.nodes.values():
+            simulator.write(node, 1)
+    simulator.run(200)
+    (new,) = simulator.leaders()
+    assert new is not old
+    assert new.state.term == old.state.term
+
+
+def test_transfer_keeps_its_target_while_that_is_live():
+    simulator = raftsim.Simulator()
+    simulator.run(3000)
+    (old,) = simulator.leaders()
+    event = raft.TransferRequested(now_ms=simulator.now_ms)
+    raft.reduce(old.state, event)
+    target = old.state.transfer_target
+    other = next(
+        name for name in old.state.progress if name not in (target, old.identity)
+    )
+    old.state.progress[other].match_index += 1
+    raft.reduce(old.state, event)
+    assert old.state.transfer_target == target
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -281,3 +281,17 @@
         )
         scheduled += sum(isinstance(e, replicaeffects.ScheduleApply) for e in effects)
     assert scheduled == 1
+
+
+def test_replica_that_stops_appends_nothing_more():
+    """Commands of the scheduler kept a busy leader from handing over."""
+    group = Group("abc")
+    group.become_leader_of_three()
+    group.dispatch(replica.StopRequested(now_ms=group.now_ms))
+    last_index = group.state.raft.log.last_index
+    group.propose(commands.ExpireClaims(before_ms=0))
+    token = group.send_request(
+        messages.Propose(command=b'{"kind":"ExpireClaims","before_ms":1}')
+    )
+    assert group.replies[token].verdict == "not-run"
+    assert group.state.raft.log.last_index == last_index
