Keep the leader alive when a command is malformed

Cause: the machine answers a malformed command with Invalid and changes nothing, but the leader passed it on to the schedulers as an applied command, where a field of another type raised. An exception in the reducer ends the process, the client repeats its command at the next leader, and so on.

Change: schedulers, wait times and losses see only commands that were not invalid. The lookup of reported tasks before a command is applied accepts any field.

--- a/sardinegauge/state/replica.py
+++ b/sardinegauge/state/replica.py
@@ -187,9 +187,12 @@
     command = proposal.command if proposal else commands.REGISTRY.loads(entry.body)
     assigned_tasks = _assigned_tasks(state, command)
     answer = _apply_command(state, entry.index, command)
-    _emit_wait_times(state, command, assigned_tasks)
     if proposal is not None:
         requests.reply_ran(state, proposal.token, answer, entry.index)
+    if isinstance(answer, outcome.Invalid):
+        # The command changed nothing, and its fields may be of any type.
+        return
+    _emit_wait_times(state, command, assigned_tasks)
     if isinstance(command, commands.WorkerLost):
         directivedelivery.on_loss_applied(state, command.upstream)
     if state.is_leading:
@@ -207,7 +210,10 @@
     if not state.is_leading or not isinstance(command, commands.ReportTasks):
         return []
     by_id = state.machine.tasks.by_id
-    reported_tasks = [by_id.get(change.task) for change in command.changes]
+    try:
+        reported_tasks = [by_id.get(change.task) for change in command.changes]
+    except (TypeError, AttributeError):
+        return []  # The machine is going to refuse the command.
     return [
         task for task in reported_tasks if task is not None and task.state == "assigned"
     ]
