Log elections, and why a leadership ended

Change: election_started, leadership_gained (with the number of entries still to apply) and leadership_lost (a higher term, or no quorum in contact). At most one line per election and replica.

--- a/sardinegauge/agreement/elections.py
+++ b/sardinegauge/agreement/elections.py
@@ -1,7 +1,11 @@
 """Raft elections: pre-votes, votes and their replies."""
 
+import logging
+
 from sardinegauge.agreement import membership, raftmessages, raftstate
 
+log = logging.getLogger(__name__)
+
 
 def has_live_leader(state):
     """Tell whether a leader has made contact within the shortest election timeout."""
@@ -41,6 +45,7 @@
     state.votes = set()
     state.persist()
     state.election_sequence = state.sequence
+    log.info("election_started term=%d last_index=%d", state.term, state.log.last_index)
     _request_votes(state, state.term, pre_vote=False)
 
 
--- a/sardinegauge/agreement/raftstate.py
+++ b/sardinegauge/agreement/raftstate.py
@@ -90,9 +90,9 @@
 
 
 class LeadershipLost(Effect):
-    """This replica is no longer the leader."""
+    """This replica is no longer the leader, for the reason given."""
 
-    __slots__ = ()
+    __slots__ = ("reason",)
 
 
 class MembersChanged(Effect):
@@ -396,7 +396,8 @@
     def become_follower(self, term, leader=""):
         """Become a follower; a higher term clears the vote and is persisted."""
         if self.role == LEADER:
-            self._step_down()
+            is_deposed = term > self.term
+            self._step_down("a higher term" if is_deposed else "no quorum in contact")
         self.role = FOLLOWER
         if term > self.term:
             self.term = term
@@ -407,7 +408,7 @@
             self.leader = leader
         self.votes = set()
 
-    def _step_down(self):
+    def _step_down(self, reason):
         for read, _, _ in self.reads:
             self.emit(ReadFailed(read=read))
         self.reads.clear()
@@ -415,5 +416,5 @@
         self.leader = ""
         self.has_committed_term_entry = False
         self.transfer_target = ""
-        self.emit(LeadershipLost())
+        self.emit(LeadershipLost(reason=reason))
         self.reset_election_timer()
--- a/sardinegauge/state/replica.py
+++ b/sardinegauge/state/replica.py
@@ -279,6 +279,11 @@
 
 
 def _on_leadership_gained(state, effect):
+    log.info(
+        "leadership_gained term=%d unapplied=%d",
+        effect.term,
+        state.raft.term_start_index - state.applied_index,
+    )
     state.pending_term = effect.term
 
 
@@ -297,6 +302,7 @@
 
 
 def _on_leadership_lost(state, effect):
+    log.info("leadership_lost term=%d reason=%r", state.raft.term, effect.reason)
     state.pending_term = 0
     if state.scheduler is not None:
         lost = state.modules.scheduler.LeadershipLost(now_ms=state.now_ms)
