Keep a refusal of one task from stopping others of its size

Cause: found on reading the diff: a task that its only candidate had refused counted as "fits nowhere", so that no other task of its size was planned in the same plan. Also, one refusal anywhere made every step score all workers for each task.

Change: a size counts as exhausted only if no candidate has room for it; only a task that was refused itself takes the slow way.

--- a/sardinegauge/workflows/planner.py
+++ b/sardinegauge/workflows/planner.py
@@ -127,7 +127,8 @@
         for task in waiting:
             chosen = self._choose(state, task, step, ranking)
             if chosen is None:
-                if queue.advice is None and not step.max_per_worker:
+                is_limited = queue.advice is not None or step.max_per_worker
+                if not is_limited and ranking.best() is None:
                     offer.record_exhausted(queue.pool, step)
                 break
             ranking.reserve(chosen)
@@ -141,7 +142,10 @@
         avoided = set(state.failed_workers_by_task.get(task.id, ()))
         if task.id in state.moved_from_by_task:
             avoided.add(state.moved_from_by_task[task.id])
-        if not avoided and not state.refused_until_ms:
+        is_refused_anywhere = any(
+            task_id == task.id for task_id, _ in state.refused_until_ms
+        )
+        if not avoided and not is_refused_anywhere:
             return ranking.best()
         eligible = [
             candidate
@@ -243,11 +247,9 @@
 
 def _is_at_least(step, other):
     """Return whether a step's tasks need all the resources of another step's tasks."""
-    needs_cores = other.is_filler or (
-        not step.is_filler and step.cpu_millis >= other.cpu_millis
-    )
     return (
-        needs_cores
+        step.is_filler == other.is_filler
+        and step.cpu_millis >= other.cpu_millis
         and step.memory_mb >= other.memory_mb
         and step.accelerators >= other.accelerators
     )
@@ -272,8 +274,10 @@
     def fits(self, candidate):
         """Return whether one more task of the step fits on a candidate."""
         limit = self._step.max_per_worker
-        return candidate.free.fits(self._step) and (
-            not limit or self.count_by_worker.get(candidate.view.id, 0) < limit
+        return (
+            candidate.free.fits(self._step)
+            and (not limit or self.count_by_worker.get(candidate.view.id, 0) < limit)
+            and self._policy.may_start(self._step, candidate)
         )
 
     def best(self):
