--- a/tests/test_raftguards.py
+++ b/tests/test_raftguards.py
@@ -199,16 +199,23 @@
     assert not leader.state.members[lost.identity].is_voter
 
 
-def test_restarted_replica_applies_what_it_acknowledged_before_any_election():
-    """New leaders applied the whole log after their election and were deposed."""
+def make_group_with_acknowledged_entries():
+    """Return a simulator whose replicas know that 20 entries are acknowledged."""
     simulator = raftsim.Simulator()
     simulator.run(3000)
     (leader,) = simulator.leaders()
     for _ in range(20):
         simulator.propose(leader)
     simulator.run(500)
+    # The table of acknowledged indexes is stored with the next entry.
     simulator.propose(leader)
     simulator.run(500)
+    return simulator, leader
+
+
+def test_restarted_replica_applies_what_it_acknowledged_before_any_election():
+    """New leaders applied the whole log after their election and were deposed."""
+    simulator, _ = make_group_with_acknowledged_entries()
     for node in simulator.nodes.values():
         acknowledged = node.disk.acknowledged[node.identity]
         assert acknowledged >= 20
@@ -217,14 +224,7 @@
 
 
 def test_outdated_folder_commits_nothing_beyond_its_log():
-    simulator = raftsim.Simulator()
-    simulator.run(3000)
-    (leader,) = simulator.leaders()
-    for _ in range(20):
-        simulator.propose(leader)
-    simulator.run(500)
-    simulator.propose(leader)
-    simulator.run(500)
+    simulator, leader = make_group_with_acknowledged_entries()
     leader.disk.log.truncate_from(10)
     leader.start(simulator.now_ms)
     assert leader.state.commit_index == 9
