Tell the leader and its logs which runs a crashed worker had

The leader learnt only that a worker was of no use any more, and runs lost in a crash were recorded as refused, like those that never started; so crashes could not be attributed to a task without joining the logs of all agents by time.

An agent now reports the last crash of its worker, with the runs that it had started and how long the worker is known to have survived each of them, until the leader has acknowledged it. The leader logs worker_crashed with the youngest runs and counts workflow_worker_crashes and workflow_lost_runs; lost runs end as lost instead of refused. No decision changes.

The exact comparison of a worker's orders has the new key as well.

--- a/sardinegauge/state/stateapp.py
+++ b/sardinegauge/state/stateapp.py
@@ -331,6 +331,9 @@
     def _count_run(self, effect):
         self.metrics.count_run(effect.queue, effect.how)
 
+    def _count_crash(self, effect):
+        self.metrics.count_crash(effect.pool, effect.run_count)
+
     def _count_workflow(self, effect):
         self.metrics.count_workflow(effect.queue, effect.state, effect.lasted_ms)
 
@@ -429,6 +432,7 @@
     replicaeffects.ScheduleApply: StateApplication._schedule_apply,
     leaderexchange.SchedulePlanning: StateApplication._schedule_plan,
     schedulerevents.RunEnded: StateApplication._count_run,
+    schedulerevents.WorkerCrashed: StateApplication._count_crash,
     schedulerevents.WorkflowEnded: StateApplication._count_workflow,
 }
 
--- a/sardinegauge/state/statemetrics.py
+++ b/sardinegauge/state/statemetrics.py
@@ -36,6 +36,14 @@
         self._runs = self._metrics.counter(
             "workflow_runs", "Runs of tasks by how they ended.", ("queue", "how")
         )
+        self._crashes = self._metrics.counter(
+            "workflow_worker_crashes", "Crashes of workers.", ("pool",)
+        )
+        self._lost_runs = self._metrics.counter(
+            "workflow_lost_runs",
+            "Runs that ended with a crash of their worker.",
+            ("pool",),
+        )
 
     def count_workflow(self, queue, state, lasted_ms):
         """Record the duration of a workflow that ended."""
@@ -45,6 +53,11 @@
         """Count a run that ended."""
         self._runs.labels(queue, how).inc()
 
+    def count_crash(self, pool, run_count):
+        """Count a crash of a worker that ended `run_count` runs."""
+        self._crashes.labels(pool).inc()
+        self._lost_runs.labels(pool).inc(run_count)
+
     def count_wait(self, tenant, task_class, wait_ms):
         """Record how long a task that now runs had waited."""
         self._waits.labels(tenant, task_class).observe(wait_ms / 1000)
--- a/sardinegauge/workflows/hosting.py
+++ b/sardinegauge/workflows/hosting.py
@@ -10,6 +10,7 @@
 
 from sardinegauge.workflows import (
     hostedadvice,
+    hostedcrash,
     hostedruns,
     hostevents,
     hoststate,
@@ -56,6 +57,7 @@
         is_other and announcement.incarnation == state.incarnation
     )
     if last_announcement is None or is_new:
+        hostedcrash.record(state)
         state.begin_incarnation(announcement)
         hostedruns.send_hold(state)
         state.report()
@@ -91,6 +93,7 @@
     worker, so such a run is gone only after `MAX_CALL_DELAY_MS`.
     """
     if not state.is_down:
+        hostedcrash.record(state)
         state.is_down = True
         log.warning(
             "worker_down worker=%s life=%d reason=%r runs=%d",
@@ -157,7 +160,7 @@
     if event.is_down:
         state.connect_failures += 1
         if state.connect_failures >= CONNECT_FAILURES_UNTIL_DOWN:
-            _end_incarnation(state, "crashed")
+            _end_incarnation(state, views.CRASHED)
 
 
 def _record_unanswered_start(state, call):
@@ -181,6 +184,7 @@
     _close_call(state, call)
     is_same_worker = answer.kind != workerclient.WRONG_INCARNATION
     if is_same_worker and answer.incarnation > state.incarnation:
+        hostedcrash.record(state)
         state.begin_incarnation(
             state.announcement.replace(incarnation=answer.incarnation, sequence=0)
         )
@@ -201,7 +205,7 @@
     if run.phase != views.ORDERED:
         return
     if answer.kind == workerclient.DONE:
-        _mark_active(key, run, "answer")
+        _mark_active(state, key, run, "answer")
         hostedruns.set_cpu_cap(state, key, run.target_cpu_cap)
         return
     if answer.reason == workerclient.LEASE_EXPIRED:
@@ -215,8 +219,9 @@
     state.report()
 
 
-def _mark_active(key, run, source):
+def _mark_active(state, key, run, source):
     run.phase = views.ACTIVE
+    run.active_ms = run.active_ms or state.now_ms
     log.info(
         "run_active task=%s run=%d seen_in=%s unanswered=%d",
         *key,
@@ -299,7 +304,7 @@
         if run is None:
             run = state.runs[key] = hoststate.HostedRun(views.ORDERED)
         if run.phase in (views.ORDERED, views.GONE):
-            _mark_active(key, run, "list")
+            _mark_active(state, key, run, "list")
         run.saved_checkpoint = checkpoint
         run.progress = progress
         run.load = load
@@ -340,6 +345,7 @@
         hostedruns.set_cpu_cap(state, (task_id, run_number), percent)
     # Leaders of earlier releases send no questions.
     hostedadvice.update_questions(state, body.get("questions", []))
+    hostedcrash.acknowledge(state, body.get("crash_seen", 0))
 
 
 def _worker_id(state):
@@ -368,7 +374,7 @@
 def _check_lapse(state):
     """Report a worker that does not answer once all its leases have expired."""
     if state.is_down:
-        _end_incarnation(state, "crashed")
+        _end_incarnation(state, views.CRASHED)
         return
     if state.is_responsive or state.is_lapsed:
         return
@@ -390,7 +396,7 @@
     announcement = state.announcement
     if announcement is None:
         return {}
-    return {
+    fields = {
         "pool": announcement.pool,
         "failure_domain": announcement.failure_domain,
         "rack": announcement.rack,
@@ -418,6 +424,10 @@
         "ends": [state.ends[number] for number in sorted(state.ends)],
         "advice": hostedadvice.report_rows(state),
     }
+    crash = hostedcrash.report_field(state)
+    if crash is not None:
+        fields["crash"] = crash
+    return fields
 
 
 _BY_EVENT = {
--- a/sardinegauge/workflows/hoststate.py
+++ b/sardinegauge/workflows/hoststate.py
@@ -16,14 +16,16 @@
 class HostedRun:
     """A run on the worker, as known to the agent.
 
-    `checkpoint` is the one to start from, `saved_checkpoint` the newest one that the
-    worker listed. `cpu_cap` and `target_cpu_cap` are the confirmed and the ordered
-    share of the run's full speed, in percent. `unanswered_starts` counts start calls
-    without an answer; `last_answer_event` is the number of the event that brought the
-    answer to the last start or stop call.
+    `active_ms` is when the run was first known to be active, 0 before. `checkpoint` is
+    the one to start from, `saved_checkpoint` the newest one that the worker listed.
+    `cpu_cap` and `target_cpu_cap` are the confirmed and the ordered share of the run's
+    full speed, in percent. `unanswered_starts` counts start calls without an answer;
+    `last_answer_event` is the number of the event that brought the answer to the last
+    start or stop call.
     """
 
     __slots__ = (
+        "active_ms",
         "last_answer_event",
         "checkpoint",
         "is_call_open",
@@ -48,6 +50,7 @@
         self.payload = payload
         self.checkpoint = checkpoint
         self.ticket = ticket
+        self.active_ms = 0
         self.saved_checkpoint = ""
         self.progress = 0
         self.load = 0
@@ -71,7 +74,8 @@
     the end of the leader's grant, `lease_end_ms` the latest end of any lease given to
     the worker. `seen_end` is the highest end number that the leader acknowledged,
     `acknowledged_end` the highest one passed on to the worker. `last_list_event` is the
-    event that sent the call whose list of runs was applied last.
+    event that sent the call whose list of runs was applied last. `crash` is the
+    `hostedcrash.Crash` that the leader has not acknowledged yet, or None.
     """
 
     def __init__(self, agent):
@@ -86,6 +90,7 @@
         self.report_due_ms = 0
         self.effects = []
         self.question_by_step = {}
+        self.crash = None
         self._reset(0)
 
     def _reset(self, incarnation):
--- a/sardinegauge/workflows/orders.py
+++ b/sardinegauge/workflows/orders.py
@@ -11,8 +11,9 @@
     The orders hold starts as rows of task, run, payload, checkpoint, ticket and CPU
     cap; stops, and runs for the agent to forget, as rows of task and run; CPU caps, in
     `paces`, as rows of task, run and percent; questions to the policy service as rows
-    of step and workers; and the number of the last recorded end. A worker is watched
-    while it runs both latency-critical and best-effort tasks.
+    of step and workers; the number of the last recorded end; and the incarnation of the
+    last recorded crash. A worker is watched while it runs both latency-critical and
+    best-effort tasks.
     """
     view = state.view_by_id.get(worker)
     body = {
@@ -23,6 +24,7 @@
         "paces": [],
         "is_watched": False,
         "questions": state.advice_tracker.questions_for(worker),
+        "crash_seen": 0,
     }
     if (
         view is None
@@ -30,6 +32,7 @@
         or state.registered_incarnation(worker) != incarnation
     ):
         return json.dumps(body).encode()
+    body["crash_seen"] = state.crash_by_agent.get(view.agent, 0)
     body["seen_end"] = state.store.worker_by_id[worker].seen_end
     runs = state.store.runs_of(worker, incarnation)
     body["is_watched"] = any(task.step.target_ms for task in runs.values()) and any(
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -10,6 +10,7 @@
 from sardinegauge import commands
 from sardinegauge.workflows import (
     besteffort,
+    crashes,
     incarnations,
     schedulerevents,
     store,
@@ -82,6 +83,7 @@
     incarnations.propose_registration(state, view)
     incarnations.release_former_incarnations(state, view)
     _record_advice(state, report)
+    crashes.on_report(state, report)
     _propose_ends(state, view, report)
     _expire_recent_ends(state)
     besteffort.update_cpu_caps(state, view)
@@ -116,7 +118,8 @@
         if key in state.store.runs_of(view.id, view.incarnation):
             view.proposed_gone_runs.add(key)
             _record_refusal(state, view, key, reported)
-            ends.append([0, task_id, run_number, store.REFUSED, reported.checkpoint])
+            how = store.LOST if reported.reason == views.CRASHED else store.REFUSED
+            ends.append([0, task_id, run_number, how, reported.checkpoint])
     if ends:
         command = commands.RecordEnds(worker=view.id, life=view.incarnation, rows=ends)
         state.propose(command)
--- a/sardinegauge/workflows/schedulerevents.py
+++ b/sardinegauge/workflows/schedulerevents.py
@@ -45,6 +45,12 @@
     __slots__ = ("how", "queue")
 
 
+class WorkerCrashed(record.Record):
+    """Effect: count a crash of a worker that ended `run_count` runs."""
+
+    __slots__ = ("pool", "run_count")
+
+
 class WorkflowEnded(record.Record):
     """Effect: count a workflow that ended, for the metrics."""
 
--- a/sardinegauge/workflows/store.py
+++ b/sardinegauge/workflows/store.py
@@ -8,7 +8,8 @@
 # still find them.
 RETENTION_MS = 15 * 60 * 1000
 
-# How a run ended, in the rows of `commands.RecordEnds`.
+# How a run ended, in the rows of `commands.RecordEnds`. A refused run never started; a
+# lost one ended with the crash of its worker.
 DONE = "done"
 FAILED = "failed"
 STOPPED = "stopped"
@@ -16,7 +17,8 @@
 BROKEN = "broken"
 ALONE = "alone"
 REFUSED = "refused"
-ENDS = frozenset({DONE, FAILED, STOPPED, LAPSED, BROKEN, ALONE, REFUSED})
+LOST = "lost"
+ENDS = frozenset({DONE, FAILED, STOPPED, LAPSED, BROKEN, ALONE, REFUSED, LOST})
 
 
 class RegisteredWorker(record.Record):
--- a/sardinegauge/workflows/views.py
+++ b/sardinegauge/workflows/views.py
@@ -10,6 +10,9 @@
 STOPPING = "stopping"
 GONE = "gone"  # The run is not active and can never start.
 
+# Reason of a run that is gone because its worker crashed.
+CRASHED = "crashed"
+
 PHASES = frozenset({ORDERED, ACTIVE, STOPPING, GONE})
 
 # A worker with an older report gets no new runs.
@@ -64,6 +67,16 @@
         self.cpu_cap = cpu_cap
 
 
+class Crash(record.Record):
+    """A crash of an earlier or the current incarnation of an agent's worker.
+
+    `runs` are rows of task, run and the time in ms that the worker is known to have
+    been up since the run became active.
+    """
+
+    __slots__ = ("worker", "life", "runs")
+
+
 class Report(record.Record):
     """A decoded `messages.WorkerReport`.
 
@@ -72,6 +85,7 @@
     the workers asked about, rows of worker and ticket, and the tickets' validity in ms.
     `is_lapsed` is True if every lease of this incarnation has expired, or the
     incarnation has ended. `sent_ms` is when the report was sent, on the agent's clock.
+    `crash` is the last `Crash` that the leader has not acknowledged, or None.
     """
 
     __slots__ = (
@@ -94,6 +108,7 @@
         "runs",
         "ends",
         "advice",
+        "crash",
     )
     _defaults = {
         "sent_ms": 0,
@@ -112,6 +127,7 @@
         "runs": list,
         "ends": list,
         "advice": list,
+        "crash": None,
     }
 
 
@@ -139,6 +155,7 @@
 _RUN_TYPES = (str, int, str, str, _NUMBER, _NUMBER, str, _NUMBER)
 _END_TYPES = (int, str, int, str, str)
 _ADVICE_TYPES = (str, list, list, _NUMBER)
+_CRASH_RUN_TYPES = (str, int, _NUMBER)
 
 
 def decode_report(message):
@@ -168,6 +185,7 @@
     _check_rows("runs", report.runs, _RUN_TYPES)
     _check_rows("ends", report.ends, _END_TYPES)
     _check_rows("advice", report.advice, _ADVICE_TYPES)
+    report.crash = _decode_crash(report.crash)
     for row in report.runs:
         if row[2] not in PHASES:
             raise ValueError(f"unknown phase {row[2]!r}")
@@ -177,6 +195,20 @@
     return report
 
 
+def _decode_crash(fields):
+    if fields is None:
+        return None
+    if not isinstance(fields, dict):
+        raise ValueError("crash has the wrong type")
+    crash = Crash(**fields)
+    if not isinstance(crash.worker, str) or not isinstance(crash.runs, list):
+        raise ValueError("a part of crash has the wrong type")
+    if not isinstance(crash.life, int) or _is_out_of_range(crash.life):
+        raise ValueError("life of crash has the wrong type or size")
+    _check_rows("crash", crash.runs, _CRASH_RUN_TYPES)
+    return crash
+
+
 def _refuse_constant(text):
     raise ValueError(f"{text} is no finite number")
 
--- a/tests/leaderkit.py
+++ b/tests/leaderkit.py
@@ -78,24 +78,7 @@
                 self.commit(command)
 
     def report(self, worker="a", incarnation=1, runs=(), ends=(), **fields):
-        values = {
-            "agent": f"agent-{worker}",
-            "pool": "p",
-            "rack": "r1",
-            "labels": ["k", "r1"],
-            "cpu_millis": 8000,
-            "memory_mb": 8000,
-            "accelerators": 0,
-            "is_fenced": True,
-            **fields,
-        }
-        report = views.Report(
-            worker=worker,
-            life=incarnation,
-            runs=[[*row, "", 0, 0, "", 100] for row in runs],
-            ends=[list(row) for row in ends],
-            **values,
-        )
+        report = report_of(worker, runs, incarnation, ends, **fields)
         self.dispatch(schedulerevents.ReportReceived, report=report)
 
     def submit(self, *found, id="w", queue="q", **fields):
@@ -120,3 +103,25 @@
     def tick(self, ms):
         self.now_ms += ms
         self.dispatch(schedulerevents.Tick, wall_ms=self.now_ms)
+
+
+def report_of(worker, runs, incarnation=1, ends=(), **fields):
+    """Return the report of a worker; `runs` are rows of task, run and phase."""
+    values = {
+        "agent": f"agent-{worker}",
+        "pool": "p",
+        "rack": "r1",
+        "labels": ["k", "r1"],
+        "cpu_millis": 8000,
+        "memory_mb": 8000,
+        "accelerators": 0,
+        "is_fenced": True,
+        **fields,
+    }
+    return views.Report(
+        worker=worker,
+        life=incarnation,
+        runs=[[*row, "", 0, 0, "", 100] for row in runs],
+        ends=[list(row) for row in ends],
+        **values,
+    )
--- a/tests/test_workflow_scheduler.py
+++ b/tests/test_workflow_scheduler.py
@@ -186,6 +186,7 @@
         "paces": [],
         "questions": [],
         "is_watched": 0,
+        "crash_seen": 0,
     }
 
 
