--- a/tests/test_workflow_simulation.py
+++ b/tests/test_workflow_simulation.py
@@ -109,6 +109,7 @@
         self.until_ms = max(self.until_ms, request.lease_until_ms)
         self.world.check_start(self, key)
         self.running[key] = self.world.now_ms + int(request.payload)
+        self.world.on_started(self, key)
         return self.answer()
 
     def StopCall(self, request):
@@ -180,11 +181,14 @@
         if self.is_partitioned or not self.state.announcement:
             return
         fields = hosting.report_fields(self.state)
-        report = views.Report(
-            agent=self.state.agent,
-            worker=self.state.announcement.worker,
-            life=self.state.incarnation,
-            **json.loads(json.dumps(fields)),
+        report = views.decode_report(
+            messages.WorkerReport(
+                agent=self.state.agent,
+                worker=self.state.announcement.worker,
+                life=self.state.incarnation,
+                sent_ms=self.world.now_ms,
+                body=json.dumps(fields).encode(),
+            )
         )
         state, sent_ms = self.state, self.world.now_ms
         is_wanted = state.is_lease_wanted
@@ -459,6 +463,9 @@
         if used > CAPACITY_MILLIS:
             self.violations.append(f"{self.now_ms}: {worker.id} has {used} of room")
 
+    def on_started(self, worker, key):
+        """Notice that a worker began a run; for simulations with other faults."""
+
     def submit(self, number):
         step = steps_module.Step(
             count=self.random.randint(1, 4),
