Isolate tasks that crash their workers, and give them up

Cause: a run that ended with the crash of its worker left no trace. It was recorded like a run that never started, counted neither as an attempt nor against the worker, and its task was assigned to the next worker at once.

Change: agents report, for each run on a crashed worker, how long after its start the crash came at least and at most.

--- a/sardinegauge/checks.py
+++ b/sardinegauge/checks.py
@@ -321,6 +321,12 @@
     commands.KeepEstimates: {
         "rows": items(row(OPTIONAL_TEXT, OPTIONAL_TEXT, ESTIMATE, ESTIMATE))
     },
+    commands.RecordCrash: {
+        **_WORKER_INCARNATION,
+        "agent": TEXT,
+        "rows": items(row(TEXT, COUNT, TEXT)),
+    },
+    commands.ClearSuspects: {"tasks": items(TEXT)},
     commands.RegisterLife: {**_WORKER_INCARNATION, "agent": TEXT},
     commands.AssignRuns: {"rows": items(row(TEXT, COUNT, TEXT, COUNT))},
     commands.RecordEnds: {
--- a/sardinegauge/commands.py
+++ b/sardinegauge/commands.py
@@ -336,6 +336,22 @@
     _defaults = {"at_ms": 0, "checkpoints": list}
 
 
+class RecordCrash(Command):
+    """Record a crash of a worker for the tasks of the runs that it ended.
+
+    `agent` reported it. Rows hold task, run and a verdict of `workflows.crashrecord`; a
+    run that was recorded before is skipped. It removes no run.
+    """
+
+    __slots__ = ("worker", "life", "agent", "rows")
+
+
+class ClearSuspects(Command):
+    """Forget the suspected crashes of tasks that a worker survived."""
+
+    __slots__ = ("tasks",)
+
+
 class KeepEstimates(Command):
     """Store the leader's interference estimates for its successor.
 
--- a/sardinegauge/state/machine.py
+++ b/sardinegauge/state/machine.py
@@ -18,7 +18,7 @@
     tasks,
     workers,
 )
-from sardinegauge.workflows import store
+from sardinegauge.workflows import crashrecord, store
 
 SNAPSHOT_FORMAT = 1
 
@@ -91,6 +91,8 @@
     commands.AssignRuns: store.assign_runs,
     commands.RecordEnds: store.record_ends,
     commands.ReleaseLife: store.release_incarnation,
+    commands.RecordCrash: crashrecord.record_crash,
+    commands.ClearSuspects: crashrecord.clear_suspects,
 }
 
 
--- a/sardinegauge/workflows/hostedcrash.py
+++ b/sardinegauge/workflows/hostedcrash.py
@@ -1,19 +1,23 @@
 """The last crash of an agent's worker, as it is reported to the leader.
 
-The report names each run that the crash ended, and how long the worker is known to have
-been up since that run became active: a run that the worker survived for long is
-unlikely to have crashed it.
+The report names each run that the crash ended, and how long after its start the crash
+came at least and at most: a run that the worker survived for long is unlikely to have
+crashed it.
 """
 
 from sardinegauge.workflows import views
 
+# The crash is recorded without the calls that are still open after this time.
+MAX_SETTLE_MS = 300
+
 
 class Crash:
     """A crash of one incarnation of the worker.
 
-    `rows` hold task, run and `survived_ms` of the runs that the worker had started, or
-    may have: the time from when a run became active to the last answer of the worker,
-    0 for a start without an answer.
+    `rows` hold task, run, `survived_ms` and `noticed_ms` of the runs that the worker
+    had started, or may have: the times from when a run became active to the last answer
+    of the worker, and to the first call without one. Both are 0 for a start without an
+    answer.
     """
 
     __slots__ = ("incarnation", "rows", "worker")
@@ -24,6 +28,17 @@
         self.rows = rows
 
 
+def is_settled(state):
+    """Return whether no call is open that shows if its run had started.
+
+    Calls that were waiting to be sent fail only after the crash was noticed.
+    """
+    since_ms = state.unanswered_since_ms or state.now_ms
+    return state.now_ms - since_ms >= MAX_SETTLE_MS or not any(
+        run.is_call_open for run in state.runs.values()
+    )
+
+
 def record(state):
     """Record that the worker crashed, unless it was about to leave anyway."""
     if state.announcement is None or state.is_draining:
@@ -31,7 +46,7 @@
     if state.crash is not None and state.crash.incarnation >= state.incarnation:
         return
     rows = [
-        [*key, _survived_ms(state, run)]
+        [*key, *_age_bounds_ms(state, run)]
         for key, run in state.runs.items()
         if _may_have_started(run)
     ]
@@ -44,8 +59,14 @@
     return run.active_ms > 0 or run.unanswered_starts > 0 or run.is_call_open
 
 
-def _survived_ms(state, run):
-    return max(state.answered_ms - run.active_ms, 0) if run.active_ms else 0
+def _age_bounds_ms(state, run):
+    if not run.active_ms:
+        return 0, 0
+    noticed_at_ms = state.unanswered_since_ms or state.now_ms
+    return (
+        max(state.answered_ms - run.active_ms, 0),
+        max(noticed_at_ms - run.active_ms, 0),
+    )
 
 
 def acknowledge(state, incarnation):
--- a/sardinegauge/workflows/hosting.py
+++ b/sardinegauge/workflows/hosting.py
@@ -93,7 +93,6 @@
     worker, so such a run is gone only after `MAX_CALL_DELAY_MS`.
     """
     if not state.is_down:
-        hostedcrash.record(state)
         state.is_down = True
         log.warning(
             "worker_down worker=%s life=%d reason=%r runs=%d",
@@ -103,6 +102,10 @@
             len(state.runs),
         )
         state.report()
+    if reason == views.CRASHED:
+        if not hostedcrash.is_settled(state):
+            return
+        hostedcrash.record(state)
     for run in state.runs.values():
         settled_at_ms = (
             run.last_unanswered_ms + MAX_CALL_DELAY_MS if run.unanswered_starts else 0
@@ -111,6 +114,7 @@
         if run.phase != views.GONE and is_settled:
             run.phase = views.GONE
             run.reason = reason
+            state.report()
 
 
 def _on_answered(state, event):
@@ -130,6 +134,7 @@
         _record_unanswered_start(state, call)
         return
     state.answered_ms = state.now_ms
+    state.unanswered_since_ms = 0
     state.connect_failures = 0
     state.is_down = False
     if answer.clock_ms and call.sent_ms >= state.anchor_ms:
@@ -155,6 +160,7 @@
     if call.incarnation != state.incarnation:
         return
     _close_call(state, call)
+    state.unanswered_since_ms = state.unanswered_since_ms or state.now_ms
     if not event.is_down:
         _record_unanswered_start(state, call)
     if event.is_down:
--- a/sardinegauge/workflows/hoststate.py
+++ b/sardinegauge/workflows/hoststate.py
@@ -74,7 +74,8 @@
     the end of the leader's grant, `lease_end_ms` the latest end of any lease given to
     the worker. `seen_end` is the highest end number that the leader acknowledged,
     `acknowledged_end` the highest one passed on to the worker. `last_list_event` is the
-    event that sent the call whose list of runs was applied last. `crash` is the
+    event that sent the call whose list of runs was applied last. `unanswered_since_ms`
+    is when the first call after the last answer went unanswered, or 0. `crash` is the
     `hostedcrash.Crash` that the leader has not acknowledged yet, or None.
     """
 
@@ -107,6 +108,7 @@
         self.anchor_clock_ms = 0
         self.anchor_ms = 0
         self.answered_ms = self.now_ms
+        self.unanswered_since_ms = 0
         self.grant_until_ms = 0
         self.lease_end_ms = 0
         self.open_hold_count = 0
--- a/sardinegauge/workflows/planner.py
+++ b/sardinegauge/workflows/planner.py
@@ -8,6 +8,7 @@
 import collections
 import heapq
 
+from sardinegauge.workflows import isolation as isolation_module
 from sardinegauge.workflows import ordering as ordering_module
 from sardinegauge.workflows import placement as placement_module
 
@@ -34,10 +35,15 @@
         waiting_steps = self._waiting_steps(state, wall_ms)
         if not waiting_steps:
             return []
-        offer = _Offer(state.candidates.find_usable(state, now_ms))
+        usable = state.candidates.find_usable(state, now_ms)
+        isolation = isolation_module.Offer(state, usable)
+        offer = _Offer(
+            [c for c in usable if c.view.id not in state.isolation.probe_by_worker],
+            isolation,
+        )
         if not offer.candidates:
             return []
-        assignments = []
+        assignments = self._plan_suspects(state, waiting_steps, offer)
         for workflow, occurrence, position in waiting_steps:
             assignments += self._plan_step(state, workflow, occurrence, position, offer)
             if len(assignments) >= MAX_ASSIGNMENTS:
@@ -103,21 +109,14 @@
             return []
         waiting = [
             task
-            for task in tasks
-            if not task.is_done
-            and not task.runs
-            and task.id not in state.worker_by_planned_task
+            for task in _waiting_tasks(state, tasks)
+            if step.is_gang or not task.crashes
         ]
         if not waiting:
             return []
-        matching = offer.find_matching(queue.pool, step.required_label)
-        if queue.advice is not None:
-            matching = self._candidates_with_ticket(
-                state, waiting[0], queue.advice, matching
-            )
-        count_by_worker = (
-            _count_runs_by_worker(tasks, state) if step.max_per_worker else {}
-        )
+        matching = self._find_matching(state, queue, waiting[0], offer)
+        matching = offer.find_open(matching)
+        count_by_worker = _count_runs_by_worker(tasks, state, offer)
         if step.is_gang:
             return self._plan_gang(
                 state, tasks, waiting, step, matching, count_by_worker
@@ -132,11 +131,67 @@
                     offer.record_exhausted(queue.pool, step)
                 break
             ranking.reserve(chosen)
-            assignments.append(
-                [task.id, task.last_run + 1, chosen.view.id, chosen.view.incarnation]
-            )
+            assignments.append(_assignment(task, chosen))
         return assignments
 
+    def _find_matching(self, state, queue, task, offer):
+        """Return the candidates of a task's pool and label, with a ticket if needed."""
+        matching = offer.find_matching(queue.pool, task.step.required_label)
+        if queue.advice is None:
+            return matching
+        return self._candidates_with_ticket(state, task, queue.advice, matching)
+
+    def _plan_suspects(self, state, waiting_steps, offer):
+        """Return the rows for suspected tasks.
+
+        They choose first, as any other start makes a worker unfit for isolation.
+        """
+        suspected_steps = {
+            task_id.rpartition(".")[0] for task_id in state.store.suspected_ids
+        }
+        if not suspected_steps:
+            return []
+        assignments = []
+        for workflow, occurrence, position in waiting_steps:
+            tasks = occurrence.tasks_by_step[position]
+            step = tasks[0].step
+            step_id = f"{workflow.id}.{occurrence.number}.{position}"
+            if step.is_gang or step_id not in suspected_steps:
+                continue
+            suspects = [task for task in _waiting_tasks(state, tasks) if task.crashes]
+            if not suspects:
+                continue
+            queue = state.store.queue_of(workflow)
+            matching = self._find_matching(state, queue, suspects[0], offer)
+            count_by_worker = _count_runs_by_worker(tasks, state, offer)
+            for task in suspects:
+                chosen = self._isolate(state, task, matching, count_by_worker, offer)
+                if chosen is not None:
+                    chosen.reserve(step)
+                    offer.isolated_worker_by_task[task.id] = chosen.view.id
+                    assignments.append(_assignment(task, chosen))
+        return assignments
+
+    def _isolate(self, state, task, matching, count_by_worker, offer):
+        """Return the candidate on which a suspected task starts alone, or None."""
+        step = task.step
+        limit = step.max_per_worker
+        eligible = [
+            candidate
+            for candidate in matching
+            if candidate.free.fits(step)
+            and not self._is_refused(state, task, candidate)
+            and (not limit or count_by_worker.get(candidate.view.id, 0) < limit)
+        ]
+        avoided = state.failed_workers_by_task.get(task.id, ())
+        chosen = offer.isolation.choose(
+            task, eligible, lambda c: self.placement.score(step, c, avoided)
+        )
+        if chosen is not None and limit:
+            worker = chosen.view.id
+            count_by_worker[worker] = count_by_worker.get(worker, 0) + 1
+        return chosen
+
     def _choose(self, state, task, step, ranking):
         """Return the best candidate for a task, or None if it fits on none."""
         avoided = set(state.failed_workers_by_task.get(task.id, ()))
@@ -211,10 +266,18 @@
     least its size does. This bounds the work in an overload with many waiting steps.
     """
 
-    __slots__ = ("_exhausted_steps_by_group", "_matching_by_group", "candidates")
+    __slots__ = (
+        "_exhausted_steps_by_group",
+        "_matching_by_group",
+        "candidates",
+        "isolated_worker_by_task",
+        "isolation",
+    )
 
-    def __init__(self, candidates):
+    def __init__(self, candidates, isolation):
         self.candidates = candidates
+        self.isolation = isolation
+        self.isolated_worker_by_task = {}
         self._matching_by_group = {}
         self._exhausted_steps_by_group = {}
 
@@ -230,6 +293,13 @@
             ]
         return matching
 
+    def find_open(self, candidates):
+        """Return the candidates that are not kept for suspected tasks."""
+        closed_ids = self.isolation.closed_ids
+        if not closed_ids:
+            return candidates
+        return [c for c in candidates if c.view.id not in closed_ids]
+
     def record_exhausted(self, pool, step):
         """Record that a task of the step fits on no matching candidate."""
         group = (pool, step.required_label)
@@ -316,6 +386,22 @@
         self.count_by_worker[worker] = self.count_by_worker.get(worker, 0) + 1
 
 
+def _assignment(task, candidate):
+    """Return the row of `commands.AssignRuns` for the next run of a task."""
+    view = candidate.view
+    return [task.id, task.last_run + 1, view.id, view.incarnation]
+
+
+def _waiting_tasks(state, tasks):
+    return [
+        task
+        for task in tasks
+        if not task.is_done
+        and not task.runs
+        and task.id not in state.worker_by_planned_task
+    ]
+
+
 def _waiting_positions(workflow, occurrence, planned_count_by_step):
     """Return the ready steps of an occurrence that have tasks to assign."""
     return [
@@ -328,13 +414,21 @@
     ]
 
 
-def _count_runs_by_worker(tasks, state):
-    """Return the number of runs of a step by worker, including planned ones."""
+def _count_runs_by_worker(tasks, state, offer):
+    """Return the runs of a step by worker with planned ones, empty without a limit."""
     count_by_worker = {}
+    if not tasks[0].step.max_per_worker:
+        return count_by_worker
     for task in tasks:
-        for run in task.runs:
-            count_by_worker[run.worker] = count_by_worker.get(run.worker, 0) + 1
-        planned = state.worker_by_planned_task.get(task.id)
-        if planned is not None:
-            count_by_worker[planned] = count_by_worker.get(planned, 0) + 1
+        workers = [run.worker for run in task.runs]
+        workers += [
+            planned[task.id]
+            for planned in (
+                state.worker_by_planned_task,
+                offer.isolated_worker_by_task,
+            )
+            if task.id in planned
+        ]
+        for worker in workers:
+            count_by_worker[worker] = count_by_worker.get(worker, 0) + 1
     return count_by_worker
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -12,6 +12,7 @@
     besteffort,
     crashes,
     incarnations,
+    isolation,
     schedulerevents,
     store,
     views,
@@ -54,6 +55,7 @@
     state.estimates_proposed_ms = state.now_ms
     for worker in state.store.worker_by_id.values():
         incarnations.create_view(state, worker.worker, worker.life, worker.agent)
+    isolation.begin(state)
 
 
 def _on_report(state, event):
@@ -84,6 +86,7 @@
     incarnations.release_former_incarnations(state, view)
     _record_advice(state, report)
     crashes.on_report(state, report)
+    isolation.on_report(state, view)
     _propose_ends(state, view, report)
     _expire_recent_ends(state)
     besteffort.update_cpu_caps(state, view)
@@ -167,6 +170,8 @@
             state.now_ms - view.received_ms if view is not None else -1,
             task_id in assigned_ids,
         )
+        if task_id in assigned_ids:
+            isolation.on_assigned(state, task_id, run_number, worker, incarnation)
     for worker, incarnation in incarnation_by_worker.items():
         view = state.view_by_id.get(worker)
         if view is not None and view.incarnation == incarnation:
@@ -252,6 +257,11 @@
         return
     if workflow.id in state.open_ids and not workflow.is_open:
         _on_workflow_ended(state, workflow)
+    _push_stops(state, workflow)
+
+
+def _push_stops(state, workflow):
+    """Push the orders of all workers with runs of a workflow that has ended."""
     workers = {
         (run.worker, run.incarnation) for task in workflow.tasks() for run in task.runs
     }
@@ -259,6 +269,12 @@
         state.push(worker, incarnation)
 
 
+def _on_crash_recorded(state, event):
+    for workflow in crashes.on_recorded(state, event.command):
+        _on_workflow_ended(state, workflow)
+        _push_stops(state, workflow)
+
+
 def _on_registered(state, event):
     view = state.view_by_id.get(event.command.worker)
     if view is not None and view.incarnation == event.command.life:
@@ -289,6 +305,7 @@
     state.wall_offset_ms = event.wall_ms - event.now_ms
     besteffort.move_slow_best_effort_tasks(state)
     _expire_refusals(state)
+    isolation.tick(state)
     _renew_tickets(state)
     _propose_estimates(state)
     for view in list(state.view_by_id.values()):
@@ -386,6 +403,7 @@
     commands.AssignRuns: _on_assigned,
     commands.RecordEnds: _on_ends_recorded,
     commands.ReleaseLife: _on_released,
+    commands.RecordCrash: _on_crash_recorded,
     commands.RegisterLife: _on_registered,
     commands.CancelWorkflow: _on_cancelled,
     commands.SubmitWorkflow: _on_submitted,
--- a/sardinegauge/workflows/schedulerstate.py
+++ b/sardinegauge/workflows/schedulerstate.py
@@ -7,6 +7,7 @@
     candidates,
     health,
     interference,
+    isolation,
     planner,
     schedulerevents,
 )
@@ -23,8 +24,8 @@
     best-effort task has been slow, `moved_from_by_task` the worker that a best-effort
     task was moved away from. A task is not assigned before `refused_until_ms` to a
     worker that refused it, by task id and worker. `end_ms_by_recent_run` is when the
-    end of a run was recorded. `crash_by_agent` holds the incarnation of the last
-    recorded crash of a worker by its agent.
+    end of a run was recorded. `proposed_crash_by_agent` and `crash_by_agent` hold the
+    incarnation of the last proposed and recorded crash of a worker by its agent.
     """
 
     def __init__(self, machine):
@@ -47,7 +48,9 @@
         self.open_ids = set(self.store.open_ids)
         self.end_ms_by_recent_run = collections.OrderedDict()
         self.now_ms = 0
+        self.proposed_crash_by_agent = {}
         self.crash_by_agent = {}
+        self.isolation = isolation.Isolation()
         self.wall_ms = 0
         self.wall_offset_ms = 0
         self.term = 0
--- a/sardinegauge/workflows/store.py
+++ b/sardinegauge/workflows/store.py
@@ -39,6 +39,7 @@
     order of acceptance, and of ended ones in order of their end. `estimates` are the
     rows of the newest `commands.KeepEstimates`. `runs_by_incarnation` holds the runs of
     each worker and incarnation, as a dict of the task by task id and run number.
+    `suspected_ids` are the ids of tasks of open workflows with suspected crashes.
     `run_changes_by_worker` counts the runs that were added and removed.
     """
 
@@ -50,6 +51,7 @@
         "queue_set",
         "run_changes_by_worker",
         "runs_by_incarnation",
+        "suspected_ids",
         "worker_by_id",
         "workflow_by_id",
     )
@@ -63,6 +65,7 @@
         self.estimates = []
         self.runs_by_incarnation = {}
         self.run_changes_by_worker = {}
+        self.suspected_ids = set()
         self._incarnations_by_worker = {}
 
     def find_task(self, task_id):
@@ -167,10 +170,15 @@
             for task in workflow.tasks():
                 for run in task.runs:
                     self._index_run(task, run)
+                if task.crashes and workflow.is_open and not task.is_done:
+                    self.suspected_ids.add(task.id)
 
 
-def _end_workflow(store, workflow, state, at_ms, reason=""):
+def end_workflow(store, workflow, state, at_ms, reason=""):
+    """End an open workflow in a final state."""
     workflow.end(state, at_ms, reason)
+    if store.suspected_ids:
+        store.suspected_ids.difference_update(task.id for task in workflow.tasks())
     store.open_ids.pop(workflow.id, None)
     store.ended_ids[workflow.id] = None
 
@@ -232,7 +240,7 @@
     if workflow is None:
         return outcome.Impossible(reason="no such workflow")
     if workflow.is_open:
-        _end_workflow(store, workflow, workflow_module.CANCELLED, command.at_ms)
+        end_workflow(store, workflow, workflow_module.CANCELLED, command.at_ms)
     return outcome.Accepted(ids=[command.id])
 
 
@@ -344,11 +352,12 @@
         return
     # A checkpoint of any member is valid for the whole gang, and all members must
     # restart from the same one.
-    for member in _step_tasks(occurrence, task):
+    for member in step_tasks(occurrence, task):
         member.checkpoint = checkpoint
 
 
-def _step_tasks(occurrence, task):
+def step_tasks(occurrence, task):
+    """Return all tasks of a task's step."""
     return occurrence.tasks_by_step[task.position]
 
 
@@ -358,14 +367,15 @@
         return
     finished = [task]
     if task.step.is_gang:
-        finished = _step_tasks(occurrence, task)
+        finished = step_tasks(occurrence, task)
     for member in finished:
         occurrence.finish(member)
+        store.suspected_ids.discard(member.id)
     if not occurrence.is_complete or not workflow.is_open:
         return
     workflow.completed_occurrences.add(occurrence.number)
     if len(workflow.completed_occurrences) == max(workflow.repeats, 1):
-        _end_workflow(store, workflow, workflow_module.COMPLETED, at_ms)
+        end_workflow(store, workflow, workflow_module.COMPLETED, at_ms)
 
 
 def _count_failure(store, workflow, occurrence, task, run_number, at_ms):
@@ -379,7 +389,7 @@
         failures = len(runs)
     if failures >= store.queue_of(workflow).max_attempts:
         reason = f"task {task.id} failed {failures} times"
-        _end_workflow(store, workflow, workflow_module.FAILED, at_ms, reason)
+        end_workflow(store, workflow, workflow_module.FAILED, at_ms, reason)
 
 
 def release_incarnation(machine, index, command):
--- a/sardinegauge/workflows/views.py
+++ b/sardinegauge/workflows/views.py
@@ -70,8 +70,8 @@
 class Crash(record.Record):
     """A crash of an earlier or the current incarnation of an agent's worker.
 
-    `runs` are rows of task, run and the time in ms that the worker is known to have
-    been up since the run became active.
+    `runs` are rows of task, run, and the times in ms from when the run became active to
+    the last answer of the worker, and to the first call without one.
     """
 
     __slots__ = ("worker", "life", "runs")
@@ -155,7 +155,7 @@
 _RUN_TYPES = (str, int, str, str, _NUMBER, _NUMBER, str, _NUMBER)
 _END_TYPES = (int, str, int, str, str)
 _ADVICE_TYPES = (str, list, list, _NUMBER)
-_CRASH_RUN_TYPES = (str, int, _NUMBER)
+_CRASH_RUN_TYPES = (str, int, _NUMBER, _NUMBER)
 
 
 def decode_report(message):
--- a/sardinegauge/workflows/workflow.py
+++ b/sardinegauge/workflows/workflow.py
@@ -21,15 +21,21 @@
 class Task:
     """One task of an occurrence; `last_run` is its highest run number so far.
 
-    `position` is that of its step in the workflow.
+    `position` is that of its step in the workflow. `crashes` counts the last crashes of
+    workers in which the task was suspected, since a worker survived one of its runs.
+    `lost_runs` counts all its runs that ended with a crash, `last_lost_run` is the
+    highest number of them.
     """
 
     __slots__ = (
         "checkpoint",
+        "crashes",
         "failures",
         "id",
         "is_done",
+        "last_lost_run",
         "last_run",
+        "lost_runs",
         "position",
         "runs",
         "step",
@@ -41,6 +47,9 @@
         self.position = position
         self.last_run = 0
         self.failures = 0
+        self.crashes = 0
+        self.lost_runs = 0
+        self.last_lost_run = 0
         self.checkpoint = ""
         self.is_done = False
         self.runs = []
@@ -267,6 +276,7 @@
                         [run.number, run.worker, run.incarnation, run.assigned_at_ms]
                         for run in task.runs
                     ],
+                    [task.crashes, task.lost_runs, task.last_lost_run],
                 ]
                 for task in tasks
             ]
@@ -281,8 +291,11 @@
     for tasks, data_of_tasks in zip(occurrence.tasks_by_step, data["tasks"]):
         for task, task_data in zip(tasks, data_of_tasks):
             task.last_run, task.failures, task.checkpoint, task.is_done, runs = (
-                task_data
+                task_data[:5]
             )
+            # Snapshots of earlier releases end here.
+            if len(task_data) > 5:
+                task.crashes, task.lost_runs, task.last_lost_run = task_data[5]
             task.runs = [
                 Run(
                     number=number,
--- a/tests/test_hostedcrash.py
+++ b/tests/test_hostedcrash.py
@@ -42,7 +42,7 @@
     assert reported_crash(agent) == {
         "worker": "i-1",
         "life": 1,
-        "runs": [[*test_workflow_hosting.KEY, 700], [*OTHER, 0]],
+        "runs": [[*test_workflow_hosting.KEY, 700, 800], [*OTHER, 0, 100]],
     }
 
 
@@ -58,14 +58,14 @@
     (call,) = agent.take_calls(workerclient.StartCall)
     agent.dispatch(hostevents.CallUnanswered, call=call, is_down=False)
     crash(agent)
-    assert reported_crash(agent)["runs"] == [[*OTHER, 0]]
+    assert reported_crash(agent)["runs"] == [[*OTHER, 0, 0]]
 
 
 def test_crash_that_is_only_seen_by_the_next_incarnation_is_reported(agent):
     start(agent, test_workflow_hosting.KEY)
     agent.announce(incarnation=2)
     assert reported_crash(agent)["life"] == 1
-    assert reported_crash(agent)["runs"] == [[*test_workflow_hosting.KEY, 0]]
+    assert reported_crash(agent)["runs"] == [[*test_workflow_hosting.KEY, 0, 0]]
 
 
 def test_end_of_a_draining_worker_is_no_crash(agent):
--- a/tests/test_workflow_reports.py
+++ b/tests/test_workflow_reports.py
@@ -29,7 +29,7 @@
     "runs": [["w.0.0.0", 1, views.ACTIVE, "", 50, 0.5, "", 100]],
     "ends": [[1, "w.0.0.1", 1, store.DONE, ""]],
     "advice": [["w.0.0", ["a", "b"], [["a", "t"]], 500]],
-    "crash": {"worker": "a", "life": 1, "runs": [["w.0.0.2", 1, 12.5]]},
+    "crash": {"worker": "a", "life": 1, "runs": [["w.0.0.2", 1, 12.5, 20]]},
 }
 # Values of every JSON type; none is valid in a place that holds another type.
 VALUES = (None, True, -1, 1.5, "", "x", [], [1], {}, {"a": 1}, 10**400)
@@ -84,7 +84,7 @@
         b'{"ends": [["1", "w", 1, "done", ""]]}',
         b'{"advice": [["w", [1], [], 5]]}',
         b'{"crash": {"worker": "a"}}',
-        b'{"crash": {"worker": "a", "life": 1, "runs": [["w.0.0.0", 1]]}}',
+        b'{"crash": {"worker": "a", "life": 1, "runs": [["w.0.0.0", 1, 5]]}}',
         b"\xff\xfe",
         b"[" * 100_000,
     ],
