Withdraw starts that a worker has no room for any more

The leader planned with the new capacity from the next report on, but a start that was assigned before and not confirmed yet was still ordered, by a new leader even seconds later, and went over the capacity of workers that do not guard it.

An agent now reports a changed capacity at once, and the leader stops the latest unconfirmed starts on a shrunk worker until the others fit; members of a gang together. Active runs go on. A new leader checks with the first report.

--- a/sardinegauge/workflows/hosting.py
+++ b/sardinegauge/workflows/hosting.py
@@ -70,6 +70,8 @@
     if announcement.sequence <= last_announcement.sequence:
         return
     state.announcement = announcement
+    if announcement.capacity != last_announcement.capacity:
+        state.report()
     if announcement.is_draining and not state.is_draining:
         state.is_draining = True
         for key, run in state.runs.items():
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -16,6 +16,7 @@
     schedulerevents,
     store,
     views,
+    withdrawal,
     workerclient,
 )
 
@@ -89,6 +90,9 @@
     isolation.on_report(state, view)
     _propose_ends(state, view, report)
     _expire_recent_ends(state)
+    # A new leader does not know whether the capacity shrank before its first report.
+    if view.has_shrunk or view.update_count == 1:
+        withdrawal.withdraw_starts(state, view)
     besteffort.update_cpu_caps(state, view)
     state.is_plan_due = True
 
@@ -178,6 +182,8 @@
             # A new best-effort task must start with its CPU cap, before latencies
             # beside it are known.
             besteffort.set_cpu_caps(state, view)
+            if view.has_shrunk:
+                withdrawal.withdraw_starts(state, view)
         state.push(worker, incarnation)
 
 
--- a/sardinegauge/workflows/views.py
+++ b/sardinegauge/workflows/views.py
@@ -38,6 +38,28 @@
         self.memory_mb -= step.memory_mb
         self.accelerators -= step.accelerators
 
+    def release(self, step):
+        """Give back the resources of one task of a step."""
+        if not step.is_filler:
+            self.cpu_millis += step.cpu_millis
+        self.memory_mb += step.memory_mb
+        self.accelerators += step.accelerators
+
+    def union(self, other):
+        """Return the larger amount of each resource of two rooms."""
+        return Room(
+            **{
+                name: max(getattr(self, name), getattr(other, name))
+                for name in self.field_names()
+            }
+        )
+
+    def is_less_than(self, other):
+        """Return whether any amount is below that of another room."""
+        return any(
+            getattr(self, name) < getattr(other, name) for name in self.field_names()
+        )
+
     def fits(self, step):
         """Return whether one task of a step fits."""
         return (
@@ -238,6 +260,8 @@
     `proposed_gone_runs` the keys of runs proposed as refused. No lease is granted
     while `is_release_pending`. `ended` holds how runs ended by run key, for ends that
     the agent still reports. `update_count` is the number of reports applied.
+    `largest_capacity` holds the largest reported amount of each resource, and
+    `has_shrunk` whether one is smaller now.
     """
 
     __slots__ = (
@@ -246,12 +270,14 @@
         "ended",
         "failure_domain",
         "grant_until_ms",
+        "has_shrunk",
         "id",
         "is_draining",
         "is_fenced",
         "is_lapsed",
         "is_release_pending",
         "labels",
+        "largest_capacity",
         "incarnation",
         "pool",
         "proposed_end",
@@ -273,6 +299,8 @@
         self.rack = ""
         self.labels = frozenset()
         self.capacity = Room()
+        self.largest_capacity = Room()
+        self.has_shrunk = False
         self.is_draining = False
         self.is_fenced = False
         self.is_lapsed = False
@@ -310,6 +338,8 @@
             memory_mb=report.memory_mb,
             accelerators=report.accelerators,
         )
+        self.largest_capacity = self.largest_capacity.union(self.capacity)
+        self.has_shrunk = self.capacity.is_less_than(self.largest_capacity)
         # A drain is never undone within an incarnation.
         self.is_draining = self.is_draining or report.is_draining
         self.is_fenced = report.is_fenced
--- /dev/null
+++ b/sardinegauge/workflows/withdrawal.py
@@ -0,0 +1,58 @@
+"""Withdrawal of assigned runs that a worker has no room for any more.
+
+The capacity of a worker may shrink while starts are on the way to it. What it runs
+stays; an assigned run whose start is not confirmed is stopped and assigned elsewhere.
+"""
+
+import logging
+
+from sardinegauge.workflows import candidates, views
+
+# Reason to stop a run.
+SHRUNK_REASON = "shrunk"
+log = logging.getLogger(__name__)
+
+
+def withdraw_starts(state, view):
+    """Stop the latest unconfirmed runs until the others fit on their worker."""
+    free = candidates.build(state, view).free
+    if not _is_exceeded(free):
+        return
+    runs = state.store.runs_of(view.id, view.incarnation)
+    withdrawn = []
+    for key, task in reversed(list(runs.items())):
+        if not _is_exceeded(free):
+            break
+        if _is_unconfirmed(view, key) and key not in state.stop_reason_by_run:
+            free.release(task.step)
+            withdrawn.append((key, task))
+    for key, task in withdrawn:
+        log.info("start_withdrawn task=%s run=%d worker=%s", *key, view.id)
+        _stop(state, key, task)
+    if withdrawn:
+        state.push(view.id, view.incarnation)
+
+
+def _is_exceeded(free):
+    return min(free.cpu_millis, free.memory_mb, free.accelerators) < 0
+
+
+def _is_unconfirmed(view, key):
+    reported = view.runs.get(key)
+    if reported is None:
+        return key not in view.ended
+    return reported.phase == views.ORDERED
+
+
+def _stop(state, key, task):
+    """Stop a run, and with a member of a gang all others of its run."""
+    state.stop_reason_by_run[key] = SHRUNK_REASON
+    if not task.step.is_gang:
+        return
+    _, run_number = key
+    _, occurrence, _ = state.store.find_task(task.id)
+    for member in occurrence.tasks_by_step[task.position]:
+        for run in member.runs:
+            if run.number == run_number:
+                state.stop_reason_by_run[member.id, run_number] = SHRUNK_REASON
+                state.push(run.worker, run.incarnation)
--- a/sardinegauge/workflows/workerclient.py
+++ b/sardinegauge/workflows/workerclient.py
@@ -131,6 +131,11 @@
         "sequence": 0,
     }
 
+    @property
+    def capacity(self):
+        """The resources as a tuple."""
+        return self.cpu_millis, self.memory_mb, self.accelerators
+
 
 class WorkerClient(abc.ABC):
     """Sends calls to one worker."""
--- a/tests/test_workflow_simulation.py
+++ b/tests/test_workflow_simulation.py
@@ -48,6 +48,7 @@
         self.agent = f"vm-{number}"
         self.incarnation = 1000 + number
         self.is_up = True
+        self.capacity_millis = CAPACITY_MILLIS
         self.begin()
 
     def begin(self):
@@ -167,7 +168,7 @@
             incarnation=worker.incarnation,
             address="a",
             pool="p",
-            cpu_millis=CAPACITY_MILLIS,
+            cpu_millis=worker.capacity_millis,
             memory_mb=1000,
             sequence=self.world.next(),
         )
@@ -460,9 +461,13 @@
         for running, _ in worker.running:
             _, _, other = self.machine.workflows.find_task(running)
             used += other.step.cpu_millis
-        if used > CAPACITY_MILLIS:
+        if used > self.allowed_millis(worker):
             self.violations.append(f"{self.now_ms}: {worker.id} has {used} of room")
 
+    def allowed_millis(self, worker):
+        """Return the capacity that a start must keep to."""
+        return worker.capacity_millis
+
     def on_started(self, worker, key):
         """Notice that a worker began a run; for simulations with other faults."""
 
