Send a request whose response was lost to one other upstream only

Two lost responses end it now; attempts that did not run count only against the limit of four.

The new test needs four sends on the code before and two now.

--- a/sardinegauge/entries/entry.py
+++ b/sardinegauge/entries/entry.py
@@ -143,6 +143,7 @@
     entrystate.release_upstream(request)
     if event.verdict is not outcome.Verdict.NOT_RUN:
         request.worst_verdict = event.verdict
+        request.lost_attempts += 1
     elif request.claim_index:
         return entryclaims.attempt_not_run(state, request, event)
     if request.is_answered:
--- a/sardinegauge/entries/entryattempts.py
+++ b/sardinegauge/entries/entryattempts.py
@@ -4,6 +4,8 @@
 from sardinegauge.entries import entryevents, entrystate
 
 MAX_ATTEMPTS = 4
+# A request that crashes its upstreams would otherwise take down one for each attempt.
+MAX_LOST_ATTEMPTS = 2
 
 
 def start(state, request, now_ms, seed):
@@ -64,11 +66,13 @@
     """Return whether the request may be retried; spend the retry budget if so.
 
     A retry must be safe by the verdict of the failed attempt, within the deadline and
-    the number of attempts, and allowed by the retry budget.
+    the limits of attempts and of lost ones, and allowed by the retry budget.
     """
     is_safe = event.verdict.may_retry(request.call.is_idempotent)
     if not is_safe or event.is_body_consumed or request.attempt >= MAX_ATTEMPTS:
         return False
+    if request.lost_attempts >= MAX_LOST_ATTEMPTS:
+        return False
     if event.now_ms >= request.call.deadline_ms:
         return False
     if not state.retry_budget.try_spend(event.now_ms):
--- a/sardinegauge/entries/entrystate.py
+++ b/sardinegauge/entries/entrystate.py
@@ -31,6 +31,7 @@
 
     `worst_verdict` is the verdict over all attempts so far: after an attempt that may
     have run, a refusal of a later attempt does not make the request not-run.
+    `lost_attempts` counts the attempts that may have run and got no complete response.
     `timer_token` is that of the latest timer; earlier timers are ignored.
     """
 
@@ -45,6 +46,7 @@
         "is_admitted",
         "is_answered",
         "is_body_ready",
+        "lost_attempts",
         "number",
         "retries",
         "sent_at_ms",
@@ -60,6 +62,7 @@
         self.call = call
         self.stage = RECEIVING
         self.attempt = 0
+        self.lost_attempts = 0
         self.retries = 0
         self.timer_token = 0
         self.tried_upstreams = []
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -131,6 +131,17 @@
     assert (final.status, final.verdict) == (504, MAY_HAVE_RUN)
 
 
+def test_request_that_crashes_its_upstreams_takes_down_at_most_two():
+    session = Session()
+    session.state.retry_budget.try_spend = lambda now_ms: True
+    session.arrive(1)
+    while 1 not in session.finals:
+        session.fail(session.sends[-1], MAY_HAVE_RUN)
+        session.expire_timers()
+    assert len(session.sends) == 2
+    assert session.finals[1].verdict is MAY_HAVE_RUN
+
+
 def test_refusal_after_a_lost_attempt_is_not_reported_as_not_run():
     session = Session()
     session.arrive(1)
