Judge the only suspect of a crash apart from storms of crashes

Many workers that crash at once have a common cause. The first lost run of a task in such a storm raises no suspicion, and an only suspect is given up only 300 ms later, if its crash was not part of one; it does not start meanwhile. Several deadly tasks may look like a storm, so each task is excused once only, and the fourth suspicion in a row ends it in any case: five starts at most.

Ruled out: excusing every suspicion in a storm, as tasks that crash many workers at once would then never be given up.

--- a/sardinegauge/checks.py
+++ b/sardinegauge/checks.py
@@ -326,6 +326,7 @@
         "agent": TEXT,
         "rows": items(row(TEXT, COUNT, TEXT)),
     },
+    commands.GiveUpTask: {"task": TEXT},
     commands.ClearSuspects: {"tasks": items(TEXT)},
     commands.RegisterLife: {**_WORKER_INCARNATION, "agent": TEXT},
     commands.AssignRuns: {"rows": items(row(TEXT, COUNT, TEXT, COUNT))},
--- a/sardinegauge/commands.py
+++ b/sardinegauge/commands.py
@@ -346,6 +346,12 @@
     __slots__ = ("worker", "life", "agent", "rows")
 
 
+class GiveUpTask(Command):
+    """End the workflow of a task that is the cause of its workers' crashes."""
+
+    __slots__ = ("task",)
+
+
 class ClearSuspects(Command):
     """Forget the suspected crashes of tasks that a worker survived."""
 
--- a/sardinegauge/state/machine.py
+++ b/sardinegauge/state/machine.py
@@ -92,6 +92,7 @@
     commands.RecordEnds: store.record_ends,
     commands.ReleaseLife: store.release_incarnation,
     commands.RecordCrash: crashrecord.record_crash,
+    commands.GiveUpTask: crashrecord.give_up_task,
     commands.ClearSuspects: crashrecord.clear_suspects,
 }
 
--- a/sardinegauge/workflows/crashes.py
+++ b/sardinegauge/workflows/crashes.py
@@ -3,8 +3,13 @@
 A task that crashes its worker does so shortly after its start, so only the youngest
 runs on a crashed worker are suspected. Suspected tasks start again alone, see
 `isolation`; if the worker crashes again, only one task can be the cause.
+
+Many workers that crash at once, in a storm, have another cause. A task is not suspected
+for its first lost run then, and not given up at once; later runs count, as several such
+tasks could crash as many workers.
 """
 
+import collections
 import logging
 
 from sardinegauge import commands
@@ -17,11 +22,50 @@
 # A single suspect is taken for the cause only if the crash was noticed within this time
 # of its start. A longer one would blame more tasks for crashes of other causes.
 MAX_NOTICED_MS = 200
+# At least this many workers, and this share of all known ones, that crash within this
+# time have a common cause.
+MIN_STORM_CRASHES = 3
+MIN_STORM_SHARE = 0.25
+STORM_WINDOW_MS = 300
 # Limit of the runs that the log names for one crash, the most recently started first.
 MAX_LOGGED_RUNS = 8
 log = logging.getLogger(__name__)
 
 
+class Crashes:
+    """Soft state of the leader about crashes.
+
+    `recent` holds pairs of time and ids of the tasks that a storm may excuse, of the
+    latest crashes. `accused_ms_by_task` is when a task was the only suspect in its last
+    crash. Until it is decided whether that crash was part of a storm, it may not start.
+    """
+
+    __slots__ = ("accused_ms_by_task", "recent")
+
+    def __init__(self):
+        self.recent = collections.deque()
+        self.accused_ms_by_task = {}
+
+    def add(self, now_ms, task_ids):
+        """Add a crash, with the tasks whose first lost run it suspects."""
+        self.recent.append((now_ms, task_ids))
+        while self.recent[0][0] < now_ms - 2 * STORM_WINDOW_MS:
+            self.recent.popleft()
+
+    def is_storm(self, at_ms, worker_count):
+        """Return whether many workers crashed around a time."""
+        count = sum(abs(at_ms - ms) <= STORM_WINDOW_MS for ms, _ in self.recent)
+        return count >= max(MIN_STORM_CRASHES, MIN_STORM_SHARE * worker_count)
+
+    def take_excused_ids(self):
+        """Return, once, the tasks that a common cause of the crashes excuses."""
+        excused_ids = []
+        for _, task_ids in self.recent:
+            excused_ids += task_ids
+            task_ids.clear()
+        return excused_ids
+
+
 def on_report(state, report):
     """Propose to record the crash in a report, unless that was done before."""
     crash = report.crash
@@ -35,14 +79,28 @@
     state.effects.append(
         schedulerevents.WorkerCrashed(pool=report.pool, run_count=len(crash.runs))
     )
+    verdicts = judge(state.store, crash.runs)
     state.propose(
         commands.RecordCrash(
-            worker=crash.worker,
-            life=crash.life,
-            agent=report.agent,
-            rows=judge(state.store, crash.runs),
+            worker=crash.worker, life=crash.life, agent=report.agent, rows=verdicts
         )
     )
+    state.crashes.add(state.now_ms, _first_suspected_ids(state.store, verdicts))
+    if not state.crashes.is_storm(state.now_ms, len(state.view_by_id)):
+        return
+    excused_ids = state.crashes.take_excused_ids()
+    if excused_ids:
+        log.info("crashes_excused tasks=%d", len(excused_ids))
+        state.propose(commands.ClearSuspects(tasks=excused_ids))
+
+
+def _first_suspected_ids(store, verdicts):
+    """Return the suspected tasks that lost no run in a crash before."""
+    return [
+        task_id
+        for task_id, _, verdict in verdicts
+        if verdict in crashrecord.SUSPICIONS and _lost_runs(store, task_id) == 0
+    ]
 
 
 def _log_crash(report, crash):
@@ -106,11 +164,15 @@
 
 
 def _window_ms(store, task_id):
-    _, _, task = store.find_task(task_id)
-    lost_runs = task.lost_runs if task is not None else 0
+    lost_runs = _lost_runs(store, task_id)
     return SUSPECT_WINDOWS_MS[min(lost_runs, len(SUSPECT_WINDOWS_MS) - 1)]
 
 
+def _lost_runs(store, task_id):
+    _, _, task = store.find_task(task_id)
+    return task.lost_runs if task is not None else 0
+
+
 def _unit(store, task_id):
     """Return the id of the step for a member of a gang, else that of the task."""
     _, _, task = store.find_task(task_id)
@@ -136,6 +198,28 @@
             verdict,
             task.crashes,
         )
-        if workflow.id in state.open_ids and not workflow.is_open:
+        if not workflow.is_open:
             given_up_by_id[workflow.id] = workflow
-    return list(given_up_by_id.values())
+        elif (
+            verdict == crashrecord.SOLE_SUSPECT
+            and task.crashes >= crashrecord.MIN_CRASHES
+        ):
+            state.crashes.accused_ms_by_task[task_id] = state.now_ms
+    return [
+        workflow
+        for workflow_id, workflow in given_up_by_id.items()
+        if workflow_id in state.open_ids
+    ]
+
+
+def tick(state):
+    """Give up the accused tasks, except those of a storm of crashes."""
+    accused_ms_by_task = state.crashes.accused_ms_by_task
+    for task_id, accused_ms in list(accused_ms_by_task.items()):
+        if state.now_ms - accused_ms < STORM_WINDOW_MS:
+            continue
+        del accused_ms_by_task[task_id]
+        is_storm = state.crashes.is_storm(accused_ms, len(state.view_by_id))
+        log.info("task_judged task=%s given_up=%s", task_id, not is_storm)
+        if not is_storm:
+            state.propose(commands.GiveUpTask(task=task_id))
--- a/sardinegauge/workflows/crashrecord.py
+++ b/sardinegauge/workflows/crashrecord.py
@@ -16,14 +16,14 @@
 UNDECIDED = "undecided"
 SURVIVED = "survived"
 SUSPICIONS = frozenset({SUSPECT, SOLE_SUSPECT})
-# Consecutive suspicions after which a task is given up: at the first two, if it was the
-# only suspect in the last crash; else only later, as others were suspected with it.
+# Consecutive suspicions after which the leader may give up a task that was the only
+# suspect in the last crash, and after which any task is given up.
 MIN_CRASHES = 2
 MAX_CRASHES = 4
 
 
 def record_crash(machine, index, command):
-    """Count a crash for the tasks on the worker, and give up those that caused it."""
+    """Count a crash for the tasks on the worker; give up those with `MAX_CRASHES`."""
     store = machine.workflows
     for task_id, run_number, verdict in command.rows:
         workflow, occurrence, task = store.find_task(task_id)
@@ -35,14 +35,27 @@
             members = store_module.step_tasks(occurrence, task)
         for member in members:
             _count_crash(store, workflow, member, run_number, verdict)
-        if workflow.is_open and not task.is_done and _is_cause(task, verdict):
-            reason = f"task {task.id} crashed {task.crashes} workers"
-            store_module.end_workflow(
-                store, workflow, workflow_module.FAILED, command.at_ms, reason
-            )
+        if task.crashes >= MAX_CRASHES:
+            _give_up(store, workflow, task, command.at_ms)
     return outcome.Accepted()
 
 
+def give_up_task(machine, index, command):
+    """End the workflow of a task that is the cause of its workers' crashes."""
+    store = machine.workflows
+    workflow, _, task = store.find_task(command.task)
+    if task is not None and task.crashes >= MIN_CRASHES:
+        _give_up(store, workflow, task, command.at_ms)
+    return outcome.Accepted()
+
+
+def _give_up(store, workflow, task, at_ms):
+    if not workflow.is_open or task.is_done:
+        return
+    reason = f"task {task.id} crashed {task.crashes} workers"
+    store_module.end_workflow(store, workflow, workflow_module.FAILED, at_ms, reason)
+
+
 def clear_suspects(machine, index, command):
     """Forget the suspected crashes of tasks that a worker survived."""
     store = machine.workflows
@@ -64,10 +77,3 @@
     elif verdict == SURVIVED:
         task.crashes = 0
         store.suspected_ids.discard(task.id)
-
-
-def _is_cause(task, verdict):
-    """Return whether the task is taken for the cause of its crashes."""
-    if verdict == SOLE_SUSPECT:
-        return task.crashes >= MIN_CRASHES
-    return verdict == SUSPECT and task.crashes >= MAX_CRASHES
--- a/sardinegauge/workflows/planner.py
+++ b/sardinegauge/workflows/planner.py
@@ -118,6 +118,8 @@
         matching = offer.find_open(matching)
         count_by_worker = _count_runs_by_worker(tasks, state, offer)
         if step.is_gang:
+            if any(task.id in state.crashes.accused_ms_by_task for task in waiting):
+                return []
             return self._plan_gang(
                 state, tasks, waiting, step, matching, count_by_worker
             )
@@ -158,7 +160,11 @@
             step_id = f"{workflow.id}.{occurrence.number}.{position}"
             if step.is_gang or step_id not in suspected_steps:
                 continue
-            suspects = [task for task in _waiting_tasks(state, tasks) if task.crashes]
+            suspects = [
+                task
+                for task in _waiting_tasks(state, tasks)
+                if task.crashes and task.id not in state.crashes.accused_ms_by_task
+            ]
             if not suspects:
                 continue
             queue = state.store.queue_of(workflow)
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -281,6 +281,13 @@
         _push_stops(state, workflow)
 
 
+def _on_task_given_up(state, event):
+    workflow, _, _ = state.store.find_task(event.command.task)
+    if workflow is not None and not workflow.is_open and workflow.id in state.open_ids:
+        _on_workflow_ended(state, workflow)
+        _push_stops(state, workflow)
+
+
 def _on_registered(state, event):
     view = state.view_by_id.get(event.command.worker)
     if view is not None and view.incarnation == event.command.life:
@@ -311,6 +318,7 @@
     state.wall_offset_ms = event.wall_ms - event.now_ms
     besteffort.move_slow_best_effort_tasks(state)
     _expire_refusals(state)
+    crashes.tick(state)
     isolation.tick(state)
     _renew_tickets(state)
     _propose_estimates(state)
@@ -410,6 +418,8 @@
     commands.RecordEnds: _on_ends_recorded,
     commands.ReleaseLife: _on_released,
     commands.RecordCrash: _on_crash_recorded,
+    commands.GiveUpTask: _on_task_given_up,
+    commands.ClearSuspects: _ignore,
     commands.RegisterLife: _on_registered,
     commands.CancelWorkflow: _on_cancelled,
     commands.SubmitWorkflow: _on_submitted,
--- a/sardinegauge/workflows/schedulerstate.py
+++ b/sardinegauge/workflows/schedulerstate.py
@@ -5,6 +5,7 @@
 from sardinegauge.workflows import (
     advicetracker,
     candidates,
+    crashes,
     health,
     interference,
     isolation,
@@ -50,6 +51,7 @@
         self.now_ms = 0
         self.proposed_crash_by_agent = {}
         self.crash_by_agent = {}
+        self.crashes = crashes.Crashes()
         self.isolation = isolation.Isolation()
         self.wall_ms = 0
         self.wall_offset_ms = 0
--- a/tests/test_workflow_crashes.py
+++ b/tests/test_workflow_crashes.py
@@ -114,6 +114,7 @@
                 ],
             )
         )
+    fleet.pass_time(400)
     assert fleet.state_of() == "failed"
 
 
@@ -124,6 +125,9 @@
     assert fleet.state_of() == "running"
     fleet.pass_time(100)
     fleet.crash(fleet.leader.placed()["w.0.0.0"])
+    for _ in range(4):
+        assert fleet.leader.placed() == {}
+        fleet.pass_time(100)
     assert fleet.state_of() == "failed"
     workflow = fleet.leader.store.workflow_by_id["w"]
     assert workflow.reason == "task w.0.0.0 crashed 2 workers"
@@ -141,6 +145,33 @@
     assert fleet.task("w.0.0.0").lost_runs == 8
 
 
+def test_first_crash_of_a_task_is_excused_if_many_workers_crash_at_once(fleet):
+    fleet.leader.submit(steps.Step(count=24, cpu_millis=100))
+    fleet.leader.settle()
+    for worker in "abc":
+        fleet.crash(worker)
+    fleet.leader.settle()
+    assert not fleet.leader.store.suspected_ids
+    assert fleet.state_of() == "running"
+
+
+def test_task_that_crashes_its_worker_again_during_a_storm_is_given_up(fleet):
+    """Several such tasks crash as many workers at once as a storm does."""
+    fleet.leader.submit(SMALL)
+    fleet.leader.settle()
+    starts = 0
+    while fleet.state_of() == "running":
+        starts += 1
+        worker = fleet.leader.placed()["w.0.0.0"]
+        for other in [other for other in WORKERS if other != worker][:2]:
+            fleet.crash(other)
+        fleet.crash(worker)
+        for _ in range(8):
+            if not fleet.leader.placed():
+                fleet.pass_time(100)
+    assert starts == 5
+
+
 def test_suspect_starts_alone_and_frees_its_worker_once_it_is_survived(fleet):
     fleet.leader.submit(SMALL)
     fleet.leader.settle()
