Count the loss of a worker shortly after a start as a failure of the task

If a worker lists none of its tasks any more, the agent reports the latest one as failed, if it started at most 5 s before; the others are stopped as before. A task that is lost alone or later is not suspected.

Not covered: a task that takes down its whole VM with the agent; that loss is seen by the lease only.

--- a/sardinegauge/agents/taskhost.py
+++ b/sardinegauge/agents/taskhost.py
@@ -15,6 +15,8 @@
 # so that it applies only if a failure was never reported.
 PENDING_CALL_RETRY_MS = 7000
 MAX_CHECKPOINT_ATTEMPTS = 3
+# A task that started longer before a crash of the worker is not suspected of it.
+CRASH_SUSPECT_MS = 5000
 # The highest ended epoch of a task is retained so that an order of a deposed leader
 # can't start that epoch again. A deposed leader steps down within a second, and this
 # many epochs cover a far longer time.
@@ -296,6 +298,7 @@
         """
         effects = []
         by_task = {status.task: status for status in statuses}
+        crash_suspect = self._find_crash_suspect(now_ms, by_task)
         for hosted in list(self.by_task.values()):
             status = by_task.get(hosted.order.task)
             if hosted.is_ended or hosted.called_at_ms >= requested_at_ms:
@@ -304,12 +307,11 @@
                 # An unconfirmed task may be missing because its start call is still
                 # in flight.
                 if hosted.is_confirmed:
-                    effects += self._end(
-                        now_ms,
-                        hosted,
-                        hostedtask.STOPPED,
-                        hosted.reason or "lost by the worker",
-                    )
+                    phase = hostedtask.STOPPED
+                    if hosted is crash_suspect:
+                        phase = hostedtask.FAILED
+                    reason = hosted.reason or "lost by the worker"
+                    effects += self._end(now_ms, hosted, phase, reason)
             else:
                 effects += self._apply_status(now_ms, hosted, status)
         for status in statuses:
@@ -319,6 +321,31 @@
                 effects.append(hostedtask.Stop(task=status.task, epoch=status.epoch))
         return effects
 
+    def _find_crash_suspect(self, now_ms, by_task):
+        """Return the task that may have crashed the worker, or None.
+
+        A worker that crashed has lost all its tasks; the latest one started shortly
+        before. Its loss counts as a failure, or it would crash one worker after the
+        other.
+        """
+        confirmed = [
+            hosted
+            for hosted in self.by_task.values()
+            if hosted.is_confirmed and not hosted.is_ended
+        ]
+        if not confirmed or any(
+            hosted.order.task in by_task
+            and by_task[hosted.order.task].epoch == hosted.order.epoch
+            for hosted in confirmed
+        ):
+            return None
+        latest = max(confirmed, key=lambda hosted: hosted.started_at_ms)
+        is_suspect = (
+            latest.phase == hostedtask.RUNNING
+            and now_ms - latest.started_at_ms <= CRASH_SUSPECT_MS
+        )
+        return latest if is_suspect else None
+
     def _apply_status(self, now_ms, hosted, status):
         if status.phase in hostedtask.ENDED:
             reason = hosted.reason or status.reason
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -462,3 +462,36 @@
     failed = agentevents.HeartbeatFailed(now_ms=200, address="s9", sequence=2)
     effects = agent.reduce(state, failed)
     assert [e.address for e in of_kind(agentevents.SendHeartbeat, effects)] == ["s1"]
+
+
+def vanished_phases(started_ms_by_task, vanished_ms, left=()):
+    """Return the phases of tasks that the worker does not list any more."""
+    state = ready_state()
+    for task, started_ms in started_ms_by_task.items():
+        reply(state, started_ms, 0, [order(task)])
+        taken = {"task": task, "epoch": 1, "is_taken": True, "reason": ""}
+        agent.reduce(state, agentevents.StartAnswered(now_ms=started_ms, **taken))
+    listed = [
+        worker.TaskStatus(task=task, epoch=1, phase="running")
+        for task in started_ms_by_task
+    ]
+    statuses = [status for status in listed if status.task in left]
+    for now_ms, found in ((vanished_ms - 1, listed), (vanished_ms, statuses)):
+        polled = agentevents.WorkerPolled(
+            now_ms=now_ms, requested_at_ms=now_ms, statuses=found
+        )
+        agent.reduce(state, polled)
+    return {task: hosted.phase for task, hosted in state.host.by_task.items()}
+
+
+def test_task_that_may_have_crashed_its_worker_counts_as_failed():
+    """Guards against a task that crashes one worker after another without limit."""
+    phases = vanished_phases({"a": 1000, "b": 7000}, 7500)
+    assert phases == {"a": "stopped", "b": "failed"}
+
+
+def test_tasks_lost_long_after_their_start_or_one_by_one_do_not_fail():
+    phases = vanished_phases({"a": 1000, "b": 1500}, 9000)
+    assert phases == {"a": "stopped", "b": "stopped"}
+    phases = vanished_phases({"a": 1000, "b": 1500}, 2000, left=["a"])
+    assert phases == {"a": "running", "b": "stopped"}
