--- a/sardinegauge/workflows/crashes.py
+++ b/sardinegauge/workflows/crashes.py
@@ -69,10 +69,9 @@
 def on_report(state, report):
     """Propose to record the crash in a report, unless that was done before."""
     crash = report.crash
-    if (
-        crash is None
-        or state.proposed_crash_by_agent.get(report.agent, 0) >= crash.life
-    ):
+    # Incarnations are compared for equality only, as the clock that numbers them may
+    # have been set back.
+    if crash is None or state.proposed_crash_by_agent.get(report.agent) == crash.life:
         return
     state.proposed_crash_by_agent[report.agent] = crash.life
     _log_crash(report, crash)
--- a/sardinegauge/workflows/hostedcrash.py
+++ b/sardinegauge/workflows/hostedcrash.py
@@ -43,7 +43,7 @@
     """Record that the worker crashed, unless it was about to leave anyway."""
     if state.announcement is None or state.is_draining:
         return
-    if state.crash is not None and state.crash.incarnation >= state.incarnation:
+    if state.crash is not None and state.crash.incarnation == state.incarnation:
         return
     rows = [
         [*key, *_age_bounds_ms(state, run)]
@@ -71,7 +71,7 @@
 
 def acknowledge(state, incarnation):
     """Drop the crash that the leader has recorded."""
-    if state.crash is not None and state.crash.incarnation <= incarnation:
+    if state.crash is not None and state.crash.incarnation == incarnation:
         state.crash = None
 
 
--- a/sardinegauge/workflows/isolation.py
+++ b/sardinegauge/workflows/isolation.py
@@ -157,8 +157,8 @@
     )
 
 
-class Offer:
-    """The workers that one plan may isolate.
+class IsolationPlan:
+    """The workers that one plan of assignments may isolate.
 
     `closed_ids` are those on which no other task may start: reserved workers, and those
     chosen in this plan.
--- a/sardinegauge/workflows/planner.py
+++ b/sardinegauge/workflows/planner.py
@@ -36,7 +36,7 @@
         if not waiting_steps:
             return []
         usable = state.candidates.find_usable(state, now_ms)
-        isolation = isolation_module.Offer(state, usable)
+        isolation = isolation_module.IsolationPlan(state, usable)
         offer = _Offer(
             [c for c in usable if c.view.id not in state.isolation.probe_by_worker],
             isolation,
