--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -152,6 +152,32 @@
     run_scenario(tmp_path, scenario)
 
 
+def test_stopping_core_answers_an_open_call_of_the_operator(tmp_path):
+    """A stopped core cancelled open calls, which then got an error page."""
+
+    async def scenario(platform):
+        # The call waits for the leader, which is frozen, so the follower itself has
+        # nothing to finish.
+        leader = next(
+            ip
+            for ip in platform.core_ips
+            if "leadership_gained" in (tmp_path / f"core-{ip}.log").read_text()
+        )
+        follower, other = (ip for ip in platform.core_ips if ip != leader)
+        for ip in (leader, other):
+            platform.processes["core", ip].send_signal(signal.SIGSTOP)
+        call = asyncio.create_task(
+            platform.config("PUT", platform.document(2), ip=follower)
+        )
+        await asyncio.sleep(0.2)
+        platform.processes["core", follower].send_signal(signal.SIGTERM)
+        status, body = await call
+        assert status == 503
+        assert "error" in body
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_lost_disk_is_replaced_without_an_operator(tmp_path):
     async def scenario(platform):
         ip = platform.core_ips[0]
