Blame an only suspect only for a crash noticed within 100 ms of its start

A start without an answer counts from its first call now, and the limit is 100 instead of 200 ms. The new test of the agent failed before (bounds 0 and 0 in place of 0 and 900).

--- a/sardinegauge/workflows/crashes.py
+++ b/sardinegauge/workflows/crashes.py
@@ -21,7 +21,7 @@
 SUSPECT_WINDOWS_MS = (100, 1000, 2000)
 # A single suspect is taken for the cause only if the crash was noticed within this time
 # of its start. A longer one would blame more tasks for crashes of other causes.
-MAX_NOTICED_MS = 200
+MAX_NOTICED_MS = 100
 # At least this many workers, and this share of all known ones, that crash within this
 # time have a common cause.
 MIN_STORM_CRASHES = 3
--- a/sardinegauge/workflows/hostedcrash.py
+++ b/sardinegauge/workflows/hostedcrash.py
@@ -16,8 +16,8 @@
 
     `rows` hold task, run, `survived_ms` and `noticed_ms` of the runs that the worker
     had started, or may have: the times from when a run became active to the last answer
-    of the worker, and to the first call without one. Both are 0 for a start without an
-    answer.
+    of the worker, and to the first call without one. A start without an answer counts
+    from its first call, and survived nothing.
     """
 
     __slots__ = ("incarnation", "rows", "worker")
@@ -60,9 +60,9 @@
 
 
 def _age_bounds_ms(state, run):
-    if not run.active_ms:
-        return 0, 0
     noticed_at_ms = state.unanswered_since_ms or state.now_ms
+    if not run.active_ms:
+        return 0, max(noticed_at_ms - run.called_ms, 0)
     return (
         max(state.answered_ms - run.active_ms, 0),
         max(noticed_at_ms - run.active_ms, 0),
--- a/sardinegauge/workflows/hostedruns.py
+++ b/sardinegauge/workflows/hostedruns.py
@@ -45,6 +45,7 @@
         return
     task_id, run_number = key
     run.is_call_open = True
+    run.called_ms = run.called_ms or state.now_ms
     state.lease_end_ms = max(state.lease_end_ms, state.grant_until_ms)
     state.call(
         workerclient.StartCall(
--- a/sardinegauge/workflows/hoststate.py
+++ b/sardinegauge/workflows/hoststate.py
@@ -16,8 +16,9 @@
 class HostedRun:
     """A run on the worker, as known to the agent.
 
-    `active_ms` is when the run was first known to be active, 0 before. `checkpoint` is
-    the one to start from, `saved_checkpoint` the newest one that the worker listed.
+    `active_ms` is when the run was first known to be active, and `called_ms` when its
+    start was called first, 0 before. `checkpoint` is the one to start from,
+    `saved_checkpoint` the newest one that the worker listed.
     `cpu_cap` and `target_cpu_cap` are the confirmed and the ordered share of the run's
     full speed, in percent. `unanswered_starts` counts start calls without an answer;
     `last_answer_event` is the number of the event that brought the answer to the last
@@ -26,6 +27,7 @@
 
     __slots__ = (
         "active_ms",
+        "called_ms",
         "last_answer_event",
         "checkpoint",
         "is_call_open",
@@ -51,6 +53,7 @@
         self.checkpoint = checkpoint
         self.ticket = ticket
         self.active_ms = 0
+        self.called_ms = 0
         self.saved_checkpoint = ""
         self.progress = 0
         self.load = 0
--- a/tests/test_hostedcrash.py
+++ b/tests/test_hostedcrash.py
@@ -56,9 +56,22 @@
 def test_start_whose_answer_was_lost_in_the_crash_is_reported(agent):
     agent.order(starts=[[*OTHER, "payload", ""]])
     (call,) = agent.take_calls(workerclient.StartCall)
+    agent.now_ms += 15
     agent.dispatch(hostevents.CallUnanswered, call=call, is_down=False)
     crash(agent)
-    assert reported_crash(agent)["runs"] == [[*OTHER, 0, 0]]
+    assert reported_crash(agent)["runs"] == [[*OTHER, 0, 15]]
+
+
+def test_start_that_stayed_without_an_answer_is_not_taken_for_a_young_run(agent):
+    """It may have started at its first call, long before the crash."""
+    agent.order(starts=[[*OTHER, "payload", ""]])
+    (call,) = agent.take_calls(workerclient.StartCall)
+    agent.now_ms += 300
+    agent.dispatch(hostevents.CallUnanswered, call=call, is_down=False)
+    agent.now_ms += 500
+    agent.answer_holds()
+    crash(agent)
+    assert reported_crash(agent)["runs"] == [[*OTHER, 0, 900]]
 
 
 def test_crash_that_is_only_seen_by_the_next_incarnation_is_reported(agent):
