End the isolation of a suspect only on an answer of its worker

Until then the leader took the run for survived, since it was still listed as active 400 ms after its assignment, and forgot the suspicion.

Agents report for each run how long their worker is known to have survived it, and only that ends the isolation now. Rows of runs have one more column: an older leader refuses such reports, so the state group is upgraded first.

--- a/benchmarks/flowpolicies.py
+++ b/benchmarks/flowpolicies.py
@@ -123,7 +123,7 @@
     def send_report(self, number, ends=()):
         worker = f"w{number}"
         runs = [
-            [*key, views.ACTIVE, "", 50, 0, "", 100]
+            [*key, views.ACTIVE, "", 50, 0, "", 100, 1000]
             for key in self.machine.workflows.runs_of(worker, 1)
             if key not in {(row[1], row[2]) for row in ends}
         ]
--- a/benchmarks/leadercost.py
+++ b/benchmarks/leadercost.py
@@ -82,7 +82,7 @@
             "labels": [self.rack],
             "seen_end": self.seen_end,
             "runs": [
-                [*key, views.ACTIVE, "", 50, load, "", cpu_cap]
+                [*key, views.ACTIVE, "", 50, load, "", cpu_cap, 1000]
                 for key, (load, cpu_cap) in self.runs.items()
             ],
             "ends": self.ends,
--- a/sardinegauge/workflows/hostedcrash.py
+++ b/sardinegauge/workflows/hostedcrash.py
@@ -61,12 +61,13 @@
 
 def _age_bounds_ms(state, run):
     noticed_at_ms = state.unanswered_since_ms or state.now_ms
-    if not run.active_ms:
-        return 0, max(noticed_at_ms - run.called_ms, 0)
-    return (
-        max(state.answered_ms - run.active_ms, 0),
-        max(noticed_at_ms - run.active_ms, 0),
-    )
+    begun_ms = run.active_ms or run.called_ms
+    return survived_ms(state, run), max(noticed_at_ms - begun_ms, 0)
+
+
+def survived_ms(state, run):
+    """Return how long the worker is known to have been up since a run became active."""
+    return max(state.answered_ms - run.active_ms, 0) if run.active_ms else 0
 
 
 def acknowledge(state, incarnation):
--- a/sardinegauge/workflows/hosting.py
+++ b/sardinegauge/workflows/hosting.py
@@ -426,6 +426,7 @@
                 run.load,
                 run.reason,
                 run.cpu_cap,
+                hostedcrash.survived_ms(state, run),
             ]
             for key, run in state.runs.items()
         ],
--- a/sardinegauge/workflows/isolation.py
+++ b/sardinegauge/workflows/isolation.py
@@ -15,8 +15,10 @@
 from sardinegauge import commands
 from sardinegauge.workflows import views
 
-# Time after a start on a worker until that run counts as survived: the window of a
-# suspicion, and the time until the agent has a newer answer of the worker.
+# A run that its worker is known to have survived for this long is not its end.
+SURVIVAL_MS = 250
+# A worker without a start for this long has survived its runs, as agents hear from it
+# often enough.
 QUIET_MS = 400
 # Share of the usable workers that may be isolated at a time, at least one worker.
 MAX_ISOLATED_SHARE = 1 / 3
@@ -31,11 +33,10 @@
 class Probe:
     """The isolated runs of suspected tasks on a worker."""
 
-    __slots__ = ("assigned_ms", "incarnation", "keys")
+    __slots__ = ("incarnation", "keys")
 
-    def __init__(self, incarnation, assigned_ms):
+    def __init__(self, incarnation):
         self.incarnation = incarnation
-        self.assigned_ms = assigned_ms
         self.keys = []
 
 
@@ -94,8 +95,7 @@
     isolation.reservation_end_ms_by_worker.pop(worker, None)
     probe = isolation.probe_by_worker.get(worker)
     if probe is None or probe.incarnation != incarnation:
-        probe = isolation.probe_by_worker[worker] = Probe(incarnation, state.now_ms)
-    probe.assigned_ms = state.now_ms
+        probe = isolation.probe_by_worker[worker] = Probe(incarnation)
     probe.keys.append((task.id, run_number))
 
 
@@ -105,11 +105,7 @@
     if probe is None:
         return
     pending_keys = _pending_keys(state, view.id, probe)
-    is_survived = (
-        view.is_fenced
-        and state.now_ms - probe.assigned_ms >= QUIET_MS
-        and all(_is_active(view, key) for key in pending_keys)
-    )
+    is_survived = all(_is_survived(view, key) for key in pending_keys)
     if pending_keys and not is_survived:
         return
     del state.isolation.probe_by_worker[view.id]
@@ -129,8 +125,18 @@
     return [key for key in probe.keys if key in runs]
 
 
-def _is_active(view, key):
-    return key in view.runs and view.runs[key].phase == views.ACTIVE
+def _is_survived(view, key):
+    """Return whether the worker answered long enough after a run became active.
+
+    That the run is still listed as active shows nothing: a worker that crashed without
+    closing its connections is found out only later.
+    """
+    reported = view.runs.get(key)
+    return (
+        reported is not None
+        and reported.phase == views.ACTIVE
+        and reported.survived_ms >= SURVIVAL_MS
+    )
 
 
 def tick(state):
--- a/sardinegauge/workflows/views.py
+++ b/sardinegauge/workflows/views.py
@@ -75,18 +75,30 @@
     `progress` is the finished share of the work in percent, 100 for an active
     persistent task. `load` is the tail latency in ms of a latency-critical task, for
     others the thousandths of a core in use. `cpu_cap` is the last confirmed CPU
-    cap, in percent of the full speed.
+    cap, in percent of the full speed. `survived_ms` is the time from when the run
+    became active to the last answer of its worker.
     """
 
-    __slots__ = ("checkpoint", "load", "cpu_cap", "phase", "progress", "reason")
+    __slots__ = (
+        "checkpoint",
+        "cpu_cap",
+        "load",
+        "phase",
+        "progress",
+        "reason",
+        "survived_ms",
+    )
 
-    def __init__(self, phase, checkpoint, progress, load, reason, cpu_cap=100):
+    def __init__(
+        self, phase, checkpoint, progress, load, reason, cpu_cap=100, survived_ms=0
+    ):
         self.phase = phase
         self.checkpoint = checkpoint
         self.progress = progress
         self.load = load
         self.reason = reason
         self.cpu_cap = cpu_cap
+        self.survived_ms = survived_ms
 
 
 class Crash(record.Record):
@@ -102,9 +114,10 @@
 class Report(record.Record):
     """A decoded `messages.WorkerReport`.
 
-    `runs` are rows of task, run, phase, checkpoint, progress, load, reason and CPU
-    cap; `ends` rows of number, task, run, how and checkpoint; `advice` rows of step,
-    the workers asked about, rows of worker and ticket, and the tickets' validity in ms.
+    `runs` are rows of task, run, phase, checkpoint, progress, load, reason, CPU cap and
+    the time that the worker has survived the run; `ends` rows of number, task, run, how
+    and checkpoint; `advice` rows of step, the workers asked about, rows of worker and
+    ticket, and the tickets' validity in ms.
     `is_lapsed` is True if every lease of this incarnation has expired, or the
     incarnation has ended. `sent_ms` is when the report was sent, on the agent's clock.
     `crash` is the last `Crash` that the leader has not acknowledged, or None.
@@ -174,7 +187,7 @@
     "ends": list,
     "advice": list,
 }
-_RUN_TYPES = (str, int, str, str, _NUMBER, _NUMBER, str, _NUMBER)
+_RUN_TYPES = (str, int, str, str, _NUMBER, _NUMBER, str, _NUMBER, _NUMBER)
 _END_TYPES = (int, str, int, str, str)
 _ADVICE_TYPES = (str, list, list, _NUMBER)
 _CRASH_RUN_TYPES = (str, int, _NUMBER, _NUMBER)
--- a/tests/leaderkit.py
+++ b/tests/leaderkit.py
@@ -105,7 +105,7 @@
         self.dispatch(schedulerevents.Tick, wall_ms=self.now_ms)
 
 
-def report_of(worker, runs, incarnation=1, ends=(), **fields):
+def report_of(worker, runs, incarnation=1, ends=(), survived_ms=0, **fields):
     """Return the report of a worker; `runs` are rows of task, run and phase."""
     values = {
         "agent": f"agent-{worker}",
@@ -121,7 +121,7 @@
     return views.Report(
         worker=worker,
         life=incarnation,
-        runs=[[*row, "", 0, 0, "", 100] for row in runs],
+        runs=[[*row, "", 0, 0, "", 100, survived_ms] for row in runs],
         ends=[list(row) for row in ends],
         **values,
     )
--- a/tests/test_workflow_besteffort.py
+++ b/tests/test_workflow_besteffort.py
@@ -72,7 +72,7 @@
     assert len(set(leader.placed().values())) == 1
     (host,) = set(leader.placed().values())
     runs = [
-        [*key, views.ACTIVE, "", 100, 28, "", 100]
+        [*key, views.ACTIVE, "", 100, 28, "", 100, 0]
         for key in leader.store.runs_of(host, 1)
     ]
     report = views.Report(
--- a/tests/test_workflow_crashes.py
+++ b/tests/test_workflow_crashes.py
@@ -17,16 +17,26 @@
     def __init__(self):
         self.leader = leaderkit.Leader()
         self.life_by_worker = dict.fromkeys(WORKERS, 1)
+        self.begun_ms_by_run = {}
+        self.is_answering = True
         self.pass_time(1000)
 
     def report_all(self):
         for worker, life in self.life_by_worker.items():
-            runs = [
-                [*key, views.ACTIVE] for key in self.leader.store.runs_of(worker, life)
-            ]
-            self.leader.report(worker, life, runs)
+            runs = self.leader.store.runs_of(worker, life)
+            report = leaderkit.report_of(
+                worker, [[*key, views.ACTIVE] for key in runs], life
+            )
+            for row in report.runs:
+                row[-1] = self.survived_ms((row[0], row[1]))
+            self.leader.dispatch(schedulerevents.ReportReceived, report=report)
         self.leader.settle()
 
+    def survived_ms(self, key):
+        now_ms = self.leader.now_ms
+        begun_ms = self.begun_ms_by_run.setdefault(key, now_ms)
+        return now_ms - begun_ms if self.is_answering else 0
+
     def pass_time(self, ms):
         for _ in range(ms // 100):
             self.leader.tick(100)
@@ -188,6 +198,16 @@
     assert len(fleet.runs_on(worker)) > 1
 
 
+def test_suspect_on_a_worker_that_does_not_answer_stays_suspected(fleet):
+    """A worker that crashed silently was taken to have survived the suspect."""
+    fleet.leader.submit(SMALL)
+    fleet.leader.settle()
+    fleet.crash(fleet.leader.placed()["w.0.0.0"])
+    fleet.is_answering = False
+    fleet.pass_time(1200)
+    assert fleet.leader.store.suspected_ids == {"w.0.0.0"}
+
+
 def test_suspects_put_only_a_share_of_the_workers_at_risk(fleet):
     fleet.leader.submit(steps.Step(count=4, cpu_millis=5000))
     fleet.leader.settle()
--- a/tests/test_workflow_hosting.py
+++ b/tests/test_workflow_hosting.py
@@ -337,7 +337,7 @@
     agent.order(paces=[[*KEY, 30]])
     (call,) = agent.take_calls(workerclient.PaceCall)
     agent.answer(call)
-    assert hosting.report_fields(agent.state)["runs"][0][-1] == 30
+    assert hosting.report_fields(agent.state)["runs"][0][-2] == 30
 
 
 def test_run_begins_with_the_cpu_cap_of_its_order(agent):
--- a/tests/test_workflow_interference.py
+++ b/tests/test_workflow_interference.py
@@ -70,8 +70,8 @@
         latency_ms = 12 if number % 2 else 30
         cores = 0 if number % 2 else 1500
         rows = [
-            ["w.0.0.0", 1, views.ACTIVE, "", 100, latency_ms, "", 100],
-            ["f.0.0.0", 1, views.ACTIVE, "", 50, cores, "", 100],
+            ["w.0.0.0", 1, views.ACTIVE, "", 100, latency_ms, "", 100, 0],
+            ["f.0.0.0", 1, views.ACTIVE, "", 50, cores, "", 100, 0],
         ]
         report = views.Report(
             agent="agent-a",
