--- a/tests/test_crash_simulation.py
+++ b/tests/test_crash_simulation.py
@@ -24,8 +24,9 @@
 
     is_faulty = False
 
-    def __init__(self, seed, deadly_ids, lost_leaders_ms=()):
+    def __init__(self, seed, deadly_ids, lost_leaders_ms=(), is_silent=False):
         self.deadly_ids = deadly_ids
+        self.is_silent = is_silent
         self.starts_by_task = collections.Counter()
         self.crash_count = 0
         super().__init__(seed, WORKER_COUNT)
@@ -44,6 +45,15 @@
             worker.crash()
             self.schedule(DOWN_MS, worker.restart)
 
+    def call(self, agent, state, effect):
+        if self.is_silent and not agent.worker.is_up:
+            self.schedule(
+                test_workflow_simulation.CALL_TIMEOUT_MS,
+                lambda: self.unanswered(agent, state, effect, False),
+            )
+        else:
+            super().call(agent, state, effect)
+
     def state_of(self, workflow_id):
         return self.machine.workflows.workflow_by_id[workflow_id].state
 
@@ -56,6 +66,18 @@
 ):
     world = World(seed, deadly_ids, lost_leaders_ms)
     world.run()
+    check(world, deadly_ids)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_task_whose_crashes_close_no_connection_is_given_up_as_well(seed):
+    """An agent learns of such a crash from the next incarnation only."""
+    world = World(seed, {"w1", "w2"}, is_silent=True)
+    world.run()
+    check(world, {"w1", "w2"})
+
+
+def check(world, deadly_ids):
     assert world.violations == []
     for workflow_id in deadly_ids:
         assert world.starts_by_task[f"{workflow_id}.0.0.0"] <= MAX_STARTS
