--- a/sardinegauge/workflows/isolation.py
+++ b/sardinegauge/workflows/isolation.py
@@ -140,11 +140,13 @@
 
 
 def tick(state):
-    """Drop the reservations that expired, and probes whose runs have ended."""
+    """Drop expired reservations, workers that are gone, and probes that have ended."""
     isolation = state.isolation
     for worker, end_ms in list(isolation.reservation_end_ms_by_worker.items()):
         if state.now_ms >= end_ms:
             del isolation.reservation_end_ms_by_worker[worker]
+    for worker in isolation.assigned_ms_by_worker.keys() - state.view_by_id.keys():
+        del isolation.assigned_ms_by_worker[worker]
     for worker, probe in list(isolation.probe_by_worker.items()):
         if not _pending_keys(state, worker, probe):
             del isolation.probe_by_worker[worker]
