--- a/sardinegauge/workflows/hostapp.py
+++ b/sardinegauge/workflows/hostapp.py
@@ -8,6 +8,7 @@
 from sardinegauge.workflows import (
     adviceclient,
     flowmetrics,
+    hostedreport,
     hostevents,
     hosting,
     hoststate,
@@ -186,7 +187,7 @@
     async def _report(self):
         self._sequence += 1
         announcement = self.state.announcement
-        fields = hosting.report_fields(self.state)
+        fields = hostedreport.report_fields(self.state)
         message = messages.WorkerReport(
             agent=self.state.agent,
             worker=announcement.worker if announcement is not None else "",
--- a/sardinegauge/workflows/hosting.py
+++ b/sardinegauge/workflows/hosting.py
@@ -399,46 +399,6 @@
         state.report()
 
 
-def report_fields(state):
-    """Return the fields of a `views.Report`, empty before the first announcement."""
-    announcement = state.announcement
-    if announcement is None:
-        return {}
-    fields = {
-        "pool": announcement.pool,
-        "failure_domain": announcement.failure_domain,
-        "rack": announcement.rack,
-        "labels": announcement.labels,
-        "cpu_millis": announcement.cpu_millis,
-        "memory_mb": announcement.memory_mb,
-        "accelerators": announcement.accelerators,
-        "is_draining": state.is_draining,
-        "remaining_ms": announcement.remaining_ms,
-        "is_fenced": state.is_fenced and state.is_responsive,
-        "is_lapsed": state.is_lapsed,
-        "seen_end": state.seen_end,
-        "runs": [
-            [
-                *key,
-                run.phase,
-                run.saved_checkpoint,
-                run.progress,
-                run.load,
-                run.reason,
-                run.cpu_cap,
-                hostedcrash.survived_ms(state, run),
-            ]
-            for key, run in state.runs.items()
-        ],
-        "ends": [state.ends[number] for number in sorted(state.ends)],
-        "advice": hostedadvice.report_rows(state),
-    }
-    crash = hostedcrash.report_field(state)
-    if crash is not None:
-        fields["crash"] = crash
-    return fields
-
-
 _BY_EVENT = {
     hostevents.WorkerAnnounced: _on_announced,
     hostevents.WorkerLeft: _on_left,
--- a/tests/test_hostedcrash.py
+++ b/tests/test_hostedcrash.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from sardinegauge.workflows import hostevents, hosting, workerclient
+from sardinegauge.workflows import hostedreport, hostevents, workerclient
 from tests import test_workflow_hosting
 
 OTHER = ("w.0.0.1", 1)
@@ -30,7 +30,7 @@
 
 
 def reported_crash(agent):
-    return hosting.report_fields(agent.state).get("crash")
+    return hostedreport.report_fields(agent.state).get("crash")
 
 
 def test_crash_is_reported_with_the_time_that_each_run_had_survived(agent):
--- a/tests/test_workflow_hosting.py
+++ b/tests/test_workflow_hosting.py
@@ -4,6 +4,7 @@
 
 from sardinegauge.links import messages
 from sardinegauge.workflows import (
+    hostedreport,
     hostevents,
     hosting,
     hoststate,
@@ -174,7 +175,9 @@
     agent.tick()
     agent.answer_holds(ended=[[1, *KEY, "stopped", "saved"]])
     assert agent.phase_of() is None
-    assert hosting.report_fields(agent.state)["ends"] == [[1, *KEY, "stopped", "saved"]]
+    assert hostedreport.report_fields(agent.state)["ends"] == [
+        [1, *KEY, "stopped", "saved"]
+    ]
 
 
 def test_ends_are_reported_until_the_leader_acknowledges_them(agent):
@@ -229,7 +232,7 @@
         for call in agent.take_calls(workerclient.HoldCall):
             agent.dispatch(hostevents.CallUnanswered, call=call, is_down=True)
     assert agent.phase_of() == views.GONE
-    assert not hosting.report_fields(agent.state)["is_fenced"]
+    assert not hostedreport.report_fields(agent.state)["is_fenced"]
 
 
 def test_unanswered_start_stays_ordered_after_a_crash(agent):
@@ -289,7 +292,7 @@
     """A start call to the former incarnation is executed before the new fence."""
     agent.announce(incarnation=2, sequence=1)
     agent.answer_holds(running=[[*KEY, "", 1, 0]])
-    rows = hosting.report_fields(agent.state)["runs"]
+    rows = hostedreport.report_fields(agent.state)["runs"]
     assert [row[:3] for row in rows] == [[*KEY, views.ACTIVE]]
 
 
@@ -337,7 +340,7 @@
     agent.order(paces=[[*KEY, 30]])
     (call,) = agent.take_calls(workerclient.PaceCall)
     agent.answer(call)
-    assert hosting.report_fields(agent.state)["runs"][0][-2] == 30
+    assert hostedreport.report_fields(agent.state)["runs"][0][-2] == 30
 
 
 def test_run_begins_with_the_cpu_cap_of_its_order(agent):
--- a/tests/test_workflow_simulation.py
+++ b/tests/test_workflow_simulation.py
@@ -17,6 +17,7 @@
 from sardinegauge.links import messages
 from sardinegauge.state import machine
 from sardinegauge.workflows import (
+    hostedreport,
     hostevents,
     hosting,
     hoststate,
@@ -181,7 +182,7 @@
     def report(self):
         if self.is_partitioned or not self.state.announcement:
             return
-        fields = hosting.report_fields(self.state)
+        fields = hostedreport.report_fields(self.state)
         report = views.decode_report(
             messages.WorkerReport(
                 agent=self.state.agent,
