Use the usual terms for suspected tasks and their crashes

Names such as judge, accused and excused read like a court, and a verdict is something else in this project; a poison task is the usual name of what the users call deadly. Log events and keys change with them before their release. No decision changes.

--- a/sardinegauge/commands.py
+++ b/sardinegauge/commands.py
@@ -339,7 +339,7 @@
 class RecordCrash(Command):
     """Record a crash of a worker for the tasks of the runs that it ended.
 
-    `agent` reported it. Rows hold task, run and a verdict of `workflows.crashrecord`; a
+    `agent` reported it. Rows hold task, run and a finding of `workflows.crashrecord`; a
     run that was recorded before is skipped. It removes no run.
     """
 
--- a/sardinegauge/workflows/crashes.py
+++ b/sardinegauge/workflows/crashes.py
@@ -1,12 +1,12 @@
-"""Crashes of workers as the leader learns of them, and the tasks they are blamed on.
+"""Crashes of workers as the leader learns of them, and the tasks that may cause them.
 
 A task that crashes its worker does so shortly after its start, so only the youngest
 runs on a crashed worker are suspected. Suspected tasks start again alone, see
 `isolation`; if the worker crashes again, only one task can be the cause.
 
 Many workers that crash at once, in a storm, have another cause. A task is not suspected
-for its first lost run then, and not given up at once; later runs count, as several such
-tasks could crash as many workers.
+for its first lost run then, and not given up after its second; later runs count, as
+several such tasks could crash as many workers.
 """
 
 import collections
@@ -20,7 +20,7 @@
 # so that a task that crashes its workers later is suspected after some crashes as well.
 SUSPECT_WINDOWS_MS = (100, 1000, 2000)
 # A single suspect is taken for the cause only if the crash was noticed within this time
-# of its start. A longer one would blame more tasks for crashes of other causes.
+# of its start. A longer one would suspect more tasks of crashes with other causes.
 MAX_NOTICED_MS = 100
 # At least this many workers, and this share of all known ones, that crash within this
 # time have a common cause.
@@ -35,16 +35,17 @@
 class Crashes:
     """Soft state of the leader about crashes.
 
-    `recent` holds pairs of time and ids of the tasks that a storm may excuse, of the
-    latest crashes. `accused_ms_by_task` is when a task was the only suspect in its last
-    crash. Until it is decided whether that crash was part of a storm, it may not start.
+    `recent` holds pairs of time and ids of the tasks that a storm may clear, of the
+    latest crashes. `undecided_ms_by_task` is when a task was the only suspect in its
+    last crash. It may not start until it is decided whether that crash was part of a
+    storm.
     """
 
-    __slots__ = ("accused_ms_by_task", "recent")
+    __slots__ = ("undecided_ms_by_task", "recent")
 
     def __init__(self):
         self.recent = collections.deque()
-        self.accused_ms_by_task = {}
+        self.undecided_ms_by_task = {}
 
     def add(self, now_ms, task_ids):
         """Add a crash, with the tasks whose first lost run it suspects."""
@@ -57,13 +58,13 @@
         count = sum(abs(at_ms - ms) <= STORM_WINDOW_MS for ms, _ in self.recent)
         return count >= max(MIN_STORM_CRASHES, MIN_STORM_SHARE * worker_count)
 
-    def take_excused_ids(self):
-        """Return, once, the tasks that a common cause of the crashes excuses."""
-        excused_ids = []
+    def take_first_suspects(self):
+        """Return, once, the tasks that a common cause of the crashes clears."""
+        cleared_ids = []
         for _, task_ids in self.recent:
-            excused_ids += task_ids
+            cleared_ids += task_ids
             task_ids.clear()
-        return excused_ids
+        return cleared_ids
 
 
 def on_report(state, report):
@@ -78,27 +79,27 @@
     state.effects.append(
         schedulerevents.WorkerCrashed(pool=report.pool, run_count=len(crash.runs))
     )
-    verdicts = judge(state.store, crash.runs)
+    findings = classify(state.store, crash.runs)
     state.propose(
         commands.RecordCrash(
-            worker=crash.worker, life=crash.life, agent=report.agent, rows=verdicts
+            worker=crash.worker, life=crash.life, agent=report.agent, rows=findings
         )
     )
-    state.crashes.add(state.now_ms, _first_suspected_ids(state.store, verdicts))
+    state.crashes.add(state.now_ms, _first_suspected_ids(state.store, findings))
     if not state.crashes.is_storm(state.now_ms, len(state.view_by_id)):
         return
-    excused_ids = state.crashes.take_excused_ids()
-    if excused_ids:
-        log.info("crashes_excused tasks=%d", len(excused_ids))
-        state.propose(commands.ClearSuspects(tasks=excused_ids))
+    cleared_ids = state.crashes.take_first_suspects()
+    if cleared_ids:
+        log.info("suspicions_cleared tasks=%d", len(cleared_ids))
+        state.propose(commands.ClearSuspects(tasks=cleared_ids))
 
 
-def _first_suspected_ids(store, verdicts):
+def _first_suspected_ids(store, findings):
     """Return the suspected tasks that lost no run in a crash before."""
     return [
         task_id
-        for task_id, _, verdict in verdicts
-        if verdict in crashrecord.SUSPICIONS and _lost_runs(store, task_id) == 0
+        for task_id, _, finding in findings
+        if finding in crashrecord.SUSPICIONS and _lost_runs(store, task_id) == 0
     ]
 
 
@@ -119,8 +120,8 @@
     )
 
 
-def judge(store, runs):
-    """Return the verdict on each run that a crash of its worker ended.
+def classify(store, runs):
+    """Return the finding on each run that a crash of its worker ended.
 
     The runs within the first window are suspected, or if there is none, those within
     the window of their task. Members of a gang count as one.
@@ -135,25 +136,25 @@
     Returns
     -------
     list of [str, int, str]
-        Task, run and one of the verdicts of `crashrecord`.
+        Task, run and one of the findings of `crashrecord`.
     """
-    verdict = crashrecord.SUSPECT
+    finding = crashrecord.SUSPECT
     suspects = [row for row in runs if row[2] < SUSPECT_WINDOWS_MS[0]]
     if _are_sole_suspect(store, suspects):
-        verdict = crashrecord.SOLE_SUSPECT
+        finding = crashrecord.SOLE_SUSPECT
     if not suspects:
         suspects = [row for row in runs if row[2] < _window_ms(store, row[0])]
     suspected_keys = {(row[0], row[1]) for row in suspects}
-    verdicts = []
+    findings = []
     for task_id, run_number, survived_ms, _ in runs:
         if (task_id, run_number) in suspected_keys:
-            found = verdict
+            found = finding
         elif survived_ms < _window_ms(store, task_id):
             found = crashrecord.UNDECIDED
         else:
             found = crashrecord.SURVIVED
-        verdicts.append([task_id, run_number, found])
-    return verdicts
+        findings.append([task_id, run_number, found])
+    return findings
 
 
 def _are_sole_suspect(store, suspects):
@@ -184,26 +185,26 @@
     """Keep the suspected tasks off the worker; return the workflows given up."""
     state.crash_by_agent[command.agent] = command.life
     given_up_by_id = {}
-    for task_id, run_number, verdict in command.rows:
+    for task_id, run_number, finding in command.rows:
         workflow, _, task = state.store.find_task(task_id)
-        if task is None or verdict not in crashrecord.SUSPICIONS:
+        if task is None or finding not in crashrecord.SUSPICIONS:
             continue
         state.failed_workers_by_task.setdefault(task_id, set()).add(command.worker)
         log.info(
-            "task_suspected task=%s run=%d worker=%s verdict=%s crashes=%d",
+            "task_suspected task=%s run=%d worker=%s finding=%s crashes=%d",
             task_id,
             run_number,
             command.worker,
-            verdict,
+            finding,
             task.crashes,
         )
         if not workflow.is_open:
             given_up_by_id[workflow.id] = workflow
         elif (
-            verdict == crashrecord.SOLE_SUSPECT
+            finding == crashrecord.SOLE_SUSPECT
             and task.crashes >= crashrecord.MIN_CRASHES
         ):
-            state.crashes.accused_ms_by_task[task_id] = state.now_ms
+            state.crashes.undecided_ms_by_task[task_id] = state.now_ms
     return [
         workflow
         for workflow_id, workflow in given_up_by_id.items()
@@ -212,13 +213,13 @@
 
 
 def tick(state):
-    """Give up the accused tasks, except those of a storm of crashes."""
-    accused_ms_by_task = state.crashes.accused_ms_by_task
-    for task_id, accused_ms in list(accused_ms_by_task.items()):
-        if state.now_ms - accused_ms < STORM_WINDOW_MS:
+    """Give up the only suspects of crashes that were not part of a storm."""
+    undecided_ms_by_task = state.crashes.undecided_ms_by_task
+    for task_id, crashed_ms in list(undecided_ms_by_task.items()):
+        if state.now_ms - crashed_ms < STORM_WINDOW_MS:
             continue
-        del accused_ms_by_task[task_id]
-        is_storm = state.crashes.is_storm(accused_ms, len(state.view_by_id))
-        log.info("task_judged task=%s given_up=%s", task_id, not is_storm)
+        del undecided_ms_by_task[task_id]
+        is_storm = state.crashes.is_storm(crashed_ms, len(state.view_by_id))
+        log.info("give_up_decided task=%s given_up=%s", task_id, not is_storm)
         if not is_storm:
             state.propose(commands.GiveUpTask(task=task_id))
--- a/sardinegauge/workflows/crashrecord.py
+++ b/sardinegauge/workflows/crashrecord.py
@@ -25,7 +25,7 @@
 def record_crash(machine, index, command):
     """Count a crash for the tasks on the worker; give up those with `MAX_CRASHES`."""
     store = machine.workflows
-    for task_id, run_number, verdict in command.rows:
+    for task_id, run_number, finding in command.rows:
         workflow, occurrence, task = store.find_task(task_id)
         if task is None or run_number <= task.last_lost_run:
             continue
@@ -34,7 +34,7 @@
         if task.step.is_gang:
             members = store_module.step_tasks(occurrence, task)
         for member in members:
-            _count_crash(store, workflow, member, run_number, verdict)
+            _count_crash(store, workflow, member, run_number, finding)
         if task.crashes >= MAX_CRASHES:
             _give_up(store, workflow, task, command.at_ms)
     return outcome.Accepted()
@@ -67,13 +67,13 @@
     return outcome.Accepted()
 
 
-def _count_crash(store, workflow, task, run_number, verdict):
+def _count_crash(store, workflow, task, run_number, finding):
     task.last_lost_run = run_number
     task.lost_runs += 1
-    if verdict in SUSPICIONS:
+    if finding in SUSPICIONS:
         task.crashes += 1
         if workflow.is_open:
             store.suspected_ids.add(task.id)
-    elif verdict == SURVIVED:
+    elif finding == SURVIVED:
         task.crashes = 0
         store.suspected_ids.discard(task.id)
--- a/sardinegauge/workflows/planner.py
+++ b/sardinegauge/workflows/planner.py
@@ -118,7 +118,7 @@
         matching = offer.find_open(matching)
         count_by_worker = _count_runs_by_worker(tasks, state, offer)
         if step.is_gang:
-            if any(task.id in state.crashes.accused_ms_by_task for task in waiting):
+            if any(task.id in state.crashes.undecided_ms_by_task for task in waiting):
                 return []
             return self._plan_gang(
                 state, tasks, waiting, step, matching, count_by_worker
@@ -163,7 +163,7 @@
             suspects = [
                 task
                 for task in _waiting_tasks(state, tasks)
-                if task.crashes and task.id not in state.crashes.accused_ms_by_task
+                if task.crashes and task.id not in state.crashes.undecided_ms_by_task
             ]
             if not suspects:
                 continue
--- a/tests/test_crash_simulation.py
+++ b/tests/test_crash_simulation.py
@@ -11,7 +11,7 @@
 from tests import test_workflow_simulation
 
 WORKER_COUNT = 8
-# Time from the start of a deadly task to the crash, and from there to the restart.
+# Time from the start of a poison task to the crash, and from there to the restart.
 CRASH_DELAY_MS = 10
 DOWN_MS = 3000
 # A task that crashed three workers may be started at most two more times.
@@ -24,8 +24,8 @@
 
     is_faulty = False
 
-    def __init__(self, seed, deadly_ids, lost_leaders_ms=(), is_silent=False):
-        self.deadly_ids = deadly_ids
+    def __init__(self, seed, poison_ids, lost_leaders_ms=(), is_silent=False):
+        self.poison_ids = poison_ids
         self.is_silent = is_silent
         self.starts_by_task = collections.Counter()
         self.crash_count = 0
@@ -36,7 +36,7 @@
     def on_started(self, worker, key):
         task, _ = key
         self.starts_by_task[task] += 1
-        if task in {f"{workflow_id}.0.0.0" for workflow_id in self.deadly_ids}:
+        if task in {f"{workflow_id}.0.0.0" for workflow_id in self.poison_ids}:
             self.schedule(CRASH_DELAY_MS, lambda: self.crash(worker))
 
     def crash(self, worker):
@@ -60,13 +60,13 @@
 
 @pytest.mark.parametrize("seed", range(6))
 @pytest.mark.parametrize("lost_leaders_ms", [(), LEADER_CHANGES_MS])
-@pytest.mark.parametrize("deadly_ids", [{"w2"}, {"w1", "w2", "w3", "w5"}])
+@pytest.mark.parametrize("poison_ids", [{"w2"}, {"w1", "w2", "w3", "w5"}])
 def test_task_that_crashes_its_workers_is_given_up_and_no_other_one(
-    seed, deadly_ids, lost_leaders_ms
+    seed, poison_ids, lost_leaders_ms
 ):
-    world = World(seed, deadly_ids, lost_leaders_ms)
+    world = World(seed, poison_ids, lost_leaders_ms)
     world.run()
-    check(world, deadly_ids)
+    check(world, poison_ids)
 
 
 @pytest.mark.parametrize("seed", range(6))
@@ -77,10 +77,10 @@
     check(world, {"w1", "w2"})
 
 
-def check(world, deadly_ids):
+def check(world, poison_ids):
     assert world.violations == []
-    for workflow_id in deadly_ids:
+    for workflow_id in poison_ids:
         assert world.starts_by_task[f"{workflow_id}.0.0.0"] <= MAX_STARTS
         assert world.state_of(workflow_id) == workflow.FAILED
-    others = world.machine.workflows.workflow_by_id.keys() - deadly_ids
+    others = world.machine.workflows.workflow_by_id.keys() - poison_ids
     assert {world.state_of(workflow_id) for workflow_id in others} == {"completed"}
--- a/tests/test_deadly_task.py
+++ b/tests/test_poison_task.py
@@ -4,8 +4,8 @@
 
 from tests.soak import checker, deployment
 
-DEADLY_JOB = "dead"
-INNOCENT_JOBS = ("good1", "good2", "good3")
+POISON_JOB = "poison"
+HEALTHY_JOBS = ("good1", "good2", "good3")
 CRASH_DELAY_S = 0.01
 DOWN_S = 1.0
 # Starts that a task may get after it has crashed three workers are two.
@@ -19,12 +19,12 @@
         super().__init__(path, checker.Checker())
         self.checker.on_start = self._on_start
         self.checker.on_end = self.checker.on_crash = lambda *arguments: None
-        self.deadly_starts = 0
+        self.poison_starts = 0
 
     def _on_start(self, minion, key):
         task, _ = key
-        if task.startswith(DEADLY_JOB):
-            self.deadly_starts += 1
+        if task.startswith(POISON_JOB):
+            self.poison_starts += 1
             loop = asyncio.get_running_loop()
             loop.call_later(CRASH_DELAY_S, self._crash, minion)
 
@@ -44,13 +44,13 @@
             await fleet.start_fleet()
             heartbeats = asyncio.ensure_future(fleet.send_heartbeats())
             await fleet.wait_until_accepted(fleet.document(1))
-            for job in INNOCENT_JOBS:
+            for job in HEALTHY_JOBS:
                 assert await fleet.submit(job, 1500, count=3) == 200
-            assert await fleet.submit(DEADLY_JOB, 1000, count=1) == 200
-            await fleet.wait_until(lambda: fleet.state_is(DEADLY_JOB, "failed"))
-            for job in INNOCENT_JOBS:
+            assert await fleet.submit(POISON_JOB, 1000, count=1) == 200
+            await fleet.wait_until(lambda: fleet.state_is(POISON_JOB, "failed"))
+            for job in HEALTHY_JOBS:
                 await fleet.wait_until(lambda job=job: fleet.state_is(job, "completed"))
-            assert 2 <= fleet.deadly_starts <= MAX_STARTS
+            assert 2 <= fleet.poison_starts <= MAX_STARTS
         finally:
             if heartbeats is not None:
                 heartbeats.cancel()
--- a/tests/test_workflow_crashes.py
+++ b/tests/test_workflow_crashes.py
@@ -75,19 +75,19 @@
     return [[task, 1, survived_ms, survived_ms + 10] for task, survived_ms in found]
 
 
-def verdicts(*found):
-    return [row[2] for row in crashes.judge(store.Store(), rows(*found))]
+def findings(*found):
+    return [row[2] for row in crashes.classify(store.Store(), rows(*found))]
 
 
 def test_only_the_youngest_runs_are_suspected():
-    assert verdicts(("w.0.0.0", 5), ("v.0.0.0", 400)) == ["sole-suspect", "survived"]
-    assert verdicts(("w.0.0.0", 5), ("v.0.0.0", 40)) == ["suspect", "suspect"]
-    assert verdicts(("w.0.0.0", 900), ("v.0.0.0", 800)) == ["survived", "survived"]
+    assert findings(("w.0.0.0", 5), ("v.0.0.0", 400)) == ["sole-suspect", "survived"]
+    assert findings(("w.0.0.0", 5), ("v.0.0.0", 40)) == ["suspect", "suspect"]
+    assert findings(("w.0.0.0", 900), ("v.0.0.0", 800)) == ["survived", "survived"]
 
 
 def test_crash_that_is_noticed_late_names_no_cause():
-    judged = crashes.judge(store.Store(), [["w.0.0.0", 1, 0, 900]])
-    assert [row[2] for row in judged] == ["suspect"]
+    classified = crashes.classify(store.Store(), [["w.0.0.0", 1, 0, 900]])
+    assert [row[2] for row in classified] == ["suspect"]
 
 
 def test_window_of_a_suspicion_grows_with_the_lost_runs_of_a_task(fleet):
@@ -95,17 +95,17 @@
     fleet.leader.submit(SMALL)
     fleet.leader.settle()
     fleet.task("w.0.0.0").lost_runs = 1
-    judged = crashes.judge(fleet.leader.store, rows(("w.0.0.0", 900)))
-    assert [row[2] for row in judged] == ["suspect"]
+    classified = crashes.classify(fleet.leader.store, rows(("w.0.0.0", 900)))
+    assert [row[2] for row in classified] == ["suspect"]
 
 
 def test_members_of_a_gang_on_one_worker_are_one_suspect(fleet):
     fleet.leader.submit(steps.Step(count=3, cpu_millis=100, is_gang=True))
     fleet.leader.settle()
-    judged = crashes.judge(
+    classified = crashes.classify(
         fleet.leader.store, rows(("w.0.0.0", 3), ("w.0.0.1", 4), ("w.0.0.2", 5))
     )
-    assert {row[2] for row in judged} == {"sole-suspect"}
+    assert {row[2] for row in classified} == {"sole-suspect"}
 
 
 def test_gang_is_given_up_after_two_crashes_of_its_workers(fleet):
@@ -155,7 +155,7 @@
     assert fleet.task("w.0.0.0").lost_runs == 8
 
 
-def test_first_crash_of_a_task_is_excused_if_many_workers_crash_at_once(fleet):
+def test_first_crash_of_a_task_counts_for_nothing_if_many_workers_crash_at_once(fleet):
     fleet.leader.submit(steps.Step(count=24, cpu_millis=100))
     fleet.leader.settle()
     for worker in "abc":
