--- a/sardinegauge/workflows/withdrawal.py
+++ b/sardinegauge/workflows/withdrawal.py
@@ -16,14 +16,14 @@
 def withdraw_starts(state, view):
     """Stop the latest unconfirmed runs until the others fit on their worker."""
     free = candidates.build(state, view).free
-    if not _is_exceeded(free):
-        return
     runs = state.store.runs_of(view.id, view.incarnation)
     withdrawn = []
     for key, task in reversed(list(runs.items())):
         if not _is_exceeded(free):
             break
-        if _is_unconfirmed(view, key) and key not in state.stop_reason_by_run:
+        if key in state.stop_reason_by_run or not _is_unconfirmed(view, key):
+            continue
+        if _needs_exceeded(task.step, free):
             free.release(task.step)
             withdrawn.append((key, task))
     for key, task in withdrawn:
@@ -37,6 +37,15 @@
     return min(free.cpu_millis, free.memory_mb, free.accelerators) < 0
 
 
+def _needs_exceeded(step, free):
+    """Return whether a task of a step takes up a resource that is exceeded."""
+    needed = views.Room()
+    needed.release(step)
+    return any(
+        getattr(free, name) < 0 < getattr(needed, name) for name in free.field_names()
+    )
+
+
 def _is_unconfirmed(view, key):
     reported = view.runs.get(key)
     if reported is None:
--- a/tests/test_workflow_withdrawal.py
+++ b/tests/test_workflow_withdrawal.py
@@ -40,6 +40,15 @@
     assert set(leader.placed()) == {row[0] for row in active}
 
 
+def test_best_effort_start_stays_where_only_cores_are_short(leader):
+    """It was withdrawn and assigned to the same worker again without end."""
+    leader.report(runs=runs(*[views.ACTIVE] * 4), cpu_millis=1000)
+    leader.submit(steps.Step(cpu_millis=500, is_filler=True), id="f")
+    leader.settle()
+    assert leader.orders()["stops"] == []
+    assert [row[0] for row in leader.orders()["starts"]] == ["f.0.0.0"]
+
+
 def test_new_leader_does_not_order_starts_that_no_longer_fit(leader):
     leader.start_term(2)
     leader.report(cpu_millis=4500)
