--- a/sardinegauge/workflows/crashrecord.py
+++ b/sardinegauge/workflows/crashrecord.py
@@ -8,7 +8,7 @@
 from sardinegauge.workflows import store as store_module
 from sardinegauge.workflows import workflow as workflow_module
 
-# Verdicts on a run that a crash of its worker ended, in the rows of
+# Findings on a run that a crash of its worker ended, in the rows of
 # `commands.RecordCrash`: the run is one of several that may be the cause, or the only
 # one; it is young, but others are younger; or the worker had survived it.
 SUSPECT = "suspect"
@@ -72,7 +72,7 @@
     task.lost_runs += 1
     if finding in SUSPICIONS:
         task.crashes += 1
-        if workflow.is_open:
+        if workflow.is_open and not task.is_done:
             store.suspected_ids.add(task.id)
     elif finding == SURVIVED:
         task.crashes = 0
--- a/sardinegauge/workflows/hostedcrash.py
+++ b/sardinegauge/workflows/hostedcrash.py
@@ -56,7 +56,8 @@
 def _may_have_started(run):
     if run.phase == views.GONE:
         return False
-    return run.active_ms > 0 or run.unanswered_starts > 0 or run.is_call_open
+    is_start_open = run.called_ms > 0 and run.is_call_open
+    return run.active_ms > 0 or run.unanswered_starts > 0 or is_start_open
 
 
 def _age_bounds_ms(state, run):
