Order a CPU cap only after a large or a lasting change

Change: a cap is ordered when it falls by 10 percent, rises by 25, or stays higher for 3 s; a pause at once.

--- a/sardinegauge/workflows/besteffort.py
+++ b/sardinegauge/workflows/besteffort.py
@@ -237,10 +237,15 @@
 
 def _apply_cpu_caps(state, view, best_effort_tasks):
     is_changed = False
-    for key, cpu_cap in state.interference.cpu_caps(
+    for key, computed in state.interference.cpu_caps(
         view.id, best_effort_tasks, state.now_ms
     ).items():
-        is_changed = is_changed or state.cpu_cap_by_run.get(key, 100) != cpu_cap
+        current = state.cpu_cap_by_run.get(key, 100)
+        age_ms = state.now_ms - state.cap_changed_ms_by_run.get(key, 0)
+        cpu_cap = state.cap_changes.choose(current, computed, age_ms)
+        if cpu_cap != current:
+            is_changed = True
+            state.cap_changed_ms_by_run[key] = state.now_ms
         state.cpu_cap_by_run[key] = cpu_cap
         if cpu_cap > LOW_CPU_CAP_PERCENT:
             state.slow_since_ms_by_run.pop(key, None)
@@ -253,6 +258,7 @@
     """Remove all CPU caps on a worker; return whether there were any."""
     is_changed = False
     for key in state.store.runs_of(view.id, view.incarnation):
+        state.cap_changed_ms_by_run.pop(key, None)
         if state.cpu_cap_by_run.pop(key, 100) != 100:
             is_changed = True
             state.slow_since_ms_by_run.pop(key, None)
