Keep drained failure domains in the replicated state

Cause: an operator who drains a whole failure domain had to drain each worker, and the platform's evacuation calls were answered with 404.

Nothing acts on the set yet.

--- a/sardinegauge/checks.py
+++ b/sardinegauge/checks.py
@@ -270,6 +270,7 @@
     },
     commands.CancelJobs: {**_OPERATOR, "jobs": items(TEXT)},
     commands.DrainUpstream: {**_OPERATOR, "draining": flag, "upstream": TEXT},
+    commands.DrainDomain: {**_OPERATOR, "failure_domain": TEXT, "undo": flag},
     commands.RegisterWorker: {
         **_UPSTREAM,
         "address": OPTIONAL_TEXT,
@@ -318,6 +319,11 @@
     # The steps are checked by `workflows.steps`.
     commands.SubmitWorkflow: {"id": TEXT, "queue": TEXT, "steps": items(plain)},
     commands.CancelWorkflow: {"id": TEXT},
+    commands.SetDomainDrain: {
+        "failure_domain": TEXT,
+        "undo": flag,
+        "operator": OPTIONAL_TEXT,
+    },
     commands.KeepEstimates: {
         "rows": items(row(OPTIONAL_TEXT, OPTIONAL_TEXT, ESTIMATE, ESTIMATE))
     },
--- a/sardinegauge/commands.py
+++ b/sardinegauge/commands.py
@@ -100,6 +100,17 @@
     _defaults = {"at_ms": 0, "draining": True}
 
 
+class DrainDomain(OperatorCommand):
+    """Drain a failure domain, or restore it if `undo` is set.
+
+    In a drained domain nothing starts, and what runs there moves away. A domain without
+    workers is accepted. Answers: `Accepted` with the domain as its id.
+    """
+
+    __slots__ = ("failure_domain", "undo")
+    _defaults = {"at_ms": 0, "undo": False}
+
+
 class ChangeMember(OperatorCommand):
     """Promote a learner or remove a member of the state group.
 
@@ -358,6 +369,16 @@
     __slots__ = ("tasks",)
 
 
+class SetDomainDrain(Command):
+    """Like `DrainDomain`, for callers without request ids.
+
+    A repeated command changes nothing, so it may be resent.
+    """
+
+    __slots__ = ("failure_domain", "undo", "operator")
+    _defaults = {"at_ms": 0, "undo": False, "operator": ""}
+
+
 class KeepEstimates(Command):
     """Store the leader's interference estimates for its successor.
 
--- a/sardinegauge/state/machine.py
+++ b/sardinegauge/state/machine.py
@@ -11,6 +11,7 @@
     audit,
     claims,
     configuration,
+    domaindrains,
     jobs,
     lifecycle,
     replies,
@@ -50,6 +51,7 @@
         "replies",
         "audit",
         "workflows",
+        "domain_drains",
     )
 
     def __init__(self):
@@ -63,6 +65,7 @@
         self.replies = replies.Replies()
         self.audit = audit.Audit()
         self.workflows = store.Store()
+        self.domain_drains = domaindrains.DomainDrains()
 
 
 _HANDLERS = {
@@ -71,6 +74,8 @@
     commands.DeclareService: services.declare,
     commands.CancelJobs: jobs.cancel,
     commands.DrainUpstream: workers.drain,
+    commands.DrainDomain: domaindrains.set_drain,
+    commands.SetDomainDrain: domaindrains.set_drain,
     commands.RegisterWorker: workers.register,
     commands.WorkerLost: workers.lose,
     commands.AssignTasks: lifecycle.assign,
@@ -157,6 +162,7 @@
         "replies": machine.replies.to_snapshot(),
         "audit": machine.audit.to_snapshot(),
         "workflows": machine.workflows.to_snapshot(),
+        "domain_drains": machine.domain_drains.to_snapshot(),
     }
 
 
@@ -182,4 +188,7 @@
     machine.audit.load_snapshot(data["audit"])
     if "workflows" in data:
         machine.workflows.load_snapshot(data["workflows"])
+    # Snapshots of earlier releases know no drained domains.
+    if "domain_drains" in data:
+        machine.domain_drains.load_snapshot(data["domain_drains"])
     return machine
--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -317,6 +317,10 @@
         url = f"http://{ip or self.core_ips[0]}:{self.control_port}/api/config"
         return await self.call(method, url, body)
 
+    async def evacuation(self, method, zone, ip=""):
+        address = f"{ip or self.core_ips[0]}:{self.control_port}"
+        return await self.call(method, f"http://{address}/api/evacuation/{zone}")
+
     def document(self, version, *prefixes):
         return {
             "version": version,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+import time
 
 import pytest
 
@@ -178,6 +179,45 @@
     run_scenario(tmp_path, scenario)
 
 
+def test_drain_of_a_zone_is_acknowledged_at_any_core_and_survives_a_restart(tmp_path):
+    """An acknowledged order must hold, though every core lost its memory."""
+
+    async def scenario(platform):
+        for ip in platform.core_ips:
+            await platform.wait_until(lambda ip=ip: is_acknowledged(platform, "z", ip))
+        for zone in ("z%2F%C3%A9", "z", "z"):
+            for ip in platform.core_ips:
+                begun_s = time.monotonic()
+                assert await platform.evacuation("POST", zone, ip) == (200, {})
+                assert time.monotonic() - begun_s < 1
+        for ip in platform.core_ips:
+            platform.kill("core", ip)
+        for ip in platform.core_ips:
+            platform.start("core", ip, bootstrap=False)
+        await platform.wait_until(lambda: is_acknowledged(platform, "none"))
+        logs = [(tmp_path / f"core-{ip}.log").read_text() for ip in platform.core_ips]
+        assert any("zone='z/é'" in text for text in logs)
+        for name in ("z%2F%C3%A9", "z", "z"):
+            assert (await platform.evacuation("DELETE", name))[0] == 200
+        assert (await platform.evacuation("POST", "x" * 2000))[0] == 400
+
+    async def is_acknowledged(platform, zone, ip=""):
+        return (await platform.evacuation("DELETE", zone, ip))[0] == 200
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_drain_of_a_zone_without_a_majority_is_not_acknowledged(tmp_path):
+    async def scenario(platform):
+        for ip in platform.core_ips[1:]:
+            platform.processes["core", ip].send_signal(signal.SIGSTOP)
+        status, body = await platform.evacuation("POST", "z")
+        assert status == 503
+        assert "error" in body
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_lost_disk_is_replaced_without_an_operator(tmp_path):
     async def scenario(platform):
         ip = platform.core_ips[0]
