Order work by learned run times

Cause: declared run times are off by up to 90 percent, and the order of waiting work rested on them alone. Ratios are kept in the log with KeepEstimates (new field run_times).

--- a/sardinegauge/checks.py
+++ b/sardinegauge/checks.py
@@ -319,7 +319,10 @@
     commands.SubmitWorkflow: {"id": TEXT, "queue": TEXT, "steps": items(plain)},
     commands.CancelWorkflow: {"id": TEXT},
     commands.KeepEstimates: {
-        "rows": items(row(OPTIONAL_TEXT, OPTIONAL_TEXT, ESTIMATE, ESTIMATE))
+        "rows": items(row(OPTIONAL_TEXT, OPTIONAL_TEXT, ESTIMATE, ESTIMATE)),
+        "run_times": items(
+            row(OPTIONAL_TEXT, OPTIONAL_TEXT, ESTIMATE, ESTIMATE, ESTIMATE)
+        ),
     },
     commands.RecordCrash: {
         **_WORKER_INCARNATION,
--- a/sardinegauge/commands.py
+++ b/sardinegauge/commands.py
@@ -359,13 +359,15 @@
 
 
 class KeepEstimates(Command):
-    """Store the leader's interference estimates for its successor.
+    """Store the leader's estimates for its successor.
 
-    `rows` are those of `workflows.interference.InterferenceModel.to_rows`; they replace
-    earlier rows.
+    `rows` are those of `workflows.interference.InterferenceModel.to_rows`, `run_times`
+    those of `workflows.policies.runtimes.RunTimeModel.to_rows`; they replace earlier
+    rows.
     """
 
-    __slots__ = ("rows",)
+    __slots__ = ("rows", "run_times")
+    _defaults = {"at_ms": 0, "run_times": list}
 
 
 REGISTRY = record.Registry.of_module(globals(), Command)
--- a/sardinegauge/state/stateapp.py
+++ b/sardinegauge/state/stateapp.py
@@ -337,6 +337,9 @@
     def _count_workflow(self, effect):
         self.metrics.count_workflow(effect.queue, effect.state, effect.lasted_ms)
 
+    def _set_run_time_ratios(self, effect):
+        self.metrics.set_run_time_ratios(effect.rows)
+
     def _push(self, effect):
         incarnation, agent_link = self._agent_links_by_upstream.get(
             effect.upstream, ("", None)
@@ -432,6 +435,7 @@
     replicaeffects.ScheduleApply: StateApplication._schedule_apply,
     leaderexchange.SchedulePlanning: StateApplication._schedule_plan,
     schedulerevents.RunEnded: StateApplication._count_run,
+    schedulerevents.RunTimesLearned: StateApplication._set_run_time_ratios,
     schedulerevents.WorkerCrashed: StateApplication._count_crash,
     schedulerevents.WorkflowEnded: StateApplication._count_workflow,
 }
--- a/sardinegauge/state/statemetrics.py
+++ b/sardinegauge/state/statemetrics.py
@@ -1,5 +1,7 @@
 """Metrics of the state process."""
 
+import math
+
 from sardinegauge import metrics
 from sardinegauge.agreement import raftstate
 
@@ -45,6 +47,17 @@
             ("pool",),
         )
 
+        self._run_time_ratio = gauge(
+            "workflow_run_time_ratio",
+            "Learned ratio of actual to declared run time; no image: the whole queue.",
+            ("queue", "image"),
+        )
+
+    def set_run_time_ratios(self, rows):
+        """Set the ratios from rows of `policies.runtimes.RunTimeModel.to_rows`."""
+        for queue, image, log_ratio, _, _ in rows:
+            self._run_time_ratio.labels(queue, image).set(math.exp(log_ratio))
+
     def count_workflow(self, queue, state, lasted_ms):
         """Record the duration of a workflow that ended."""
         self._workflows.labels(queue, state).observe(lasted_ms / 1000)
--- /dev/null
+++ b/sardinegauge/workflows/keptestimates.py
@@ -0,0 +1,36 @@
+"""Estimates that a leader keeps in the log for its successor.
+
+Without them, a new leader would throttle best-effort tasks too little, and order work
+by declared run times, until it has estimates of its own.
+"""
+
+from sardinegauge import commands
+from sardinegauge.workflows import schedulerevents
+from sardinegauge.workflows.policies import runtimes
+
+# Least time between two proposals.
+INTERVAL_MS = 2000
+
+
+def load(state):
+    """Load the estimates of the earlier leader."""
+    state.interference.load_rows(state.store.estimates, state.now_ms)
+    state.run_times.load_rows(state.store.run_times)
+    state.estimates_proposed_ms = state.now_ms
+
+
+def propose(state):
+    """Propose the estimates if they have changed."""
+    if state.now_ms - state.estimates_proposed_ms < INTERVAL_MS:
+        return
+    state.estimates_proposed_ms = state.now_ms
+    estimates = state.interference.to_rows()
+    learned = state.run_times.changed_rows(state.store.run_times)
+    if not learned and (not estimates or estimates == state.store.estimates):
+        return
+    state.propose(
+        commands.KeepEstimates(rows=estimates, run_times=state.run_times.to_rows())
+    )
+    if learned:
+        runtimes.log_learned(learned)
+        state.effects.append(schedulerevents.RunTimesLearned(rows=learned))
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -13,6 +13,7 @@
     crashes,
     incarnations,
     isolation,
+    keptestimates,
     schedulerevents,
     store,
     views,
@@ -25,8 +26,6 @@
 RECENT_END_RETENTION_MS = 5000
 # A task is not assigned again for this long to a worker that refused it.
 REFUSAL_BACKOFF_MS = 500
-# Least time between proposals of the interference estimates.
-ESTIMATES_INTERVAL_MS = 2000
 # Reason to stop a run whose start was not ordered yet.
 NO_TICKET_REASON = "no ticket"
 log = logging.getLogger(__name__)
@@ -52,8 +51,7 @@
         state.store.queue_set.version,
     )
     state.wall_offset_ms = event.wall_ms - event.now_ms
-    state.interference.load_rows(state.store.estimates, state.now_ms)
-    state.estimates_proposed_ms = state.now_ms
+    keptestimates.load(state)
     for worker in state.store.worker_by_id.values():
         incarnations.create_view(state, worker.worker, worker.life, worker.agent)
     isolation.begin(state)
@@ -85,6 +83,7 @@
         )
     incarnations.propose_registration(state, view)
     incarnations.release_former_incarnations(state, view)
+    state.run_times.observe_report(state.store, view, state.now_ms)
     _record_advice(state, report)
     crashes.on_report(state, report)
     isolation.on_report(state, view)
@@ -205,6 +204,7 @@
         state.slow_since_ms_by_run.pop((task_id, run_number), None)
         if number:
             _update_health(state, command.worker, task_id, how)
+    state.run_times.on_ends_recorded(state.store, command)
     state.push(command.worker, command.life)
 
 
@@ -321,7 +321,7 @@
     crashes.tick(state)
     isolation.tick(state)
     _renew_tickets(state)
-    _propose_estimates(state)
+    keptestimates.propose(state)
     for view in list(state.view_by_id.values()):
         incarnations.release_expired_incarnations(state, view)
     state.is_plan_due = True
@@ -333,20 +333,6 @@
             del state.refused_until_ms[key]
 
 
-def _propose_estimates(state):
-    """Propose the interference estimates.
-
-    Without them, a new leader would throttle best-effort tasks too little until it has
-    estimates of its own.
-    """
-    if state.now_ms - state.estimates_proposed_ms < ESTIMATES_INTERVAL_MS:
-        return
-    state.estimates_proposed_ms = state.now_ms
-    estimates = state.interference.to_rows()
-    if estimates and estimates != state.store.estimates:
-        state.propose(commands.KeepEstimates(rows=estimates))
-
-
 def _renew_tickets(state):
     """Request tickets for assigned runs whose start was not ordered yet.
 
--- a/sardinegauge/workflows/schedulerevents.py
+++ b/sardinegauge/workflows/schedulerevents.py
@@ -45,6 +45,12 @@
     __slots__ = ("how", "queue")
 
 
+class RunTimesLearned(record.Record):
+    """Effect: set the metrics of changed rows of `policies.runtimes`."""
+
+    __slots__ = ("rows",)
+
+
 class WorkerCrashed(record.Record):
     """Effect: count a crash of a worker that ended `run_count` runs."""
 
--- a/sardinegauge/workflows/schedulerstate.py
+++ b/sardinegauge/workflows/schedulerstate.py
@@ -9,9 +9,11 @@
     health,
     interference,
     isolation,
+    ordering,
     planner,
     schedulerevents,
 )
+from sardinegauge.workflows.policies import runtimes
 
 
 class State:
@@ -31,7 +33,8 @@
 
     def __init__(self, machine):
         self.store = machine.workflows
-        self.planner = planner.Planner()
+        self.run_times = runtimes.RunTimeModel()
+        self.planner = planner.Planner(ordering.ByRemainingWork(self.run_times))
         self.candidates = candidates.CandidateIndex()
         self.health = health.Health()
         self.interference = interference.InterferenceModel()
--- a/sardinegauge/workflows/store.py
+++ b/sardinegauge/workflows/store.py
@@ -36,9 +36,10 @@
     """All workflows, queues and registered workers.
 
     `open_ids` and `ended_ids` are dicts without values: the ids of open workflows in
-    order of acceptance, and of ended ones in order of their end. `estimates` are the
-    rows of the newest `commands.KeepEstimates`. `runs_by_incarnation` holds the runs of
-    each worker and incarnation, as a dict of the task by task id and run number.
+    order of acceptance, and of ended ones in order of their end. `estimates` and
+    `run_times` are the rows of the newest `commands.KeepEstimates`.
+    `runs_by_incarnation` holds the runs of each worker and incarnation, as a dict of
+    the task by task id and run number.
     `suspected_ids` are the ids of tasks of open workflows with suspected crashes.
     `run_changes_by_worker` counts the runs that were added and removed.
     """
@@ -50,6 +51,7 @@
         "open_ids",
         "queue_set",
         "run_changes_by_worker",
+        "run_times",
         "runs_by_incarnation",
         "suspected_ids",
         "worker_by_id",
@@ -63,6 +65,7 @@
         self.open_ids = {}
         self.ended_ids = {}
         self.estimates = []
+        self.run_times = []
         self.runs_by_incarnation = {}
         self.run_changes_by_worker = {}
         self.suspected_ids = set()
@@ -154,6 +157,7 @@
             ],
             "workers": [worker.to_dict() for worker in self.worker_by_id.values()],
             "estimates": self.estimates,
+            "run_times": self.run_times,
         }
 
     def load_snapshot(self, data):
@@ -161,6 +165,7 @@
         self.queue_set = queues.QueueSet.from_snapshot(data["queues"])
         # Snapshots of earlier releases have no estimates.
         self.estimates = data.get("estimates", [])
+        self.run_times = data.get("run_times", [])
         for fields in data["workers"]:
             self.worker_by_id[fields["worker"]] = RegisteredWorker.from_dict(fields)
         for workflow_data in data["workflows"]:
@@ -248,8 +253,9 @@
 
 
 def keep_estimates(machine, index, command):
-    """Store the interference estimates, which only a new leader reads."""
+    """Store the leader's estimates, which only a new leader reads."""
     machine.workflows.estimates = command.rows
+    machine.workflows.run_times = command.run_times
     return outcome.Accepted()
 
 
--- a/sardinegauge/workflows/views.py
+++ b/sardinegauge/workflows/views.py
@@ -278,6 +278,7 @@
     """
 
     __slots__ = (
+        "__weakref__",
         "agent",
         "capacity",
         "ended",
--- a/sardinegauge/workflows/workflow.py
+++ b/sardinegauge/workflows/workflow.py
@@ -76,6 +76,7 @@
     """
 
     __slots__ = (
+        "__weakref__",
         "failed_gang_runs",
         "number",
         "remaining_by_step",
