--- a/sardinegauge/checks.py
+++ b/sardinegauge/checks.py
@@ -325,7 +325,10 @@
         "operator": OPTIONAL_TEXT,
     },
     commands.KeepEstimates: {
-        "rows": items(row(OPTIONAL_TEXT, OPTIONAL_TEXT, ESTIMATE, ESTIMATE))
+        "rows": items(row(OPTIONAL_TEXT, OPTIONAL_TEXT, ESTIMATE, ESTIMATE)),
+        "run_times": items(
+            row(OPTIONAL_TEXT, OPTIONAL_TEXT, ESTIMATE, ESTIMATE, ESTIMATE)
+        ),
     },
     commands.RecordCrash: {
         **_WORKER_INCARNATION,
