Displace less urgent runs for urgent tasks that fit nowhere

Cause: urgent tasks, and latency-critical tasks that lost their worker, wait while best-effort tasks hold the memory of all workers. Change: after a plan, a task that has found no room for 500 ms gets a worker on which less urgent runs are stopped. Their room is reserved for it for at most 5 s; stopping runs count until their end is listed. The displacements are limited to 20 a second, to one decision a second on a worker, and to two in the life of a task, and they are logged and counted. All of it is soft state.

--- a/sardinegauge/state/stateapp.py
+++ b/sardinegauge/state/stateapp.py
@@ -328,6 +328,9 @@
     def _count_wait(self, effect):
         self.metrics.count_wait(effect.tenant, effect.task_class, effect.wait_ms)
 
+    def _count_displacement(self, effect):
+        self.metrics.count_displacement(effect.queue, effect.reason)
+
     def _count_run(self, effect):
         self.metrics.count_run(effect.queue, effect.how)
 
@@ -431,6 +434,7 @@
     replicaeffects.TaskWaited: StateApplication._count_wait,
     replicaeffects.ScheduleApply: StateApplication._schedule_apply,
     leaderexchange.SchedulePlanning: StateApplication._schedule_plan,
+    schedulerevents.RunDisplaced: StateApplication._count_displacement,
     schedulerevents.RunEnded: StateApplication._count_run,
     schedulerevents.WorkerCrashed: StateApplication._count_crash,
     schedulerevents.WorkflowEnded: StateApplication._count_workflow,
--- a/sardinegauge/state/statemetrics.py
+++ b/sardinegauge/state/statemetrics.py
@@ -36,6 +36,11 @@
         self._runs = self._metrics.counter(
             "workflow_runs", "Runs of tasks by how they ended.", ("queue", "how")
         )
+        self._displaced = self._metrics.counter(
+            "workflow_displaced_runs",
+            "Runs that were stopped for urgent tasks or on overcommitted workers.",
+            ("queue", "reason"),
+        )
         self._crashes = self._metrics.counter(
             "workflow_worker_crashes", "Crashes of workers.", ("pool",)
         )
@@ -53,6 +58,10 @@
         """Count a run that ended."""
         self._runs.labels(queue, how).inc()
 
+    def count_displacement(self, queue, reason):
+        """Count a run that is stopped before its end."""
+        self._displaced.labels(queue, reason).inc()
+
     def count_crash(self, pool, run_count):
         """Count a crash of a worker that ended `run_count` runs."""
         self._crashes.labels(pool).inc()
--- a/sardinegauge/workflows/candidates.py
+++ b/sardinegauge/workflows/candidates.py
@@ -5,7 +5,7 @@
 candidates of a plan are those of the plan before.
 """
 
-from sardinegauge.workflows import placement, views
+from sardinegauge.workflows import placement, reservations, views
 
 
 class _Entry:
@@ -40,7 +40,7 @@
     def find_usable(self, state, now_ms):
         """Return the candidates of the workers that may start runs now.
 
-        The resources of planned assignments are reserved.
+        The resources of planned assignments and of `reservations` are reserved.
 
         Parameters
         ----------
@@ -59,6 +59,7 @@
         ]
         if state.worker_by_planned_task:
             _reserve_planned(state, candidates)
+        reservations.keep_room(state, candidates)
         if len(self._entry_by_worker) > len(state.view_by_id):
             for worker in self._entry_by_worker.keys() - state.view_by_id.keys():
                 del self._entry_by_worker[worker]
--- a/sardinegauge/workflows/planner.py
+++ b/sardinegauge/workflows/planner.py
@@ -11,6 +11,7 @@
 from sardinegauge.workflows import isolation as isolation_module
 from sardinegauge.workflows import ordering as ordering_module
 from sardinegauge.workflows import placement as placement_module
+from sardinegauge.workflows import reservations
 
 # Assignments in one plan after which no further step is planned, so that the command
 # stays small.
@@ -20,6 +21,8 @@
 class Planner:
     """Assigns waiting tasks to workers with free resources.
 
+    `waiting_steps` are those with waiting tasks before the last plan, in its order.
+
     Parameters
     ----------
     ordering : ordering.Ordering
@@ -29,10 +32,11 @@
     def __init__(self, ordering=None, placement=None):
         self.ordering = ordering or ordering_module.ByRemainingWork()
         self.placement = placement or placement_module.SeparatingPlacement()
+        self.waiting_steps = []
 
     def plan(self, state, now_ms, wall_ms):
         """Return rows of `commands.AssignRuns` for the tasks that start now."""
-        waiting_steps = self._waiting_steps(state, wall_ms)
+        waiting_steps = self.waiting_steps = self._waiting_steps(state, wall_ms)
         if not waiting_steps:
             return []
         usable = state.candidates.find_usable(state, now_ms)
@@ -44,6 +48,7 @@
         if not offer.candidates:
             return []
         assignments = self._plan_suspects(state, waiting_steps, offer)
+        assignments += reservations.assign(state, offer)
         for workflow, occurrence, position in waiting_steps:
             assignments += self._plan_step(state, workflow, occurrence, position, offer)
             if len(assignments) >= MAX_ASSIGNMENTS:
--- /dev/null
+++ b/sardinegauge/workflows/reservations.py
@@ -0,0 +1,93 @@
+"""Room that is kept for tasks whose start waits for the end of displaced runs.
+
+Without it, the next plan could give the room of the first run that ends to other tasks,
+and the displacement would have been for nothing. Reservations are soft state: a new
+leader has none, and decides anew.
+"""
+
+# Reserved room is given up after this time: a stop is usually confirmed within 1 s, and
+# a worker that takes longer is not the right one for an urgent task.
+RESERVATION_MS = 5000
+
+
+class Reservation:
+    """Room for one task of a step on an incarnation of a worker, until `end_ms`."""
+
+    __slots__ = ("end_ms", "incarnation", "step", "worker")
+
+    def __init__(self, step, worker, incarnation, end_ms):
+        self.step = step
+        self.worker = worker
+        self.incarnation = incarnation
+        self.end_ms = end_ms
+
+
+def add(state, task, view):
+    """Reserve room for a task on a worker."""
+    state.reservation_by_task[task.id] = Reservation(
+        task.step, view.id, view.incarnation, state.now_ms + RESERVATION_MS
+    )
+
+
+def keep_room(state, candidates):
+    """Subtract the reserved room from the candidates; drop what is out of date."""
+    if not state.reservation_by_task:
+        return
+    for task_id, reservation in list(state.reservation_by_task.items()):
+        if not _is_current(state, task_id, reservation):
+            del state.reservation_by_task[task_id]
+    candidate_by_worker = {candidate.view.id: candidate for candidate in candidates}
+    for reservation in state.reservation_by_task.values():
+        candidate = candidate_by_worker.get(reservation.worker)
+        if candidate is not None:
+            candidate.free.reserve(reservation.step)
+            candidate.reservation_count += 1
+
+
+def _is_current(state, task_id, reservation):
+    workflow, _, task = state.store.find_task(task_id)
+    view = state.view_by_id.get(reservation.worker)
+    return (
+        state.now_ms < reservation.end_ms
+        and task is not None
+        and workflow.is_open
+        and not task.is_done
+        and not task.runs
+        and task_id not in state.worker_by_planned_task
+        and view is not None
+        and view.incarnation == reservation.incarnation
+        and view.may_start(state.now_ms)
+    )
+
+
+def assign(state, offer):
+    """Return rows of `commands.AssignRuns` for the tasks whose room is free now.
+
+    Their tasks count as planned from now on, so that the plan does not choose another
+    worker for them.
+    """
+    if not state.reservation_by_task:
+        return []
+    closed_ids = offer.isolation.closed_ids
+    candidate_by_worker = {
+        candidate.view.id: candidate for candidate in offer.candidates
+    }
+    assignments = []
+    for task_id, reservation in list(state.reservation_by_task.items()):
+        candidate = candidate_by_worker.get(reservation.worker)
+        if candidate is None or reservation.worker in closed_ids:
+            continue
+        if state.now_ms < state.refused_until_ms.get((task_id, reservation.worker), 0):
+            continue
+        step = reservation.step
+        candidate.free.release(step)
+        if not candidate.free.fits(step):
+            candidate.free.reserve(step)
+            continue
+        candidate.reserve(step)
+        del state.reservation_by_task[task_id]
+        state.worker_by_planned_task[task_id] = reservation.worker
+        _, _, task = state.store.find_task(task_id)
+        row = [task_id, task.last_run + 1, reservation.worker, reservation.incarnation]
+        assignments.append(row)
+    return assignments
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -11,6 +11,7 @@
 from sardinegauge.workflows import (
     besteffort,
     crashes,
+    displacing,
     incarnations,
     isolation,
     schedulerevents,
@@ -93,6 +94,7 @@
     # A new leader does not know whether the capacity shrank before its first report.
     if view.has_shrunk or view.update_count == 1:
         withdrawal.withdraw_starts(state, view)
+    displacing.record_checkpoints(state, view)
     besteffort.update_cpu_caps(state, view)
     state.is_plan_due = True
 
@@ -402,6 +404,7 @@
         state.worker_by_planned_task[task_id] = worker
     if assignments:
         state.propose(commands.AssignRuns(rows=assignments))
+    displacing.displace(state)
     _send_questions(state)
     effects, state.effects = state.effects, []
     return effects
--- a/sardinegauge/workflows/schedulerevents.py
+++ b/sardinegauge/workflows/schedulerevents.py
@@ -39,6 +39,12 @@
     __slots__ = ("incarnation", "worker")
 
 
+class RunDisplaced(record.Record):
+    """Effect: count a run that is stopped before its end, for the metrics."""
+
+    __slots__ = ("queue", "reason")
+
+
 class RunEnded(record.Record):
     """Effect: count a run that ended, for the metrics."""
 
--- a/sardinegauge/workflows/schedulerstate.py
+++ b/sardinegauge/workflows/schedulerstate.py
@@ -6,6 +6,7 @@
     advicetracker,
     candidates,
     crashes,
+    displacing,
     health,
     interference,
     isolation,
@@ -46,6 +47,8 @@
         self.moved_from_by_task = {}
         self.failed_workers_by_task = {}
         self.refused_until_ms = {}
+        self.displacing = displacing.Displacing()
+        self.reservation_by_task = {}
         self.open_ids = set(self.store.open_ids)
         self.end_ms_by_recent_run = collections.OrderedDict()
         self.now_ms = 0
