Start nothing in drained failure domains

Cause: the leader knew the drained domains but still placed work there, and an agent that had not heard of a drain repeated the start calls of its last orders without limit.

Change: the planner's candidates leave out workers in drained domains, which covers isolation, gangs and moves. Orders for such a worker hold no starts. The leader names the ordered starts that stay in force (`still_ordered`); an agent gives up a start whose order is older than 3,000 ms and was not repeated. A leader of an earlier release names none, and then all stay. A new leader does the same from the replicated set. tests/test_workflow_scheduler.py compares complete orders, so its expected value has the new field.

--- a/sardinegauge/workflows/candidates.py
+++ b/sardinegauge/workflows/candidates.py
@@ -40,6 +40,7 @@
     def find_usable(self, state, now_ms):
         """Return the candidates of the workers that may start runs now.
 
+        Workers in drained failure domains are left out.
         The resources of planned assignments are reserved.
 
         Parameters
@@ -56,6 +57,7 @@
             for view in state.view_by_id.values()
             if view.may_start(now_ms)
             and view.incarnation == state.registered_incarnation(view.id)
+            and view.failure_domain not in state.domain_drains
         ]
         if state.worker_by_planned_task:
             _reserve_planned(state, candidates)
--- a/sardinegauge/workflows/hostedruns.py
+++ b/sardinegauge/workflows/hostedruns.py
@@ -15,6 +15,8 @@
 IDLE_HOLD_WAIT_MS = 1000
 # Pause before a call is repeated.
 RETRY_MS = 60
+# Reason of a run that is gone because the leader did not repeat the order to start it.
+ORDER_EXPIRED = "order expired"
 log = logging.getLogger(__name__)
 
 
@@ -22,6 +24,7 @@
     """Start a run with a CPU cap in percent; of a known run, only set the cap."""
     key = (task_id, run_number)
     if key in state.runs:
+        state.runs[key].ordered_ms = state.now_ms
         set_cpu_cap(state, key, percent)
         return
     if is_ended(state, key):
@@ -29,6 +32,7 @@
     run = state.runs[key] = hoststate.HostedRun(
         views.ORDERED, payload, checkpoint, ticket
     )
+    run.ordered_ms = state.now_ms
     run.target_cpu_cap = percent
     if state.is_draining:
         # A previous process of this agent may have started the run already.
@@ -39,6 +43,19 @@
         _call_start(state, key, run)
 
 
+def keep_orders(state, keys):
+    """Record that the leader left ordered starts in force.
+
+    `keys` is None for a leader of an earlier release, which names none: all stay.
+    """
+    if keys is None:
+        keys = state.runs
+    for key in keys:
+        run = state.runs.get(tuple(key))
+        if run is not None:
+            run.ordered_ms = state.now_ms
+
+
 def _call_start(state, key, run):
     lease_until_ms = state.lease_until_ms()
     if run.is_call_open or not lease_until_ms or not state.is_fenced:
@@ -162,7 +179,15 @@
     for key, run in list(state.runs.items()):
         if run.is_call_open or state.now_ms < run.next_call_ms:
             continue
-        if run.phase == views.ORDERED:
+        if run.phase == views.ORDERED and not state.is_down and _is_expired(state, run):
+            abandon_start(state, key, run, ORDER_EXPIRED)
+            log.info("start_expired task=%s run=%d", *key)
+            state.report()
+        elif run.phase == views.ORDERED:
             _call_start(state, key, run)
         elif run.phase == views.STOPPING and not run.is_stop_answered:
             _call_stop(state, key, run)
+
+
+def _is_expired(state, run):
+    return state.now_ms - run.ordered_ms > hoststate.START_ORDER_MS
--- a/sardinegauge/workflows/hosting.py
+++ b/sardinegauge/workflows/hosting.py
@@ -349,6 +349,7 @@
         hostedruns.stop_run(state, (task_id, run_number))
     for start in body["starts"]:
         hostedruns.start_run(state, *start)
+    hostedruns.keep_orders(state, body.get("still_ordered"))
     for task_id, run_number, percent in body["paces"]:
         hostedruns.set_cpu_cap(state, (task_id, run_number), percent)
     # Leaders of earlier releases send no questions.
--- a/sardinegauge/workflows/hoststate.py
+++ b/sardinegauge/workflows/hoststate.py
@@ -11,11 +11,16 @@
 REPORT_INTERVAL_MS = 400
 # A worker without an answer for this long gets no starts and no lease renewals.
 RESPONSE_TIMEOUT_MS = 1200
+# A start whose order is older is not called any more unless the leader repeated it. The
+# leader may have withdrawn it, as in a drained failure domain, where no start may take
+# effect 5,000 ms after the drain was acknowledged.
+START_ORDER_MS = 3000
 
 
 class HostedRun:
     """A run on the worker, as known to the agent.
 
+    `ordered_ms` is when the leader last ordered the start or left it in force.
     `active_ms` is when the run was first known to be active, and `called_ms` when its
     start was called first, 0 before. `checkpoint` is the one to start from,
     `saved_checkpoint` the newest one that the worker listed.
@@ -34,6 +39,7 @@
         "is_stop_answered",
         "load",
         "next_call_ms",
+        "ordered_ms",
         "cpu_cap",
         "last_cpu_cap_call_ms",
         "payload",
@@ -54,6 +60,7 @@
         self.ticket = ticket
         self.active_ms = 0
         self.called_ms = 0
+        self.ordered_ms = 0
         self.saved_checkpoint = ""
         self.progress = 0
         self.load = 0
--- a/sardinegauge/workflows/orders.py
+++ b/sardinegauge/workflows/orders.py
@@ -2,14 +2,15 @@
 
 import json
 
-from sardinegauge.workflows import views
+from sardinegauge.workflows import draining, views
 
 
 def encode(state, worker, incarnation):
     """Return the orders for a worker as JSON bytes.
 
     The orders hold starts as rows of task, run, payload, checkpoint, ticket and CPU
-    cap; stops, and runs for the agent to forget, as rows of task and run; CPU caps, in
+    cap; ordered starts that stay in force, in `still_ordered`, as rows of task and run;
+    stops, and runs for the agent to forget, as rows of task and run; CPU caps, in
     `paces`, as rows of task, run and percent; questions to the policy service as rows
     of step and workers; the number of the last recorded end; and the incarnation of the
     last recorded crash. A worker is watched while it runs both latency-critical and
@@ -19,6 +20,7 @@
     body = {
         "seen_end": 0,
         "starts": [],
+        "still_ordered": [],
         "stops": [],
         "forget": [],
         "paces": [],
@@ -44,7 +46,9 @@
         if not workflow.is_open or task.is_done or key in state.stop_reason_by_run:
             if reported is None or reported.phase in (views.ORDERED, views.ACTIVE):
                 body["stops"].append(list(key))
-        elif reported is None and key not in view.ended and _may_start_runs(view):
+        elif (
+            reported is None and key not in view.ended and _may_start_runs(state, view)
+        ):
             ticket = ""
             if state.store.queue_of(workflow).advice is not None:
                 step = task.id.rpartition(".")[0]
@@ -56,6 +60,8 @@
             cpu_cap = state.cpu_cap_by_run.get(key, 100)
             start = [*key, workflow.payload, task.checkpoint, ticket, cpu_cap]
             body["starts"].append(start)
+        elif draining.may_repeat_start(state, view, key):
+            body["still_ordered"].append(list(key))
         elif reported is not None and reported.phase == views.ACTIVE:
             cpu_cap = state.cpu_cap_by_run.get(key, 100)
             if cpu_cap != reported.cpu_cap:
@@ -71,9 +77,13 @@
     return json.dumps(body, separators=(",", ":")).encode()
 
 
-def _may_start_runs(view):
+def _may_start_runs(state, view):
     """Return whether starts may be ordered.
 
     Before its worker is fenced, a restarted agent does not know the active runs.
     """
-    return view.is_fenced and not view.is_release_pending
+    return (
+        view.is_fenced
+        and not view.is_release_pending
+        and not draining.is_drained(state, view)
+    )
--- /dev/null
+++ b/sardinegauge/workflows/policies/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling policies as pure functions: plain records in, decisions out."""
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -11,6 +11,7 @@
 from sardinegauge.workflows import (
     besteffort,
     crashes,
+    draining,
     incarnations,
     isolation,
     schedulerevents,
@@ -57,6 +58,7 @@
     for worker in state.store.worker_by_id.values():
         incarnations.create_view(state, worker.worker, worker.life, worker.agent)
     isolation.begin(state)
+    draining.begin(state)
 
 
 def _on_report(state, event):
@@ -320,6 +322,7 @@
     _expire_refusals(state)
     crashes.tick(state)
     isolation.tick(state)
+    draining.withdraw_starts(state)
     _renew_tickets(state)
     _propose_estimates(state)
     for view in list(state.view_by_id.values()):
@@ -424,4 +427,6 @@
     commands.CancelWorkflow: _on_cancelled,
     commands.SubmitWorkflow: _on_submitted,
     commands.SetQueues: _ignore,
+    commands.DrainDomain: draining.on_command,
+    commands.SetDomainDrain: draining.on_command,
 }
--- a/sardinegauge/workflows/schedulerstate.py
+++ b/sardinegauge/workflows/schedulerstate.py
@@ -6,6 +6,7 @@
     advicetracker,
     candidates,
     crashes,
+    draining,
     health,
     interference,
     isolation,
@@ -31,6 +32,8 @@
 
     def __init__(self, machine):
         self.store = machine.workflows
+        self.domain_drains = machine.domain_drains
+        self.draining = draining.Draining()
         self.planner = planner.Planner()
         self.candidates = candidates.CandidateIndex()
         self.health = health.Health()
--- a/sardinegauge/workflows/withdrawal.py
+++ b/sardinegauge/workflows/withdrawal.py
@@ -21,14 +21,14 @@
     for key, task in reversed(list(runs.items())):
         if not _is_exceeded(free):
             break
-        if key in state.stop_reason_by_run or not _is_unconfirmed(view, key):
+        if key in state.stop_reason_by_run or not is_unconfirmed(view, key):
             continue
         if _needs_exceeded(task.step, free):
             free.release(task.step)
             withdrawn.append((key, task))
     for key, task in withdrawn:
         log.info("start_withdrawn task=%s run=%d worker=%s", *key, view.id)
-        _stop(state, key, task)
+        stop(state, key, task, SHRUNK_REASON)
     if withdrawn:
         state.push(view.id, view.incarnation)
 
@@ -46,16 +46,17 @@
     )
 
 
-def _is_unconfirmed(view, key):
+def is_unconfirmed(view, key):
+    """Return whether the report of a worker does not show that a run has started."""
     reported = view.runs.get(key)
     if reported is None:
         return key not in view.ended
     return reported.phase == views.ORDERED
 
 
-def _stop(state, key, task):
+def stop(state, key, task, reason):
     """Stop a run, and with a member of a gang all others of its run."""
-    state.stop_reason_by_run[key] = SHRUNK_REASON
+    state.stop_reason_by_run[key] = reason
     if not task.step.is_gang:
         return
     _, run_number = key
@@ -63,5 +64,5 @@
     for member in occurrence.tasks_by_step[task.position]:
         for run in member.runs:
             if run.number == run_number:
-                state.stop_reason_by_run[member.id, run_number] = SHRUNK_REASON
+                state.stop_reason_by_run[member.id, run_number] = reason
                 state.push(run.worker, run.incarnation)
--- a/tests/test_workflow_scheduler.py
+++ b/tests/test_workflow_scheduler.py
@@ -184,6 +184,7 @@
         "stops": [["w.0.0.0", 1]],
         "forget": [],
         "paces": [],
+        "still_ordered": [],
         "questions": [],
         "is_watched": 0,
         "crash_seen": 0,
