Give cold workers less work

Cause: after a restore, the workers of a domain are idle and cold, and as the least loaded ones they would get nearly all the work at once.

Change: the time for which a worker stays cold goes from its announcement to the leader's view, and its remainder lowers the worker's score, by up to 0.5 at 10 s or more. In a score that is the share of idle cores, a cold worker gets half the load of a warm one. An agent reports the field for a cold worker only, since older leaders refuse it.

--- a/sardinegauge/workflows/candidates.py
+++ b/sardinegauge/workflows/candidates.py
@@ -72,7 +72,10 @@
         if entry is None or not entry.is_current(view, run_changes):
             entry = _Entry(build(state, view), view, run_changes)
             self._entry_by_worker[view.id] = entry
-        entry.candidate.penalty = state.health.penalty(view.id)
+        cold_ms = view.cold_left_ms(state.now_ms)
+        entry.candidate.penalty = state.health.penalty(
+            view.id
+        ) + placement.cold_penalty(cold_ms)
         return entry.candidate
 
 
--- a/sardinegauge/workflows/hostedreport.py
+++ b/sardinegauge/workflows/hostedreport.py
@@ -37,6 +37,9 @@
         "ends": [state.ends[number] for number in sorted(state.ends)],
         "advice": hostedadvice.report_rows(state),
     }
+    if announcement.cold_ms > 0:
+        # Leaders of earlier releases refuse a report with this field.
+        fields["cold_ms"] = announcement.cold_ms
     crash = hostedcrash.report_field(state)
     if crash is not None:
         fields["crash"] = crash
--- a/sardinegauge/workflows/placement.py
+++ b/sardinegauge/workflows/placement.py
@@ -21,6 +21,25 @@
 LOW_INTERFERENCE_PENALTY = 0.5
 IDLE_WEIGHT = 0.2
 
+# Penalty of a worker that stays cold for `FULL_COLD_MS` or longer. In a score that is
+# the share of idle cores, such a worker gets half the load of a warm one.
+COLD_PENALTY = 0.5
+FULL_COLD_MS = 10_000
+
+
+def cold_penalty(cold_ms):
+    """Return the penalty of a worker that stays cold for some time.
+
+    It is made for restored failure domains, whose workers are all idle and cold and
+    would get nearly all the work at once.
+
+    Examples
+    --------
+    >>> cold_penalty(0), cold_penalty(5_000), cold_penalty(60_000)
+    (0.0, 0.25, 0.5)
+    """
+    return COLD_PENALTY * min(cold_ms / FULL_COLD_MS, 1.0)
+
 
 class Candidate:
     """A worker and its free resources in the current plan.
--- a/sardinegauge/workflows/views.py
+++ b/sardinegauge/workflows/views.py
@@ -120,6 +120,7 @@
     ticket, and the tickets' validity in ms.
     `is_lapsed` is True if every lease of this incarnation has expired, or the
     incarnation has ended. `sent_ms` is when the report was sent, on the agent's clock.
+    `cold_ms` is the time for which the worker is still cold; older agents omit it.
     `crash` is the last `Crash` that the leader has not acknowledged, or None.
     """
 
@@ -137,6 +138,7 @@
         "accelerators",
         "is_draining",
         "remaining_ms",
+        "cold_ms",
         "is_fenced",
         "is_lapsed",
         "seen_end",
@@ -156,6 +158,7 @@
         "accelerators": 0,
         "is_draining": False,
         "remaining_ms": 0,
+        "cold_ms": 0,
         "is_fenced": False,
         "is_lapsed": False,
         "seen_end": 0,
@@ -180,6 +183,7 @@
     "accelerators": _NUMBER,
     "is_draining": bool,
     "remaining_ms": _NUMBER,
+    "cold_ms": _NUMBER,
     "is_fenced": bool,
     "is_lapsed": bool,
     "seen_end": int,
@@ -280,6 +284,7 @@
     __slots__ = (
         "agent",
         "capacity",
+        "cold_ms",
         "ended",
         "failure_domain",
         "grant_until_ms",
@@ -319,6 +324,7 @@
         self.is_lapsed = False
         self.is_release_pending = False
         self.remaining_ms = 0
+        self.cold_ms = 0
         self.received_ms = 0
         self.sent_ms = 0
         self.update_count = 0
@@ -358,6 +364,7 @@
         self.is_fenced = report.is_fenced
         self.is_lapsed = report.is_lapsed
         self.remaining_ms = report.remaining_ms
+        self.cold_ms = report.cold_ms
         self.received_ms = now_ms
         self.runs = {(row[0], row[1]): ReportedRun(*row[2:]) for row in report.runs}
         self.ended = {(row[1], row[2]): row[3] for row in report.ends}
@@ -366,6 +373,10 @@
         """Return whether the last report is recent."""
         return now_ms - self.received_ms <= MAX_REPORT_AGE_MS
 
+    def cold_left_ms(self, now_ms):
+        """Return the time for which the worker is still cold."""
+        return max(self.cold_ms - (now_ms - self.received_ms), 0)
+
     def may_start(self, now_ms):
         """Return whether the worker may start new runs."""
         return (
--- a/sardinegauge/workflows/workerclient.py
+++ b/sardinegauge/workflows/workerclient.py
@@ -101,7 +101,8 @@
     """A worker's announcement of its incarnation, address, pool and capacity.
 
     `sequence` rises with each announcement of an incarnation; older ones are ignored.
-    `remaining_ms` is the time left until a draining worker ends.
+    `remaining_ms` is the time left until a draining worker ends, `cold_ms` the time for
+    which a worker is still cold after its start or a restore of its failure domain.
     """
 
     __slots__ = (
@@ -117,6 +118,7 @@
         "accelerators",
         "is_draining",
         "remaining_ms",
+        "cold_ms",
         "sequence",
     )
     _defaults = {
@@ -128,6 +130,7 @@
         "accelerators": 0,
         "is_draining": False,
         "remaining_ms": 0,
+        "cold_ms": 0,
         "sequence": 0,
     }
 
--- a/tests/test_wireformat.py
+++ b/tests/test_wireformat.py
@@ -141,6 +141,7 @@
     "capacity": {"cpu": 16000, "mem_mb": 100, "gpu": 0},
     "labels": ["a", "r1-3"],
     "drain_remaining_ms": 1500,
+    "cold_remaining_ms": 7000,
     "seq": 4,
     "born": 1700000000000,
 }
@@ -154,6 +155,7 @@
         True,
     )
     assert (found.cpu_millis, found.remaining_ms) == (16000, 1500)
+    assert found.cold_ms == 7000
 
 
 @pytest.mark.parametrize(
--- a/tests/test_workflow_draining.py
+++ b/tests/test_workflow_draining.py
@@ -7,6 +7,7 @@
 from sardinegauge import commands
 from sardinegauge.workflows import (
     crashrecord,
+    hostedreport,
     hostedruns,
     hostevents,
     hoststate,
@@ -257,6 +258,29 @@
     assert len(leader.orders("b")["still_ordered"]) == 4
 
 
+def test_restored_workers_get_work_in_proportion_to_their_warmth(leader):
+    """Idle and cold workers got nearly all work after a restore."""
+    leader.report("b", cold_ms=30_000)
+    leader.submit(STEP.replace(cpu_millis=1000))
+    leader.settle()
+    assert set(leader.placed().values()) == {"a"}
+    leader.submit(STEP.replace(count=8, cpu_millis=1000), id="v")
+    leader.settle()
+    placed = list(leader.placed().values())
+    assert placed.count("a") > placed.count("b") > 0
+    # The worker has warmed up meanwhile.
+    view = leader.state.view_by_id["b"]
+    assert view.cold_left_ms(leader.now_ms + 29_000) == 1000
+    assert view.cold_left_ms(leader.now_ms + 31_000) == 0
+
+
+def test_only_a_cold_worker_is_reported_with_a_field_that_older_leaders_refuse():
+    agent = test_workflow_hosting.Agent()
+    assert "cold_ms" not in hostedreport.report_fields(agent.state)
+    agent.announce(sequence=2, cold_ms=700)
+    assert hostedreport.report_fields(agent.state)["cold_ms"] == 700
+
+
 MOVES = st.one_of(
     st.tuples(st.sampled_from(("drain", "restore")), st.sampled_from(("z1", "z2"))),
     st.tuples(st.just("submit"), st.booleans()),
--- a/tests/test_workflow_reports.py
+++ b/tests/test_workflow_reports.py
@@ -23,6 +23,7 @@
     "accelerators": 0,
     "is_draining": False,
     "remaining_ms": 0,
+    "cold_ms": 0,
     "is_fenced": True,
     "is_lapsed": False,
     "seen_end": 0,
