--- a/sardinegauge/workflows/candidates.py
+++ b/sardinegauge/workflows/candidates.py
@@ -40,7 +40,8 @@
     def find_usable(self, state, now_ms):
         """Return the candidates of the workers that may start runs now.
 
-        The resources of planned assignments and of `reservations` are reserved.
+        Workers in drained failure domains are left out. The resources of planned
+        assignments and of `reservations` are reserved.
 
         Parameters
         ----------
@@ -56,6 +57,7 @@
             for view in state.view_by_id.values()
             if view.may_start(now_ms)
             and view.incarnation == state.registered_incarnation(view.id)
+            and view.failure_domain not in state.domain_drains
         ]
         if state.worker_by_planned_task:
             _reserve_planned(state, candidates)
@@ -71,7 +73,10 @@
         if entry is None or not entry.is_current(view, run_changes):
             entry = _Entry(build(state, view), view, run_changes)
             self._entry_by_worker[view.id] = entry
-        entry.candidate.penalty = state.health.penalty(view.id)
+        cold_ms = view.cold_left_ms(state.now_ms)
+        entry.candidate.penalty = state.health.penalty(
+            view.id
+        ) + placement.cold_penalty(cold_ms)
         return entry.candidate
 
 
--- a/sardinegauge/workflows/schedulerstate.py
+++ b/sardinegauge/workflows/schedulerstate.py
@@ -7,6 +7,7 @@
     candidates,
     crashes,
     displacing,
+    draining,
     health,
     interference,
     isolation,
@@ -36,6 +37,8 @@
 
     def __init__(self, machine):
         self.store = machine.workflows
+        self.domain_drains = machine.domain_drains
+        self.draining = draining.Draining()
         self.run_times = runtimes.RunTimeModel()
         self.planner = planner.Planner(ordering.ByRemainingWork(self.run_times))
         self.candidates = candidates.CandidateIndex()
