Share left-over cores in order, and throttle tasks with slack first

Cause: all best-effort tasks of a worker shared its left-over cores, and the tasks of one workflow were throttled alike, though a step ends with its slowest task. Change: the cores go to the most urgent tasks first; urgent is what has the least slack, by learned run times and progress, and what would be late at full speed yields.

--- a/sardinegauge/workflows/besteffort.py
+++ b/sardinegauge/workflows/besteffort.py
@@ -6,7 +6,8 @@
 import logging
 import math
 
-from sardinegauge.workflows import interference, views
+from sardinegauge.workflows import interference, outlooks, views
+from sardinegauge.workflows.policies import coreshares
 
 # A best-effort task with this CPU cap or less for `MIN_SLOW_MS` may move to another
 # worker.
@@ -141,19 +142,18 @@
     for key, task in state.store.runs_of(view.id, view.incarnation).items():
         reported = view.runs.get(key)
         if task.step.is_filler and key not in view.ended:
-            rank = _workflow_rank(state, task)
+            rank = _task_rank(state, task, reported)
             best_effort_tasks.append(
                 _describe_best_effort_task(view, key, task.step, reported, rank)
             )
     return best_effort_tasks
 
 
-def _workflow_rank(state, task):
-    """Return the planner's sort key of a task's workflow."""
-    workflow, occurrence, _ = state.store.find_task(task.id)
-    queue = state.store.queue_of(workflow)
+def _task_rank(state, task, reported):
+    """Return the sort key of a task among those that may be throttled."""
     wall_ms = state.now_ms + state.wall_offset_ms
-    return state.planner.ordering.key(workflow, queue, occurrence, wall_ms)
+    outlook = outlooks.of_run(state, task, reported, wall_ms)
+    return state.urgency.rank(outlook, wall_ms)
 
 
 def _describe_best_effort_task(view, key, step, reported, rank):
@@ -172,7 +172,7 @@
     """Update the model with the latencies of a report, and set the CPU caps."""
     if not _has_latency_critical_task(state, view):
         state.interference.drop_worker(view.id)
-        if _remove_cpu_caps(state, view):
+        if set_cpu_caps(state, view):
             state.push(view.id, view.incarnation)
         return
     latencies = _latencies(state, view)
@@ -230,16 +230,53 @@
 
 def set_cpu_caps(state, view):
     """Set the CPU caps of best-effort tasks; return whether any changed."""
-    if not _has_latency_critical_task(state, view):
+    best_effort_tasks = best_effort_tasks_on_worker(state, view)
+    if _has_latency_critical_task(state, view):
+        return _apply_cpu_caps(state, view, best_effort_tasks)
+    shares = _core_shares(state, view, best_effort_tasks, {})
+    if all(share >= 1 for share in shares.values()):
         return _remove_cpu_caps(state, view)
-    return _apply_cpu_caps(state, view, best_effort_tasks_on_worker(state, view))
+    return _order_caps(state, _to_caps(shares, {}))
 
 
 def _apply_cpu_caps(state, view, best_effort_tasks):
+    """Set the caps beside latency-critical tasks; return whether any changed."""
+    caps = state.interference.cpu_caps(view.id, best_effort_tasks, state.now_ms)
+    shares = _core_shares(state, view, best_effort_tasks, caps)
+    return _order_caps(state, _to_caps(shares, caps))
+
+
+def _core_shares(state, view, best_effort_tasks, cap_by_run):
+    """Return the shares of the left-over cores under the caps, by run key."""
+    runs = state.store.runs_of(view.id, view.incarnation)
+    batch_millis = latency_critical_millis = 0
+    for task in runs.values():
+        if task.step.target_ms:
+            latency_critical_millis += task.step.cpu_millis
+        elif not task.step.is_filler:
+            batch_millis += task.step.cpu_millis
+    left_millis = coreshares.left_over_millis(
+        view.capacity.cpu_millis, batch_millis, latency_critical_millis
+    )
+    demands = [
+        (task.key, runs[task.key].step.cpu_millis * cap_by_run.get(task.key, 100) / 100)
+        for task in sorted(best_effort_tasks, key=lambda task: task.rank)
+    ]
+    return state.core_sharing.shares(left_millis, demands)
+
+
+def _to_caps(share_by_run, cap_by_run):
+    """Return the caps reduced by the shares, as multiples of the step of a cap."""
+    step = interference.CPU_CAP_STEP_PERCENT
+    return {
+        key: int(share * cap_by_run.get(key, 100) // step) * step
+        for key, share in share_by_run.items()
+    }
+
+
+def _order_caps(state, computed_by_run):
     is_changed = False
-    for key, computed in state.interference.cpu_caps(
-        view.id, best_effort_tasks, state.now_ms
-    ).items():
+    for key, computed in computed_by_run.items():
         current = state.cpu_cap_by_run.get(key, 100)
         age_ms = state.now_ms - state.cap_changed_ms_by_run.get(key, 0)
         cpu_cap = state.cap_changes.choose(current, computed, age_ms)
--- a/sardinegauge/workflows/schedulerstate.py
+++ b/sardinegauge/workflows/schedulerstate.py
@@ -15,7 +15,12 @@
     planner,
     schedulerevents,
 )
-from sardinegauge.workflows.policies import capchanges, runtimes
+from sardinegauge.workflows.policies import (
+    capchanges,
+    coreshares,
+    runtimes,
+    urgency,
+)
 
 
 class State:
@@ -26,10 +31,12 @@
     `workers_by_agent` holds the ids of all workers seen beside an agent in this term.
     `stop_reason_by_run` holds the runs to stop, and `cpu_cap_by_run` the CPU caps of
     best-effort tasks in percent, which changed last at `cap_changed_ms_by_run`;
-    `cap_changes` decides which changes are ordered. `slow_since_ms_by_run` is the time
-    from which on a best-effort task has been slow, `moved_from_by_task` the worker that
-    a best-effort task was moved away from. A task is not assigned before
-    `refused_until_ms` to a worker that refused it, by task id and worker.
+    `cap_changes` decides which changes are ordered, `core_sharing` how the left-over
+    cores are shared, and `urgency` which tasks are throttled first.
+    `slow_since_ms_by_run` is the time from which on a best-effort task has been slow,
+    `moved_from_by_task` the worker that a best-effort task was moved away from. A task
+    is not assigned before `refused_until_ms` to a worker that refused it, by task id
+    and worker.
     `end_ms_by_recent_run` is when the end of a run was recorded.
     `proposed_crash_by_agent` and `crash_by_agent` hold the incarnation of the last
     proposed and recorded crash of a worker by its agent.
@@ -53,6 +60,8 @@
         self.cpu_cap_by_run = {}
         self.cap_changed_ms_by_run = {}
         self.cap_changes = capchanges.LargeChanges()
+        self.core_sharing = coreshares.InOrder()
+        self.urgency = urgency.BySlack()
         self.slow_since_ms_by_run = {}
         self.moved_from_by_task = {}
         self.failed_workers_by_task = {}
