Restart stuck and slow runs, and put their workers on probation

Cause: runs on a worker that goes bad while it answers waited there until it recovered; new runs kept starting on it.

A sick worker gets no starts during its backoff, then one run, and twice as many after each success (health.py, Candidate.start_limit).

A trial with numbers out of range found a division by zero at 100 percent, mended here.

--- a/sardinegauge/workflows/candidates.py
+++ b/sardinegauge/workflows/candidates.py
@@ -71,6 +71,7 @@
             entry = _Entry(build(state, view), view, run_changes)
             self._entry_by_worker[view.id] = entry
         entry.candidate.penalty = state.health.penalty(view.id)
+        entry.candidate.start_limit = state.health.start_limit(view.id)
         return entry.candidate
 
 
--- a/sardinegauge/workflows/placement.py
+++ b/sardinegauge/workflows/placement.py
@@ -6,6 +6,7 @@
 """
 
 import abc
+import math
 
 from sardinegauge.workflows import interference
 
@@ -29,7 +30,8 @@
     the `best_effort_tasks` on the worker would use, `used_millis` the average use of
     its other tasks, `latency_critical_count` the number of its latency-critical tasks.
     `interference` is the model of all workers. `reservation_count` counts the
-    reservations of the current plan, for tasks that the worker does not run yet.
+    reservations of the current plan, for tasks that the worker does not run yet; at
+    most `start_limit` are allowed.
     """
 
     __slots__ = (
@@ -40,6 +42,7 @@
         "reservation_count",
         "latency_critical_count",
         "interference",
+        "start_limit",
         "used_millis",
         "view",
     )
@@ -54,6 +57,11 @@
         self.latency_critical_count = 0
         self.best_effort_tasks = []
         self.reservation_count = 0
+        self.start_limit = math.inf
+
+    def fits(self, step):
+        """Return whether one more task of a step may start and fits."""
+        return self.reservation_count < self.start_limit and self.free.fits(step)
 
     def reserve(self, step, key=None):
         """Reserve the resources of one more task of a step."""
--- a/sardinegauge/workflows/planner.py
+++ b/sardinegauge/workflows/planner.py
@@ -185,7 +185,7 @@
         eligible = [
             candidate
             for candidate in matching
-            if candidate.free.fits(step)
+            if candidate.fits(step)
             and not self._is_refused(state, task, candidate)
             and (not limit or count_by_worker.get(candidate.view.id, 0) < limit)
         ]
@@ -352,7 +352,7 @@
     def fits(self, candidate):
         """Return whether one more task of the step fits on a candidate."""
         limit = self._step.max_per_worker
-        return candidate.free.fits(self._step) and (
+        return candidate.fits(self._step) and (
             not limit or self.count_by_worker.get(candidate.view.id, 0) < limit
         )
 
--- a/sardinegauge/workflows/policies/progress.py
+++ b/sardinegauge/workflows/policies/progress.py
@@ -116,16 +116,18 @@
         if passed_ms == 0:
             return False
         self.sampled_ms = now_ms
-        is_restored = reported.progress < self.progress
+        # Workers are not trusted to keep to the range.
+        reached = min(max(reported.progress, 0), 100)
+        is_restored = reached < self.progress
         is_gap = self.survived_ms < 0 or not 0 < passed_ms <= MAX_GAP_MS
         if is_restored or is_gap:
             survived_ms = reported.survived_ms
-            self._begin(reported.progress, survived_ms, used, usable, now_ms)
+            self._begin(reached, survived_ms, used, usable, now_ms)
             return False
         self.worked_ms += passed_ms * (used + self.used_share) / 2
         # The share may have changed at any time between the samples.
         lower_share = min(usable, self.usable_share)
-        is_moving = reported.progress > self.progress
+        is_moving = reached > self.progress
         if is_moving:
             self.still_ms = 0
         else:
@@ -134,7 +136,7 @@
             self.stalled_ms = 0.0
         else:
             self.stalled_ms += passed_ms * lower_share
-        self.progress = reported.progress
+        self.progress = reached
         self.survived_ms = reported.survived_ms
         self.used_share, self.usable_share = used, usable
         self._points.append((self.worked_ms, self.progress))
@@ -187,12 +189,13 @@
     A best-effort run gets only left-over cores. With little load it is starved, unless
     its worker has idle cores.
     """
-    cpu_cap = reported.cpu_cap / 100
+    cpu_cap = min(max(reported.cpu_cap / 100, 0.0), 1.0)
     if not info.is_best_effort:
         return cpu_cap, cpu_cap
     demand = max(info.demand_millis, 1)
-    used = min(reported.load / demand, cpu_cap, 1.0)
-    usable = min((reported.load + max(idle_millis, 0)) / demand, cpu_cap, 1.0)
+    load = max(reported.load, 0)
+    used = min(load / demand, cpu_cap)
+    usable = min((load + max(idle_millis, 0)) / demand, cpu_cap)
     return used, usable
 
 
--- a/sardinegauge/workflows/policies/stragglers.py
+++ b/sardinegauge/workflows/policies/stragglers.py
@@ -213,8 +213,11 @@
         self._peers = peers
         self._normal_ms = normal_ms
         self._is_suspected = is_suspected
+        # The end of a run at 100 percent is on its way.
         self._judged = [
-            track for track in tracks if track.usable_share >= progress.MIN_SHARE
+            track
+            for track in tracks
+            if track.usable_share >= progress.MIN_SHARE and track.progress < 100
         ]
         min_stall_ms = MIN_STALL_MS
         if is_suspected or self._is_standing_still():
@@ -227,6 +230,7 @@
                 track
                 for track in tracks
                 if track.info.is_best_effort
+                and track.progress < 100
                 and track.still_ms >= SUSPECTED_STILL_MS
                 and track not in self._stuck
             ]
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -13,6 +13,7 @@
     crashes,
     incarnations,
     isolation,
+    recovery,
     schedulerevents,
     store,
     views,
@@ -88,6 +89,7 @@
     _record_advice(state, report)
     crashes.on_report(state, report)
     isolation.on_report(state, view)
+    recovery.on_report(state, view)
     _propose_ends(state, view, report)
     _expire_recent_ends(state)
     # A new leader does not know whether the capacity shrank before its first report.
@@ -176,6 +178,7 @@
         )
         if task_id in assigned_ids:
             isolation.on_assigned(state, task_id, run_number, worker, incarnation)
+            recovery.on_assigned(state, (task_id, run_number), worker)
     for worker, incarnation in incarnation_by_worker.items():
         view = state.view_by_id.get(worker)
         if view is not None and view.incarnation == incarnation:
@@ -199,6 +202,7 @@
             how,
         )
         state.end_ms_by_recent_run[task_id, run_number] = state.now_ms
+        recovery.on_end(state, (task_id, run_number), command.worker, how)
         _emit_run_ended(state, task_id, how)
         state.stop_reason_by_run.pop((task_id, run_number), None)
         state.cpu_cap_by_run.pop((task_id, run_number), None)
@@ -320,6 +324,7 @@
     _expire_refusals(state)
     crashes.tick(state)
     isolation.tick(state)
+    recovery.tick(state)
     _renew_tickets(state)
     _propose_estimates(state)
     for view in list(state.view_by_id.values()):
--- a/sardinegauge/workflows/schedulerevents.py
+++ b/sardinegauge/workflows/schedulerevents.py
@@ -55,3 +55,15 @@
     """Effect: count a workflow that ended, for the metrics."""
 
     __slots__ = ("lasted_ms", "queue", "state")
+
+
+class RunRestarted(record.Record):
+    """Effect: count a run that is stopped to start elsewhere, for the metrics."""
+
+    __slots__ = ("queue", "reason")
+
+
+class SuspectedWorkersCounted(record.Record):
+    """Effect: the number of suspected workers has changed."""
+
+    __slots__ = ("count",)
--- a/sardinegauge/workflows/schedulerstate.py
+++ b/sardinegauge/workflows/schedulerstate.py
@@ -10,6 +10,7 @@
     interference,
     isolation,
     planner,
+    recovery,
     schedulerevents,
 )
 
@@ -53,6 +54,7 @@
         self.crash_by_agent = {}
         self.crashes = crashes.Crashes()
         self.isolation = isolation.Isolation()
+        self.recovery = recovery.Recovery()
         self.wall_ms = 0
         self.wall_offset_ms = 0
         self.term = 0
