Merge the restarts of stuck and slow runs

Cause: workers on which work stands still were known only by failures, and one stuck task of a step makes its workflow late.

--- a/sardinegauge/workflows/schedulerstate.py
+++ b/sardinegauge/workflows/schedulerstate.py
@@ -13,6 +13,7 @@
     isolation,
     ordering,
     planner,
+    recovery,
     schedulerevents,
 )
 from sardinegauge.workflows.policies import (
@@ -75,6 +76,7 @@
         self.crash_by_agent = {}
         self.crashes = crashes.Crashes()
         self.isolation = isolation.Isolation()
+        self.recovery = recovery.Recovery()
         self.wall_ms = 0
         self.wall_offset_ms = 0
         self.term = 0
--- a/tests/test_straggler_policy.py
+++ b/tests/test_straggler_policy.py
@@ -26,7 +26,7 @@
         self.progress_by_task = dict.fromkeys(worker_by_task, 0.0)
 
     def report(
-        self, rate_by_task, load=1000, cpu_cap=100, idle_millis=0, is_answered=True
+        self, rate_by_task, load=1000, cpu_cap=100, idle_millis=0, answered=True
     ):
         self.now_ms += REPORT_MS
         self.answered_ms = self.now_ms if answered else self.answered_ms
@@ -159,7 +159,7 @@
     for _ in range(3):
         samples.report({"others": 20})
     for _ in range(10):
-        samples.report({}, answered=0)
+        samples.report({}, answered=False)
     assert samples.found() == {}
 
 
