Stop runs on workers whose capacity fell below what they run

Cause: on a worker whose capacity has shrunk, only unconfirmed starts were withdrawn. A shortage of memory stayed, and latency-critical tasks on too few cores stayed over their target. A report that arrived late counted as recent. Change: once an excess that hurts has lasted 500 ms, the runs that the displacement policy chooses are stopped: best-effort ones first, persistent ones last, only within max_unavailable and only to reserved room elsewhere. Too few cores hurt only beside latency-critical tasks; other runs go on more slowly.

--- a/sardinegauge/workflows/displacing.py
+++ b/sardinegauge/workflows/displacing.py
@@ -30,12 +30,14 @@
 
     `waiting_since_ms_by_task` holds since when a waiting task found no room.
     `checkpoints_by_worker` holds, by run key, the last reported checkpoint of each run
-    on a worker and when it was first reported.
+    on a worker and when it was first reported. `exceeded_since_ms_by_worker` holds
+    since when a worker runs more than its capacity.
     """
 
     __slots__ = (
         "checkpoints_by_worker",
         "decided_ms",
+        "exceeded_since_ms_by_worker",
         "expired_ms",
         "limits",
         "policy",
@@ -47,6 +49,7 @@
         self.limits = displacementlimits.DisplacementLimits()
         self.waiting_since_ms_by_task = {}
         self.checkpoints_by_worker = {}
+        self.exceeded_since_ms_by_worker = {}
         self.decided_ms = 0
         self.expired_ms = 0
 
@@ -120,8 +123,12 @@
     displacing.limits.expire(
         state.now_ms, lambda task_id: task_id.partition(".")[0] in open_ids
     )
-    for worker in displacing.checkpoints_by_worker.keys() - state.view_by_id.keys():
-        del displacing.checkpoints_by_worker[worker]
+    for by_worker in (
+        displacing.checkpoints_by_worker,
+        displacing.exceeded_since_ms_by_worker,
+    ):
+        for worker in by_worker.keys() - state.view_by_id.keys():
+            del by_worker[worker]
 
 
 def _tasks_without_room(state):
--- a/sardinegauge/workflows/reservations.py
+++ b/sardinegauge/workflows/reservations.py
@@ -11,12 +11,16 @@
 
 
 class Reservation:
-    """Room for one task of a step on an incarnation of a worker, until `end_ms`."""
+    """Room for the next run of a task on an incarnation of a worker, until `end_ms`.
 
-    __slots__ = ("end_ms", "incarnation", "step", "worker")
+    `last_run` is the task's highest run number so far.
+    """
+
+    __slots__ = ("end_ms", "incarnation", "last_run", "step", "worker")
 
-    def __init__(self, step, worker, incarnation, end_ms):
-        self.step = step
+    def __init__(self, task, worker, incarnation, end_ms):
+        self.step = task.step
+        self.last_run = task.last_run
         self.worker = worker
         self.incarnation = incarnation
         self.end_ms = end_ms
@@ -25,7 +29,7 @@
 def add(state, task, view):
     """Reserve room for a task on a worker."""
     state.reservation_by_task[task.id] = Reservation(
-        task.step, view.id, view.incarnation, state.now_ms + RESERVATION_MS
+        task, view.id, view.incarnation, state.now_ms + RESERVATION_MS
     )
 
 
@@ -52,7 +56,7 @@
         and task is not None
         and workflow.is_open
         and not task.is_done
-        and not task.runs
+        and task.last_run == reservation.last_run
         and task_id not in state.worker_by_planned_task
         and view is not None
         and view.incarnation == reservation.incarnation
@@ -63,7 +67,8 @@
 def assign(state, offer):
     """Return rows of `commands.AssignRuns` for the tasks whose room is free now.
 
-    Their tasks count as planned from now on, so that the plan does not choose another
+    A task whose former run is being stopped waits for its end. The tasks with a row
+    count as planned from now on, so that the plan does not choose another
     worker for them.
     """
     if not state.reservation_by_task:
@@ -75,7 +80,8 @@
     assignments = []
     for task_id, reservation in list(state.reservation_by_task.items()):
         candidate = candidate_by_worker.get(reservation.worker)
-        if candidate is None or reservation.worker in closed_ids:
+        _, _, task = state.store.find_task(task_id)
+        if candidate is None or reservation.worker in closed_ids or task.runs:
             continue
         if state.now_ms < state.refused_until_ms.get((task_id, reservation.worker), 0):
             continue
@@ -87,7 +93,6 @@
         candidate.reserve(step)
         del state.reservation_by_task[task_id]
         state.worker_by_planned_task[task_id] = reservation.worker
-        _, _, task = state.store.find_task(task_id)
         row = [task_id, task.last_run + 1, reservation.worker, reservation.incarnation]
         assignments.append(row)
     return assignments
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -14,6 +14,7 @@
     displacing,
     incarnations,
     isolation,
+    overcommit,
     schedulerevents,
     store,
     views,
@@ -95,6 +96,7 @@
     if view.has_shrunk or view.update_count == 1:
         withdrawal.withdraw_starts(state, view)
     displacing.record_checkpoints(state, view)
+    overcommit.relieve(state, view)
     besteffort.update_cpu_caps(state, view)
     state.is_plan_due = True
 
--- a/sardinegauge/workflows/views.py
+++ b/sardinegauge/workflows/views.py
@@ -1,5 +1,6 @@
 """The leader's view of each worker from its agent's reports; soft state."""
 
+import collections
 import json
 
 from sardinegauge import record
@@ -20,6 +21,10 @@
 # An agent repeats a report over another link within this time. A report that was sent
 # earlier by more than this comes from an agent whose clock began anew.
 MAX_REORDERING_MS = 10_000
+# Reports whose delays are compared. A delay is known only relative to that of other
+# reports, since clocks differ. With a report every 400 ms, a delay that lasts for 3 s
+# is taken for a change of the agent's clock, as after a suspension of its VM.
+DELAY_WINDOW = 8
 
 
 class Room(record.Record):
@@ -273,8 +278,9 @@
     `proposed_gone_runs` the keys of runs proposed as refused. No lease is granted
     while `is_release_pending`. `ended` holds how runs ended by run key, for ends that
     the agent still reports. `update_count` is the number of reports applied.
-    `largest_capacity` holds the largest reported amount of each resource, and
-    `has_shrunk` whether one is smaller now.
+    `lateness_ms` is how much later the newest report arrived than the fastest one of
+    the last `DELAY_WINDOW`. `largest_capacity` holds the largest reported amount of
+    each resource, and `has_shrunk` whether one is smaller now.
     """
 
     __slots__ = (
@@ -290,6 +296,7 @@
         "is_lapsed",
         "is_release_pending",
         "labels",
+        "lateness_ms",
         "largest_capacity",
         "incarnation",
         "pool",
@@ -301,6 +308,7 @@
         "runs",
         "sent_ms",
         "update_count",
+        "_offsets_ms",
     )
 
     def __init__(self, worker, incarnation, agent, now_ms, lease_ms):
@@ -321,6 +329,8 @@
         self.remaining_ms = 0
         self.received_ms = 0
         self.sent_ms = 0
+        self.lateness_ms = 0
+        self._offsets_ms = collections.deque(maxlen=DELAY_WINDOW)
         self.update_count = 0
         # An earlier leader may have granted a lease just before the change of leader.
         self.grant_until_ms = now_ms + lease_ms
@@ -340,6 +350,7 @@
     def update(self, report, now_ms):
         """Apply a newer report of this incarnation."""
         self.update_count += 1
+        self._measure_lateness(report, now_ms)
         self.agent = report.agent
         self.sent_ms = report.sent_ms
         self.pool = report.pool
@@ -362,6 +373,20 @@
         self.runs = {(row[0], row[1]): ReportedRun(*row[2:]) for row in report.runs}
         self.ended = {(row[1], row[2]): row[3] for row in report.ends}
 
+    def _measure_lateness(self, report, now_ms):
+        """Measure how much later than others a report arrived, from its sending time.
+
+        An old capacity that arrives late must not count as a recent one.
+        """
+        if not report.sent_ms:
+            return
+        if report.sent_ms < self.sent_ms:
+            # The agent's clock began anew; see `is_outdated`.
+            self._offsets_ms.clear()
+        offset_ms = now_ms - report.sent_ms
+        self._offsets_ms.append(offset_ms)
+        self.lateness_ms = offset_ms - min(self._offsets_ms)
+
     def is_fresh(self, now_ms):
         """Return whether the last report is recent."""
         return now_ms - self.received_ms <= MAX_REPORT_AGE_MS
@@ -373,5 +398,5 @@
             and not self.is_draining
             and not self.is_lapsed
             and not self.is_release_pending
-            and self.is_fresh(now_ms)
+            and self.is_fresh(now_ms + self.lateness_ms)
         )
--- a/sardinegauge/workflows/withdrawal.py
+++ b/sardinegauge/workflows/withdrawal.py
@@ -1,7 +1,8 @@
 """Withdrawal of assigned runs that a worker has no room for any more.
 
-The capacity of a worker may shrink while starts are on the way to it. What it runs
-stays; an assigned run whose start is not confirmed is stopped and assigned elsewhere.
+The capacity of a worker may shrink while starts are on the way to it. An assigned run
+whose start is not confirmed is stopped and assigned elsewhere; for what runs, see
+`overcommit`.
 """
 
 import logging
