--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -16,6 +16,7 @@
     incarnations,
     isolation,
     keptestimates,
+    overcommit,
     recovery,
     schedulerevents,
     store,
@@ -98,6 +99,7 @@
     if view.has_shrunk or view.update_count == 1:
         withdrawal.withdraw_starts(state, view)
     displacing.record_checkpoints(state, view)
+    overcommit.relieve(state, view)
     besteffort.update_cpu_caps(state, view)
     state.is_plan_due = True
 
