Move long and persistent runs out of drained failure domains

Cause: what ran in a drained domain stayed there, so that persistent tasks never left it and long tasks would be lost with the domain.

Members count as away for any cause. The reserved room is kept until the task is assigned there, before the plan. A new leader moves nothing for 3,000 ms, until reports show the stops that its predecessor ordered. Short runs and those without a checkpoint end where they are.

Measured: tests/test_workflow_*.py, test_golden.py and test_policyparts.py pass. With simulated agents, 6 persistent members leave with at most 1, 2 and 3 away for limits of 1, 2 and none, also with two changes of the leader in between.

--- a/sardinegauge/workflows/candidates.py
+++ b/sardinegauge/workflows/candidates.py
@@ -41,7 +41,8 @@
         """Return the candidates of the workers that may start runs now.
 
         Workers in drained failure domains are left out.
-        The resources of planned assignments are reserved.
+        The resources of planned assignments and of moves out of drained domains are
+        reserved.
 
         Parameters
         ----------
@@ -59,8 +60,9 @@
             and view.incarnation == state.registered_incarnation(view.id)
             and view.failure_domain not in state.domain_drains
         ]
-        if state.worker_by_planned_task:
-            _reserve_planned(state, candidates)
+        reserved = state.drain_moves.reserved_workers()
+        if state.worker_by_planned_task or reserved:
+            _reserve_planned(state, candidates, reserved)
         if len(self._entry_by_worker) > len(state.view_by_id):
             for worker in self._entry_by_worker.keys() - state.view_by_id.keys():
                 del self._entry_by_worker[worker]
@@ -98,9 +100,9 @@
     return candidate
 
 
-def _reserve_planned(state, candidates):
+def _reserve_planned(state, candidates, reserved):
     candidate_by_worker = {candidate.view.id: candidate for candidate in candidates}
-    for task_id, worker in state.worker_by_planned_task.items():
+    for task_id, worker in {**reserved, **state.worker_by_planned_task}.items():
         candidate = candidate_by_worker.get(worker)
         _, _, task = state.store.find_task(task_id)
         if candidate is not None and task is not None:
--- /dev/null
+++ b/sardinegauge/workflows/drainmoves.py
@@ -0,0 +1,386 @@
+"""Moves of runs out of drained failure domains.
+
+A run is stopped only once room for it is reserved in another domain. The reservation
+lasts until the run has ended and its task is assigned there. A new leader knows no
+reservations of its predecessor: the stopped tasks wait and are planned like others.
+"""
+
+import logging
+
+from sardinegauge import commands
+from sardinegauge.workflows import besteffort, draining, views
+from sardinegauge.workflows.policies import drainmoves
+
+# Least time between two choices of runs to move; longer if none could be moved.
+INTERVAL_MS = 250
+IDLE_INTERVAL_MS = 1000
+# A new leader stops nothing for this long, so that the stops that its predecessor
+# ordered show in the reports and count as unavailable members.
+SETTLING_MS = 3000
+# A reservation ends after this time, and a move no longer counts as under way.
+RESERVATION_MS = 10_000
+log = logging.getLogger(__name__)
+
+
+class Move:
+    """Runs that are being moved, with the reserved worker of each task."""
+
+    __slots__ = ("begun_ms", "is_assigned", "keys", "target_by_task")
+
+    def __init__(self, keys, target_by_task, begun_ms):
+        self.keys = keys
+        self.target_by_task = target_by_task
+        self.begun_ms = begun_ms
+        self.is_assigned = False
+
+
+class DrainMoves:
+    """Soft state of the moves that are under way."""
+
+    __slots__ = ("begun_ms", "moves", "next_ms", "policy")
+
+    def __init__(self, policy=None):
+        self.policy = policy or drainmoves.MoveLongRuns()
+        self.begun_ms = 0
+        self.next_ms = 0
+        self.moves = []
+
+    def reserved_workers(self):
+        """Return the reserved worker of each task that is not assigned yet."""
+        return {
+            task_id: worker
+            for move in self.moves
+            if not move.is_assigned
+            for task_id, worker in move.target_by_task.items()
+        }
+
+
+def begin(state):
+    """Start the time in which a new leader moves nothing."""
+    state.drain_moves.begun_ms = state.now_ms
+
+
+def tick(state):
+    """Stop the next runs that leave their domain, within the limits of the policy."""
+    drain_moves = state.drain_moves
+    if drain_moves.moves:
+        drain_moves.moves = [m for m in drain_moves.moves if _is_under_way(state, m)]
+    if not state.domain_drains.by_domain or state.now_ms < max(
+        drain_moves.begun_ms + SETTLING_MS, drain_moves.next_ms
+    ):
+        return
+    drain_moves.next_ms = state.now_ms + IDLE_INTERVAL_MS
+    units = [unit for unit in find_units(state) if drain_moves.policy.is_movable(unit)]
+    if not units:
+        return
+    rooms = _Rooms(state)
+    moving_count = sum(len(move.keys) for move in drain_moves.moves)
+    for unit in drain_moves.policy.choose(units, moving_count, rooms.reserve):
+        drain_moves.next_ms = state.now_ms + INTERVAL_MS
+        _stop(state, unit, rooms.move_by_unit[unit.keys[0]])
+
+
+def _is_under_way(state, move):
+    if state.now_ms - move.begun_ms >= RESERVATION_MS:
+        return False
+    return not all(_has_arrived(state, key) for key in move.keys)
+
+
+def _has_arrived(state, key):
+    """Return whether a moved task is active in a later run, or will have none."""
+    task_id, run_number = key
+    workflow, _, task = state.store.find_task(task_id)
+    if task is None or task.is_done or not workflow.is_open:
+        return True
+    return any(
+        run.number > run_number and _reported_phase(state, task, run) == views.ACTIVE
+        for run in task.runs
+    )
+
+
+def _find_reported(state, task, run):
+    """Return the `views.ReportedRun` of a run in a recent report, or None."""
+    view = state.view_by_id.get(run.worker)
+    if view is None or view.incarnation != run.incarnation:
+        return None
+    return view.runs.get((task.id, run.number)) if view.is_fresh(state.now_ms) else None
+
+
+def _reported_phase(state, task, run):
+    reported = _find_reported(state, task, run)
+    return reported.phase if reported is not None else ""
+
+
+def find_units(state):
+    """Return the units with an active run in a drained domain, each once."""
+    unit_by_id = {}
+    for view in draining.drained_views(state):
+        for key, task in state.store.runs_of(view.id, view.incarnation).items():
+            step = task.step
+            if not (step.is_persistent or step.is_checkpointing):
+                continue
+            _, run_number = key
+            step_id = task.id.rpartition(".")[0]
+            unit_id = (step_id, run_number) if step.is_gang else key
+            if unit_id not in unit_by_id:
+                unit_by_id[unit_id] = _build_unit(state, key, task, step_id)
+    return [unit for unit in unit_by_id.values() if unit is not None]
+
+
+def _build_unit(state, key, task, step_id):
+    """Return the unit of a run, or None if it can't be stopped now."""
+    workflow, occurrence, _ = state.store.find_task(task.id)
+    _, run_number = key
+    members = occurrence.tasks_by_step[task.position]
+    moved = members if task.step.is_gang else [task]
+    left_ms = 0
+    for member in moved:
+        # A run that is not known to be active is withdrawn or about to end.
+        if len(member.runs) != 1 or (member.id, run_number) in state.stop_reason_by_run:
+            return None
+        run = member.runs[0]
+        reported = _find_reported(state, member, run)
+        if (
+            run.number != run_number
+            or reported is None
+            or reported.phase != views.ACTIVE
+        ):
+            return None
+        member_left_ms = drainmoves.expected_left_ms(
+            member.step,
+            reported.progress,
+            reported.survived_ms,
+            bool(member.checkpoint),
+        )
+        left_ms = max(left_ms, member_left_ms)
+    if not workflow.is_open:
+        return None
+    wall_ms = state.now_ms + state.wall_offset_ms
+    queue = state.store.queue_of(workflow)
+    return drainmoves.Unit(
+        keys=[(member.id, run_number) for member in moved],
+        step_id=step_id,
+        rank=state.planner.ordering.key(workflow, queue, occurrence, wall_ms),
+        left_ms=left_ms,
+        is_persistent=task.step.is_persistent,
+        is_checkpointing=task.step.is_checkpointing,
+        max_unavailable=task.step.max_unavailable,
+        away_count=count_away(state, members),
+    )
+
+
+def count_away(state, tasks):
+    """Return how many of a step's tasks are not available, for any cause."""
+    return sum(not task.is_done and not _is_available(state, task) for task in tasks)
+
+
+def _is_available(state, task):
+    for run in task.runs:
+        reported = _find_reported(state, task, run)
+        if (
+            reported is not None
+            and reported.phase == views.ACTIVE
+            and reported.progress >= 100
+            and (task.id, run.number) not in state.stop_reason_by_run
+        ):
+            return True
+    return False
+
+
+def _stop(state, unit, move):
+    for task_id, run_number in unit.keys:
+        _, _, task = state.store.find_task(task_id)
+        run = task.runs[0]
+        state.stop_reason_by_run[task_id, run_number] = draining.DRAINED_REASON
+        state.push(run.worker, run.incarnation)
+        log.info(
+            "run_moved task=%s run=%d worker=%s domain=%r to=%s left_ms=%.0f away=%d",
+            task_id,
+            run_number,
+            run.worker,
+            state.view_by_id[run.worker].failure_domain,
+            move.target_by_task[task_id],
+            min(unit.left_ms, besteffort.MAX_LOGGED_GAIN_MS),
+            unit.away_count,
+        )
+
+
+class _Rooms:
+    """Room in the domains that are not drained.
+
+    Each kind of task that finds no room is looked up once, as many runs of few kinds
+    leave a domain together.
+    """
+
+    __slots__ = ("_candidates", "_full_kinds", "_state", "move_by_unit")
+
+    def __init__(self, state):
+        self._state = state
+        self._candidates = state.candidates.find_usable(state, state.now_ms)
+        self._full_kinds = set()
+        self.move_by_unit = {}
+
+    def reserve(self, unit):
+        """Reserve room for all members of a unit; return whether there is any."""
+        state = self._state
+        workflow, occurrence, task = state.store.find_task(unit.keys[0][0])
+        kind = _kind_of(unit, task.step, state.store.queue_of(workflow).pool)
+        if kind in self._full_kinds:
+            return False
+        members = occurrence.tasks_by_step[task.position]
+        count_by_worker = _count_by_worker(state, members, unit)
+        pool = state.store.queue_of(workflow).pool
+        target_by_task = {}
+        for task_id, _ in unit.keys:
+            target = self._choose(pool, task_id, task.step, count_by_worker)
+            if target is None:
+                self._full_kinds.add(kind)
+                # The room of the members before is given back.
+                self._candidates = state.candidates.find_usable(state, state.now_ms)
+                return False
+            target.reserve(task.step)
+            count_by_worker[target.view.id] = count_by_worker.get(target.view.id, 0) + 1
+            target_by_task[task_id] = target.view.id
+        move = Move(unit.keys, target_by_task, state.now_ms)
+        self.move_by_unit[unit.keys[0]] = move
+        state.drain_moves.moves.append(move)
+        return True
+
+    def _choose(self, pool, task_id, step, count_by_worker):
+        state = self._state
+        avoided = state.failed_workers_by_task.get(task_id, ())
+        limit = step.max_per_worker
+        suitable = [
+            candidate
+            for candidate in self._candidates
+            if candidate.view.pool == pool
+            and (not limit or count_by_worker.get(candidate.view.id, 0) < limit)
+            and _is_suitable(state, candidate, step)
+        ]
+        if not suitable:
+            return None
+        score = state.planner.placement.score
+        return max(suitable, key=lambda c: score(step, c, avoided))
+
+
+def _kind_of(unit, step, pool):
+    """Return what units have in common that find room on the same workers."""
+    return (
+        pool,
+        step.required_label,
+        step.image,
+        step.is_filler,
+        step.cpu_millis,
+        step.memory_mb,
+        step.accelerators,
+        len(unit.keys),
+        unit.step_id if step.max_per_worker else "",
+    )
+
+
+def _count_by_worker(state, members, unit):
+    """Return the runs and reservations of a step by worker, without the unit's runs."""
+    moved_ids = {task_id for task_id, _ in unit.keys}
+    reserved = state.drain_moves.reserved_workers()
+    count_by_worker = {}
+    for task in members:
+        workers = [run.worker for run in task.runs if task.id not in moved_ids]
+        if task.id in reserved:
+            workers.append(reserved[task.id])
+        for worker in workers:
+            count_by_worker[worker] = count_by_worker.get(worker, 0) + 1
+    return count_by_worker
+
+
+def _is_suitable(state, candidate, step):
+    """Return whether a task would run at full speed beside what runs on a worker."""
+    view = candidate.view
+    label = step.required_label
+    return (
+        candidate.free.fits(step)
+        and (not label or label in view.labels)
+        and not state.health.is_backing_off(view.id)
+        and not _is_isolated(state, view.id)
+        and (
+            not step.is_filler
+            or (
+                candidate.idle_millis >= step.cpu_millis
+                and candidate.headroom(step) > besteffort.MIN_MOVE_HEADROOM
+            )
+        )
+    )
+
+
+def _is_isolated(state, worker):
+    isolation = state.isolation
+    return (
+        worker in isolation.probe_by_worker
+        or worker in isolation.reservation_end_ms_by_worker
+    )
+
+
+def assign_reserved(state):
+    """Propose the assignments of moved tasks that have ended where they were.
+
+    They come before the plan, which would give the reserved room to other tasks.
+    """
+    drain_moves = state.drain_moves
+    if not drain_moves.moves:
+        return
+    candidate_by_worker = None
+    for move in list(drain_moves.moves):
+        if move.is_assigned or not _is_waiting(state, move):
+            continue
+        if candidate_by_worker is None:
+            usable = state.candidates.find_usable(state, state.now_ms)
+            candidate_by_worker = {c.view.id: c for c in usable}
+        if not _is_room_left(state, move, candidate_by_worker):
+            log.info("reservation_dropped task=%s", move.keys[0][0])
+            drain_moves.moves.remove(move)
+            continue
+        move.is_assigned = True
+        _assign(state, move)
+
+
+def _is_waiting(state, move):
+    """Return whether all tasks of a move wait for their next run."""
+    for task_id in move.target_by_task:
+        workflow, _, task = state.store.find_task(task_id)
+        if task is None or task.is_done or task.runs or not workflow.is_open:
+            return False
+        if task_id in state.worker_by_planned_task:
+            return False
+    return True
+
+
+def _is_room_left(state, move, candidate_by_worker):
+    """Return whether the reserved workers can still take the tasks of a move."""
+    for task_id, worker in move.target_by_task.items():
+        candidate = candidate_by_worker.get(worker)
+        workflow, _, task = state.store.find_task(task_id)
+        if candidate is None or task.crashes or _is_isolated(state, worker):
+            return False
+        # The room of the task itself is already reserved.
+        needed = views.Room()
+        needed.release(task.step)
+        free = candidate.free
+        for name in free.field_names():
+            if getattr(free, name) < 0 < getattr(needed, name):
+                return False
+        if state.now_ms < state.refused_until_ms.get((task_id, worker), 0):
+            return False
+        # A start needs a ticket, which the planner requests.
+        if state.store.queue_of(workflow).advice is not None:
+            return False
+    return True
+
+
+def _assign(state, move):
+    rows = []
+    tasks = [state.store.find_task(task_id)[2] for task_id in move.target_by_task]
+    number = max(task.last_run for task in tasks) + 1
+    for task_id, worker in move.target_by_task.items():
+        incarnation = state.registered_incarnation(worker)
+        rows.append([task_id, number, worker, incarnation])
+        state.worker_by_planned_task[task_id] = worker
+    state.propose(commands.AssignRuns(rows=rows))
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -12,6 +12,7 @@
     besteffort,
     crashes,
     draining,
+    drainmoves,
     incarnations,
     isolation,
     schedulerevents,
@@ -59,6 +60,7 @@
         incarnations.create_view(state, worker.worker, worker.life, worker.agent)
     isolation.begin(state)
     draining.begin(state)
+    drainmoves.begin(state)
 
 
 def _on_report(state, event):
@@ -323,6 +325,7 @@
     crashes.tick(state)
     isolation.tick(state)
     draining.withdraw_starts(state)
+    drainmoves.tick(state)
     _renew_tickets(state)
     _propose_estimates(state)
     for view in list(state.view_by_id.values()):
@@ -400,6 +403,7 @@
     state.is_plan_due = False
     state.advice_tracker.expire_questions(state.now_ms)
     wall_ms = state.now_ms + state.wall_offset_ms
+    drainmoves.assign_reserved(state)
     assignments = state.planner.plan(state, state.now_ms, wall_ms)
     for task_id, _, worker, _ in assignments:
         state.worker_by_planned_task[task_id] = worker
--- a/sardinegauge/workflows/schedulerstate.py
+++ b/sardinegauge/workflows/schedulerstate.py
@@ -7,6 +7,7 @@
     candidates,
     crashes,
     draining,
+    drainmoves,
     health,
     interference,
     isolation,
@@ -34,6 +35,7 @@
         self.store = machine.workflows
         self.domain_drains = machine.domain_drains
         self.draining = draining.Draining()
+        self.drain_moves = drainmoves.DrainMoves()
         self.planner = planner.Planner()
         self.candidates = candidates.CandidateIndex()
         self.health = health.Health()
