--- a/sardinegauge/calls.py
+++ b/sardinegauge/calls.py
@@ -110,6 +110,15 @@
     )
 
 
+def _drain_failure_domain(request, operator):
+    return commands.DrainDomain(
+        operator=operator,
+        request_id=request.request_id,
+        failure_domain=request.failure_domain,
+        undo=request.undo,
+    )
+
+
 def _change_member(request, operator):
     return commands.ChangeMember(
         operator=operator,
@@ -218,6 +227,8 @@
     _change_call("CancelJobs", _cancel_jobs),
     _change_call("DeclareService", _declare_service),
     _change_call("DrainUpstream", _drain_upstream),
+    _change_call("DrainFailureDomain", _drain_failure_domain),
+    _read_call("ListFailureDomains", schema.ListFailureDomainsReply, "failure_domains"),
     _change_call("ChangeMember", _change_member),
     _change_call("SetQueues", _set_queues),
     _change_call("SubmitWorkflow", _submit_workflow),
--- a/sardinegauge/cli/__init__.py
+++ b/sardinegauge/cli/__init__.py
@@ -15,6 +15,7 @@
     checks,
     client,
     configs,
+    domains,
     explanations,
     jobs,
     queues,
@@ -36,6 +37,7 @@
 app.add_typer(configs.app, name="config")
 app.add_typer(upstreams.app, name="upstream")
 app.add_typer(upstreams.vm_app, name="vm")
+app.add_typer(domains.app, name="domain")
 app.add_typer(states.app, name="state")
 app.add_typer(tenants.app, name="tenant")
 app.add_typer(queues.app, name="queue")
--- a/sardinegauge/scheduling/capacity.py
+++ b/sardinegauge/scheduling/capacity.py
@@ -132,7 +132,7 @@
         # Largest cores and MB seen on any worker, which bound estimated demands.
         self.largest = (0.0, 0)
 
-    def refresh_worker(self, worker, task_by_id):
+    def refresh_worker(self, worker, task_by_id, is_domain_drained=False):
         """Recompute the free capacity of a worker from its replicated record."""
         free = self.by_upstream.get(worker.upstream)
         if free is None:
@@ -159,7 +159,10 @@
             max(largest_memory_mb, room.memory_mb),
         )
         free.is_usable = not (
-            worker.is_lost or worker.is_draining or worker.is_quarantined
+            worker.is_lost
+            or worker.is_draining
+            or worker.is_quarantined
+            or is_domain_drained
         )
         self._update_buckets(free)
         self.mark_changed(worker.upstream)
--- a/sardinegauge/scheduling/explanations.py
+++ b/sardinegauge/scheduling/explanations.py
@@ -79,6 +79,8 @@
         return "lost"
     if worker.is_draining:
         return "draining"
+    if worker.failure_domain in state.machine.domain_drains:
+        return "in a drained domain"
     if worker.is_quarantined:
         return "quarantined"
     if free.slots < 1:
--- a/sardinegauge/scheduling/planning.py
+++ b/sardinegauge/scheduling/planning.py
@@ -198,6 +198,8 @@
         worker = state.machine.workers.by_upstream.get(upstream)
         if free is None or worker is None or worker.is_lost or worker.is_draining:
             continue
+        if worker.failure_domain in state.machine.domain_drains:
+            continue
         for unit in units:
             job = state.machine.jobs.by_id.get(unit.name)
             if not unit.task_ids or job is None or job.is_gang:
--- a/sardinegauge/scheduling/scheduler.py
+++ b/sardinegauge/scheduling/scheduler.py
@@ -163,6 +163,8 @@
         affected_upstreams.update(state.sync_task(task_id))
     if isinstance(command, _WORKER_COMMANDS):
         affected_upstreams.add(command.upstream)
+    elif isinstance(command, _DOMAIN_COMMANDS):
+        affected_upstreams.update(drains.upstreams_of(state, command.failure_domain))
     _update_soft_state(state, now_ms, command, event.answer)
     for upstream in affected_upstreams:
         state.refresh_worker(upstream)
@@ -189,6 +191,7 @@
     commands.QuarantineWorker,
     commands.DrainUpstream,
 )
+_DOMAIN_COMMANDS = (commands.DrainDomain, commands.SetDomainDrain)
 
 
 def _update_soft_state(state, now_ms, command, answer):
@@ -301,6 +304,7 @@
         proposals += preemption.review_all(state, now_ms)
         proposals += resizing.propose_resizes(state, now_ms, RESIZE_CHECKS_PER_S)
         proposals += drains.evict_from_draining(state, now_ms)
+        proposals += drains.withdraw_from_drained_domains(state, now_ms)
     proposals += planning.plan(state, now_ms)
     effects = [_propose(state, now_ms, command) for command in proposals]
     changed_upstreams, state.upstreams_to_push = state.upstreams_to_push, set()
--- a/sardinegauge/scheduling/softstate.py
+++ b/sardinegauge/scheduling/softstate.py
@@ -199,7 +199,11 @@
             view.is_stale = True
         is_live = worker is not None and not worker.is_lost
         if is_live:
-            self.capacity.refresh_worker(worker, self.machine.tasks.by_id)
+            self.capacity.refresh_worker(
+                worker,
+                self.machine.tasks.by_id,
+                worker.failure_domain in self.machine.domain_drains,
+            )
         else:
             # The VM that replaces a lost one has another name, so nothing is kept.
             self.capacity.remove_worker(upstream)
--- a/sardinegauge/state/lifecycle.py
+++ b/sardinegauge/state/lifecycle.py
@@ -55,6 +55,8 @@
     reason = worker.rejection_reason(assignment.incarnation)
     if reason:
         return reason
+    if worker.failure_domain in machine.domain_drains:
+        return "failure domain is drained"
     resource = worker.exhausted_resource(assignment, machine.tasks.by_id)
     return f"no room: {resource}" if resource else ""
 
--- a/sardinegauge/state/requests.py
+++ b/sardinegauge/state/requests.py
@@ -6,7 +6,12 @@
 from sardinegauge import commands, outcome
 from sardinegauge.agreement import membership, raft, raftstate, reads
 from sardinegauge.links import messages
-from sardinegauge.state import configuration, replicaeffects, replicasteps
+from sardinegauge.state import (
+    configuration,
+    domainqueries,
+    replicaeffects,
+    replicasteps,
+)
 from sardinegauge.workflows import workflowqueries
 
 MAX_COMMAND_BYTES = 512 << 10
@@ -214,6 +219,8 @@
     if kind == "explain":
         lines = state.modules.scheduler.explain(state.scheduler, arguments["id"])
         return {"lines": lines}
+    if kind == "failure_domains":
+        return domainqueries.answer(state.machine, state.leader_exchange.scheduler)
     if kind in workflowqueries.KINDS:
         return workflowqueries.answer(state.machine.workflows, kind, arguments)
     return state.modules.queries.answer(state.machine, kind, arguments)
--- a/sardinegauge/state/statemetrics.py
+++ b/sardinegauge/state/statemetrics.py
@@ -2,6 +2,7 @@
 
 from sardinegauge import metrics
 from sardinegauge.agreement import raftstate
+from sardinegauge.state import domainqueries
 
 CONTENT_TYPE = metrics.CONTENT_TYPE
 
@@ -22,6 +23,18 @@
         self._syncs = gauge("state_log_syncs", "Log syncs since the start.")
         self._writes = gauge("state_log_writes", "Log writes since the start.")
 
+        self._drains = gauge("drained_domains", "Drained failure domains.")
+        self._drain_ages = gauge(
+            "domain_drain_age_seconds",
+            "Time since a failure domain was drained.",
+            ("failure_domain",),
+        )
+        self._drain_runs = gauge(
+            "domain_drain_runs",
+            "Runs and tasks left in a drained failure domain, at the leader.",
+            ("failure_domain",),
+        )
+
         self._waits = self._metrics.histogram(
             "task_wait_seconds",
             "Time of tasks from submission or eviction until they run.",
@@ -76,6 +89,25 @@
         self._members.labels("learner").set(len(agreement.members) - voters)
         self._syncs.set(writer.syncs)
         self._writes.set(writer.writes)
+        self.update_drains(
+            state.machine, state.leader_exchange.scheduler, state.wall_ms
+        )
+
+    def update_drains(self, machine, scheduler, wall_ms):
+        """Set the gauges of drained domains; `scheduler` is None unless leading."""
+        drain_by_domain = machine.domain_drains.by_domain
+        self._drains.set(len(drain_by_domain))
+        # Restored domains must not stay on the page.
+        self._drain_ages.clear()
+        self._drain_runs.clear()
+        if not drain_by_domain:
+            return
+        count_by_domain = domainqueries.count_runs(machine, scheduler)
+        for domain, drain in drain_by_domain.items():
+            age_ms = max(wall_ms - drain.since_ms, 0)
+            self._drain_ages.labels(domain).set(age_ms / 1000)
+            if scheduler is not None:
+                self._drain_runs.labels(domain).set(count_by_domain[domain])
 
     def page(self):
         """Return the metrics page as bytes."""
--- a/sardinegauge/workflows/draining.py
+++ b/sardinegauge/workflows/draining.py
@@ -13,8 +13,6 @@
 # every 400 ms, and a start call takes up to 300 ms. A quarter of the runs of 1.7 s are
 # unconfirmed at any time, and those that run already must not be discarded.
 CONFIRMATION_MS = 800
-# After this time a start is withdrawn without a newer report of its agent as well.
-MAX_CONFIRMATION_MS = 2000
 # Reason to stop a run.
 DRAINED_REASON = "drained"
 log = logging.getLogger(__name__)
@@ -77,11 +75,15 @@
 
 
 def withdraw_starts(state):
-    """Stop the runs in drained domains whose start is not confirmed in time."""
+    """Stop the runs in drained domains whose start is not confirmed in time.
+
+    A silent agent loses nothing: its next report shows which runs have started, and it
+    gives up all other starts by itself.
+    """
+    seen_ms_by_domain = state.draining.seen_ms_by_domain
     for view in drained_views(state):
-        since_ms = state.draining.seen_ms_by_domain[view.failure_domain]
-        is_reported = view.received_ms >= since_ms + CONFIRMATION_MS
-        if not is_reported and state.now_ms < since_ms + MAX_CONFIRMATION_MS:
+        since_ms = seen_ms_by_domain.setdefault(view.failure_domain, state.now_ms)
+        if view.received_ms < since_ms + CONFIRMATION_MS:
             continue
         withdrawn = [
             (key, task)
--- a/sardinegauge/workflows/policies/drainmoves.py
+++ b/sardinegauge/workflows/policies/drainmoves.py
@@ -113,10 +113,10 @@
 def _may_be_away(unit, away_count):
     """Return whether a unit's members may be away with those that are already."""
     size = len(unit.keys)
-    if unit.max_unavailable >= 0:
-        return away_count + size <= unit.max_unavailable
     if not unit.is_persistent:
         return True
+    if unit.max_unavailable >= 0:
+        return away_count + size <= unit.max_unavailable
     return not away_count or away_count + size <= MAX_AWAY_WITHOUT_LIMIT
 
 
--- a/tests/test_domaindrains.py
+++ b/tests/test_domaindrains.py
@@ -3,10 +3,13 @@
 import json
 
 import pytest
+from google.protobuf import json_format
 
-from sardinegauge import outcome
-from sardinegauge.state import domaindrains, machine
-from tests import driver
+from sardinegauge import calls, commands, outcome
+from sardinegauge.cli import domains
+from sardinegauge.state import domaindrains, domainqueries, machine, statemetrics
+from sardinegauge.workflows import steps
+from tests import driver, leaderkit, schedulerdriver, test_cli
 
 
 @pytest.fixture
@@ -74,3 +77,111 @@
     assert isinstance(d.apply("SetDomainDrain", failure_domain="z"), outcome.Invalid)
     repeated = d.apply("SetDomainDrain", failure_domain="z0")
     assert isinstance(repeated, outcome.Accepted)
+
+
+def test_own_jobs_are_not_placed_in_a_drained_domain():
+    fleet = schedulerdriver.Driver()
+    fleet.register("w1", "w2", domain="a")
+    fleet.apply_as_operator("DrainDomain", failure_domain="a")
+    job = fleet.submit()
+    fleet.tick(30)
+    assert fleet.task(f"{job}.0").state == "pending"
+    fleet.apply_as_operator("DrainDomain", failure_domain="a", undo=True)
+    fleet.tick(30)
+    assert fleet.task(f"{job}.0").upstream in ("w1", "w2")
+
+
+def test_assignment_committed_after_the_drain_is_rejected():
+    fleet = schedulerdriver.Driver()
+    fleet.register("w1", domain="a")
+    job = fleet.submit()
+    fleet.tick(1, commit=False)
+    fleet.commit(commands.SetDomainDrain(failure_domain="a"))
+    fleet.commit_all()
+    assert fleet.applied_of_type(commands.AssignTasks)
+    assert fleet.task(f"{job}.0").state == "pending"
+
+
+def test_own_task_that_has_not_started_is_withdrawn_and_a_running_one_stays():
+    fleet = schedulerdriver.Driver()
+    fleet.register("w1", domain="a")
+    first, second = fleet.submit(), fleet.submit()
+    fleet.tick(2)
+    fleet.report_phase("running", f"{first}.0")
+    fleet.apply_as_operator("DrainDomain", failure_domain="a")
+    for _ in range(4):
+        fleet.tick(10)
+        fleet.register("w1", domain="a", phases={f"{first}.0": {"phase": "running"}})
+    assert fleet.task(f"{first}.0").state == "running"
+    assert fleet.task(f"{second}.0").state == "evicting"
+
+
+def test_operators_see_workers_and_runs_of_each_domain():
+    leader = leaderkit.Leader()
+    leader.report("a", failure_domain="z1")
+    leader.report("b", failure_domain="z2")
+    leader.settle()
+    leader.commit(
+        commands.SetDomainDrain(failure_domain="z2", undo=False, operator="ana")
+    )
+    leader.commit(commands.SetDomainDrain(failure_domain="empty"))
+    leader.submit(steps.Step(count=2))
+    leader.settle()
+    answer = domainqueries.answer(leader.machine, leader.state)
+    found = [
+        [row["name"], row["workers"], row["drained"], row["operator"], row["runs"]]
+        for row in answer["domains"]
+    ]
+    assert found == [
+        ["empty", 0, True, "", 0],
+        ["z1", 1, False, "", 2],
+        ["z2", 1, True, "ana", 0],
+    ]
+    json_format.ParseDict(answer, calls.BY_NAME["ListFailureDomains"].reply())
+
+
+def test_metrics_show_drained_domains_only():
+    leader = leaderkit.Leader()
+    leader.report("a", failure_domain="z1")
+    leader.settle()
+    leader.submit(steps.Step(count=2))
+    leader.settle()
+    metrics = statemetrics.StateMetrics()
+    leader.commit(commands.SetDomainDrain(failure_domain="z1"))
+    metrics.update_drains(leader.machine, leader.state, leader.now_ms + 7000)
+    page = metrics.page().decode()
+    assert 'domain_drain_age_seconds{failure_domain="z1"} 7.0' in page
+    assert 'domain_drain_runs{failure_domain="z1"} 2.0' in page
+    assert "sardinegauge_drained_domains 1.0" in page
+    leader.commit(commands.SetDomainDrain(failure_domain="z1", undo=True))
+    metrics.update_drains(leader.machine, leader.state, leader.now_ms)
+    assert 'failure_domain="z1"' not in metrics.page().decode()
+
+
+def test_call_of_an_operator_becomes_a_command_with_its_request_id():
+    call = calls.BY_NAME["DrainFailureDomain"]
+    request = call.request(request_id="r1", failure_domain="z1", undo=True)
+    command = call.to_command(request, "ana")
+    expected = commands.DrainDomain(
+        operator="ana", request_id="r1", failure_domain="z1", undo=True
+    )
+    assert command == expected
+
+
+def test_command_line_drains_waits_and_restores(monkeypatch):
+    rows = [{"name": "z1", "runs": 2}, {"name": "z2", "runs": 5}]
+    entry = test_cli.FakeEntry(
+        monkeypatch,
+        (200, test_cli.ACCEPTED),
+        (200, {"domains": rows}),
+        (200, {"domains": [{"name": "z1", "runs": 0}]}),
+        (200, test_cli.ACCEPTED),
+        (200, {"domains": rows}),
+    )
+    monkeypatch.setattr(domains, "POLL_INTERVAL_S", 0)
+    assert test_cli.run("domain", "drain", "z1", "--wait")[1] == 0
+    assert test_cli.run("domain", "restore", "z1")[1] == 0
+    assert "z2" in test_cli.run("domain", "list")[0]
+    first, *_, last, _ = entry.requests
+    assert (first["failure_domain"], first.get("undo", False)) == ("z1", False)
+    assert (last["failure_domain"], last["undo"]) == ("z1", True)
