--- a/sardinegauge/workflows/schedulerstate.py
+++ b/sardinegauge/workflows/schedulerstate.py
@@ -8,6 +8,7 @@
     crashes,
     displacing,
     draining,
+    drainmoves,
     health,
     interference,
     isolation,
@@ -47,6 +48,7 @@
         self.store = machine.workflows
         self.domain_drains = machine.domain_drains
         self.draining = draining.Draining()
+        self.drain_moves = drainmoves.DrainMoves()
         self.run_times = runtimes.RunTimeModel()
         self.planner = planner.Planner(ordering.ByRemainingWork(self.run_times))
         self.candidates = candidates.CandidateIndex()
