--- /dev/null
+++ b/sardinegauge/workflows/policies/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the leader under load, pure code on plain records."""
