Record refused workflows in the replicated state

Cause: a caller whose submission got no answer may be refused at another gateway while its first proposal is still on its way; the workflow would run although its caller knows it as not accepted.

Change: the command RefuseWorkflow records a refusal unless the workflow was accepted, and a submission is blocked by a refusal with a higher log index than its gateway had seen (SubmitWorkflow.seen_index, left out while it is 0). Nothing proposes the command yet.

--- a/sardinegauge/checks.py
+++ b/sardinegauge/checks.py
@@ -316,7 +316,13 @@
         "source": text(MAX_BODY_LENGTH, is_empty_allowed=True),
     },
     # The steps are checked by `workflows.steps`.
-    commands.SubmitWorkflow: {"id": TEXT, "queue": TEXT, "steps": items(plain)},
+    commands.SubmitWorkflow: {
+        "id": TEXT,
+        "queue": TEXT,
+        "steps": items(plain),
+        "seen_index": COUNT,
+    },
+    commands.RefuseWorkflow: {"id": TEXT, "queue": TEXT, "retry_after_s": COUNT},
     commands.CancelWorkflow: {"id": TEXT},
     commands.KeepEstimates: {
         "rows": items(row(OPTIONAL_TEXT, OPTIONAL_TEXT, ESTIMATE, ESTIMATE))
--- a/sardinegauge/commands.py
+++ b/sardinegauge/commands.py
@@ -279,8 +279,10 @@
 class SubmitWorkflow(Command):
     """Accept a workflow under the caller's id; a resend creates no second workflow.
 
-    `steps` are `workflows.steps.Step` records as plain dicts. Answers: `Accepted`,
-    `Impossible` if the queue doesn't exist, or `Invalid`.
+    `steps` are `workflows.steps.Step` records as plain dicts. `seen_index` is a log
+    index that the gateway knew to be applied when the call arrived: a refusal with a
+    higher index blocks the command. Answers: `Accepted`, `Impossible` if the queue
+    doesn't exist, `Conflict` if the workflow was refused, or `Invalid`.
     """
 
     __slots__ = (
@@ -291,8 +293,33 @@
         "repeats",
         "first_at_ms",
         "interval_ms",
+        "seen_index",
     )
-    _defaults = {"at_ms": 0, "repeats": 0, "first_at_ms": 0, "interval_ms": 0}
+    _defaults = {
+        "at_ms": 0,
+        "repeats": 0,
+        "first_at_ms": 0,
+        "interval_ms": 0,
+        "seen_index": 0,
+    }
+
+    def to_dict(self):
+        """Return the fields; replicas of earlier releases don't know `seen_index`."""
+        fields = super().to_dict()
+        if not fields["seen_index"]:
+            del fields["seen_index"]
+        return fields
+
+
+class RefuseWorkflow(Command):
+    """Record that a workflow is not accepted, unless it was accepted before.
+
+    Its caller is told to return after `retry_after_s`. Answers: `Accepted` with the
+    refusal's index as version, or with the id of the workflow if it was accepted
+    before; `Impossible` if the refusal can't be recorded.
+    """
+
+    __slots__ = ("id", "queue", "retry_after_s")
 
 
 class CancelWorkflow(Command):
--- a/sardinegauge/state/machine.py
+++ b/sardinegauge/state/machine.py
@@ -18,7 +18,7 @@
     tasks,
     workers,
 )
-from sardinegauge.workflows import crashrecord, store
+from sardinegauge.workflows import crashrecord, refusals, store
 
 SNAPSHOT_FORMAT = 1
 
@@ -85,6 +85,7 @@
     commands.ExpireClaims: claims.expire,
     commands.SetQueues: store.set_queues,
     commands.SubmitWorkflow: store.submit,
+    commands.RefuseWorkflow: refusals.refuse,
     commands.CancelWorkflow: store.cancel,
     commands.KeepEstimates: store.keep_estimates,
     commands.RegisterLife: store.register_incarnation,
--- a/sardinegauge/workflows/store.py
+++ b/sardinegauge/workflows/store.py
@@ -1,7 +1,7 @@
 """Replicated state of queues, workflows and registered workers; part of the machine."""
 
 from sardinegauge import outcome, record
-from sardinegauge.workflows import queues, steps
+from sardinegauge.workflows import queues, refusals, steps
 from sardinegauge.workflows import workflow as workflow_module
 
 # Ended workflows are kept this long, so that duplicate submissions and late queries
@@ -49,6 +49,7 @@
         "estimates",
         "open_ids",
         "queue_set",
+        "refusals",
         "run_changes_by_worker",
         "runs_by_incarnation",
         "suspected_ids",
@@ -63,6 +64,7 @@
         self.open_ids = {}
         self.ended_ids = {}
         self.estimates = []
+        self.refusals = refusals.Refusals()
         self.runs_by_incarnation = {}
         self.run_changes_by_worker = {}
         self.suspected_ids = set()
@@ -154,13 +156,15 @@
             ],
             "workers": [worker.to_dict() for worker in self.worker_by_id.values()],
             "estimates": self.estimates,
+            "refusals": self.refusals.to_snapshot(),
         }
 
     def load_snapshot(self, data):
         """Load the state from the result of `to_snapshot`."""
         self.queue_set = queues.QueueSet.from_snapshot(data["queues"])
-        # Snapshots of earlier releases have no estimates.
+        # Snapshots of earlier releases have no estimates and no refusals.
         self.estimates = data.get("estimates", [])
+        self.refusals.load_snapshot(data.get("refusals", []))
         for fields in data["workers"]:
             self.worker_by_id[fields["worker"]] = RegisteredWorker.from_dict(fields)
         for workflow_data in data["workflows"]:
@@ -227,6 +231,10 @@
         return outcome.Invalid(problems=problems)
     if command.queue not in store.queue_set.by_name:
         return outcome.Impossible(reason="no such queue")
+    refusal_index = store.refusals.blocking_index(command)
+    if refusal_index:
+        return outcome.Conflict(refusal_index, operator="", reason="refused before")
+    store.refusals.remove(command.id)
     _drop_expired(store, command.at_ms)
     store.workflow_by_id[command.id] = workflow_module.Workflow(command, step_records)
     store.open_ids[command.id] = None
