Send a summary of the open work with each poll reply

Cause: a gateway knows nothing of the work that is open, so it cannot tell a workflow that would end too late.

--- a/sardinegauge/links/messages.py
+++ b/sardinegauge/links/messages.py
@@ -143,7 +143,11 @@
 
 
 class PollReply(record.Record):
-    """Reply to `Poll`; a confirmed one was checked by a read round."""
+    """Reply to `Poll`; a confirmed one was checked by a read round.
+
+    `backlog` is the leader's summary of the open work, if it has one. `refusal_index`
+    is the applied index while refusals of workflows are recorded, else 0.
+    """
 
     __slots__ = (
         "confirmed",
@@ -157,6 +161,8 @@
         "queues_version",
         "queues",
         "replicas",
+        "backlog",
+        "refusal_index",
     )
     _defaults = {
         "confirmed": False,
@@ -170,6 +176,8 @@
         "queues_version": 0,
         "queues": b"",
         "replicas": list,
+        "backlog": b"",
+        "refusal_index": 0,
     }
     _nested = {"directory": Upstream}
 
--- a/sardinegauge/links/wire.capnp
+++ b/sardinegauge/links/wire.capnp
@@ -204,6 +204,8 @@
   queuesVersion @8 :UInt64;
   queues @9 :Data;  # compressed JSON of what changed, empty when nothing did
   replicas @10 :List(Text);  # addresses of the members
+  backlog @11 :Data;  # JSON of the open work, empty while the leader has no summary
+  refusalIndex @12 :UInt64;  # applied index while refusals are recorded, else 0
 }
 
 struct Room {
--- a/sardinegauge/state/requests.py
+++ b/sardinegauge/state/requests.py
@@ -7,7 +7,7 @@
 from sardinegauge.agreement import membership, raft, raftstate, reads
 from sardinegauge.links import messages
 from sardinegauge.state import configuration, replicaeffects, replicasteps
-from sardinegauge.workflows import workflowqueries
+from sardinegauge.workflows import leaderexchange, workflowqueries
 
 MAX_COMMAND_BYTES = 512 << 10
 # Limit on entries that lack a quorum or are not durable on the leader's own disk. Above
@@ -251,5 +251,6 @@
         queues_version=queues_version,
         queues=queues,
         replicas=[member.address for member in state.raft.members.values()],
+        **leaderexchange.backlog_fields(state),
     )
     _reply(state, read.token, reply)
--- a/sardinegauge/workflows/leaderexchange.py
+++ b/sardinegauge/workflows/leaderexchange.py
@@ -207,6 +207,17 @@
     dispatch(state, event)
 
 
+def backlog_fields(state):
+    """Return the fields of a poll reply that gateways admit workflows by."""
+    current = state.leader_exchange.scheduler
+    if current is None:
+        return {}
+    return {
+        "backlog": current.backlog.summary(state.now_ms),
+        "refusal_index": state.applied_index if current.store.refusals.by_id else 0,
+    }
+
+
 EVENTS = {PlanningDue: on_planning_due}
 
 reads.refusal_by_message_class[messages.WorkerReport] = on_read_failed
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -322,6 +322,7 @@
     isolation.tick(state)
     _renew_tickets(state)
     _propose_estimates(state)
+    state.backlog.tick(state)
     for view in list(state.view_by_id.values()):
         incarnations.release_expired_incarnations(state, view)
     state.is_plan_due = True
--- a/sardinegauge/workflows/schedulerstate.py
+++ b/sardinegauge/workflows/schedulerstate.py
@@ -4,6 +4,7 @@
 
 from sardinegauge.workflows import (
     advicetracker,
+    backlog,
     candidates,
     crashes,
     health,
@@ -53,6 +54,7 @@
         self.crash_by_agent = {}
         self.crashes = crashes.Crashes()
         self.isolation = isolation.Isolation()
+        self.backlog = backlog.BacklogTracker()
         self.wall_ms = 0
         self.wall_offset_ms = 0
         self.term = 0
