Refuse workflows at the gateway by the leader's backlog

Cause: gateways accept without limit, and callers learn neither that work is too late nor when to come back.

A refusal is committed as RefuseWorkflow before its caller is told, so that a proposal on its way from another gateway has no effect; what was accepted before is answered as accepted, and what can't be recorded is not called refused. A gateway calls no id refused that it proposed with an unclear outcome. Retry-After comes from the outcome; callers who return as told go before newcomers at every gateway. Submissions, refusals by reason, times of return and the age of the copy are counted.

--- a/sardinegauge/checks.py
+++ b/sardinegauge/checks.py
@@ -322,7 +322,13 @@
         "steps": items(plain),
         "seen_index": COUNT,
     },
-    commands.RefuseWorkflow: {"id": TEXT, "queue": TEXT, "retry_after_s": COUNT},
+    commands.RefuseWorkflow: {
+        "id": TEXT,
+        "queue": TEXT,
+        "retry_after_s": COUNT,
+        "is_newcomer": flag,
+        "seen_index": COUNT,
+    },
     commands.CancelWorkflow: {"id": TEXT},
     commands.KeepEstimates: {
         "rows": items(row(OPTIONAL_TEXT, OPTIONAL_TEXT, ESTIMATE, ESTIMATE))
--- a/sardinegauge/commands.py
+++ b/sardinegauge/commands.py
@@ -314,12 +314,16 @@
 class RefuseWorkflow(Command):
     """Record that a workflow is not accepted, unless it was accepted before.
 
-    Its caller is told to return after `retry_after_s`. Answers: `Accepted` with the
-    refusal's index as version, or with the id of the workflow if it was accepted
-    before; `Impossible` if the refusal can't be recorded.
+    Its caller is told to return after `retry_after_s`. With `is_newcomer`, the gateway
+    knows of no earlier refusal; `seen_index` is that of `SubmitWorkflow`. Answers:
+    `Accepted` with the refusal's index as version, with the id of the workflow if it
+    was accepted before, or with the value ``waited_ms`` if the caller is no newcomer
+    but returns when it was told to, and nothing is recorded; `Impossible` if the
+    refusal can't be recorded.
     """
 
-    __slots__ = ("id", "queue", "retry_after_s")
+    __slots__ = ("id", "queue", "retry_after_s", "is_newcomer", "seen_index")
+    _defaults = {"at_ms": 0, "is_newcomer": False, "seen_index": 0}
 
 
 class CancelWorkflow(Command):
--- a/sardinegauge/workflows/flowmetrics.py
+++ b/sardinegauge/workflows/flowmetrics.py
@@ -5,6 +5,9 @@
 from sardinegauge import metrics
 from sardinegauge.links import link
 
+# Bounds of the histogram of the times after which refused callers return.
+RETRY_AFTER_BUCKETS_S = (1, 2, 3, 5, 8, 13, 20, 30, 60, 120, 300, 600)
+
 
 class GatewayMetrics:
     """Metrics of callers' requests by queue."""
@@ -24,6 +27,20 @@
         self._version = self.metrics.gauge(
             "queues_version", "Version of the queues in force."
         )
+        self._admissions = self.metrics.counter(
+            "workflow_admissions",
+            "Submissions by how they were decided: accepted, or a refusal's reason.",
+            ("queue", "decision"),
+        )
+        self._retry_after = self.metrics.histogram(
+            "workflow_retry_after_seconds",
+            "Times after which refused callers were told to return.",
+            ("queue",),
+            RETRY_AFTER_BUCKETS_S,
+        )
+        self._backlog_age = self.metrics.gauge(
+            "backlog_age_seconds", "Age of the backlog copy at the last submission."
+        )
 
     def count(self, queue, method, status, seconds):
         """Count one answered request; `queue` is empty if none was found."""
@@ -34,6 +51,18 @@
         """Set the version of the current queues."""
         self._version.set(version)
 
+    def count_admission(self, queue, decision):
+        """Count a submission that was accepted, or refused for a reason."""
+        self._admissions.labels(queue, decision).inc()
+
+    def observe_retry_after(self, queue, seconds):
+        """Observe the time after which a refused caller was told to return."""
+        self._retry_after.labels(queue).observe(seconds)
+
+    def set_backlog_age(self, seconds):
+        """Set the age of the backlog copy by which a submission was decided."""
+        self._backlog_age.set(seconds)
+
 
 class HostMetrics:
     """Metrics of an agent's calls to its worker."""
--- a/sardinegauge/workflows/gateway.py
+++ b/sardinegauge/workflows/gateway.py
@@ -11,7 +11,8 @@
 import zlib
 
 from sardinegauge import commands, outcome, record
-from sardinegauge.workflows import flowmetrics, queues
+from sardinegauge.workflows import flowmetrics, gatewayadmission, queues
+from sardinegauge.workflows.policies import admission
 
 POLL_INTERVAL_S = 0.4
 # A node without a confirmed poll for this long reports that it is not ready.
@@ -19,7 +20,9 @@
 # Longest wait of a request for a leader, which is usually elected within this time.
 LEADER_WAIT_S = 1.6
 QUERY_WAIT_S = 1.2
+# A caller is told to return after this long if nothing is known of the capacity.
 RETRY_AFTER_S = 1
+REFUSED_BEFORE = "refused_before"
 
 log = logging.getLogger(__name__)
 
@@ -42,15 +45,21 @@
     Parameters
     ----------
     client : stateclient.StateClient
+    policy : admission.AdmissionPolicy, optional
+
+    `seen_index` is a log index that is known to be applied, as far as refusals are
+    recorded.
     """
 
-    def __init__(self, client):
+    def __init__(self, client, policy=None):
         self.client = client
         self.version = 0
         self.router = queues.Router([])
         self._queue_by_name = {}
         self.confirmed_at_s = None
         self.metrics = flowmetrics.GatewayMetrics()
+        self.admission = gatewayadmission.AdmissionGate(self.metrics, policy)
+        self.seen_index = 0
         self._poll_lock = asyncio.Lock()
 
     @property
@@ -86,6 +95,10 @@
     def _apply_reply(self, reply, started_at_s):
         self.client.update_members(reply.replicas)
         self.confirmed_at_s = started_at_s
+        self.admission.update(reply.backlog, started_at_s)
+        self.seen_index = reply.refusal_index and max(
+            self.seen_index, reply.refusal_index
+        )
         if reply.queues_version > self.version:
             self._apply_changes(json.loads(zlib.decompress(reply.queues)))
             self.version = reply.queues_version
@@ -115,8 +128,8 @@
             return outcome.Refused(reason="no configuration")
         return self.router.find(host, path) or NoQueue()
 
-    async def submit(self, queue, workflow_id, fields, timeout_s):
-        """Submit a workflow.
+    async def submit(self, queue, workflow_id, fields, timeout_s, seen_index=None):
+        """Submit a workflow, or refuse it by the backlog before it is proposed.
 
         Parameters
         ----------
@@ -126,13 +139,102 @@
             Further fields of `commands.SubmitWorkflow`.
         timeout_s : float
             Longest wait of the caller, in seconds.
+        seen_index : int, optional
+            `seen_index` of when the call arrived; by default that of now.
 
         Returns
         -------
         outcome.Accepted, outcome.Invalid, NoQueue, outcome.Refused or outcome.Lost
         """
-        command = commands.SubmitWorkflow(id=workflow_id, queue=queue.name, **fields)
-        return await self._propose(command, timeout_s)
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + timeout_s
+        command = commands.SubmitWorkflow(
+            id=workflow_id,
+            queue=queue.name,
+            seen_index=self.seen_index if seen_index is None else seen_index,
+            **fields,
+        )
+        decision = self.admission.decide(queue, command, loop.time())
+        if decision is not None:
+            answer = await self._refuse(queue, command, decision, deadline_s)
+            if answer is not None:
+                return answer
+        return await self._submit(queue, command, deadline_s)
+
+    async def _submit(self, queue, command, deadline_s):
+        """Propose a submission that was not refused."""
+        loop = asyncio.get_running_loop()
+        proposed = self.admission.proposed
+        may_be_known = command.id in proposed
+        proposed.add(command.id, loop.time())
+        answer = await self._propose(command, deadline_s - loop.time())
+        if isinstance(answer, outcome.Accepted):
+            self.admission.record_accepted(queue, command.id, loop.time())
+        elif isinstance(answer, outcome.Conflict):
+            # The recorded refusal may be older than a proposal that is still on its way
+            # from another gateway; a new one blocks that, too.
+            decision = gatewayadmission.Decision(
+                reason=REFUSED_BEFORE, retry_after_s=RETRY_AFTER_S
+            )
+            answer = await self._refuse(queue, command, decision, deadline_s)
+            if isinstance(answer, outcome.Refused) and command.id in proposed:
+                return outcome.Lost(reason=answer.reason)
+        elif isinstance(answer, outcome.Refused) and may_be_known:
+            return outcome.Lost(reason=f"{answer.reason}; proposed before")
+        elif not isinstance(answer, outcome.Lost) and not may_be_known:
+            proposed.remove(command.id)
+        return answer
+
+    async def _refuse(self, queue, submission, decision, deadline_s):
+        """Record a refusal in the log; return the answer, or None to accept instead.
+
+        A proposal of the same id may still be on its way from another gateway. Once the
+        refusal is recorded, that proposal has no effect.
+        """
+        loop = asyncio.get_running_loop()
+        command = commands.RefuseWorkflow(
+            id=submission.id,
+            queue=queue.name,
+            retry_after_s=decision.retry_after_s,
+            is_newcomer=decision.is_newcomer,
+            seen_index=submission.seen_index,
+        )
+        answer = await self._propose(command, deadline_s - loop.time())
+        if isinstance(answer, outcome.Accepted) and answer.ids:
+            self.admission.record_accepted(queue, command.id, loop.time())
+            return answer
+        if isinstance(answer, outcome.Accepted) and "waited_ms" in answer.value:
+            waited_s = answer.value["waited_ms"] / 1000
+            self.admission.learn_return(command.id, waited_s, loop.time())
+            decision = self.admission.decide(queue, submission, loop.time())
+            if decision is None:
+                return None
+            return await self._refuse(queue, submission, decision, deadline_s)
+        if isinstance(answer, outcome.Accepted):
+            return self._record_refusal(queue, command, decision, answer.version)
+        if isinstance(answer, (outcome.Refused, outcome.Lost)):
+            return answer
+        # The refusal can't be recorded. Without the record, "not accepted" could be
+        # untrue; nothing is claimed if accepting would exceed a limit.
+        if decision.reason == admission.EXPECTED_END:
+            return None
+        return outcome.Lost(reason=f"{decision.reason}; the refusal was not recorded")
+
+    def _record_refusal(self, queue, command, decision, index):
+        now_s = asyncio.get_running_loop().time()
+        self.seen_index = max(self.seen_index, index)
+        self.admission.record_refused(queue, command, decision.reason, now_s)
+        log.info(
+            "workflow_refused id=%s queue=%s reason=%s retry_after_s=%d index=%d",
+            command.id,
+            queue.name,
+            decision.reason,
+            command.retry_after_s,
+            index,
+        )
+        return outcome.Refused(
+            reason=decision.reason, retry_after_ms=1000 * command.retry_after_s
+        )
 
     async def cancel(self, workflow_id, timeout_s):
         """Cancel a workflow; the outcomes are those of `submit` and `NoWorkflow`."""
--- a/sardinegauge/workflows/policies/retryafter.py
+++ b/sardinegauge/workflows/policies/retryafter.py
@@ -49,12 +49,11 @@
 
 
 class _Refused:
-    __slots__ = ("due_s", "first_s", "priority")
+    __slots__ = ("due_s", "first_s")
 
-    def __init__(self, due_s, first_s, priority):
+    def __init__(self, due_s, first_s):
         self.due_s = due_s
         self.first_s = first_s
-        self.priority = priority
 
 
 class ReturnQueue:
@@ -66,11 +65,11 @@
         self.max_remembered = max_remembered
         self._refused_by_id = {}
 
-    def add(self, workflow_id, priority, due_s, now_s):
+    def add(self, workflow_id, due_s, now_s, waited_s=0):
         """Remember a refused caller, and when it was refused first."""
         earlier = self._refused_by_id.pop(workflow_id, None)
-        first_s = earlier.first_s if earlier is not None else now_s
-        self._refused_by_id[workflow_id] = _Refused(due_s, first_s, priority)
+        first_s = earlier.first_s if earlier is not None else now_s - waited_s
+        self._refused_by_id[workflow_id] = _Refused(due_s, first_s)
         while self._refused_by_id:
             oldest_id, oldest = next(iter(self._refused_by_id.items()))
             is_over = len(self._refused_by_id) > self.max_remembered
--- a/sardinegauge/workflows/refusals.py
+++ b/sardinegauge/workflows/refusals.py
@@ -14,14 +14,23 @@
 # Limit of the recorded refusals, of which each takes about 400 bytes. With as many, no
 # further one is recorded, and so no workflow is refused.
 MAX_REFUSALS = 40_000
-# A caller is expected to return until this long after the time that it was told.
+# A caller returns as told from this long before its time until this long after it.
+EARLY_MS = 500
 RETURN_WINDOW_MS = 5000
 
 
 class RefusedWorkflow(record.Record):
-    """A refused workflow; its caller was told to return at `due_ms`."""
+    """A refused workflow; its caller was told to return at `due_ms`.
 
-    __slots__ = ("id", "queue", "index", "at_ms", "due_ms")
+    `index` and `at_ms` are those of its last refusal, `first_at_ms` is the time of the
+    first one.
+    """
+
+    __slots__ = ("id", "queue", "index", "at_ms", "due_ms", "first_at_ms")
+
+    def is_due(self, at_ms):
+        """Return whether a caller at this time returns when it was told to."""
+        return -EARLY_MS <= at_ms - self.due_ms <= RETURN_WINDOW_MS
 
 
 class Refusals:
@@ -84,12 +93,18 @@
     store = machine.workflows
     if command.id in store.workflow_by_id:
         return outcome.Accepted(ids=[command.id])
+    earlier = store.refusals.by_id.get(command.id)
+    if earlier is not None and command.is_newcomer and earlier.is_due(command.at_ms):
+        if earlier.index <= command.seen_index:
+            waited_ms = command.at_ms - earlier.first_at_ms
+            return outcome.Accepted(value={"waited_ms": waited_ms})
     refused = RefusedWorkflow(
         id=command.id,
         queue=command.queue,
         index=index,
         at_ms=command.at_ms,
         due_ms=command.at_ms + 1000 * command.retry_after_s,
+        first_at_ms=earlier.first_at_ms if earlier is not None else command.at_ms,
     )
     if not store.refusals.add(refused):
         return outcome.Impossible(reason="too many refused workflows are recorded")
--- a/tests/test_admission_policy.py
+++ b/tests/test_admission_policy.py
@@ -219,13 +219,13 @@
 def test_return_queue_is_bounded_in_number_and_time():
     waiting = retryafter.ReturnQueue(max_remembered=3)
     for number in range(5):
-        waiting.add(f"w{number}", 0, due_s=10, now_s=1)
+        waiting.add(f"w{number}", due_s=10, now_s=1)
     assert len(waiting) == 3
     assert not waiting.is_returning("w4", 5)
     assert waiting.is_returning("w4", 9.6)
     assert waiting.is_returning("w4", 15)
     assert not waiting.is_returning("w4", 15.1)
-    waiting.add("w4", 0, due_s=30, now_s=12)
+    waiting.add("w4", due_s=30, now_s=12)
     assert waiting.waited_s("w4", 20) == 19
-    waiting.add("x", 0, due_s=99, now_s=60)
+    waiting.add("x", due_s=99, now_s=60)
     assert len(waiting) == 1
