Count own acceptances until the leader's summary contains them

Cause: a summary may be 500 ms older than the poll that brings it, so a gateway forgot what it had accepted in that time and exceeded a limit by as much (test_own_acceptances_count_until_the_copy_contains_them). Returning callers who were refused together were all told the same time.

Change: the summary names its age, and a gateway counts its own decisions since then. A refused returning caller gets a place behind the others who were refused just now.

--- a/sardinegauge/workflows/backlog.py
+++ b/sardinegauge/workflows/backlog.py
@@ -56,7 +56,7 @@
 class BacklogTracker:
     """Builds the summary from the store and the views of the workers.
 
-    `current` is the newest `admission.Backlog`, `data` its JSON.
+    `current` is the newest `admission.Backlog`.
     """
 
     __slots__ = (
@@ -66,12 +66,10 @@
         "_started_at_ms",
         "_tracked_by_id",
         "current",
-        "data",
     )
 
     def __init__(self):
         self.current = None
-        self.data = b""
         self._started_at_ms = None
         self._built_at_ms = 0
         self._tracked_by_id = {}
@@ -88,7 +86,6 @@
         self._built_at_ms = state.now_ms
         self._finished_by_pool = {}
         self.current = self._build(state)
-        self.data = self.current.to_json()
 
     def summary(self, now_ms):
         """Return the JSON for a poll reply, empty if there is none that is recent."""
@@ -96,7 +93,8 @@
             return b""
         if now_ms - self._built_at_ms > 2 * INTERVAL_MS:
             return b""
-        return self.data
+        self.current.age_ms = now_ms - self._built_at_ms
+        return self.current.to_json()
 
     def _build(self, state):
         wall_ms = state.now_ms + state.wall_offset_ms
--- a/sardinegauge/workflows/gatewayadmission.py
+++ b/sardinegauge/workflows/gatewayadmission.py
@@ -79,10 +79,11 @@
         """
         self._backlog = admission.Backlog.from_json(data) if data else None
         self._copied_at_s = started_at_s
-        self._accepted = [row for row in self._accepted if row[0] >= started_at_s]
-        self._refused = [row for row in self._refused if row[0] >= started_at_s]
         if self._backlog is None:
             return
+        built_at_s = started_at_s - self._backlog.age_ms / 1000
+        self._accepted = [row for row in self._accepted if row[0] >= built_at_s]
+        self._refused = [row for row in self._refused if row[0] >= built_at_s]
         for _, demand in self._accepted:
             self._add_accepted(demand)
         for _, demand in self._refused:
@@ -112,8 +113,12 @@
 
     def _refuse(self, workflow_id, demand, refusal, is_returning, now_s):
         pool = self._backlog.pool_by_name.get(demand.pool) or admission.PoolBacklog()
-        # A caller who returned as told is the first of those who wait.
-        position = 0 if is_returning else pool.count_waiting_returns(demand.priority)
+        if is_returning:
+            # A caller who returned as told goes before those who still wait, behind the
+            # others who were refused just now.
+            position = len(self._refused)
+        else:
+            position = pool.count_waiting_returns(demand.priority)
         worth_ms = (
             demand.worth_ms
             - admission.OPTIMISTIC_PATH_SHARE * demand.path_ms
--- a/sardinegauge/workflows/policies/admission.py
+++ b/sardinegauge/workflows/policies/admission.py
@@ -99,10 +99,10 @@
 
 
 class Backlog(record.Record):
-    """Open work by pool, and what the replicas hold for it."""
+    """Open work by pool, and what the replicas hold for it, `age_ms` ago."""
 
-    __slots__ = ("open_count", "held_bytes", "pool_by_name")
-    _defaults = {"open_count": 0, "held_bytes": 0, "pool_by_name": dict}
+    __slots__ = ("age_ms", "open_count", "held_bytes", "pool_by_name")
+    _defaults = {"age_ms": 0, "open_count": 0, "held_bytes": 0, "pool_by_name": dict}
 
     def to_json(self):
         """Return the backlog as JSON bytes."""
@@ -110,7 +110,7 @@
             name: pool.to_sparse_dict() | {"work": [_to_row(w) for w in pool.work]}
             for name, pool in self.pool_by_name.items()
         }
-        plain = [self.open_count, self.held_bytes, pools]
+        plain = [self.age_ms, self.open_count, self.held_bytes, pools]
         return json.dumps(plain, separators=(",", ":")).encode()
 
     @classmethod
@@ -125,8 +125,9 @@
         True
         """
         try:
-            open_count, held_bytes, pools = json.loads(data)
+            age_ms, open_count, held_bytes, pools = json.loads(data)
             backlog = cls(
+                age_ms=age_ms,
                 open_count=open_count,
                 held_bytes=held_bytes,
                 pool_by_name={name: _read_pool(pools[name]) for name in pools},
@@ -149,7 +150,7 @@
 
 def _check_numbers(backlog):
     """Raise ValueError or TypeError if a value is not a finite number."""
-    values = [backlog.open_count, backlog.held_bytes]
+    values = [backlog.age_ms, backlog.open_count, backlog.held_bytes]
     for pool in backlog.pool_by_name.values():
         values += [
             getattr(pool, name)
