--- a/sardinegauge/workflows/schedulerstate.py
+++ b/sardinegauge/workflows/schedulerstate.py
@@ -4,6 +4,7 @@
 
 from sardinegauge.workflows import (
     advicetracker,
+    backlog,
     candidates,
     crashes,
     displacing,
@@ -79,6 +80,7 @@
         self.crashes = crashes.Crashes()
         self.isolation = isolation.Isolation()
         self.recovery = recovery.Recovery()
+        self.backlog = backlog.BacklogTracker()
         self.wall_ms = 0
         self.wall_offset_ms = 0
         self.term = 0
