Throttle the tasks that do not delay their step first

Cause: by slack to the deadline alone, a shortage moves cores from the first workflows to the last ones. Change: workflows keep their order, but a task that ends 1.5 s or more before the slowest of its step yields before those that decide when the step ends.

--- a/sardinegauge/workflows/besteffort.py
+++ b/sardinegauge/workflows/besteffort.py
@@ -142,18 +142,17 @@
     for key, task in state.store.runs_of(view.id, view.incarnation).items():
         reported = view.runs.get(key)
         if task.step.is_filler and key not in view.ended:
-            rank = _task_rank(state, task, reported)
+            rank = _task_rank(state, task)
             best_effort_tasks.append(
                 _describe_best_effort_task(view, key, task.step, reported, rank)
             )
     return best_effort_tasks
 
 
-def _task_rank(state, task, reported):
+def _task_rank(state, task):
     """Return the sort key of a task among those that may be throttled."""
     wall_ms = state.now_ms + state.wall_offset_ms
-    outlook = outlooks.of_run(state, task, reported, wall_ms)
-    return state.urgency.rank(outlook, wall_ms)
+    return state.urgency.rank(outlooks.of_task(state, task, wall_ms))
 
 
 def _describe_best_effort_task(view, key, step, reported, rank):
--- a/sardinegauge/workflows/outlooks.py
+++ b/sardinegauge/workflows/outlooks.py
@@ -1,60 +1,72 @@
-"""Expected ends of running tasks, from learned run times and reported progress."""
+"""Expected ends of best-effort tasks, from learned run times and reported progress."""
+
+import weakref
 
-from sardinegauge.workflows import ordering
 from sardinegauge.workflows.policies import urgency
 
+# The expected end of a step is computed anew after this time; each task of the step on
+# each worker asks for it at every report.
+STEP_RETENTION_MS = 400
+
+
+class StepTimes:
+    """The remaining times of steps by occurrence and position."""
+
+    __slots__ = ("_rows_by_occurrence",)
+
+    def __init__(self):
+        # Rows of the time of the computation and the result, by position.
+        self._rows_by_occurrence = weakref.WeakKeyDictionary()
+
+    def remaining_ms(self, state, workflow, occurrence, position):
+        """Return the longest remaining time of the tasks of a step at full speed."""
+        row_by_position = self._rows_by_occurrence.setdefault(occurrence, {})
+        computed_ms, remaining_ms = row_by_position.get(position, (None, 0))
+        if computed_ms is not None and state.now_ms - computed_ms < STEP_RETENTION_MS:
+            return remaining_ms
+        task_ms = state.run_times.task_ms(workflow.queue, occurrence, position)
+        remaining_ms = max(
+            (
+                _remaining_ms(state, task, task_ms)
+                for task in occurrence.tasks_by_step[position]
+                if not task.is_done
+            ),
+            default=0,
+        )
+        row_by_position[position] = (state.now_ms, remaining_ms)
+        return remaining_ms
 
-def of_run(state, task, reported, wall_ms):
-    """Return the `urgency.Outlook` of a task's run.
+
+def of_task(state, task, wall_ms):
+    """Return the `urgency.Outlook` of a task.
 
     Parameters
     ----------
     state : schedulerstate.State
     task : workflow.Task
-    reported : views.ReportedRun or None
-        None before the run is in a report of its worker.
     wall_ms : int
     """
     workflow, occurrence, _ = state.store.find_task(task.id)
     queue = state.store.queue_of(workflow)
-    task_ms_by_step = [
-        state.run_times.task_ms(workflow.queue, occurrence, position)
-        for position in range(len(workflow.steps))
-    ]
-    progress = reported.progress if reported is not None else 0
-    path_ms = longest_path_ms(workflow.steps, task_ms_by_step)
+    position = task.position
+    task_ms = state.run_times.task_ms(workflow.queue, occurrence, position)
     return urgency.Outlook(
-        priority=queue.priority,
-        begin_ms=ordering.begin_ms(workflow, occurrence),
-        span_ms=queue.stretch * path_ms + queue.objective_ms,
-        remaining_ms=task_ms_by_step[task.position] * (1 - progress / 100),
-        later_ms=later_path_ms(workflow.steps, task_ms_by_step, task.position),
         workflow_key=state.planner.ordering.key(workflow, queue, occurrence, wall_ms),
+        remaining_ms=_remaining_ms(state, task, task_ms),
+        step_remaining_ms=state.step_times.remaining_ms(
+            state, workflow, occurrence, position
+        ),
     )
 
 
-def longest_path_ms(steps, task_ms_by_step):
-    """Return the length of the longest path through the steps in ms."""
-    end_ms_by_step = []
-    for step, task_ms in zip(steps, task_ms_by_step):
-        start_ms = max((end_ms_by_step[earlier] for earlier in step.after), default=0)
-        end_ms_by_step.append(start_ms + task_ms)
-    return max(end_ms_by_step, default=0)
-
-
-def later_path_ms(steps, task_ms_by_step, position):
-    """Return the length of the longest path after a step in ms.
-
-    Examples
-    --------
-    >>> from sardinegauge.workflows import steps as s
-    >>> chain = [s.Step(), s.Step(after=[0]), s.Step(after=[1]), s.Step(after=[0])]
-    >>> [later_path_ms(chain, [1, 2, 4, 8], number) for number in range(4)]
-    [8, 4, 0, 0]
-    """
-    later_ms_by_step = [0] * len(steps)
-    for number in range(len(steps) - 1, position, -1):
-        for earlier in steps[number].after:
-            through_ms = task_ms_by_step[number] + later_ms_by_step[number]
-            later_ms_by_step[earlier] = max(later_ms_by_step[earlier], through_ms)
-    return later_ms_by_step[position]
+def _remaining_ms(state, task, task_ms):
+    """Return the remaining time at full speed, by the task's own rate if known."""
+    if not task.runs:
+        return task_ms
+    run = task.runs[-1]
+    track = state.recovery.tracker.track_by_run.get((task.id, run.number))
+    if track is None:
+        return task_ms
+    left = 100 - track.progress
+    rate = track.moving_rate()
+    return left / rate if rate else task_ms * left / 100
--- a/sardinegauge/workflows/policies/urgency.py
+++ b/sardinegauge/workflows/policies/urgency.py
@@ -9,67 +9,57 @@
 
 from sardinegauge import record
 
+# A task that would end within this time of the slowest task of its step is critical.
+CRITICAL_SLACK_MS = 1500
+
 
 class Outlook(record.Record):
-    """The expected end of a task at full speed.
+    """The expected end of a task.
 
-    Times are in ms. `priority` is that of the queue, lower numbers are more urgent.
-    `begin_ms` is the wall-clock time from which the workflow's span is counted, and
-    `span_ms` the time in which callers want it to end. `remaining_ms` is the rest of
-    the task, `later_ms` the estimated path of the steps after it. `workflow_key` is the
-    ordering's sort key of the workflow.
+    `workflow_key` is the ordering's sort key of the workflow, whose first two parts are
+    the priority and the expected lateness. `remaining_ms` is the expected time that the
+    task takes from now on at full speed, `step_remaining_ms` the longest such time of
+    all tasks of its step.
     """
 
-    __slots__ = (
-        "priority",
-        "begin_ms",
-        "span_ms",
-        "remaining_ms",
-        "later_ms",
-        "workflow_key",
-    )
-
-    def slack_ms(self, wall_ms):
-        """Return how much later the task may end without making its workflow late.
-
-        Examples
-        --------
-        >>> outlook = Outlook(
-        ...     priority=0, begin_ms=1000, span_ms=9000, remaining_ms=2000,
-        ...     later_ms=3000, workflow_key=())
-        >>> outlook.slack_ms(4000)
-        1000
-        """
-        end_ms = wall_ms + self.remaining_ms + self.later_ms
-        return self.begin_ms + self.span_ms - end_ms
+    __slots__ = ("workflow_key", "remaining_ms", "step_remaining_ms")
+
+    @property
+    def is_critical(self):
+        """Whether a delay of the task delays its step."""
+        return self.step_remaining_ms - self.remaining_ms < CRITICAL_SLACK_MS
 
 
 class UrgencyPolicy(abc.ABC):
     """Ranks best-effort tasks; those with a higher rank yield first."""
 
     @abc.abstractmethod
-    def rank(self, outlook, wall_ms):
+    def rank(self, outlook):
         """Return the rank of a task, which is comparable to those of other tasks."""
 
 
 class ByWorkflow(UrgencyPolicy):
     """Ranks all tasks of a workflow alike, by the order of the workflows."""
 
-    def rank(self, outlook, wall_ms):
+    def rank(self, outlook):
         """Return the sort key of the workflow."""
         return outlook.workflow_key
 
 
-class BySlack(UrgencyPolicy):
-    """Ranks by priority, then tasks that can be in time, then least slack.
+class ByCriticalTask(UrgencyPolicy):
+    """Ranks by priority and lateness, then critical tasks, then the other parts.
 
-    A task that would be late even at full speed yields to all that can be in time:
-    with the earliest deadline first alone, a shortage would make everything late.
+    Examples
+    --------
+    >>> policy = ByCriticalTask()
+    >>> early, late = (2, 0, 500), (2, 0, 900)
+    >>> slowest = Outlook(workflow_key=late, remaining_ms=7000, step_remaining_ms=7000)
+    >>> fast = Outlook(workflow_key=early, remaining_ms=2000, step_remaining_ms=7000)
+    >>> policy.rank(slowest) < policy.rank(fast)
+    True
     """
 
-    def rank(self, outlook, wall_ms):
-        """Return the priority, whether the task is late, and the slack or the key."""
-        slack_ms = outlook.slack_ms(wall_ms)
-        if slack_ms >= 0:
-            return (outlook.priority, 0, slack_ms, ())
-        return (outlook.priority, 1, 0, outlook.workflow_key)
+    def rank(self, outlook):
+        """Return the parts of the rank in their order."""
+        key = outlook.workflow_key
+        return (*key[:2], not outlook.is_critical, *key[2:])
--- a/sardinegauge/workflows/schedulerstate.py
+++ b/sardinegauge/workflows/schedulerstate.py
@@ -14,6 +14,7 @@
     interference,
     isolation,
     ordering,
+    outlooks,
     planner,
     recovery,
     schedulerevents,
@@ -65,7 +66,8 @@
         self.cap_changed_ms_by_run = {}
         self.cap_changes = capchanges.LargeChanges()
         self.core_sharing = coreshares.InOrder()
-        self.urgency = urgency.BySlack()
+        self.urgency = urgency.ByCriticalTask()
+        self.step_times = outlooks.StepTimes()
         self.slow_since_ms_by_run = {}
         self.moved_from_by_task = {}
         self.failed_workers_by_task = {}
