--- a/sardinegauge/state/stateapp.py
+++ b/sardinegauge/state/stateapp.py
@@ -334,6 +334,12 @@
     def _count_crash(self, effect):
         self.metrics.count_crash(effect.pool, effect.run_count)
 
+    def _count_restart(self, effect):
+        self.metrics.count_restart(effect.queue, effect.reason)
+
+    def _set_suspected(self, effect):
+        self.metrics.set_suspected_workers(effect.count)
+
     def _count_workflow(self, effect):
         self.metrics.count_workflow(effect.queue, effect.state, effect.lasted_ms)
 
@@ -433,6 +439,8 @@
     leaderexchange.SchedulePlanning: StateApplication._schedule_plan,
     schedulerevents.RunEnded: StateApplication._count_run,
     schedulerevents.WorkerCrashed: StateApplication._count_crash,
+    schedulerevents.RunRestarted: StateApplication._count_restart,
+    schedulerevents.SuspectedWorkersCounted: StateApplication._set_suspected,
     schedulerevents.WorkflowEnded: StateApplication._count_workflow,
 }
 
--- a/sardinegauge/state/statemetrics.py
+++ b/sardinegauge/state/statemetrics.py
@@ -44,6 +44,15 @@
             "Runs that ended with a crash of their worker.",
             ("pool",),
         )
+        self._restarts = self._metrics.counter(
+            "workflow_restarts",
+            "Runs that were stopped to start on another worker.",
+            ("queue", "reason"),
+        )
+        self._suspected = gauge(
+            "workflow_suspected_workers",
+            "Workers in backoff or on probation since runs stood still there.",
+        )
 
     def count_workflow(self, queue, state, lasted_ms):
         """Record the duration of a workflow that ended."""
@@ -58,6 +67,14 @@
         self._crashes.labels(pool).inc()
         self._lost_runs.labels(pool).inc(run_count)
 
+    def count_restart(self, queue, reason):
+        """Count a run that is stopped to start on another worker."""
+        self._restarts.labels(queue, reason).inc()
+
+    def set_suspected_workers(self, count):
+        """Set the number of suspected workers."""
+        self._suspected.set(count)
+
     def count_wait(self, tenant, task_class, wait_ms):
         """Record how long a task that now runs had waited."""
         self._waits.labels(tenant, task_class).observe(wait_ms / 1000)
@@ -66,6 +83,8 @@
         """Set the gauges from a replica's state and its writer."""
         agreement = state.raft
         self._is_leader.set(agreement.role == raftstate.LEADER)
+        if agreement.role != raftstate.LEADER:
+            self._suspected.set(0)
         self._term.set(agreement.term)
         self._last.set(agreement.log.last_index)
         self._commit.set(agreement.commit_index)
--- a/sardinegauge/workflows/policies/progress.py
+++ b/sardinegauge/workflows/policies/progress.py
@@ -16,10 +16,16 @@
 MIN_SHARE = 0.2
 # Span of the samples from which the recent rate is computed.
 RECENT_WINDOW_MS = 800
+# A run without load adds samples without time at work, so their number is bounded.
+MAX_POINTS = 16
 # Least time at work from which a rate is computed.
 MIN_RATE_MS = 400
 # Least progress in percent from which an earlier rate is computed.
 MIN_EARLIER_PROGRESS = 5
+# Rates of a step are kept this long after its last tracked run was done.
+DONE_MEMORY_MS = 10_000
+# The sets of kinds begin anew at this size, since callers choose the images.
+MAX_KINDS = 10_000
 # Work of a run that ended between two reports, which are sent every 400 ms.
 UNSEEN_MS = 200
 
@@ -145,6 +151,8 @@
             and self.worked_ms - self._points[1][0] >= RECENT_WINDOW_MS
         ):
             self._points.popleft()
+        if len(self._points) > MAX_POINTS:
+            del self._points[-2]
         self.peak_rate = max(self.peak_rate, self._earlier_rate())
         return is_moving
 
@@ -199,17 +207,25 @@
     return used, usable
 
 
+def _add_kind(kinds, kind):
+    if len(kinds) >= MAX_KINDS:
+        kinds.clear()
+    kinds.add(kind)
+
+
 class Tracker:
     """The tracks of all active runs.
 
     `done_rates_by_step` holds rows of worker, rate and time of the runs that are done,
     by step id. `normal_ms_by_worker` is when a run was last seen there that is about as
     fast as its peers. `moving_kinds` are the kinds of which a run was seen to progress:
-    others may report no progress at all, and get no verdict.
+    others may report no progress at all, and get no verdict. `loaded_kinds` are those
+    of which a run reported load; without it, idle cores show nothing.
     """
 
     __slots__ = (
         "done_rates_by_step",
+        "loaded_kinds",
         "moving_kinds",
         "normal_ms_by_worker",
         "track_by_run",
@@ -221,6 +237,7 @@
         self.track_by_run = {}
         self.done_rates_by_step = {}
         self.moving_kinds = set()
+        self.loaded_kinds = set()
         self.normal_ms_by_worker = {}
         self._keys_by_worker = {}
         self._reported_ms_by_worker = {}
@@ -243,8 +260,11 @@
         track = self.track_by_run.get(info.key)
         if track is None:
             track = self.track_by_run[info.key] = Track(info)
-        if track.add_sample(reported, idle_millis, now_ms):
-            self.moving_kinds.add(info.kind)
+        if reported.load > 0:
+            _add_kind(self.loaded_kinds, info.kind)
+        known_idle_millis = idle_millis if info.kind in self.loaded_kinds else 0
+        if track.add_sample(reported, known_idle_millis, now_ms):
+            _add_kind(self.moving_kinds, info.kind)
 
     def record_done(self, track, now_ms):
         """Record the rate of a run that is done."""
@@ -263,11 +283,10 @@
             self._reported_ms_by_worker.pop(worker, None)
             self.normal_ms_by_worker.pop(worker, None)
 
-    def drop_steps(self, is_open):
-        """Drop the rates of steps whose workflow is no longer open.
-
-        `is_open` is called with the id of a workflow.
-        """
-        for step_id in list(self.done_rates_by_step):
-            if not is_open(step_id.partition(".")[0]):
+    def drop_steps(self, now_ms):
+        """Drop the rates of steps without a tracked run for `DONE_MEMORY_MS`."""
+        active_ids = {track.info.step_id for track in self.track_by_run.values()}
+        for step_id in self.done_rates_by_step.keys() - active_ids:
+            _, _, last_ms = self.done_rates_by_step[step_id][-1]
+            if now_ms - last_ms > DONE_MEMORY_MS:
                 del self.done_rates_by_step[step_id]
--- a/sardinegauge/workflows/recovery.py
+++ b/sardinegauge/workflows/recovery.py
@@ -29,9 +29,10 @@
 # starts elsewhere would not help.
 MAX_SUSPECTED_SHARE = 0.25
 MIN_SUSPECTED_LIMIT = 2
-# Progress in percent and time at work that prove a run on a worker on probation.
+# Progress in percent and time at work that prove a run on a worker on probation, long
+# enough for a verdict on a slow run.
 PROVING_PROGRESS = 5
-PROVING_MS = 600
+PROVING_MS = 1000
 log = logging.getLogger(__name__)
 
 
@@ -90,12 +91,16 @@
 def _idle_millis(view, runs, active_by_key):
     """Return the thousandths of a core that are known to be idle.
 
-    Nothing is known beside a latency-critical task, whose load is a latency.
+    Nothing is known beside a latency-critical task, whose load is a latency. Other
+    tasks count with the cores that they reserve.
     """
-    if any(task.step.target_ms for task in runs.values()):
-        return 0.0
-    used = sum(reported.load for reported in active_by_key.values())
-    return view.capacity.cpu_millis - used
+    idle = view.capacity.cpu_millis
+    for key, task in runs.items():
+        if task.step.target_ms:
+            return 0.0
+        load = active_by_key[key].load if key in active_by_key else 0
+        idle -= load if task.step.is_filler else max(load, task.step.cpu_millis)
+    return idle
 
 
 def _find_info(state, key, task, worker):
@@ -153,7 +158,7 @@
     """Drop what is known about workflows that have ended and workers that are gone."""
     recovery = state.recovery
     recovery.tracker.drop_workers(state.view_by_id.keys())
-    recovery.tracker.drop_steps(state.open_ids.__contains__)
+    recovery.tracker.drop_steps(state.now_ms)
     limit_ms = state.now_ms - RESTART_MEMORY_MS
     for task_id, times_ms in list(recovery.restarts_by_task.items()):
         is_open = task_id.partition(".")[0] in state.open_ids
