--- a/sardinegauge/state/stateapp.py
+++ b/sardinegauge/state/stateapp.py
@@ -337,6 +337,12 @@
     def _count_crash(self, effect):
         self.metrics.count_crash(effect.pool, effect.run_count)
 
+    def _count_restart(self, effect):
+        self.metrics.count_restart(effect.queue, effect.reason)
+
+    def _set_suspected(self, effect):
+        self.metrics.set_suspected_workers(effect.count)
+
     def _count_workflow(self, effect):
         self.metrics.count_workflow(effect.queue, effect.state, effect.lasted_ms)
 
@@ -441,6 +447,8 @@
     schedulerevents.RunEnded: StateApplication._count_run,
     schedulerevents.RunTimesLearned: StateApplication._set_run_time_ratios,
     schedulerevents.WorkerCrashed: StateApplication._count_crash,
+    schedulerevents.RunRestarted: StateApplication._count_restart,
+    schedulerevents.SuspectedWorkersCounted: StateApplication._set_suspected,
     schedulerevents.WorkflowEnded: StateApplication._count_workflow,
 }
 
