Give up starts from pushed orders that arrive late

Cause: an order that the leader pushed before a drain may wait in a cut-off link for seconds. The agent took its arrival for its age and called the start. A tick that looked for runs to move computed the rank and the missing members of a step for each of its runs.

Change: the age of an order counts from the newest report that orders have answered, which is at most the time of any later push. The leader looks for runs to move only while fewer than the limit move, and computes rank and missing members once for each step. A test on processes: nothing starts in a drained zone until it is restored.

Measured: tests/test_workflow_*.py pass; the test of the late order fails without the change.

--- a/sardinegauge/workflows/drainmoves.py
+++ b/sardinegauge/workflows/drainmoves.py
@@ -69,12 +69,14 @@
         drain_moves.begun_ms + SETTLING_MS, drain_moves.next_ms
     ):
         return
+    moving_count = sum(len(move.keys) for move in drain_moves.moves)
+    if moving_count >= drainmoves.MAX_CONCURRENT_MOVES:
+        return
     drain_moves.next_ms = state.now_ms + IDLE_INTERVAL_MS
     units = [unit for unit in find_units(state) if drain_moves.policy.is_movable(unit)]
     if not units:
         return
     rooms = _Rooms(state)
-    moving_count = sum(len(move.keys) for move in drain_moves.moves)
     for unit in drain_moves.policy.choose(units, moving_count, rooms.reserve):
         drain_moves.next_ms = state.now_ms + INTERVAL_MS
         _stop(state, unit, rooms.move_by_unit[unit.keys[0]])
@@ -114,6 +116,7 @@
 def find_units(state):
     """Return the units with an active run in a drained domain, each once."""
     unit_by_id = {}
+    rank_and_away_by_step = {}
     for view in draining.drained_views(state):
         for key, task in state.store.runs_of(view.id, view.incarnation).items():
             step = task.step
@@ -123,12 +126,17 @@
             step_id = task.id.rpartition(".")[0]
             unit_id = (step_id, run_number) if step.is_gang else key
             if unit_id not in unit_by_id:
-                unit_by_id[unit_id] = _build_unit(state, key, task, step_id)
+                unit_by_id[unit_id] = _build_unit(
+                    state, key, task, step_id, rank_and_away_by_step
+                )
     return [unit for unit in unit_by_id.values() if unit is not None]
 
 
-def _build_unit(state, key, task, step_id):
-    """Return the unit of a run, or None if it can't be stopped now."""
+def _build_unit(state, key, task, step_id, rank_and_away_by_step):
+    """Return the unit of a run, or None if it can't be stopped now.
+
+    The rank and the number of members that are away are computed once for each step.
+    """
     workflow, occurrence, _ = state.store.find_task(task.id)
     _, run_number = key
     members = occurrence.tasks_by_step[task.position]
@@ -155,20 +163,29 @@
         left_ms = max(left_ms, member_left_ms)
     if not workflow.is_open:
         return None
-    wall_ms = state.now_ms + state.wall_offset_ms
-    queue = state.store.queue_of(workflow)
+    if step_id not in rank_and_away_by_step:
+        rank = _rank(state, workflow, occurrence)
+        rank_and_away_by_step[step_id] = (rank, count_away(state, members))
+    rank, away_count = rank_and_away_by_step[step_id]
     return drainmoves.Unit(
         keys=[(member.id, run_number) for member in moved],
         step_id=step_id,
-        rank=state.planner.ordering.key(workflow, queue, occurrence, wall_ms),
+        rank=rank,
         left_ms=left_ms,
         is_persistent=task.step.is_persistent,
         is_checkpointing=task.step.is_checkpointing,
         max_unavailable=task.step.max_unavailable,
-        away_count=count_away(state, members),
+        away_count=away_count,
     )
 
 
+def _rank(state, workflow, occurrence):
+    """Return the planner's sort key of an occurrence."""
+    wall_ms = state.now_ms + state.wall_offset_ms
+    queue = state.store.queue_of(workflow)
+    return state.planner.ordering.key(workflow, queue, occurrence, wall_ms)
+
+
 def count_away(state, tasks):
     """Return how many of a step's tasks are not available, for any cause."""
     return sum(not task.is_done and not _is_available(state, task) for task in tasks)
--- a/sardinegauge/workflows/hostedruns.py
+++ b/sardinegauge/workflows/hostedruns.py
@@ -24,7 +24,7 @@
     """Start a run with a CPU cap in percent; of a known run, only set the cap."""
     key = (task_id, run_number)
     if key in state.runs:
-        state.runs[key].ordered_ms = state.now_ms
+        state.runs[key].ordered_ms = state.ordered_ms
         set_cpu_cap(state, key, percent)
         return
     if is_ended(state, key):
@@ -32,14 +32,14 @@
     run = state.runs[key] = hoststate.HostedRun(
         views.ORDERED, payload, checkpoint, ticket
     )
-    run.ordered_ms = state.now_ms
+    run.ordered_ms = state.ordered_ms
     run.target_cpu_cap = percent
     if state.is_draining:
         # A previous process of this agent may have started the run already.
         run.phase = views.STOPPING
         run.reason = "draining"
         _call_stop(state, key, run)
-    elif not state.is_down:
+    elif not state.is_down and not _is_expired(state, run):
         _call_start(state, key, run)
 
 
@@ -53,7 +53,7 @@
     for key in keys:
         run = state.runs.get(tuple(key))
         if run is not None:
-            run.ordered_ms = state.now_ms
+            run.ordered_ms = state.ordered_ms
 
 
 def _call_start(state, key, run):
--- a/sardinegauge/workflows/hosting.py
+++ b/sardinegauge/workflows/hosting.py
@@ -338,6 +338,7 @@
     if message.grant_ms and not state.is_lapsed:
         lease_until_ms = message.sent_ms + message.grant_ms
         state.grant_until_ms = max(state.grant_until_ms, lease_until_ms)
+    state.orders_sent_ms = max(state.orders_sent_ms, message.sent_ms)
     body = event.body
     state.is_watched = body["is_watched"]
     _acknowledge_ends(state, body["seen_end"])
--- a/sardinegauge/workflows/hoststate.py
+++ b/sardinegauge/workflows/hoststate.py
@@ -20,7 +20,8 @@
 class HostedRun:
     """A run on the worker, as known to the agent.
 
-    `ordered_ms` is when the leader last ordered the start or left it in force.
+    `ordered_ms` is when the leader last ordered the start or left it in force, at the
+    earliest.
     `active_ms` is when the run was first known to be active, and `called_ms` when its
     start was called first, 0 before. `checkpoint` is the one to start from,
     `saved_checkpoint` the newest one that the worker listed.
@@ -87,6 +88,7 @@
     event that sent the call whose list of runs was applied last. `unanswered_since_ms`
     is when the first call after the last answer went unanswered, or 0. `crash` is the
     `hostedcrash.Crash` that the leader has not acknowledged yet, or None.
+    `orders_sent_ms` is when the newest report was sent that orders answered.
     """
 
     def __init__(self, agent):
@@ -96,6 +98,7 @@
         self.is_watched = False
         self.term = 0
         self.sequence = 0
+        self.orders_sent_ms = 0
         self.now_ms = 0
         self.event_number = 0
         self.report_due_ms = 0
@@ -136,6 +139,15 @@
         """Whether the worker is up and answered within `RESPONSE_TIMEOUT_MS`."""
         return not self.is_down and self.now_ms - self.answered_ms < RESPONSE_TIMEOUT_MS
 
+    @property
+    def ordered_ms(self):
+        """The earliest time at which the newest orders may have been made.
+
+        Pushed orders name no time and may be delayed, but are newer than the last
+        orders that answered a report.
+        """
+        return self.orders_sent_ms or self.now_ms
+
     def lease_until_ms(self):
         """Return the end of a lease given now on the worker's clock, or 0 for none."""
         left_ms = self.grant_until_ms - self.now_ms
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -207,6 +207,22 @@
     run_scenario(tmp_path, scenario)
 
 
+def test_nothing_starts_in_a_drained_zone_until_it_is_restored(tmp_path):
+    async def scenario(platform):
+        assert await platform.submit("a1", 3000) == 200
+        await platform.wait_until(lambda: len(platform.minion.running) == 2)
+        assert (await platform.evacuation("POST", "z"))[0] == 200
+        assert await platform.submit("b2", 200) == 200
+        # What runs without a checkpoint ends where it is.
+        await platform.wait_until(lambda: platform.state_is("a1", "completed"))
+        await asyncio.sleep(1)
+        assert len(platform.minion.starts) == 2
+        assert (await platform.evacuation("DELETE", "z"))[0] == 200
+        await platform.wait_until(lambda: platform.state_is("b2", "completed"))
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_drain_of_a_zone_without_a_majority_is_not_acknowledged(tmp_path):
     async def scenario(platform):
         for ip in platform.core_ips[1:]:
--- a/tests/test_workflow_draining.py
+++ b/tests/test_workflow_draining.py
@@ -252,6 +252,23 @@
     assert agent.phase_of() == views.ORDERED
 
 
+def test_pushed_order_that_arrives_late_starts_nothing():
+    """A push waits in a cut-off link, and is delivered before the newer orders."""
+    agent = test_workflow_hosting.Agent()
+    agent.order()
+    for _ in range(31):
+        agent.tick()
+        agent.answer_holds()
+    agent.order(
+        starts=[[*test_workflow_hosting.KEY, "payload", ""]],
+        still_ordered=[],
+        sent_ms=0,
+    )
+    agent.tick()
+    assert agent.take_calls(workerclient.StartCall) == []
+    assert agent.phase_of() == views.GONE
+
+
 def test_leader_leaves_starts_in_force_outside_drained_domains(leader):
     leader.submit(STEP.replace(count=8))
     leader.settle()
--- a/tests/test_workflow_hosting.py
+++ b/tests/test_workflow_hosting.py
@@ -64,7 +64,10 @@
                 ended=[list(row) for row in ended],
             )
 
-    def order(self, starts=(), stops=(), seen_end=0, grant_ms=4500, **fields):
+    def order(
+        self, starts=(), stops=(), seen_end=0, grant_ms=4500, sent_ms=None, **fields
+    ):
+        """Deliver orders; pushed ones have a `sent_ms` of 0."""
         self.sequence += 1
         body = {
             "seen_end": seen_end,
@@ -81,7 +84,7 @@
             life=self.state.incarnation,
             term=1,
             sequence=self.sequence,
-            sent_ms=self.now_ms,
+            sent_ms=self.now_ms if sent_ms is None else sent_ms,
             grant_ms=grant_ms,
         )
         self.dispatch(hostevents.OrdersReceived, message=message, body=body)
