Teach the soak drains and shrinking workers

Cause: the soak knew neither. Change: an operator that drains and restores domains and minions that shrink, drawn from a generator of their own, so that the faults of a seed stay as they were; the checker reports starts in a drained domain after the bound and the longest fault.

--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -4,6 +4,9 @@
 
 # Latest start of a job's task after the cancel of the job was acknowledged.
 CANCEL_LIMIT_S = 3.0
+# Latest start in a failure domain after its drain was acknowledged: the bound for
+# agents in touch, and the longest fault that keeps a process from acting.
+DRAIN_LIMIT_S = 5.0 + 7.0
 
 
 class Checker:
@@ -12,7 +15,8 @@
     The rules are: ``TWICE``, a task runs in two places or again after its end was
     acknowledged; ``REFUSED``, a task starts though every submission of its job was
     refused; ``UNASKED``, a task starts that no client submitted, or too long after
-    its cancel. The runner adds ``LOST`` and ``CONFIG`` at the end.
+    its cancel; ``EVAC``, a task starts too long after the drain of its failure
+    domain. The runner adds ``LOST`` and ``CONFIG`` at the end.
     """
 
     def __init__(self):
@@ -23,6 +27,7 @@
         self.refused_jobs = set()
         self.submitted_jobs = set()
         self.cancelled_s_by_job = {}
+        self.drained_s_by_zone = {}
         self.start_count = 0
 
     def report(self, rule, text):
@@ -44,6 +49,9 @@
         cancelled_s = self.cancelled_s_by_job.get(job)
         if cancelled_s and time.monotonic() - cancelled_s > CANCEL_LIMIT_S:
             self.report("UNASKED", f"{key} {CANCEL_LIMIT_S} s after its cancel")
+        drained_s = self.drained_s_by_zone.get(minion.zone)
+        if drained_s and time.monotonic() - drained_s > DRAIN_LIMIT_S:
+            self.report("EVAC", f"{key} in the drained domain {minion.zone}")
         self.holder_by_task[task] = (minion.id, minion.born, key[1])
 
     def on_end(self, minion, key):
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -17,6 +17,16 @@
         super().__init__(*arguments)
         self.checker = checker
         self.acknowledged_sequence = 0
+        self.zone = "z"
+        self.capacity_share = 1.0
+
+    def heartbeat(self):
+        fields = super().heartbeat()
+        capacity = {
+            name: int(amount * self.capacity_share)
+            for name, amount in fields["capacity"].items()
+        }
+        return {**fields, "zone": self.zone, "capacity": capacity}
 
     def record_start(self, key):
         super().record_start(key)
@@ -59,6 +69,7 @@
         self.checker = checker
         network = self.side_ip.rpartition(".")[0]
         self.side_ips = [f"{network}.{21 + n}" for n in range(AGENT_COUNT)]
+        self.zones = [f"z{n}" for n in range(AGENT_COUNT)]
         self.proxy_port = self.ports.reserve()
         self.minion_by_ip = {}
         self.proxy_by_ip = {}
@@ -81,6 +92,7 @@
         minion = CheckedMinion(
             self.checker, worker_id, f"{ip}:{self.proxy_port}", self.last_born
         )
+        minion.zone = self.zones[self.side_ips.index(ip)]
         routes = [(r"/api/(.*)", CheckedHandler, {"minion": minion})]
         minion.server = httpserver.HTTPServer(
             web.Application(routes, log_function=lambda handler: None)
--- a/tests/soak/runs.py
+++ b/tests/soak/runs.py
@@ -9,7 +9,7 @@
 import tempfile
 import time
 
-from tests.soak import checker, clients, deployment, faults
+from tests.soak import checker, clients, deployment, faults, operators
 
 SETTLE_LIMIT_S = 60.0
 
@@ -36,7 +36,10 @@
         until_s = time.monotonic() + seconds
         load = clients.Clients(fleet, observations, random.Random(rng.random()))
         injector = faults.FaultInjector(fleet, random.Random(rng.random()))
-        await asyncio.gather(load.run(until_s), injector.run(until_s))
+        operator = operators.Operator(fleet, observations, random.Random(rng.random()))
+        await asyncio.gather(
+            load.run(until_s), injector.run(until_s), operator.run(until_s)
+        )
         await _check_end(fleet, observations, load)
     finally:
         if heartbeats is not None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,7 @@
 """Runs the soak for a few seconds with fixed seeds, and tests its checker."""
 
+import time
+
 import pytest
 
 from tests.soak import checker, deployment, runs
@@ -30,5 +32,8 @@
     other.record_start(("a.0.0.0", 2))
     other.record_start(("r.0.0.0", 1))
     other.record_start(("x.0.0.0", 1))
+    observations.submitted_jobs.add("d")
+    observations.drained_s_by_zone["z"] = time.monotonic() - 2 * checker.DRAIN_LIMIT_S
+    minion.record_start(("d.0.0.0", 1))
     rules = [violation.partition(":")[0] for violation in observations.violations]
-    assert rules == ["TWICE", "REFUSED", "UNASKED"]
+    assert rules == ["TWICE", "REFUSED", "UNASKED", "EVAC"]
