--- a/sardinegauge/state/stateapp.py
+++ b/sardinegauge/state/stateapp.py
@@ -13,7 +13,7 @@
 from sardinegauge.agreement import joining, raft, raftstate, storage, writer
 from sardinegauge.links import link, messages
 from sardinegauge.state import replica, replicaeffects, statemetrics, statuspages
-from sardinegauge.workflows import leaderexchange, schedulerevents
+from sardinegauge.workflows import leaderexchange
 
 TICK_S = 0.02
 # Interval of attempts to resume a replica that was suspended because its disk is full.
@@ -325,29 +325,8 @@
             pass  # The caller sees the closed link and asks another replica.
         exchange.close()
 
-    def _count_wait(self, effect):
-        self.metrics.count_wait(effect.tenant, effect.task_class, effect.wait_ms)
-
-    def _count_displacement(self, effect):
-        self.metrics.count_displacement(effect.queue, effect.reason)
-
-    def _count_run(self, effect):
-        self.metrics.count_run(effect.queue, effect.how)
-
-    def _count_crash(self, effect):
-        self.metrics.count_crash(effect.pool, effect.run_count)
-
-    def _count_restart(self, effect):
-        self.metrics.count_restart(effect.queue, effect.reason)
-
-    def _set_suspected(self, effect):
-        self.metrics.set_suspected_workers(effect.count)
-
-    def _count_workflow(self, effect):
-        self.metrics.count_workflow(effect.queue, effect.state, effect.lasted_ms)
-
-    def _set_run_time_ratios(self, effect):
-        self.metrics.set_run_time_ratios(effect.rows)
+    def _count(self, effect):
+        self.metrics.count(effect)
 
     def _push(self, effect):
         incarnation, agent_link = self._agent_links_by_upstream.get(
@@ -440,16 +419,9 @@
     raftstate.Rejoin: StateApplication._rejoin,
     replicaeffects.Reply: StateApplication._reply,
     replicaeffects.Push: StateApplication._push,
-    replicaeffects.TaskWaited: StateApplication._count_wait,
     replicaeffects.ScheduleApply: StateApplication._schedule_apply,
     leaderexchange.SchedulePlanning: StateApplication._schedule_plan,
-    schedulerevents.RunDisplaced: StateApplication._count_displacement,
-    schedulerevents.RunEnded: StateApplication._count_run,
-    schedulerevents.RunTimesLearned: StateApplication._set_run_time_ratios,
-    schedulerevents.WorkerCrashed: StateApplication._count_crash,
-    schedulerevents.RunRestarted: StateApplication._count_restart,
-    schedulerevents.SuspectedWorkersCounted: StateApplication._set_suspected,
-    schedulerevents.WorkflowEnded: StateApplication._count_workflow,
+    **dict.fromkeys(statemetrics.COUNTED_EFFECTS, StateApplication._count),
 }
 
 command_line = typer.Typer(add_completion=False)
--- a/sardinegauge/state/statemetrics.py
+++ b/sardinegauge/state/statemetrics.py
@@ -4,7 +4,8 @@
 
 from sardinegauge import metrics
 from sardinegauge.agreement import raftstate
-from sardinegauge.state import domainqueries
+from sardinegauge.state import domainqueries, replicaeffects
+from sardinegauge.workflows import schedulerevents
 
 CONTENT_TYPE = metrics.CONTENT_TYPE
 
@@ -80,39 +81,37 @@
             ("queue", "image"),
         )
 
-    def set_run_time_ratios(self, rows):
-        """Set the ratios from rows of `policies.runtimes.RunTimeModel.to_rows`."""
-        for queue, image, log_ratio, _, _ in rows:
+    def count(self, effect):
+        """Count an effect of one of the types in `COUNTED_EFFECTS`."""
+        _COUNT_BY_EFFECT[type(effect)](self, effect)
+
+    def _set_run_time_ratios(self, effect):
+        for queue, image, log_ratio, _, _ in effect.rows:
             self._run_time_ratio.labels(queue, image).set(math.exp(log_ratio))
 
-    def count_workflow(self, queue, state, lasted_ms):
-        """Record the duration of a workflow that ended."""
-        self._workflows.labels(queue, state).observe(lasted_ms / 1000)
+    def _count_workflow(self, effect):
+        duration = self._workflows.labels(effect.queue, effect.state)
+        duration.observe(effect.lasted_ms / 1000)
 
-    def count_run(self, queue, how):
-        """Count a run that ended."""
-        self._runs.labels(queue, how).inc()
+    def _count_run(self, effect):
+        self._runs.labels(effect.queue, effect.how).inc()
 
-    def count_displacement(self, queue, reason):
-        """Count a run that is stopped before its end."""
-        self._displaced.labels(queue, reason).inc()
+    def _count_displacement(self, effect):
+        self._displaced.labels(effect.queue, effect.reason).inc()
 
-    def count_crash(self, pool, run_count):
-        """Count a crash of a worker that ended `run_count` runs."""
-        self._crashes.labels(pool).inc()
-        self._lost_runs.labels(pool).inc(run_count)
+    def _count_crash(self, effect):
+        self._crashes.labels(effect.pool).inc()
+        self._lost_runs.labels(effect.pool).inc(effect.run_count)
 
-    def count_restart(self, queue, reason):
-        """Count a run that is stopped to start on another worker."""
-        self._restarts.labels(queue, reason).inc()
+    def _count_restart(self, effect):
+        self._restarts.labels(effect.queue, effect.reason).inc()
 
-    def set_suspected_workers(self, count):
-        """Set the number of suspected workers."""
-        self._suspected.set(count)
+    def _set_suspected_workers(self, effect):
+        self._suspected.set(effect.count)
 
-    def count_wait(self, tenant, task_class, wait_ms):
-        """Record how long a task that now runs had waited."""
-        self._waits.labels(tenant, task_class).observe(wait_ms / 1000)
+    def _count_wait(self, effect):
+        wait = self._waits.labels(effect.tenant, effect.task_class)
+        wait.observe(effect.wait_ms / 1000)
 
     def update(self, state, writer):
         """Set the gauges from a replica's state and its writer."""
@@ -153,3 +152,17 @@
     def page(self):
         """Return the metrics page as bytes."""
         return self._metrics.page()
+
+
+_COUNT_BY_EFFECT = {
+    replicaeffects.TaskWaited: StateMetrics._count_wait,
+    schedulerevents.RunDisplaced: StateMetrics._count_displacement,
+    schedulerevents.RunEnded: StateMetrics._count_run,
+    schedulerevents.RunRestarted: StateMetrics._count_restart,
+    schedulerevents.RunTimesLearned: StateMetrics._set_run_time_ratios,
+    schedulerevents.SuspectedWorkersCounted: StateMetrics._set_suspected_workers,
+    schedulerevents.WorkerCrashed: StateMetrics._count_crash,
+    schedulerevents.WorkflowEnded: StateMetrics._count_workflow,
+}
+
+COUNTED_EFFECTS = frozenset(_COUNT_BY_EFFECT)
