--- a/tests/statefleet.py
+++ b/tests/statefleet.py
@@ -9,7 +9,7 @@
 from sardinegauge import outcome, record, settings
 from sardinegauge.agreement import storage
 from sardinegauge.links import messages, stateclient
-from sardinegauge.state import replica, stateapp
+from sardinegauge.state import domaindrains, replica, stateapp
 
 
 class FakeMachine:
@@ -20,6 +20,7 @@
         self.jobs = []
         self.replies = {}
         self.configuration = types.SimpleNamespace(version=0, document={}, operator="")
+        self.domain_drains = domaindrains.DomainDrains()
 
 
 def apply(machine, index, command):
