Explain where a task would start now

Cause: why a task waits, or where the next one would go, could be told only from the leader's soft state, which no call showed. Nothing is submitted or reserved.

--- a/sardinegauge/calls.py
+++ b/sardinegauge/calls.py
@@ -167,6 +167,19 @@
     return commands.CancelWorkflow(id=request.id)
 
 
+def _placement_arguments(request):
+    return {
+        "queue": request.queue,
+        "cpu_millis": request.cpu_millis,
+        "memory_mb": request.memory_mb,
+        "accelerators": request.accelerators,
+        "is_filler": request.best_effort,
+        "label": request.label,
+        "image": request.image,
+        "target_ms": request.target_ms,
+    }
+
+
 def _no_arguments(request):
     return {}
 
@@ -261,6 +274,12 @@
         "explain",
         lambda request: {"id": request.id},
     ),
+    _read_call(
+        "ExplainPlacement",
+        schema.ExplainPlacementReply,
+        "explain_placement",
+        _placement_arguments,
+    ),
 )
 
 BY_NAME = {call.name: call for call in _CALLS}
--- a/sardinegauge/cli/explanations.py
+++ b/sardinegauge/cli/explanations.py
@@ -5,20 +5,45 @@
 import typer
 
 from sardinegauge import errors, logtrace
+from sardinegauge.cli import output
 
 
 def explain(
     context: typer.Context,
     id: str,
+    queue: str = typer.Option("", help="With `placement`: queue of the task."),
+    cpu_millis: float = typer.Option(0, min=0, help="Thousandths of a core."),
+    memory_mb: float = typer.Option(0, min=0),
+    accelerators: float = typer.Option(0, min=0),
+    best_effort: bool = typer.Option(False, "--best-effort"),
+    label: str = typer.Option("", help="Only workers with this label."),
+    image: str = "",
+    target_ms: float = typer.Option(0, min=0, help="Of a latency-critical task."),
     logs: list[str] = typer.Option(
         [], "--logs", help="Saved log of a process; may be given more than once."
     ),
 ):
     """Explain the state of a job, task or upstream, or trace any id in saved logs.
 
+    With `placement` as the id and a queue, tell where its next task would start now.
+
     Example: sardinegauge explain job-17
     Example: sardinegauge explain 3fef2a3df57a671e --logs front.log --logs core.log
+    Example: sardinegauge explain placement --queue q --cpu-millis 500 --memory-mb 100
     """
+    if id == "placement" and queue:
+        _explain_placement(
+            context.obj,
+            queue=queue,
+            cpu_millis=cpu_millis,
+            memory_mb=memory_mb,
+            accelerators=accelerators,
+            best_effort=best_effort,
+            label=label,
+            image=image,
+            target_ms=target_ms,
+        )
+        return
     lines = _from_logs(id, logs) if logs else None
     if lines is None:
         data = context.obj.read("Explain", id=id)
@@ -32,6 +57,14 @@
         typer.echo(line)
 
 
+def _explain_placement(client, **fields):
+    data = client.read("ExplainPlacement", **fields)
+    output.show(client, data, "candidates", ("worker", "score", "ruled_out", "note"))
+    if not client.is_json:
+        found = data.get("worker")
+        typer.echo(f"starts on {found}" if found else f"waits for {data['waits_for']}")
+
+
 def _from_logs(id, paths):
     lines = []
     for path in paths:
--- a/sardinegauge/state/requests.py
+++ b/sardinegauge/state/requests.py
@@ -7,7 +7,7 @@
 from sardinegauge.agreement import membership, raft, raftstate, reads
 from sardinegauge.links import messages
 from sardinegauge.state import configuration, replicaeffects, replicasteps
-from sardinegauge.workflows import workflowqueries
+from sardinegauge.workflows import placementexplanation, workflowqueries
 
 MAX_COMMAND_BYTES = 512 << 10
 # Limit on entries that lack a quorum or are not durable on the leader's own disk. Above
@@ -214,6 +214,8 @@
     if kind == "explain":
         lines = state.modules.scheduler.explain(state.scheduler, arguments["id"])
         return {"lines": lines}
+    if kind == "explain_placement":
+        return placementexplanation.explain(state.leader_exchange.scheduler, arguments)
     if kind in workflowqueries.KINDS:
         return workflowqueries.answer(state.machine.workflows, kind, arguments)
     return state.modules.queries.answer(state.machine, kind, arguments)
--- a/sardinegauge/workflows/displacementrecords.py
+++ b/sardinegauge/workflows/displacementrecords.py
@@ -30,9 +30,11 @@
             self._priority_by_workflow[workflow_id] = priority
         return priority
 
-    def claim(self, task):
+    def claim(self, task, priority=None):
         """Return a waiting task as a `displacement.Claim`.
 
+        The priority is that of its queue unless it is given.
+
         No task displaces a persistent one, so it can't be part of a cycle: one that
         left an overcommitted worker still counts as not displaced.
         """
@@ -40,7 +42,7 @@
         displaced_count = 0 if step.is_persistent else self._displaced_count(task)
         return displacement.Claim(
             task=task.id,
-            priority=self.priority(task),
+            priority=self.priority(task) if priority is None else priority,
             cpu_millis=step.cpu_millis,
             memory_mb=step.memory_mb,
             accelerators=step.accelerators,
