Look for runs to displace less often when there are none

Cause: with 1,140 runs on 57 workers and 300 waiting tasks, a decision that finds nothing to displace takes 25 ms of processor time (6.5 ms if the waiting tasks are the least urgent ones), five times a second. Change: the next decision follows after 500 ms instead of 200 ms if one found room for no task.

--- a/sardinegauge/workflows/displacing.py
+++ b/sardinegauge/workflows/displacing.py
@@ -16,6 +16,9 @@
 MIN_WAIT_MS = 500
 # Least time between two decisions, which look at the runs of all workers.
 DECISION_INTERVAL_MS = 200
+# The same after a decision that found nothing to displace. With 1,140 runs on 57
+# workers and 300 waiting tasks, it takes 25 ms of processor time.
+FRUITLESS_INTERVAL_MS = 500
 # Waiting tasks of one step, and of all steps, that one decision looks at.
 MAX_TASKS_PER_STEP = 20
 MAX_TASKS = 200
@@ -31,12 +34,13 @@
     `waiting_since_ms_by_task` holds since when a waiting task found no room.
     `checkpoints_by_worker` holds, by run key, the last reported checkpoint of each run
     on a worker and when it was first reported. `exceeded_since_ms_by_worker` holds
-    since when a worker runs more than its capacity.
+    since when a worker runs more than its capacity. `due_ms` is when the next decision
+    is due.
     """
 
     __slots__ = (
         "checkpoints_by_worker",
-        "decided_ms",
+        "due_ms",
         "exceeded_since_ms_by_worker",
         "expired_ms",
         "limits",
@@ -50,7 +54,7 @@
         self.waiting_since_ms_by_task = {}
         self.checkpoints_by_worker = {}
         self.exceeded_since_ms_by_worker = {}
-        self.decided_ms = 0
+        self.due_ms = 0
         self.expired_ms = 0
 
     def saved_ms(self, worker, key):
@@ -75,9 +79,9 @@
 def displace(state):
     """Stop less urgent runs for tasks that found no room in the plan before."""
     displacing = state.displacing
-    if state.now_ms - displacing.decided_ms < DECISION_INTERVAL_MS:
+    if state.now_ms < displacing.due_ms:
         return
-    displacing.decided_ms = state.now_ms
+    displacing.due_ms = state.now_ms + DECISION_INTERVAL_MS
     _expire(state)
     waiting = _tasks_without_room(state)
     since_ms_by_task = displacing.waiting_since_ms_by_task
@@ -89,8 +93,8 @@
         for task in waiting
         if state.now_ms - since_ms_by_task.get(task.id, state.now_ms) >= MIN_WAIT_MS
     ]
-    if due:
-        _Decision(state, due).carry_out()
+    if due and not _Decision(state, due).carry_out():
+        displacing.due_ms = state.now_ms + FRUITLESS_INTERVAL_MS
 
 
 def stop_run(state, view, key, reason, for_task, lost_ms):
@@ -186,13 +190,20 @@
         self._record_by_worker = {}
 
     def carry_out(self):
-        """Choose and stop runs for each task, as far as the limits allow."""
+        """Choose and stop runs for each task, as far as the limits allow.
+
+        Returns
+        -------
+        bool
+            Whether room was found for any task.
+        """
         state = self._state
         hopeless = _HopelessClaims()
+        is_fruitful = False
         for task in self._tasks:
             allowance = state.displacing.limits.allowance(state.now_ms)
             if allowance <= 0:
-                return
+                break
             claim = self._describer.claim(task)
             workflow, occurrence, _ = state.store.find_task(task.id)
             queue = state.store.queue_of(workflow)
@@ -202,9 +213,11 @@
             records = [self._record_by_worker[view.id] for view in views]
             choice = state.displacing.policy.choose(claim, records, allowance)
             if choice is not None:
+                is_fruitful = True
                 self._carry_out(task, claim, choice)
             elif not claim.displaced_count:
                 hopeless.add(queue, task, claim)
+        return is_fruitful
 
     def _carry_out(self, task, claim, choice):
         state = self._state
