Simulate the growth of the worker that shrank

Cause: the simulated memory came back on the last worker with a latency-critical task, which need not be the one that shrank; a counter was unused. Change: the same worker shrinks and grows.

--- a/tests/test_displacement_simulation.py
+++ b/tests/test_displacement_simulation.py
@@ -6,7 +6,6 @@
 another one shrinks for a while.
 """
 
-import collections
 import heapq
 
 import pytest
@@ -98,7 +97,6 @@
         self.policy = policy
         self.started_ms = {}
         self.displaced = []
-        self.displaced_by_task = collections.Counter()
         self.lost_ms = 0
         self.shrunk_ms = {}
         super().__init__(seed, worker_count=0)
@@ -155,8 +153,7 @@
                 ),
             )
         self.schedule(LOSS_MS, self.lose_worker)
-        self.schedule(SHRINK_MS, lambda: self.set_memory(SHRUNK_MEMORY_MB))
-        self.schedule(GROW_MS, lambda: self.set_memory(MEMORY_MB))
+        self.schedule(SHRINK_MS, self.shrink_worker)
 
     def fill(self, number):
         self.submit_tasks(
@@ -185,10 +182,13 @@
             del self.started_ms[task]
         worker.crash()
 
-    def set_memory(self, memory_mb):
+    def shrink_worker(self):
         worker = (self.serving_workers() or self.workers)[-1]
         self.shrunk_ms[worker.id] = self.now_ms
-        worker.memory_mb = memory_mb
+        worker.memory_mb = SHRUNK_MEMORY_MB
+        self.schedule(
+            GROW_MS - SHRINK_MS, lambda: setattr(worker, "memory_mb", MEMORY_MB)
+        )
 
     def on_started(self, worker, key):
         self.started_ms[key[0]] = self.now_ms
