--- a/sardinegauge/state/requests.py
+++ b/sardinegauge/state/requests.py
@@ -12,7 +12,11 @@
     replicaeffects,
     replicasteps,
 )
-from sardinegauge.workflows import leaderexchange, workflowqueries
+from sardinegauge.workflows import (
+    leaderexchange,
+    placementexplanation,
+    workflowqueries,
+)
 
 MAX_COMMAND_BYTES = 512 << 10
 # Limit on entries that lack a quorum or are not durable on the leader's own disk. Above
@@ -221,6 +225,8 @@
         return {"lines": lines}
     if kind == "failure_domains":
         return domainqueries.answer(state.machine, state.leader_exchange.scheduler)
+    if kind == "explain_placement":
+        return placementexplanation.explain(state.leader_exchange.scheduler, arguments)
     if kind in workflowqueries.KINDS:
         return workflowqueries.answer(state.machine.workflows, kind, arguments)
     return state.modules.queries.answer(state.machine, kind, arguments)
