Order work by expected worth for the work it needs

Cause: under overload the least remaining work went first, which starves large workflows although their callers lose most by a delay.

--- a/benchmarks/flowpolicies.py
+++ b/benchmarks/flowpolicies.py
@@ -5,7 +5,7 @@
 The load is that of a small site: short interactive workflows, and batch workflows with
 a burst that exceeds the capacity. Each row is one policy over the same seeds. Run times
 differ from their estimates. Best-effort tasks and latency-critical tasks are left out:
-the users' bench measures how they interfere with workflows.
+`benchmarks.hardload` has them, and the users' bench measures how they interfere.
 """
 
 import argparse
@@ -46,7 +46,8 @@
 ORDERINGS = {
     "by arrival": ordering.ByArrival,
     "by deadline": ordering.ByDeadline,
-    "by rest (chosen)": ordering.ByRemainingWork,
+    "by rest": ordering.ByRemainingWork,
+    "by worth (chosen)": ordering.ByWorthPerWork,
 }
 PLACEMENTS = {
     "first fit": placement.FirstFit,
@@ -109,10 +110,7 @@
         answer = machines.apply(self.machine, self.index, command)
         if isinstance(command, commands.AssignRuns):
             for task, run, worker, _ in command.rows:
-                _, _, task_record = self.machine.workflows.find_task(task)
-                true_ms = task_record.step.estimate_ms * self.random.uniform(0.6, 1.4)
-                entry = (self.now_ms + true_ms, next(self.sequence), task, run, worker)
-                heapq.heappush(self.pending_ends, entry)
+                self.start_run(task, run, worker)
         self.handle_event(
             schedulerevents.CommandApplied,
             index=self.index,
@@ -120,6 +118,12 @@
             answer=answer,
         )
 
+    def start_run(self, task, run, worker):
+        _, _, task_record = self.machine.workflows.find_task(task)
+        true_ms = task_record.step.estimate_ms * self.random.uniform(0.6, 1.4)
+        entry = (self.now_ms + true_ms, next(self.sequence), task, run, worker)
+        heapq.heappush(self.pending_ends, entry)
+
     def send_report(self, number, ends=()):
         worker = f"w{number}"
         runs = [
--- a/sardinegauge/workflows/ordering.py
+++ b/sardinegauge/workflows/ordering.py
@@ -1,9 +1,10 @@
 """Orderings of waiting steps, which decide whose tasks are assigned first.
 
-`ByRemainingWork` is made for overload by a burst. Work that can still end in time goes
-before work that can't, and the least remaining work goes first, so that as much as
-possible ends in time; with the earliest deadline first, all work would miss its
-deadline by a little. `ByDeadline` and `ByArrival` are the baselines.
+`ByWorthPerWork` is made for overload by a burst: of what can't all end in time, that is
+delayed which costs callers least for the cores that it takes. `ByRemainingWork` is its
+baseline, which starves large workflows: work that can still end in time goes before
+work that can't, and the least remaining work goes first. With `ByDeadline`, all work
+would miss its deadline by a little. `ByArrival` is the simplest.
 """
 
 import abc
@@ -13,6 +14,15 @@
 
 # Estimate for steps without one.
 DEFAULT_ESTIMATE_MS = runtimes.DEFAULT_ESTIMATE_MS
+# A workflow is worth this to its callers, plus the rest of 1 in proportion to its work
+# relative to the mean of its queue, up to a limit.
+FIXED_WORTH = 0.3
+MAX_WORTH = 4.0
+# Share of its worth that is left by expected lateness. What is worth nothing any more
+# must still end, so it is not quite 0.
+WORTH_SHARES = (1.0, 0.15, 0.001)
+# Number of workflows after which the mean work of a queue follows newer ones.
+MEAN_WORK_WORKFLOWS = 50
 # Work that takes longer than its span, the time in which callers want it to end, is
 # late; after this many times its span it is worth nothing.
 EXPIRY_SPANS = 3
@@ -67,6 +77,9 @@
         Default: the declared run times.
     """
 
+    # Assumed run time of undeclared steps in the remaining work.
+    undeclared_ms = 0
+
     def __init__(self, run_times=None):
         self.run_times = run_times or runtimes.DeclaredRunTimes()
         self._forecast_by_occurrence = weakref.WeakKeyDictionary()
@@ -75,25 +88,78 @@
         """Return the priority, expected lateness (0 to 2), and remaining work."""
         begin_at_ms = begin_ms(workflow, occurrence)
         forecast = self.forecast(workflow, occurrence, wall_ms)
-        # Callers count the span from the real run times, so it follows the estimates.
-        span_ms = queue.stretch * forecast.critical_path_ms + queue.objective_ms
-        end_ms = wall_ms + forecast.remaining_path_ms
-        lateness = (end_ms > begin_at_ms + span_ms) + (
-            end_ms > begin_at_ms + EXPIRY_SPANS * span_ms
-        )
+        lateness = forecast.lateness(queue, wall_ms - begin_at_ms)
         return (queue.priority, lateness, forecast.remaining_work, begin_at_ms)
 
     def forecast(self, workflow, occurrence, wall_ms):
         """Return the `Forecast` of an occurrence, which may be up to 0.5 s old."""
         forecast = self._forecast_by_occurrence.get(occurrence)
         if forecast is None or not forecast.is_current(occurrence, wall_ms):
-            forecast = Forecast(workflow, occurrence, self.run_times, wall_ms)
+            forecast = Forecast(
+                workflow, occurrence, self.run_times, wall_ms, self.undeclared_ms
+            )
             self._forecast_by_occurrence[occurrence] = forecast
         return forecast
 
 
+class ByWorthPerWork(ByRemainingWork):
+    """Orders by priority, then most expected worth for the remaining work.
+
+    The expected worth is what is left of a workflow's worth if it ends as estimated. It
+    falls by steps with the lateness, so that a late workflow goes before one in time
+    only if it needs far less work to end. The worth rests on the declared work, so that
+    it stays the same while estimates change.
+    """
+
+    # Without any, undeclared work would go first forever.
+    undeclared_ms = DEFAULT_ESTIMATE_MS
+
+    def __init__(self, run_times=None):
+        super().__init__(run_times)
+        self._work_by_occurrence = weakref.WeakKeyDictionary()
+        self._mean_work_by_queue = {}
+
+    def key(self, workflow, queue, occurrence, wall_ms):
+        """Return the priority, the work for one unit of worth, and the begin."""
+        begin_at_ms = begin_ms(workflow, occurrence)
+        forecast = self.forecast(workflow, occurrence, wall_ms)
+        lateness = forecast.lateness(queue, wall_ms - begin_at_ms)
+        worth = WORTH_SHARES[lateness] * self._worth(workflow, occurrence)
+        return (queue.priority, forecast.remaining_work / worth, begin_at_ms)
+
+    def _worth(self, workflow, occurrence):
+        mean = self._mean_work_by_queue.get(workflow.queue)
+        if mean is None:
+            mean = self._mean_work_by_queue[workflow.queue] = _Mean()
+        work = self._work_by_occurrence.get(occurrence)
+        if work is None:
+            counts = [step.count for step in workflow.steps]
+            ratios = [1] * len(counts)
+            work = work_of(workflow.steps, counts, ratios, self.undeclared_ms)
+            self._work_by_occurrence[occurrence] = work
+            mean.add(work)
+        return worth_of(work, mean.value)
+
+
+class _Mean:
+    """The mean of the latest values."""
+
+    __slots__ = ("_count", "value")
+
+    def __init__(self):
+        self._count = 0
+        self.value = 0.0
+
+    def add(self, value):
+        self._count = min(self._count + 1, MEAN_WORK_WORKFLOWS)
+        self.value += (value - self.value) / self._count
+
+
 class Forecast:
-    """Estimates of an occurrence at one time."""
+    """Estimates of an occurrence at one time.
+
+    `remaining_work` is in thousandths of a core times ms.
+    """
 
     __slots__ = (
         "_made_ms",
@@ -103,7 +169,7 @@
         "remaining_work",
     )
 
-    def __init__(self, workflow, occurrence, run_times, wall_ms):
+    def __init__(self, workflow, occurrence, run_times, wall_ms, undeclared_ms=0):
         self._made_ms = wall_ms
         self._remaining_count = sum(occurrence.remaining_by_step)
         ratios = [
@@ -112,7 +178,18 @@
         ]
         self.critical_path_ms = critical_path_ms(workflow.steps, ratios)
         self.remaining_path_ms = remaining_path_ms(workflow.steps, occurrence, ratios)
-        self.remaining_work = remaining_work(occurrence, ratios)
+        self.remaining_work = work_of(
+            workflow.steps, occurrence.remaining_by_step, ratios, undeclared_ms
+        )
+
+    def lateness(self, queue, elapsed_ms):
+        """Return how late the end is expected: 0 in time, 1 late, 2 worth nothing.
+
+        Callers count the span from the real run times, so it follows the estimates.
+        """
+        span_ms = queue.stretch * self.critical_path_ms + queue.objective_ms
+        lasting_ms = elapsed_ms + self.remaining_path_ms
+        return (lasting_ms > span_ms) + (lasting_ms > EXPIRY_SPANS * span_ms)
 
     def is_current(self, occurrence, wall_ms):
         """Return whether no task has ended since, and the estimates are recent."""
@@ -138,20 +215,38 @@
     return max(end_ms_by_step, default=0)
 
 
-def remaining_work(occurrence, ratios=None):
-    """Return the estimated remaining work in thousandths of a core times ms.
+def work_of(steps, counts, ratios, undeclared_ms):
+    """Return the work of some tasks of each step, in thousandths of a core times ms.
 
-    `ratios` are those of actual to declared run time by step, 1 by default.
+    Parameters
+    ----------
+    steps : list of steps.Step
+    counts : list of int
+        Number of tasks by step.
+    ratios : list of float
+        Ratio of actual to declared run time by step.
+    undeclared_ms : int
+        Run time of steps that declare none.
     """
-    ratios = ratios or [1] * len(occurrence.tasks_by_step)
     return sum(
-        left * tasks[0].step.cpu_millis * tasks[0].step.estimate_ms * ratio
-        for tasks, left, ratio in zip(
-            occurrence.tasks_by_step, occurrence.remaining_by_step, ratios
-        )
+        count * step.cpu_millis * (step.estimate_ms or undeclared_ms) * ratio
+        for step, count, ratio in zip(steps, counts, ratios)
     )
 
 
+def worth_of(work, mean_work):
+    """Return what a workflow is worth to its callers, 1 for one of mean work.
+
+    Examples
+    --------
+    >>> worth_of(50, 50), worth_of(0, 50), worth_of(5000, 50), worth_of(0, 0)
+    (1.0, 0.3, 4.0, 1.0)
+    """
+    if not mean_work:
+        return 1.0
+    return min(FIXED_WORTH + (1 - FIXED_WORTH) * work / mean_work, MAX_WORTH)
+
+
 def begin_ms(workflow, occurrence):
     """Return the wall-clock time in ms from which on the span is counted."""
     return max(workflow.accepted_at_ms, workflow.due_at_ms(occurrence.number))
--- a/sardinegauge/workflows/schedulerstate.py
+++ b/sardinegauge/workflows/schedulerstate.py
@@ -34,7 +34,7 @@
     def __init__(self, machine):
         self.store = machine.workflows
         self.run_times = runtimes.RunTimeModel()
-        self.planner = planner.Planner(ordering.ByRemainingWork(self.run_times))
+        self.planner = planner.Planner(ordering.ByWorthPerWork(self.run_times))
         self.candidates = candidates.CandidateIndex()
         self.health = health.Health()
         self.interference = interference.InterferenceModel()
--- a/tests/test_workflow_runtimes.py
+++ b/tests/test_workflow_runtimes.py
@@ -267,7 +267,7 @@
     queue = bench.leader.store.queue_set.by_name["q"].replace(stretch=1.5)
     occurrence = bench.submit()
     workflow = bench.leader.store.workflow_by_id["w"]
-    learned = bench.leader.state.planner.ordering
+    learned = ordering.ByRemainingWork(bench.model)
     wall_ms = workflow.accepted_at_ms + 1000
     assert learned.key(workflow, queue, occurrence, wall_ms)[1] == 0
     key = ordering.ByRemainingWork().key(workflow, queue, occurrence, wall_ms)
