--- a/sardinegauge/workflows/schedulerstate.py
+++ b/sardinegauge/workflows/schedulerstate.py
@@ -52,7 +52,7 @@
         self.draining = draining.Draining()
         self.drain_moves = drainmoves.DrainMoves()
         self.run_times = runtimes.RunTimeModel()
-        self.planner = planner.Planner(ordering.ByRemainingWork(self.run_times))
+        self.planner = planner.Planner(ordering.ByWorthPerWork(self.run_times))
         self.candidates = candidates.CandidateIndex()
         self.health = health.Health()
         self.interference = interference.InterferenceModel()
