Share cores in order only where they are short, late work last

Change: only workers whose best-effort runs use under 0.6 of what their caps allow share cores in order, for 3 s at a time. Lateness is a part of the rank again, as the order by worth has none.

--- a/sardinegauge/workflows/besteffort.py
+++ b/sardinegauge/workflows/besteffort.py
@@ -24,6 +24,8 @@
 SLOW_REASON = "slow"
 # Headroom that a best-effort task must find on the other worker; see `interference`.
 MIN_MOVE_HEADROOM = 0.1
+# A run is active for this long before its load, a mean of half a second, is used.
+MIN_LOAD_MS = 1000
 log = logging.getLogger(__name__)
 
 
@@ -248,6 +250,12 @@
 def _core_shares(state, view, best_effort_tasks, cap_by_run):
     """Return the shares of the left-over cores under the caps, by run key."""
     runs = state.store.runs_of(view.id, view.incarnation)
+    if _is_short_of_cores(view, runs):
+        until_ms = state.now_ms + coreshares.SHORTAGE_MS
+        state.short_until_ms_by_worker[view.id] = until_ms
+    elif state.now_ms >= state.short_until_ms_by_worker.get(view.id, 0):
+        state.short_until_ms_by_worker.pop(view.id, None)
+        return {task.key: 1.0 for task in best_effort_tasks}
     batch_millis = latency_critical_millis = 0
     for task in runs.values():
         if task.step.target_ms:
@@ -264,6 +272,19 @@
     return state.core_sharing.shares(left_millis, demands)
 
 
+def _is_short_of_cores(view, runs):
+    """Return whether the report shows a shortage; new runs have no load yet."""
+    demands, used_millis = [], 0
+    for key, reported in view.runs.items():
+        task = runs.get(key)
+        if task is None or not task.step.is_filler or reported.phase != views.ACTIVE:
+            continue
+        if reported.survived_ms >= MIN_LOAD_MS:
+            demands.append((key, task.step.cpu_millis * reported.cpu_cap / 100))
+            used_millis += reported.load
+    return len(demands) > 1 and coreshares.is_short(demands, used_millis)
+
+
 def _to_caps(share_by_run, cap_by_run):
     """Return the caps reduced by the shares, as multiples of the step of a cap."""
     step = interference.CPU_CAP_STEP_PERCENT
--- a/sardinegauge/workflows/ordering.py
+++ b/sardinegauge/workflows/ordering.py
@@ -38,7 +38,14 @@
 
     @abc.abstractmethod
     def key(self, workflow, queue, occurrence, wall_ms):
-        """Return the sort key of a workflow's occurrence; the lowest goes first."""
+        """Return the sort key of a workflow's occurrence; the lowest goes first.
+
+        Its first part is the priority.
+        """
+
+    def lateness(self, workflow, queue, occurrence, wall_ms):
+        """Return how late the end is expected; 0, in time, unless it is estimated."""
+        return 0
 
 
 class ByArrival(Ordering):
@@ -91,6 +98,11 @@
         lateness = forecast.lateness(queue, wall_ms - begin_at_ms)
         return (queue.priority, lateness, forecast.remaining_work, begin_at_ms)
 
+    def lateness(self, workflow, queue, occurrence, wall_ms):
+        """Return 0 for an end in time, 1 for a late one, 2 if it is worth nothing."""
+        forecast = self.forecast(workflow, occurrence, wall_ms)
+        return forecast.lateness(queue, wall_ms - begin_ms(workflow, occurrence))
+
     def forecast(self, workflow, occurrence, wall_ms):
         """Return the `Forecast` of an occurrence, which may be up to 0.5 s old."""
         forecast = self._forecast_by_occurrence.get(occurrence)
--- a/sardinegauge/workflows/outlooks.py
+++ b/sardinegauge/workflows/outlooks.py
@@ -50,8 +50,10 @@
     queue = state.store.queue_of(workflow)
     position = task.position
     task_ms = state.run_times.task_ms(workflow.queue, occurrence, position)
+    ordering = state.planner.ordering
     return urgency.Outlook(
-        workflow_key=state.planner.ordering.key(workflow, queue, occurrence, wall_ms),
+        workflow_key=ordering.key(workflow, queue, occurrence, wall_ms),
+        lateness=ordering.lateness(workflow, queue, occurrence, wall_ms),
         remaining_ms=_remaining_ms(state, task, task_ms),
         step_remaining_ms=state.step_times.remaining_ms(
             state, workflow, occurrence, position
--- a/sardinegauge/workflows/policies/coreshares.py
+++ b/sardinegauge/workflows/policies/coreshares.py
@@ -14,6 +14,11 @@
 # Share that a task gets at least, so that no core stands idle if more is left over than
 # estimated.
 MIN_SHARE = 0.1
+# Best-effort tasks that use less than this share of what their caps allow are short of
+# cores. Tasks with cores of their own use about 0.8 of what they declare.
+SHORTAGE_SHARE = 0.6
+# Time for which the cores are shared in order after a report that shows a shortage.
+SHORTAGE_MS = 3000
 
 
 class CoreSharingPolicy(abc.ABC):
@@ -74,3 +79,21 @@
     """
     used_millis = batch_millis + LEAST_LATENCY_CRITICAL_USE * latency_critical_millis
     return max(capacity_millis - used_millis, 0.0)
+
+
+def is_short(demands, used_millis):
+    """Return whether best-effort tasks get far fewer cores than their caps allow.
+
+    Parameters
+    ----------
+    demands : list of tuple
+        Key and allowed thousandths of a core of each task.
+    used_millis : float
+        Measured thousandths of a core of all of them.
+
+    Examples
+    --------
+    >>> is_short([("a", 6000), ("b", 6000)], 9000), is_short([("a", 6000)], 3000)
+    (False, True)
+    """
+    return used_millis < SHORTAGE_SHARE * sum(millis for _, millis in demands)
--- a/sardinegauge/workflows/policies/urgency.py
+++ b/sardinegauge/workflows/policies/urgency.py
@@ -16,13 +16,14 @@
 class Outlook(record.Record):
     """The expected end of a task.
 
-    `workflow_key` is the ordering's sort key of the workflow, whose first two parts are
-    the priority and the expected lateness. `remaining_ms` is the expected time that the
-    task takes from now on at full speed, `step_remaining_ms` the longest such time of
-    all tasks of its step.
+    `workflow_key` is the ordering's sort key of the workflow, whose first part is the
+    priority, and `lateness` how late it is expected to end (0: in time). `remaining_ms`
+    is the expected time that the task takes from now on at full speed,
+    `step_remaining_ms` the longest such time of all tasks of its step.
     """
 
-    __slots__ = ("workflow_key", "remaining_ms", "step_remaining_ms")
+    __slots__ = ("workflow_key", "lateness", "remaining_ms", "step_remaining_ms")
+    _defaults = {"lateness": 0}
 
     @property
     def is_critical(self):
@@ -52,14 +53,14 @@
     Examples
     --------
     >>> policy = ByCriticalTask()
-    >>> early, late = (2, 0, 500), (2, 0, 900)
-    >>> slowest = Outlook(workflow_key=late, remaining_ms=7000, step_remaining_ms=7000)
-    >>> fast = Outlook(workflow_key=early, remaining_ms=2000, step_remaining_ms=7000)
+    >>> first, last = (2, 500), (2, 900)
+    >>> slowest = Outlook(workflow_key=last, remaining_ms=7000, step_remaining_ms=7000)
+    >>> fast = Outlook(workflow_key=first, remaining_ms=2000, step_remaining_ms=7000)
     >>> policy.rank(slowest) < policy.rank(fast)
     True
     """
 
     def rank(self, outlook):
         """Return the parts of the rank in their order."""
-        key = outlook.workflow_key
-        return (*key[:2], not outlook.is_critical, *key[2:])
+        priority, *others = outlook.workflow_key
+        return (priority, outlook.lateness, not outlook.is_critical, *others)
