--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,6 +1,7 @@
 """Tests of all roles as processes on a simulation of the users' platform."""
 
 import asyncio
+import os
 import pathlib
 import re
 import signal
@@ -285,3 +286,39 @@
 def test_deploy_file_names_every_role(name):
     text = (ROOT / "deploy" / "system.toml").read_text(encoding="utf-8")
     assert f'run = "python3 platform {name}"' in text
+
+
+def test_a_cancelled_call_is_answered_as_json():
+    """The end of a drain cancels open calls; callers read every answer as JSON."""
+    code = """
+import asyncio, json, types
+from tornado import httpclient, httpserver, web
+import corerole
+
+class Client:
+    async def propose_idempotent(self, command, timeout_s):
+        raise asyncio.CancelledError
+
+async def main():
+    app = types.SimpleNamespace(client=Client(), open_call_count=0)
+    routes = [(r"/api/evacuation/([^/]+)", corerole.EvacuationHandler, {"app": app})]
+    server = httpserver.HTTPServer(web.Application(routes))
+    server.listen(0, "127.0.0.1")
+    port = next(iter(server._sockets.values())).getsockname()[1]
+    answer = await httpclient.AsyncHTTPClient().fetch(
+        f"http://127.0.0.1:{port}/api/evacuation/z", method="POST", body="",
+        raise_error=False,
+    )
+    print(answer.code, json.loads(answer.body))
+
+asyncio.run(main())
+"""
+    path = os.pathsep.join([str(platformkit.ROOT), str(platformkit.ROOT / "platform")])
+    result = subprocess.run(
+        [sys.executable, "-c", code],
+        env={**os.environ, "PYTHONPATH": path},
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+    assert result.stdout.startswith("500 {'error'"), result.stderr
