Compute the keys of a plan on the same means, and know stuck runs from a shortage of cores

(1) test_overload_tries_each_size_once_per_plan: the mean work of a queue grew while the keys of a plan were computed, so that steps came in no order of size and each was tried. Runs that use next to nothing no longer count as a sign of a shortage of cores, as they are stuck.

--- a/sardinegauge/workflows/besteffort.py
+++ b/sardinegauge/workflows/besteffort.py
@@ -26,6 +26,8 @@
 MIN_MOVE_HEADROOM = 0.1
 # A run is active for this long before its load, a mean of half a second, is used.
 MIN_LOAD_MS = 1000
+# A run that uses less than this share of what its cap allows is taken to be stuck.
+STUCK_LOAD_SHARE = 0.1
 log = logging.getLogger(__name__)
 
 
@@ -251,8 +253,8 @@
     """Return the shares of the left-over cores under the caps, by run key."""
     runs = state.store.runs_of(view.id, view.incarnation)
     if _is_short_of_cores(view, runs):
-        until_ms = state.now_ms + coreshares.SHORTAGE_MS
-        state.short_until_ms_by_worker[view.id] = until_ms
+        end_ms = state.now_ms + coreshares.SHORTAGE_MS
+        state.short_until_ms_by_worker[view.id] = end_ms
     elif state.now_ms >= state.short_until_ms_by_worker.get(view.id, 0):
         state.short_until_ms_by_worker.pop(view.id, None)
         return {task.key: 1.0 for task in best_effort_tasks}
@@ -273,14 +275,20 @@
 
 
 def _is_short_of_cores(view, runs):
-    """Return whether the report shows a shortage; new runs have no load yet."""
+    """Return whether the report shows a shortage.
+
+    Left out are new runs, which have no load yet, and those that use next to nothing: a
+    shortage leaves each run its share, so that they are stuck.
+    """
     demands, used_millis = [], 0
     for key, reported in view.runs.items():
         task = runs.get(key)
         if task is None or not task.step.is_filler or reported.phase != views.ACTIVE:
             continue
-        if reported.survived_ms >= MIN_LOAD_MS:
-            demands.append((key, task.step.cpu_millis * reported.cpu_cap / 100))
+        allowed_millis = task.step.cpu_millis * reported.cpu_cap / 100
+        is_stuck = reported.load < STUCK_LOAD_SHARE * allowed_millis
+        if reported.survived_ms >= MIN_LOAD_MS and not is_stuck:
+            demands.append((key, allowed_millis))
             used_millis += reported.load
     return len(demands) > 1 and coreshares.is_short(demands, used_millis)
 
--- a/sardinegauge/workflows/ordering.py
+++ b/sardinegauge/workflows/ordering.py
@@ -43,6 +43,9 @@
         Its first part is the priority.
         """
 
+    def observe(self, workflow, occurrence):
+        """Take note of an occurrence before the keys of a plan are computed."""
+
     def lateness(self, workflow, queue, occurrence, wall_ms):
         """Return how late the end is expected; 0, in time, unless it is estimated."""
         return 0
@@ -139,18 +142,24 @@
         worth = WORTH_SHARES[lateness] * self._worth(workflow, occurrence)
         return (queue.priority, forecast.remaining_work / worth, begin_at_ms)
 
+    def observe(self, workflow, occurrence):
+        """Add the work of a new occurrence to the mean of its queue.
+
+        All new ones of a plan are added before any key is computed, as the keys of a
+        plan must rest on the same means.
+        """
+        if occurrence in self._work_by_occurrence:
+            return
+        counts = [step.count for step in workflow.steps]
+        ratios = [1] * len(counts)
+        work = work_of(workflow.steps, counts, ratios, self.undeclared_ms)
+        self._work_by_occurrence[occurrence] = work
+        self._mean_work_by_queue.setdefault(workflow.queue, _Mean()).add(work)
+
     def _worth(self, workflow, occurrence):
-        mean = self._mean_work_by_queue.get(workflow.queue)
-        if mean is None:
-            mean = self._mean_work_by_queue[workflow.queue] = _Mean()
-        work = self._work_by_occurrence.get(occurrence)
-        if work is None:
-            counts = [step.count for step in workflow.steps]
-            ratios = [1] * len(counts)
-            work = work_of(workflow.steps, counts, ratios, self.undeclared_ms)
-            self._work_by_occurrence[occurrence] = work
-            mean.add(work)
-        return worth_of(work, mean.value)
+        self.observe(workflow, occurrence)
+        mean = self._mean_work_by_queue[workflow.queue]
+        return worth_of(self._work_by_occurrence[occurrence], mean.value)
 
 
 class _Mean:
--- a/sardinegauge/workflows/planner.py
+++ b/sardinegauge/workflows/planner.py
@@ -86,24 +86,27 @@
         planned_count_by_step = collections.Counter(
             task_id.rpartition(".")[0] for task_id in state.worker_by_planned_task
         )
-        waiting_steps = []
+        waiting = []
         for workflow_id in state.store.open_ids:
             workflow = state.store.workflow_by_id[workflow_id]
             for occurrence in workflow.due_occurrences(wall_ms):
                 positions = _waiting_positions(
                     workflow, occurrence, planned_count_by_step
                 )
-                if not positions:
-                    continue
-                queue = state.store.queue_of(workflow)
-                sort_key = self.ordering.key(workflow, queue, occurrence, wall_ms)
-                waiting_steps += [
-                    (sort_key, workflow, occurrence, position) for position in positions
-                ]
-        waiting_steps.sort(key=lambda waiting_step: waiting_step[0])
+                if positions:
+                    self.ordering.observe(workflow, occurrence)
+                    waiting.append((workflow, occurrence, positions))
+
+        def sort_key(row):
+            workflow, occurrence, _ = row
+            queue = state.store.queue_of(workflow)
+            return self.ordering.key(workflow, queue, occurrence, wall_ms)
+
+        waiting.sort(key=sort_key)
         return [
             (workflow, occurrence, position)
-            for _, workflow, occurrence, position in waiting_steps
+            for workflow, occurrence, positions in waiting
+            for position in positions
         ]
 
     def _plan_step(self, state, workflow, occurrence, position, offer):
