Use usual terms in the new parts

Cause: the newcomer's read found figurative and private names (sick, hopeless, fruitless, dearest, imagined) and one constant name with two meanings. Change: names only, and 'record' for metrics that are not only counts. Measured: tests of the parts.

--- a/sardinegauge/state/stateapp.py
+++ b/sardinegauge/state/stateapp.py
@@ -325,8 +325,8 @@
             pass  # The caller sees the closed link and asks another replica.
         exchange.close()
 
-    def _count(self, effect):
-        self.metrics.count(effect)
+    def _record(self, effect):
+        self.metrics.record(effect)
 
     def _push(self, effect):
         incarnation, agent_link = self._agent_links_by_upstream.get(
@@ -421,7 +421,7 @@
     replicaeffects.Push: StateApplication._push,
     replicaeffects.ScheduleApply: StateApplication._schedule_apply,
     leaderexchange.SchedulePlanning: StateApplication._schedule_plan,
-    **dict.fromkeys(statemetrics.COUNTED_EFFECTS, StateApplication._count),
+    **dict.fromkeys(statemetrics.RECORDED_EFFECTS, StateApplication._record),
 }
 
 command_line = typer.Typer(add_completion=False)
--- a/sardinegauge/state/statemetrics.py
+++ b/sardinegauge/state/statemetrics.py
@@ -81,9 +81,9 @@
             ("queue", "image"),
         )
 
-    def count(self, effect):
-        """Count an effect of one of the types in `COUNTED_EFFECTS`."""
-        _COUNT_BY_EFFECT[type(effect)](self, effect)
+    def record(self, effect):
+        """Update the metrics for an effect of a type in `RECORDED_EFFECTS`."""
+        _RECORD_BY_EFFECT[type(effect)](self, effect)
 
     def _set_run_time_ratios(self, effect):
         for queue, image, log_ratio, _, _ in effect.rows:
@@ -155,7 +155,7 @@
         return self._metrics.page()
 
 
-_COUNT_BY_EFFECT = {
+_RECORD_BY_EFFECT = {
     replicaeffects.TaskWaited: StateMetrics._count_wait,
     schedulerevents.RunDisplaced: StateMetrics._count_displacement,
     schedulerevents.RunEnded: StateMetrics._count_run,
@@ -166,4 +166,4 @@
     schedulerevents.WorkflowEnded: StateMetrics._count_workflow,
 }
 
-COUNTED_EFFECTS = frozenset(_COUNT_BY_EFFECT)
+RECORDED_EFFECTS = frozenset(_RECORD_BY_EFFECT)
--- a/sardinegauge/workflows/backlog.py
+++ b/sardinegauge/workflows/backlog.py
@@ -20,7 +20,7 @@
 MAX_REPORT_AGE_MS = 10_000
 # Least share of their cores that latency-critical tasks use; best-effort work gets at
 # most the rest. They use 45% on average, swinging by half.
-LEAST_LATENCY_CRITICAL_USE = 0.2
+MIN_LATENCY_CRITICAL_USE = 0.2
 
 
 class _Tracked:
@@ -232,7 +232,7 @@
         pools[name] = admission.PoolBacklog(
             cores=max(cores - reserved_cores, 0),
             memory_mb=max(memory_mb - reserved_mb, 0),
-            filler_cores=max(cores - LEAST_LATENCY_CRITICAL_USE * reserved_cores, 0),
+            filler_cores=max(cores - MIN_LATENCY_CRITICAL_USE * reserved_cores, 0),
         )
     return pools
 
--- a/sardinegauge/workflows/displacing.py
+++ b/sardinegauge/workflows/displacing.py
@@ -18,7 +18,7 @@
 DECISION_INTERVAL_MS = 200
 # The same after a decision that found nothing to displace. With 1,140 runs on 57
 # workers and 300 waiting tasks, it takes 25 ms of processor time.
-FRUITLESS_INTERVAL_MS = 500
+EMPTY_DECISION_INTERVAL_MS = 500
 # Waiting tasks of one step, and of all steps, that one decision looks at.
 MAX_TASKS_PER_STEP = 20
 MAX_TASKS = 200
@@ -94,7 +94,7 @@
         if state.now_ms - since_ms_by_task.get(task.id, state.now_ms) >= MIN_WAIT_MS
     ]
     if due and not _Decision(state, due).carry_out():
-        displacing.due_ms = state.now_ms + FRUITLESS_INTERVAL_MS
+        displacing.due_ms = state.now_ms + EMPTY_DECISION_INTERVAL_MS
 
 
 def stop_run(state, view, key, reason, for_task, lost_ms):
@@ -198,8 +198,8 @@
             Whether room was found for any task.
         """
         state = self._state
-        hopeless = _HopelessClaims()
-        is_fruitful = False
+        unsatisfiable = _UnsatisfiableClaims()
+        has_found_room = False
         for task in self._tasks:
             allowance = state.displacing.limits.allowance(state.now_ms)
             if allowance <= 0:
@@ -207,17 +207,17 @@
             claim = self._describer.claim(task)
             workflow, occurrence, _ = state.store.find_task(task.id)
             queue = state.store.queue_of(workflow)
-            if hopeless.covers(queue, task, claim):
+            if unsatisfiable.covers(queue, task, claim):
                 continue
             views = self._find_views(task, queue, occurrence)
             records = [self._record_by_worker[view.id] for view in views]
             choice = state.displacing.policy.choose(claim, records, allowance)
             if choice is not None:
-                is_fruitful = True
+                has_found_room = True
                 self._carry_out(task, claim, choice)
             elif not claim.displaced_count:
-                hopeless.add(queue, task, claim)
-        return is_fruitful
+                unsatisfiable.add(queue, task, claim)
+        return has_found_room
 
     def _carry_out(self, task, claim, choice):
         state = self._state
@@ -293,7 +293,7 @@
         return count_by_worker
 
 
-class _HopelessClaims:
+class _UnsatisfiableClaims:
     """The claims for which one decision found no runs to stop.
 
     A larger or less urgent claim finds none either, which bounds the work in an
--- a/sardinegauge/workflows/placementexplanation.py
+++ b/sardinegauge/workflows/placementexplanation.py
@@ -7,8 +7,8 @@
 from sardinegauge.workflows import displacementrecords, displacing, steps
 from sardinegauge.workflows import workflow as workflow_module
 
-# Id of the workflow that is only imagined; ids of real ones hold no blank.
-IMAGINED_ID = "next task"
+# Id of the workflow of the hypothetical task; ids of real ones hold no blank.
+HYPOTHETICAL_ID = "next task"
 
 
 def explain(state, arguments):
@@ -136,7 +136,7 @@
 def _wait(state, queue, step, usable):
     """Return what a task that fits nowhere would wait for."""
     describer = displacementrecords.Describer(state)
-    task = workflow_module.Task(IMAGINED_ID, step)
+    task = workflow_module.Task(HYPOTHETICAL_ID, step)
     claim = describer.claim(task, queue.priority)
     workers = [
         describer.worker(candidate.view, candidate.free, queue.priority + 1)
--- a/sardinegauge/workflows/policies/displacement.py
+++ b/sardinegauge/workflows/policies/displacement.py
@@ -194,9 +194,9 @@
             victims = self._victims(claim, worker)
             if victims is None or len(victims) > max_victims:
                 continue
-            price = _price(victims)
-            if best is None or price < best[0]:
-                best = (price, Choice(worker=worker.id, victims=victims))
+            cost = _cost_key(victims)
+            if best is None or cost < best[0]:
+                best = (cost, Choice(worker=worker.id, victims=victims))
             if not victims:
                 break
         return best[1] if best is not None else None
@@ -258,7 +258,7 @@
         choices = [victims] + [
             [run] for run in eligible if _fits_without(claim, worker, run)
         ]
-        return min(choices, key=_price)
+        return min(choices, key=_cost_key)
 
     def _is_cheap(self, run):
         """Return whether little is lost with the displacement of a run."""
@@ -317,7 +317,7 @@
 
 
 def _without_superfluous(victims, room, is_enough):
-    """Return the victims without those, the dearest first, that need not stop."""
+    """Return the victims without those, the most costly first, that need not stop."""
     needed = list(victims)
     for run in reversed(victims):
         room.reserve(run)
@@ -333,7 +333,7 @@
     return (-run.priority, run.cost, _Reversed(run.rank))
 
 
-def _price(victims):
+def _cost_key(victims):
     """Return the sort key of sets of victims; the empty set has the lowest one."""
     if not victims:
         return (-float("inf"), 0, 0)
--- a/sardinegauge/workflows/policies/progress.py
+++ b/sardinegauge/workflows/policies/progress.py
@@ -13,7 +13,7 @@
 # A run without a sample for this long gets no verdict.
 MAX_SAMPLE_AGE_MS = 1000
 # With a smaller share of its cores, a run is throttled or starved, and never stuck.
-MIN_SHARE = 0.2
+MIN_USABLE_SHARE = 0.2
 # Span of the samples from which the recent rate is computed.
 RECENT_WINDOW_MS = 800
 # A run without load adds samples without time at work, so their number is bounded.
@@ -138,7 +138,7 @@
             self.still_ms = 0
         else:
             self.still_ms += passed_ms
-        if is_moving or lower_share < MIN_SHARE:
+        if is_moving or lower_share < MIN_USABLE_SHARE:
             self.stalled_ms = 0.0
         else:
             self.stalled_ms += passed_ms * lower_share
--- a/sardinegauge/workflows/policies/stragglers.py
+++ b/sardinegauge/workflows/policies/stragglers.py
@@ -71,7 +71,7 @@
 
 
 class Judgement:
-    """The `verdicts` on runs, and the reasons of the sick workers by worker."""
+    """The `verdicts` on runs, and the reasons of the unhealthy workers by worker."""
 
     __slots__ = ("reason_by_worker", "verdicts")
 
@@ -134,7 +134,7 @@
                 tracker.normal_ms_by_worker.get(worker, 0),
             )
             judgement.verdicts += found.verdicts()
-            reason = found.sickness()
+            reason = found.unhealthy_reason()
             if reason:
                 judgement.reason_by_worker[worker] = reason
         for track in idle:
@@ -217,7 +217,7 @@
         self._judged = [
             track
             for track in tracks
-            if track.usable_share >= progress.MIN_SHARE and track.progress < 100
+            if track.usable_share >= progress.MIN_USABLE_SHARE and track.progress < 100
         ]
         min_stall_ms = MIN_STALL_MS
         if is_suspected or self._is_standing_still():
@@ -284,8 +284,8 @@
         """Return whether a slow run shows that its worker is slow, not its own work."""
         return track.began_ms > self._normal_ms or self._is_slowing_down(track)
 
-    def sickness(self):
-        """Return why the worker is sick, or an empty text."""
+    def unhealthy_reason(self):
+        """Return why the worker is unhealthy, or an empty text."""
         if self._stuck:
             is_all = len(self._stuck) == len(self._judged)
             is_only = len(self._stuck) == 1 and self._has_moving_peers(self._stuck[0])
--- a/sardinegauge/workflows/recovery.py
+++ b/sardinegauge/workflows/recovery.py
@@ -25,8 +25,8 @@
 MAX_RESTARTS_PER_TASK = 2
 # Restarts of a task longer ago do not count; persistent tasks run for days.
 RESTART_MEMORY_MS = 300_000
-# With more sick workers than this share of the usable ones, the cause is not a worker:
-# starts elsewhere would not help.
+# With more unhealthy workers than this share of the usable ones, the cause is not a
+# worker: starts elsewhere would not help.
 MAX_SUSPECTED_SHARE = 0.25
 MIN_SUSPECTED_LIMIT = 2
 # Progress in percent and time at work that prove a run on a worker on probation, long
@@ -41,7 +41,7 @@
 
     `restarts_by_task` holds the times of the restarts of each task, `tokens` how many
     restarts the limit per second allows now. `is_ignored` is True while too many
-    workers are sick at once.
+    workers are unhealthy at once.
     """
 
     __slots__ = (
@@ -142,10 +142,10 @@
     suspected_ids = state.health.suspected_ids
     judgement = recovery.policy.judge(recovery.tracker, suspected_ids, state.now_ms)
     limit = max(MIN_SUSPECTED_LIMIT, MAX_SUSPECTED_SHARE * _count_usable(state))
-    sick_count = len(suspected_ids | judgement.reason_by_worker.keys())
-    is_ignored = sick_count > limit
+    unhealthy_count = len(suspected_ids | judgement.reason_by_worker.keys())
+    is_ignored = unhealthy_count > limit
     if is_ignored and not recovery.is_ignored:
-        log.warning("stalls_ignored workers=%d limit=%d", sick_count, limit)
+        log.warning("stalls_ignored workers=%d limit=%d", unhealthy_count, limit)
     recovery.is_ignored = is_ignored
     if not is_ignored:
         _suspect_workers(state, judgement)
