--- a/tests/test_straggler_policy.py
+++ b/tests/test_straggler_policy.py
@@ -142,7 +142,7 @@
     assert begun.judge().reason_by_worker == {"bad": stragglers.SLOW}
 
 
-def test_one_stuck_run_among_moving_ones_does_not_make_its_worker_sick():
+def test_one_stuck_run_among_moving_ones_does_not_make_its_worker_unhealthy():
     """A task may hang by itself; its worker is fine if other runs progress there."""
     samples = one_step(bad_count=3)
     for _ in range(3):
