Rank best-effort tasks only where some must yield

Cause: each report ranked all best-effort tasks of its worker, also without a shortage of cores or a latency-critical task. Change: workers without either are left out first.

--- a/sardinegauge/workflows/besteffort.py
+++ b/sardinegauge/workflows/besteffort.py
@@ -233,31 +233,28 @@
 
 def set_cpu_caps(state, view):
     """Set the CPU caps of best-effort tasks; return whether any changed."""
+    has_latency_critical_task = _has_latency_critical_task(state, view)
+    if not has_latency_critical_task and not _is_shared_in_order(state, view):
+        return _remove_cpu_caps(state, view)
     best_effort_tasks = best_effort_tasks_on_worker(state, view)
-    if _has_latency_critical_task(state, view):
+    if has_latency_critical_task:
         return _apply_cpu_caps(state, view, best_effort_tasks)
     shares = _core_shares(state, view, best_effort_tasks, {})
-    if all(share >= 1 for share in shares.values()):
-        return _remove_cpu_caps(state, view)
     return _order_caps(state, _to_caps(shares, {}))
 
 
 def _apply_cpu_caps(state, view, best_effort_tasks):
     """Set the caps beside latency-critical tasks; return whether any changed."""
     caps = state.interference.cpu_caps(view.id, best_effort_tasks, state.now_ms)
-    shares = _core_shares(state, view, best_effort_tasks, caps)
+    shares = {task.key: 1.0 for task in best_effort_tasks}
+    if _is_shared_in_order(state, view):
+        shares = _core_shares(state, view, best_effort_tasks, caps)
     return _order_caps(state, _to_caps(shares, caps))
 
 
 def _core_shares(state, view, best_effort_tasks, cap_by_run):
     """Return the shares of the left-over cores under the caps, by run key."""
     runs = state.store.runs_of(view.id, view.incarnation)
-    if _is_short_of_cores(view, runs):
-        end_ms = state.now_ms + coreshares.SHORTAGE_MS
-        state.short_until_ms_by_worker[view.id] = end_ms
-    elif state.now_ms >= state.short_until_ms_by_worker.get(view.id, 0):
-        state.short_until_ms_by_worker.pop(view.id, None)
-        return {task.key: 1.0 for task in best_effort_tasks}
     batch_millis = latency_critical_millis = 0
     for task in runs.values():
         if task.step.target_ms:
@@ -274,6 +271,19 @@
     return state.core_sharing.shares(left_millis, demands)
 
 
+def _is_shared_in_order(state, view):
+    """Return whether the worker is, or was lately, short of cores."""
+    runs = state.store.runs_of(view.id, view.incarnation)
+    if _is_short_of_cores(view, runs):
+        end_ms = state.now_ms + coreshares.SHORTAGE_MS
+        state.short_until_ms_by_worker[view.id] = end_ms
+        return True
+    if state.now_ms < state.short_until_ms_by_worker.get(view.id, 0):
+        return True
+    state.short_until_ms_by_worker.pop(view.id, None)
+    return False
+
+
 def _is_short_of_cores(view, runs):
     """Return whether the report shows a shortage.
 
