--- a/sardinegauge/workflows/besteffort.py
+++ b/sardinegauge/workflows/besteffort.py
@@ -317,15 +317,11 @@
     return caps
 
 
-def _order_caps(state, computed_by_run):
+def _order_caps(state, cap_by_run):
+    """Set the caps of the runs; return whether any changed."""
     is_changed = False
-    for key, computed in computed_by_run.items():
-        current = state.cpu_cap_by_run.get(key, 100)
-        age_ms = state.now_ms - state.cap_changed_ms_by_run.get(key, 0)
-        cpu_cap = state.cap_changes.choose(current, computed, age_ms)
-        if cpu_cap != current:
-            is_changed = True
-            state.cap_changed_ms_by_run[key] = state.now_ms
+    for key, cpu_cap in cap_by_run.items():
+        is_changed = is_changed or state.cpu_cap_by_run.get(key, 100) != cpu_cap
         state.cpu_cap_by_run[key] = cpu_cap
         if cpu_cap > LOW_CPU_CAP_PERCENT:
             state.slow_since_ms_by_run.pop(key, None)
@@ -338,7 +334,6 @@
     """Remove all CPU caps on a worker; return whether there were any."""
     is_changed = False
     for key in state.store.runs_of(view.id, view.incarnation):
-        state.cap_changed_ms_by_run.pop(key, None)
         if state.cpu_cap_by_run.pop(key, 100) != 100:
             is_changed = True
             state.slow_since_ms_by_run.pop(key, None)
--- a/sardinegauge/workflows/policies/runtimes.py
+++ b/sardinegauge/workflows/policies/runtimes.py
@@ -16,7 +16,6 @@
 import weakref
 
 from sardinegauge.workflows import store, views
-from sardinegauge.workflows.policies import coreshares
 
 # Declared run time of steps without one.
 DEFAULT_ESTIMATE_MS = 1000
@@ -38,9 +37,8 @@
 # A run counts as evidence from this progress on, in percent; it is reported coarsely.
 MIN_ACTIVE_PROGRESS = 5.0
 MIN_ENDED_PROGRESS = 30.0
-# A best-effort run with less than this share of its declared cores is slowed down; see
-# `coreshares`.
-FULL_SPEED_SHARE = coreshares.SHORTAGE_SHARE
+# A best-effort run with less than this share of its declared cores is slowed down.
+FULL_SPEED_SHARE = 0.9
 # The end of a run is known this exactly, or to this share of its run time, or not used.
 MAX_END_ERROR_MS = 1000
 MAX_END_ERROR_SHARE = 0.2
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -213,7 +213,6 @@
         _emit_run_ended(state, task_id, how)
         state.stop_reason_by_run.pop((task_id, run_number), None)
         state.cpu_cap_by_run.pop((task_id, run_number), None)
-        state.cap_changed_ms_by_run.pop((task_id, run_number), None)
         state.slow_since_ms_by_run.pop((task_id, run_number), None)
         if number:
             _update_health(state, command.worker, task_id, how)
@@ -275,7 +274,6 @@
     for row_by_run in (
         state.stop_reason_by_run,
         state.cpu_cap_by_run,
-        state.cap_changed_ms_by_run,
         state.slow_since_ms_by_run,
     ):
         for task_id, run_number in list(row_by_run):
--- a/sardinegauge/workflows/schedulerstate.py
+++ b/sardinegauge/workflows/schedulerstate.py
@@ -20,7 +20,6 @@
     schedulerevents,
 )
 from sardinegauge.workflows.policies import (
-    capchanges,
     coreshares,
     runtimes,
     urgency,
@@ -34,10 +33,9 @@
     workers of assignments that are proposed but not applied yet, by task id.
     `workers_by_agent` holds the ids of all workers seen beside an agent in this term.
     `stop_reason_by_run` holds the runs to stop, and `cpu_cap_by_run` the CPU caps of
-    best-effort tasks in percent, which changed last at `cap_changed_ms_by_run`;
-    `cap_changes` decides which changes are ordered, `core_sharing` how the left-over
-    cores are shared on workers in `short_until_ms_by_worker`, and `urgency` which tasks
-    are throttled first.
+    best-effort tasks in percent; `core_sharing` decides how the left-over cores are
+    shared on workers in `short_until_ms_by_worker`, and `urgency` which tasks are
+    throttled first.
     `slow_since_ms_by_run` is the time from which on a best-effort task has been slow,
     `moved_from_by_task` the worker that a best-effort task was moved away from. A task
     is not assigned before `refused_until_ms` to a worker that refused it, by task id
@@ -64,8 +62,6 @@
         self.worker_by_planned_task = {}
         self.stop_reason_by_run = {}
         self.cpu_cap_by_run = {}
-        self.cap_changed_ms_by_run = {}
-        self.cap_changes = capchanges.LargeChanges()
         self.core_sharing = coreshares.InOrder()
         self.short_until_ms_by_worker = {}
         self.urgency = urgency.ByCriticalTask()
