Count late attempts to call the leader, and the cost of polls

The users saw changes of the configuration not in force in time. The logs and metrics could not tell whether fronts polled in vain, whether replies came after their attempt had timed out, or whether the leader spent its time on encoding.

Gateways now count attempts by message and result, observe the time of polls and the age of the confirmation by which a request is routed, and log polls that no leader confirmed. The leader counts how often it encodes changes of the queues, and their size.

--- a/sardinegauge/links/stateclient.py
+++ b/sardinegauge/links/stateclient.py
@@ -20,6 +20,12 @@
 # An address without a link for this long is replaced by another address.
 DIAL_TIMEOUT_S = 0.4
 
+# How an attempt of a call ended.
+ANSWERED = "answered"
+REDIRECTED = "redirected"
+TIMED_OUT = "timed_out"
+LINK_CLOSED = "link_closed"
+
 # Replies whose `confirmed` field says whether a leader with a quorum sent them.
 _CONFIRMABLE_REPLIES = (messages.PollReply, messages.Directive, messages.WorkerOrders)
 
@@ -39,6 +45,9 @@
         Sent on each link.
     on_push : callable or None
         Called with each message that a replica sends outside an exchange.
+    on_attempt : callable or None
+        Called with the message of each attempt and how the attempt ended. A reply to an
+        attempt that timed out is discarded, so its work is lost.
 
     Examples
     --------
@@ -49,8 +58,9 @@
         answer = await client.query("configuration", {}, timeout_s=2)
     """
 
-    def __init__(self, addresses, hello, on_push=None):
+    def __init__(self, addresses, hello, on_push=None, on_attempt=None):
         self.on_push = on_push
+        self.on_attempt = on_attempt
         self.leader = ""
         self._hello = hello
         self._addresses = list(addresses)
@@ -284,14 +294,17 @@
             if target is None:
                 await asyncio.sleep(min(RETRY_DELAY_S, remaining_s))
                 continue
+            message = build_message(remaining_s)
             try:
-                exchange = target.link.open_exchange(build_message(remaining_s))
+                exchange = target.link.open_exchange(message)
             except errors.LinkClosedError:
                 self._clear_leader(target.address)
                 continue
             try:
                 reply = await exchange.receive(min(attempt_timeout_s, remaining_s))
             except (errors.LinkClosedError, TimeoutError) as error:
+                is_late = isinstance(error, TimeoutError)
+                self._record_attempt(message, TIMED_OUT if is_late else LINK_CLOSED)
                 self._clear_leader(target.address)
                 reason = str(error) or f"no answer from {target.address} in time"
                 if not is_read:
@@ -299,7 +312,9 @@
                 continue
             finally:
                 exchange.close()
-            if _is_final(reply):
+            is_final = _is_final(reply)
+            self._record_attempt(message, ANSWERED if is_final else REDIRECTED)
+            if is_final:
                 self.leader = target.address
                 return reply
             reason = reply.reason if hasattr(reply, "reason") else "not the leader"
@@ -311,6 +326,10 @@
                 )
         return outcome.Refused(reason=reason)
 
+    def _record_attempt(self, message, result):
+        if self.on_attempt is not None:
+            self.on_attempt(message, result)
+
     def _select_dialer(self):
         """Return a dialer with an open link, preferably to the leader, or None."""
         self._replace_unresponsive()
--- a/sardinegauge/state/replicaeffects.py
+++ b/sardinegauge/state/replicaeffects.py
@@ -21,6 +21,12 @@
     __slots__ = ("task_class", "tenant", "wait_ms")
 
 
+class QueuesEncoded(record.Record):
+    """Effect: record in the metrics that changes of the queues were encoded."""
+
+    __slots__ = ("byte_count",)
+
+
 class ScheduleApply(record.Record):
     """Effect: schedule `ApplyCommitted` after the events that are already queued."""
 
--- a/sardinegauge/state/requests.py
+++ b/sardinegauge/state/requests.py
@@ -250,6 +250,8 @@
         queues_version, queues = workflowqueries.poll_changes(
             state.machine.workflows, poll.queues_version
         )
+        if queues:
+            state.emit(replicaeffects.QueuesEncoded(byte_count=len(queues)))
     else:
         queues_version, queues = 0, b""
     reply = messages.PollReply(
--- a/sardinegauge/state/statemetrics.py
+++ b/sardinegauge/state/statemetrics.py
@@ -75,6 +75,13 @@
             "Workers in backoff or on probation since runs stood still there.",
         )
 
+        self._queues_encoded = self._metrics.counter(
+            "queues_encoded", "Times that changes of the queues were encoded for polls."
+        )
+        self._queues_encoded_bytes = self._metrics.counter(
+            "queues_encoded_bytes", "Compressed size of the encoded changes of queues."
+        )
+
         self._run_time_ratio = gauge(
             "workflow_run_time_ratio",
             "Learned ratio of actual to declared run time; no image: the whole queue.",
@@ -106,6 +113,10 @@
     def _count_restart(self, effect):
         self._restarts.labels(effect.queue, effect.reason).inc()
 
+    def _count_encoding(self, effect):
+        self._queues_encoded.inc()
+        self._queues_encoded_bytes.inc(effect.byte_count)
+
     def _set_suspected_workers(self, effect):
         self._suspected.set(effect.count)
 
@@ -156,6 +167,7 @@
 
 
 _RECORD_BY_EFFECT = {
+    replicaeffects.QueuesEncoded: StateMetrics._count_encoding,
     replicaeffects.TaskWaited: StateMetrics._count_wait,
     schedulerevents.RunDisplaced: StateMetrics._count_displacement,
     schedulerevents.RunEnded: StateMetrics._count_run,
--- a/sardinegauge/workflows/flowmetrics.py
+++ b/sardinegauge/workflows/flowmetrics.py
@@ -41,6 +41,20 @@
         self._backlog_age = self.metrics.gauge(
             "backlog_age_seconds", "Age of the backlog copy at the last submission."
         )
+        self._attempts = self.metrics.counter(
+            "leader_attempts",
+            "Attempts to call the leader by how they ended.",
+            ("message", "result"),
+        )
+        self._polls = self.metrics.histogram(
+            "queues_poll_seconds",
+            "Time of polls by whether the leader confirmed the queues in force.",
+            ("result",),
+        )
+        self._queues_age = self.metrics.histogram(
+            "queues_age_seconds",
+            "Time since the last confirmed poll, when a request was routed.",
+        )
 
     def count(self, queue, method, status, seconds):
         """Count one answered request; `queue` is empty if none was found."""
@@ -59,6 +73,19 @@
         """Observe the time after which a refused caller was told to return."""
         self._retry_after.labels(queue).observe(seconds)
 
+    def count_attempt(self, message, result):
+        """Count an attempt to call the leader; see `stateclient.StateClient`."""
+        self._attempts.labels(type(message).__name__, result).inc()
+
+    def observe_poll(self, is_confirmed, seconds):
+        """Observe the time of one poll for newer queues."""
+        result = "confirmed" if is_confirmed else "unconfirmed"
+        self._polls.labels(result).observe(seconds)
+
+    def observe_queues_age(self, seconds):
+        """Observe the age of the confirmation by which a request was routed."""
+        self._queues_age.observe(seconds)
+
     def set_backlog_age(self, seconds):
         """Set the age of the backlog copy by which a submission was decided."""
         self._backlog_age.set(seconds)
--- a/sardinegauge/workflows/gateway.py
+++ b/sardinegauge/workflows/gateway.py
@@ -58,6 +58,7 @@
         self._queue_by_name = {}
         self.confirmed_at_s = None
         self.metrics = flowmetrics.GatewayMetrics()
+        client.on_attempt = self.metrics.count_attempt
         self.admission = gatewayadmission.AdmissionGate(self.metrics, policy)
         self.seen_index = 0
         self._poll_lock = asyncio.Lock()
@@ -87,7 +88,17 @@
                 return True
             started_at_s = asyncio.get_running_loop().time()
             answer = await self.client.poll(0, 1 << 60, self.version)
-            if not isinstance(answer, outcome.Answered):
+            is_confirmed = isinstance(answer, outcome.Answered)
+            seconds = asyncio.get_running_loop().time() - started_at_s
+            self.metrics.observe_poll(is_confirmed, seconds)
+            if not is_confirmed:
+                log.info(
+                    "poll_unconfirmed version=%d confirmed_ms_ago=%d ms=%d reason=%r",
+                    self.version,
+                    self.confirmed_ms_ago(),
+                    1000 * seconds,
+                    answer.reason,
+                )
                 return False
             self._apply_reply(answer.value, started_at_s)
             return True
@@ -104,9 +115,10 @@
             self.version = reply.queues_version
             self.metrics.set_version(self.version)
             log.info(
-                "queues_in_force version=%d queues=%d",
+                "queues_in_force version=%d queues=%d bytes=%d",
                 self.version,
                 len(self._queue_by_name),
+                len(reply.queues),
             )
 
     def _apply_changes(self, changes):
@@ -123,6 +135,7 @@
         """Return the queue and the remaining path, `NoQueue`, or `outcome.Refused`."""
         queue_and_path = self.router.find(host, path)
         if queue_and_path is not None:
+            self.metrics.observe_queues_age(self.confirmed_ms_ago() / 1000)
             return queue_and_path
         if not await self.poll() or not self.has_queues:
             return outcome.Refused(reason="no configuration")
