Send changes of queues in parts, encoded once for all gateways

What callers saw: a change of the configuration that had been acknowledged was not in force in time; fronts went on with the queues of before.

Cause: a reply to a poll held all changes in one piece, and the leader encoded them anew for each poll. A poll gets 0.4 s an attempt, and a late reply is discarded, although the leader and the link have paid for it; the next attempt began from nothing. Once a set is larger than what a link carries in 0.4 s, no attempt can succeed, and 35 fronts repeat the work of the leader every 0.4 s. Retries grew with the load that made them fail.

Now the changes between two versions are encoded once and kept for a few versions. They travel in parts of 16 KiB, and a gateway keeps the parts that have arrived, also when a newer version or another leader follows. A part costs one slice of bytes, so a late one costs little. Processes of earlier releases still get the whole in one reply.

Evidence: test_large_set_reaches_gateways_over_thin_links_within_the_bound (real replica, three gateways behind links of 2 Mbit/s, 8,000 queues) fails on: no gateway had the set after 3 s. It passes now. 35 polls of 5,000 queues encoded them 35 times before, once now. Encoding 1,160 queues takes 10 ms and 5,000 take 56 ms on an idle core.

--- a/sardinegauge/links/messages.py
+++ b/sardinegauge/links/messages.py
@@ -97,7 +97,11 @@
 
 
 class Poll(record.Record):
-    """Request of an entry for newer configuration and directory."""
+    """Request of an entry for newer configuration, directory and queues.
+
+    Changes of the queues come in parts of at most `queues_part_bytes`. `queues_target`
+    and `queues_checksum` name the changes of which `queues_offset` bytes have arrived.
+    """
 
     __slots__ = (
         "name",
@@ -105,6 +109,10 @@
         "directory_version",
         "sequence",
         "queues_version",
+        "queues_part_bytes",
+        "queues_target",
+        "queues_checksum",
+        "queues_offset",
     )
     _defaults = {
         "name": "",
@@ -112,6 +120,10 @@
         "directory_version": 0,
         "sequence": 0,
         "queues_version": 0,
+        "queues_part_bytes": 0,
+        "queues_target": 0,
+        "queues_checksum": 0,
+        "queues_offset": 0,
     }
 
 
@@ -145,6 +157,8 @@
 class PollReply(record.Record):
     """Reply to `Poll`; a confirmed one was checked by a read round.
 
+    `queues` is the part at `queues_offset` of the changes that lead to the version
+    `queues_target`, which have `queues_bytes` in all; `queues_version` is the newest.
     `backlog` is the leader's summary of the open work, if it has one. `refusal_index`
     is the applied index while refusals of workflows are recorded, else 0.
     """
@@ -163,6 +177,10 @@
         "replicas",
         "backlog",
         "refusal_index",
+        "queues_target",
+        "queues_checksum",
+        "queues_offset",
+        "queues_bytes",
     )
     _defaults = {
         "confirmed": False,
@@ -178,6 +196,10 @@
         "replicas": list,
         "backlog": b"",
         "refusal_index": 0,
+        "queues_target": 0,
+        "queues_checksum": 0,
+        "queues_offset": 0,
+        "queues_bytes": 0,
     }
     _nested = {"directory": Upstream}
 
--- a/sardinegauge/links/stateclient.py
+++ b/sardinegauge/links/stateclient.py
@@ -196,9 +196,13 @@
             return outcome.Answered(outcome.Invalid(problems=[["", reply.reason]]))
         return outcome.Answered(json.loads(reply.answer))
 
-    async def poll(self, config_version, directory_version, queues_version=0):
+    async def poll(
+        self, config_version, directory_version, queues_version=0, **transfer
+    ):
         """Fetch the configuration and directory if there are newer versions.
 
+        `transfer` are the fields of `messages.Poll` that ask for a part of the queues.
+
         The caller counts the age of the confirmation from before the call, since the
         reply may belong to the last of several attempts.
 
@@ -216,6 +220,7 @@
                 config_version=config_version,
                 directory_version=directory_version,
                 queues_version=queues_version,
+                **transfer,
             )
 
         return self._to_answered(
--- a/sardinegauge/links/wire.capnp
+++ b/sardinegauge/links/wire.capnp
@@ -178,6 +178,10 @@
   directoryVersion @2 :UInt64;
   sequence @3 :UInt64;
   queuesVersion @4 :UInt64;
+  queuesPartBytes @5 :UInt32;  # 0: all changes of the queues in one reply
+  queuesTarget @6 :UInt64;  # version to which the changes lead that are being fetched
+  queuesChecksum @7 :UInt32;  # CRC-32 of these changes
+  queuesOffset @8 :UInt32;  # bytes of them that have arrived
 }
 
 struct Upstream {
@@ -202,10 +206,14 @@
   directory @6 :List(Upstream);  # entries changed since the version polled with
   sequence @7 :UInt64;
   queuesVersion @8 :UInt64;
-  queues @9 :Data;  # compressed JSON of what changed, empty when nothing did
+  queues @9 :Data;  # part of the compressed JSON of what changed
   replicas @10 :List(Text);  # addresses of the members
   backlog @11 :Data;  # JSON of the open work, empty while the leader has no summary
   refusalIndex @12 :UInt64;  # applied index while refusals are recorded, else 0
+  queuesTarget @13 :UInt64;  # version to which the changes lead
+  queuesChecksum @14 :UInt32;  # CRC-32 of all changes
+  queuesOffset @15 :UInt32;  # position of this part
+  queuesBytes @16 :UInt32;  # size of all changes
 }
 
 struct Room {
--- a/sardinegauge/state/replica.py
+++ b/sardinegauge/state/replica.py
@@ -12,7 +12,7 @@
 from sardinegauge.agreement import membership, raft, raftstate, reads, snapshotting
 from sardinegauge.links import httpmessages, messages
 from sardinegauge.state import directivedelivery, replicaeffects, replicasteps, requests
-from sardinegauge.workflows import leaderexchange
+from sardinegauge.workflows import leaderexchange, queuetransfer
 
 # Limits of the entries applied per event, so that a long log does not delay heartbeats.
 # A large entry, such as a set of 1,000 queues, takes as long as hundreds of small ones.
@@ -96,6 +96,7 @@
         self.reads = reads.Reads()
         self.agents = directivedelivery.Agents()
         self.leader_exchange = leaderexchange.LeaderExchange()
+        self.queue_encodings = queuetransfer.Encodings()
         self.effects = []
 
     @property
--- a/sardinegauge/state/requests.py
+++ b/sardinegauge/state/requests.py
@@ -246,14 +246,6 @@
         log.exception("poll_failed name=%s", poll.name)
         reads.refuse(state, read)
         return
-    if state.modules.has_workflows:
-        queues_version, queues = workflowqueries.poll_changes(
-            state.machine.workflows, poll.queues_version
-        )
-        if queues:
-            state.emit(replicaeffects.QueuesEncoded(byte_count=len(queues)))
-    else:
-        queues_version, queues = 0, b""
     reply = messages.PollReply(
         confirmed=True,
         leader=state.raft.leader_address,
@@ -263,9 +255,12 @@
         is_full_directory=is_full,
         directory=upstreams,
         sequence=poll.sequence,
-        queues_version=queues_version,
-        queues=queues,
         replicas=[member.address for member in state.raft.members.values()],
         **leaderexchange.backlog_fields(state),
     )
+    if state.modules.has_workflows:
+        queue_set = state.machine.workflows.queue_set
+        byte_count = state.queue_encodings.fill(reply, poll, queue_set)
+        if byte_count:
+            state.emit(replicaeffects.QueuesEncoded(byte_count=byte_count))
     _reply(state, read.token, reply)
--- a/sardinegauge/workflows/gateway.py
+++ b/sardinegauge/workflows/gateway.py
@@ -11,10 +11,17 @@
 import zlib
 
 from sardinegauge import commands, outcome, record
-from sardinegauge.workflows import flowmetrics, gatewayadmission, queues
+from sardinegauge.workflows import (
+    flowmetrics,
+    gatewayadmission,
+    queues,
+    queuetransfer,
+)
 from sardinegauge.workflows.policies import admission
 
 POLL_INTERVAL_S = 0.4
+# Longest time of one poll, which fetches part after part of a large set.
+MAX_POLL_S = 2.0
 # A node without a confirmed poll for this long reports that it is not ready.
 CONFIRMATION_TIMEOUT_S = 3.0
 # Longest wait of a request for a leader, which is usually elected within this time.
@@ -62,6 +69,7 @@
         self.admission = gatewayadmission.AdmissionGate(self.metrics, policy)
         self.seen_index = 0
         self._poll_lock = asyncio.Lock()
+        self._download = queuetransfer.Download()
 
     @property
     def has_queues(self):
@@ -87,39 +95,56 @@
             if self.confirmed_at_s is not None and self.confirmed_at_s >= started_at_s:
                 return True
             started_at_s = asyncio.get_running_loop().time()
-            answer = await self.client.poll(0, 1 << 60, self.version)
-            is_confirmed = isinstance(answer, outcome.Answered)
+            is_confirmed = await self._fetch_queues(started_at_s + MAX_POLL_S)
             seconds = asyncio.get_running_loop().time() - started_at_s
             self.metrics.observe_poll(is_confirmed, seconds)
-            if not is_confirmed:
-                log.info(
-                    "poll_unconfirmed version=%d confirmed_ms_ago=%d ms=%d reason=%r",
-                    self.version,
-                    self.confirmed_ms_ago(),
-                    1000 * seconds,
-                    answer.reason,
-                )
+            return is_confirmed
+
+    async def _fetch_queues(self, deadline_s):
+        """Fetch parts of changes until the newest version is in force."""
+        while (started_at_s := asyncio.get_running_loop().time()) < deadline_s:
+            answer = await self.client.poll(
+                0, 1 << 60, self.version, **self._download.poll_fields()
+            )
+            if not isinstance(answer, outcome.Answered):
+                self._log_unconfirmed(answer.reason)
                 return False
             self._apply_reply(answer.value, started_at_s)
-            return True
+            if self.version >= answer.value.queues_version:
+                self.confirmed_at_s = started_at_s
+                return True
+        self._log_unconfirmed("the changes are incomplete")
+        return False
+
+    def _log_unconfirmed(self, reason):
+        log.info(
+            "poll_unconfirmed version=%d target=%d confirmed_ms_ago=%d reason=%r",
+            self.version,
+            self._download.target,
+            self.confirmed_ms_ago(),
+            reason,
+        )
 
     def _apply_reply(self, reply, started_at_s):
         self.client.update_members(reply.replicas)
-        self.confirmed_at_s = started_at_s
         self.admission.update(reply.backlog, started_at_s)
         self.seen_index = reply.refusal_index and max(
             self.seen_index, reply.refusal_index
         )
-        if reply.queues_version > self.version:
-            self._apply_changes(json.loads(zlib.decompress(reply.queues)))
-            self.version = reply.queues_version
-            self.metrics.set_version(self.version)
-            log.info(
-                "queues_in_force version=%d queues=%d bytes=%d",
-                self.version,
-                len(self._queue_by_name),
-                len(reply.queues),
-            )
+        if reply.queues_version <= self.version:
+            return
+        data = self._download.add(reply)
+        if data is None or reply.queues_target <= self.version:
+            return
+        self._apply_changes(json.loads(zlib.decompress(data)))
+        self.version = reply.queues_target
+        self.metrics.set_version(self.version)
+        log.info(
+            "queues_in_force version=%d queues=%d bytes=%d",
+            self.version,
+            len(self._queue_by_name),
+            len(data),
+        )
 
     def _apply_changes(self, changes):
         if changes["is_full"]:
--- a/sardinegauge/workflows/workflowqueries.py
+++ b/sardinegauge/workflows/workflowqueries.py
@@ -1,9 +1,6 @@
 """Queries of queues and workflows, answered as plain dicts; see also `queries`."""
 
 import json
-import zlib
-
-from sardinegauge.workflows import queues
 
 MAX_LISTED = 1000
 
@@ -94,25 +91,6 @@
     return {**_summary(workflow), "runs": runs[:MAX_LISTED]}
 
 
-def poll_changes(store, version):
-    """Return the current version, and the changes since `version` as compressed JSON.
-
-    The JSON is empty if `version` is current.
-    """
-    queue_set = store.queue_set
-    if queue_set.version <= version:
-        return queue_set.version, b""
-    is_full, changed, removed = queue_set.changes(version)
-    plain = {
-        "is_full": is_full,
-        "queues": [queue.to_sparse_dict() for queue in changed],
-        "removed": removed,
-    }
-    data = json.dumps(plain, separators=(",", ":")).encode()
-    # Entries may have links with low bandwidth, and names of queues are long.
-    return queue_set.version, zlib.compress(data, queues.COMPRESSION_LEVEL)
-
-
 _ANSWERS = {
     "queues": _queues,
     "queue_document": _queue_document,
--- a/tests/admissionkit.py
+++ b/tests/admissionkit.py
@@ -28,7 +28,7 @@
     def update_members(self, members):
         pass
 
-    async def poll(self, config_version, directory_version, queues_version):
+    async def poll(self, *versions, **transfer):
         return outcome.Answered(self.cluster.poll_reply())
 
     async def propose_idempotent(self, command, timeout_s):
--- a/tests/fleet/relay.py
+++ b/tests/fleet/relay.py
@@ -12,6 +12,7 @@
 
 _LENGTH = struct.Struct("<I")
 _CHUNK_BYTES = 65536
+_PACED_CHUNK_BYTES = 4096
 
 
 class Cuts:
@@ -46,13 +47,16 @@
     After a dropped chunk, all later bytes of the same direction of the connection are
     dropped too, even when the cut ends: forwarding them would corrupt the stream, which
     no real network does.
+
+    With `bytes_per_s`, what the target sends passes each connection at that rate.
     """
 
-    def __init__(self, target, target_address, cuts):
+    def __init__(self, target, target_address, cuts, bytes_per_s=None):
         self.target = target
         self.target_host, port = target_address.rsplit(":", 1)
         self.target_port = int(port)
         self.cuts = cuts
+        self.bytes_per_s = bytes_per_s
         self.bytes_by_pair = collections.Counter()
         self._server = None
         self._tasks = set()
@@ -108,10 +112,21 @@
         finally:
             target_writer.close()
 
+    def _is_paced(self, source):
+        return self.bytes_per_s is not None and source == self.target
+
+    def _read_bytes(self, source):
+        return _PACED_CHUNK_BYTES if self._is_paced(source) else _CHUNK_BYTES
+
+    async def _pace(self, source, byte_count):
+        if self._is_paced(source):
+            await asyncio.sleep(byte_count / self.bytes_per_s)
+
     async def _forward(self, reader, writer, source, target):
         is_dropping = False
         try:
-            while data := await reader.read(_CHUNK_BYTES):
+            while data := await reader.read(self._read_bytes(source)):
+                await self._pace(source, len(data))
                 self.bytes_by_pair[source, target] += len(data)
                 is_dropping = is_dropping or self.cuts.is_blocked(source, target)
                 if not is_dropping:
--- a/tests/test_workflow_gateway.py
+++ b/tests/test_workflow_gateway.py
@@ -23,7 +23,7 @@
     def update_members(self, members):
         pass
 
-    async def poll(self, config_version, directory_version, queues_version):
+    async def poll(self, *versions, **transfer):
         if not self.polls:
             return outcome.Refused(reason="no leader")
         return outcome.Answered(self.polls.pop(0))
