Let calls that wait for a poll share the next one, within their deadlines

Cause: a call polls before it answers 404. A poll without a leader takes a second, and each waiting call began one of its own after the one before had failed, so the n-th call waited for n seconds. The time spent there was not taken off the time for the query.

Evidence: test_calls_that_wait_for_a_poll_share_the_next_one counts the polls of 20 calls and fails without the change; so does test_call_does_not_wait_for_a_poll_beyond_its_deadline.

--- a/sardinegauge/workflows/gateway.py
+++ b/sardinegauge/workflows/gateway.py
@@ -10,7 +10,7 @@
 import logging
 import zlib
 
-from sardinegauge import commands, outcome, record
+from sardinegauge import background, commands, outcome, record
 from sardinegauge.workflows import (
     flowmetrics,
     gatewayadmission,
@@ -69,6 +69,7 @@
         self.admission = gatewayadmission.AdmissionGate(self.metrics, policy)
         self.seen_index = 0
         self._poll_lock = asyncio.Lock()
+        self._next_poll = None
         self._download = queuetransfer.Download()
 
     @property
@@ -89,11 +90,19 @@
         return int(1000 * (asyncio.get_running_loop().time() - self.confirmed_at_s))
 
     async def poll(self):
-        """Fetch the newest queues; return whether a leader confirmed them."""
-        started_at_s = asyncio.get_running_loop().time()
+        """Fetch the newest queues; return whether a leader confirmed them.
+
+        Callers that wait for a poll in progress share the next one, so that none waits
+        for more than two polls.
+        """
+        if self._next_poll is None:
+            self._next_poll = background.spawn(self._poll_next())
+        return await asyncio.shield(self._next_poll)
+
+    async def _poll_next(self):
         async with self._poll_lock:
-            if self.confirmed_at_s is not None and self.confirmed_at_s >= started_at_s:
-                return True
+            # A later caller needs a poll that begins after its call.
+            self._next_poll = None
             started_at_s = asyncio.get_running_loop().time()
             is_confirmed = await self._fetch_queues(started_at_s + MAX_POLL_S)
             seconds = asyncio.get_running_loop().time() - started_at_s
@@ -156,15 +165,31 @@
             self._queue_by_name[queue.name] = queue
         self.router = queues.Router(self._queue_by_name.values())
 
-    async def find(self, host, path):
-        """Return the queue and the remaining path, `NoQueue`, or `outcome.Refused`."""
-        queue_and_path = self.router.find(host, path)
-        if queue_and_path is not None:
-            self.metrics.observe_queues_age(self.confirmed_ms_ago() / 1000)
-            return queue_and_path
-        if not await self.poll() or not self.has_queues:
-            return outcome.Refused(reason="no configuration")
-        return self.router.find(host, path) or NoQueue()
+    async def find(self, host, path, timeout_s=LEADER_WAIT_S):
+        """Return the queue of a request and the remaining path.
+
+        Returns
+        -------
+        tuple of (queues.Queue, str)
+        NoQueue
+            A leader confirmed that no queue has this host and path.
+        outcome.Refused
+            No leader confirmed the queues within `timeout_s` seconds.
+        """
+        found = self.router.find(host, path)
+        if found is None:
+            if not await self._confirm_queues(timeout_s):
+                return outcome.Refused(reason="no configuration")
+            found = self.router.find(host, path)
+        self.metrics.observe_queues_age(self.confirmed_ms_ago() / 1000)
+        return found or NoQueue()
+
+    async def _confirm_queues(self, timeout_s):
+        try:
+            async with asyncio.timeout(min(timeout_s, LEADER_WAIT_S)):
+                return await self.poll() and self.has_queues
+        except TimeoutError:
+            return False
 
     async def submit(self, queue, workflow_id, fields, timeout_s, seen_index=None):
         """Submit a workflow, or refuse it by the backlog before it is proposed.
--- a/tests/test_workflow_gateway.py
+++ b/tests/test_workflow_gateway.py
@@ -151,3 +151,44 @@
     assert isinstance(asyncio.run(scenario([refused])), outcome.Refused)
     assert asyncio.run(scenario([refused, lost, refused])) is lost
     assert asyncio.run(scenario([lost, refused, ran])) is ran
+
+
+class SlowClient(FakeClient):
+    """Answers each poll after a while, and counts them."""
+
+    def __init__(self):
+        super().__init__()
+        self.poll_count = 0
+
+    async def poll(self, *versions, **transfer):
+        self.poll_count += 1
+        await asyncio.sleep(0.05)
+        return await super().poll(*versions, **transfer)
+
+
+def test_calls_that_wait_for_a_poll_share_the_next_one():
+    """One failed poll of a second for each of them made calls miss their deadlines."""
+
+    async def scenario():
+        client = SlowClient()
+        gate = gateway.Gateway(client)
+        running = asyncio.ensure_future(gate.poll())
+        await asyncio.sleep(0.01)
+        answers = await asyncio.gather(*(gate.find("h", "/q/1") for _ in range(20)))
+        assert all(isinstance(answer, outcome.Refused) for answer in answers)
+        assert not await running
+        assert client.poll_count == 2
+
+    asyncio.run(scenario())
+
+
+def test_call_does_not_wait_for_a_poll_beyond_its_deadline():
+    async def scenario():
+        gate = gateway.Gateway(SlowClient())
+        started_s = asyncio.get_running_loop().time()
+        assert isinstance(await gate.find("h", "/q/1", 0.01), outcome.Refused)
+        assert asyncio.get_running_loop().time() - started_s < 0.04
+        # The poll goes on for later calls.
+        assert not await gate.poll()
+
+    asyncio.run(scenario())
