Bound the age of the queues by which a gateway answers

What callers would see: a dropped queue was still served, or a changed one by its former settings, by a front whose polls failed for longer than a change may take to be in force.

Cause: a gateway polled only for unknown queues. It answered by a known queue however old the last confirmation was; the readiness check alone looked at the age, by a constant of 3 s, and a balancer needs two failed checks and leaves open connections where they are. The age was counted by a clock that stands still while the VM is suspended.

Now a deployment's settings may name the bound for changes. Once a gateway's confirmation is older than four fifths of it, it polls before it answers, and refuses the call if no leader confirms its queues; a submission that it proposed before is answered as lost instead. Without a bound, nothing changes. The platform's front takes config_apply_ms.

Evidence: test_dropped_queue_is_not_served_when_polls_fail_for_longer_than_the_bound and two more fail without the change.

--- a/sardinegauge/workflows/gateway.py
+++ b/sardinegauge/workflows/gateway.py
@@ -10,7 +10,7 @@
 import logging
 import zlib
 
-from sardinegauge import background, commands, outcome, record
+from sardinegauge import background, clock, commands, outcome, record
 from sardinegauge.workflows import (
     flowmetrics,
     gatewayadmission,
@@ -29,6 +29,9 @@
 QUERY_WAIT_S = 1.2
 # A caller is told to return after this long if nothing is known of the capacity.
 RETRY_AFTER_S = 1
+# Share of the propagation bound for which a gateway answers without a new confirmation.
+# The rest leaves time for the way of a request and for a clock that runs slow.
+STALENESS_SHARE = 0.8
 REFUSED_BEFORE = "refused_before"
 
 log = logging.getLogger(__name__)
@@ -53,17 +56,22 @@
     ----------
     client : stateclient.StateClient
     policy : admission.AdmissionPolicy, optional
+    propagation_bound_s : float, optional
+        Time after which an acknowledged change of the queues must be in force, in
+        seconds. Before it is exceeded, the gateway polls before it answers, and refuses
+        calls while no leader confirms its queues. By default, there is no bound.
 
     `seen_index` is a log index that is known to be applied, as far as refusals are
     recorded.
     """
 
-    def __init__(self, client, policy=None):
+    def __init__(self, client, policy=None, propagation_bound_s=None):
         self.client = client
+        self.propagation_bound_s = propagation_bound_s
         self.version = 0
         self.router = queues.Router([])
         self._queue_by_name = {}
-        self.confirmed_at_s = None
+        self._confirmed_at_ms = None
         self.metrics = flowmetrics.GatewayMetrics()
         client.on_attempt = self.metrics.count_attempt
         self.admission = gatewayadmission.AdmissionGate(self.metrics, policy)
@@ -77,17 +85,24 @@
         """Whether this node has received a set of queues."""
         return self.version > 0
 
-    def is_ready(self, now_s):
+    def is_ready(self):
         """Return whether requests can be accepted now."""
-        if not self.has_queues or self.confirmed_at_s is None:
+        if not self.has_queues or self._confirmed_at_ms is None:
             return False
-        return now_s - self.confirmed_at_s < CONFIRMATION_TIMEOUT_S
+        return self.confirmed_ms_ago() < 1000 * CONFIRMATION_TIMEOUT_S
 
     def confirmed_ms_ago(self):
         """Return the age of the last confirmed poll in ms, -1 if there was none."""
-        if self.confirmed_at_s is None:
+        if self._confirmed_at_ms is None:
             return -1
-        return int(1000 * (asyncio.get_running_loop().time() - self.confirmed_at_s))
+        return clock.monotonic_ms() - self._confirmed_at_ms
+
+    def is_outdated(self):
+        """Return whether the queues may lack a change that must be in force by now."""
+        if self.propagation_bound_s is None:
+            return False
+        limit_ms = 1000 * STALENESS_SHARE * self.propagation_bound_s
+        return not 0 <= self.confirmed_ms_ago() <= limit_ms
 
     async def poll(self):
         """Fetch the newest queues; return whether a leader confirmed them.
@@ -112,6 +127,7 @@
     async def _fetch_queues(self, deadline_s):
         """Fetch parts of changes until the newest version is in force."""
         while (started_at_s := asyncio.get_running_loop().time()) < deadline_s:
+            started_at_ms = clock.monotonic_ms()
             answer = await self.client.poll(
                 0, 1 << 60, self.version, **self._download.poll_fields()
             )
@@ -120,7 +136,7 @@
                 return False
             self._apply_reply(answer.value, started_at_s)
             if self.version >= answer.value.queues_version:
-                self.confirmed_at_s = started_at_s
+                self._confirmed_at_ms = started_at_ms
                 return True
         self._log_unconfirmed("the changes are incomplete")
         return False
@@ -175,11 +191,13 @@
             A leader confirmed that no queue has this host and path.
         outcome.Refused
             No leader confirmed the queues within `timeout_s` seconds.
+        outcome.Lost
+            The same, but this gateway proposed a workflow with this id before.
         """
         found = self.router.find(host, path)
-        if found is None:
+        if found is None or self.is_outdated():
             if not await self._confirm_queues(timeout_s):
-                return outcome.Refused(reason="no configuration")
+                return self._refuse_unconfirmed(found)
             found = self.router.find(host, path)
         self.metrics.observe_queues_age(self.confirmed_ms_ago() / 1000)
         return found or NoQueue()
@@ -191,6 +209,12 @@
         except TimeoutError:
             return False
 
+    def _refuse_unconfirmed(self, found):
+        reason = "the queues in force are not known"
+        if found is not None and found[1] in self.admission.proposed:
+            return outcome.Lost(reason=f"{reason}; proposed before")
+        return outcome.Refused(reason=reason)
+
     async def submit(self, queue, workflow_id, fields, timeout_s, seen_index=None):
         """Submit a workflow, or refuse it by the backlog before it is proposed.
 
--- a/tests/test_wireformat.py
+++ b/tests/test_wireformat.py
@@ -207,9 +207,11 @@
             "seeds": ["10.1.0.3:8166"],
             "bootstrap": True,
             "fault_tolerance": {"machines": 2},
+            "bounds": {"config_apply_ms": 2500},
             "anything": "else",
         }
     )
+    assert node.propagation_bound_s == 2.5
     assert node.link_address == "10.1.0.2:7000"
     assert (node.replicas, node.seed_ips) == (["10.1.0.3:7000"], ["10.1.0.3"])
     assert (node.max_losses, node.is_first_start) == (2, True)
--- a/tests/test_workflow_gateway.py
+++ b/tests/test_workflow_gateway.py
@@ -4,7 +4,7 @@
 import json
 import zlib
 
-from sardinegauge import outcome
+from sardinegauge import clock, outcome
 from sardinegauge.links import messages, stateclient
 from sardinegauge.workflows import gateway, queues
 
@@ -91,14 +91,20 @@
     run(scenario)
 
 
-def test_readiness_ends_without_confirmed_polls():
+def advance(monkeypatch, seconds):
+    """Advance the clock that also runs while the VM is suspended."""
+    now_ms = clock.monotonic_ms() + int(1000 * seconds)
+    monkeypatch.setattr(clock, "monotonic_ms", lambda: now_ms)
+
+
+def test_readiness_ends_without_confirmed_polls(monkeypatch):
     async def scenario(client, gate):
-        now_s = asyncio.get_running_loop().time()
-        assert not gate.is_ready(now_s)
+        assert not gate.is_ready()
         client.polls = [reply(1, [QUEUE], is_full=True)]
         await gate.poll()
-        assert gate.is_ready(now_s)
-        assert not gate.is_ready(now_s + gateway.CONFIRMATION_TIMEOUT_S + 1)
+        assert gate.is_ready()
+        advance(monkeypatch, gateway.CONFIRMATION_TIMEOUT_S + 1)
+        assert not gate.is_ready()
 
     run(scenario)
 
@@ -153,6 +159,71 @@
     assert asyncio.run(scenario([lost, refused, ran])) is ran
 
 
+def bounded(client):
+    """Return a gateway whose queues must be at most 3 s old."""
+    return gateway.Gateway(client, propagation_bound_s=3.0)
+
+
+def test_dropped_queue_is_not_served_when_polls_fail_for_longer_than_the_bound(
+    monkeypatch,
+):
+    """Other calls may pass while polls fail, so a known queue is no proof."""
+
+    async def scenario(client, _gate):
+        gate = bounded(client)
+        client.polls = [reply(1, [QUEUE], is_full=True)]
+        assert await gate.find("h", "/q/1") == (QUEUE, "1")
+        assert await gate.find("h", "/q/1") == (QUEUE, "1")
+        advance(monkeypatch, 2.9)
+        assert isinstance(await gate.find("h", "/q/1"), outcome.Refused)
+        client.polls = [reply(2, [], removed=["q"])]
+        assert isinstance(await gate.find("h", "/q/1"), gateway.NoQueue)
+
+    run(scenario)
+
+
+def test_outdated_queues_are_confirmed_before_a_call_is_answered(monkeypatch):
+    """A process that was suspended acted on the queues of before."""
+
+    async def scenario(client, _gate):
+        gate = bounded(client)
+        client.polls = [reply(1, [QUEUE], is_full=True)]
+        assert await gate.poll()
+        advance(monkeypatch, 10)
+        changed = QUEUE.replace(priority=2)
+        client.polls = [reply(2, [changed])]
+        assert await gate.find("h", "/q/1") == (changed, "1")
+        assert await gate.find("h", "/q/1") == (changed, "1")
+
+    run(scenario)
+
+
+def test_without_a_bound_known_queues_are_served_while_polls_fail(monkeypatch):
+    async def scenario(client, gate):
+        client.polls = [reply(1, [QUEUE], is_full=True)]
+        assert await gate.poll()
+        advance(monkeypatch, 10)
+        assert await gate.find("h", "/q/1") == (QUEUE, "1")
+
+    run(scenario)
+
+
+def test_unconfirmed_submission_is_not_refused_after_a_proposal(monkeypatch):
+    """A 503 guarantees that the workflow never runs, but the proposal may have."""
+
+    async def scenario(client, _gate):
+        gate = bounded(client)
+        client.polls = [reply(1, [QUEUE], is_full=True)]
+        queue, _ = await gate.find("h", "/q/1")
+        client.answer = outcome.Lost(reason="no answer")
+        await gate.submit(queue, "1", {"payload": "", "steps": []}, 1)
+        advance(monkeypatch, 2.9)
+        assert isinstance(await gate.find("h", "/q/1"), outcome.Lost)
+        assert isinstance(await gate.find("h", "/q/2"), outcome.Refused)
+
+    run(scenario)
+
+
 class SlowClient(FakeClient):
     """Answers each poll after a while, and counts them."""
 
