Answer the count of a removed queue by the leader's set

What callers would see: the number of waiting workflows of a queue that had been dropped, as 0 with success, from a front that had not heard of the change.

Cause: the leader counted the open workflows of any name, known or not, so the answer depended on the set of the front alone, while a submission is checked again when it is applied.

Now the answer says whether the queue is in force, and the gateway answers NoQueue if it is not. A leader of an earlier release does not say so and is believed.

--- a/sardinegauge/workflows/gateway.py
+++ b/sardinegauge/workflows/gateway.py
@@ -352,11 +352,11 @@
         return answer
 
     async def waiting_count(self, queue, timeout_s):
-        """Return the number of waiting workflows of a queue, or `outcome.Refused`."""
+        """Return the number of waiting workflows, `NoQueue` or `outcome.Refused`."""
         answer = await self._query("waiting", {"queue": queue.name}, timeout_s)
-        if isinstance(answer, dict):
-            return answer["waiting"]
-        return answer
+        if not isinstance(answer, dict):
+            return answer
+        return answer["waiting"] if answer.get("is_known", True) else NoQueue()
 
     async def _query(self, kind, arguments, timeout_s):
         limit_s = min(timeout_s, QUERY_WAIT_S)
--- a/sardinegauge/workflows/workflowqueries.py
+++ b/sardinegauge/workflows/workflowqueries.py
@@ -40,7 +40,10 @@
 
 
 def _waiting_count(store, arguments):
-    return {"waiting": store.count_waiting(arguments["queue"])}
+    name = arguments["queue"]
+    # A gateway may not know yet that the queue was removed.
+    is_known = name in store.queue_set.by_name
+    return {"waiting": store.count_waiting(name), "is_known": is_known}
 
 
 def _workflow(store, arguments):
--- a/tests/test_workflow_gateway.py
+++ b/tests/test_workflow_gateway.py
@@ -263,3 +263,11 @@
         assert not await gate.poll()
 
     asyncio.run(scenario())
+
+
+def test_count_of_a_removed_queue_is_not_answered_by_an_older_set():
+    async def scenario(client, gate):
+        client.value = outcome.Answered({"waiting": 0, "is_known": False})
+        assert isinstance(await gate.waiting_count(QUEUE, 1), gateway.NoQueue)
+
+    run(scenario)
