Show what CPU caps cost each best-effort run

Batches of best-effort tasks end late although most of their runs are short; the logs told neither which runs had been held by their caps nor for how long.

The leader now adds up, for each run, the time that its caps withheld and the time that it was paused, logs both with the end of the run, and observes the first by queue. No decision changes.

Measured: the tests of best-effort tasks, interference, scheduler and simulation pass.

--- a/sardinegauge/state/statemetrics.py
+++ b/sardinegauge/state/statemetrics.py
@@ -52,6 +52,11 @@
         self._runs = self._metrics.counter(
             "workflow_runs", "Runs of tasks by how they ended.", ("queue", "how")
         )
+        self._throttled = self._metrics.histogram(
+            "workflow_throttled_seconds",
+            "Time that runs of best-effort tasks lost to their CPU caps.",
+            ("queue",),
+        )
         self._displaced = self._metrics.counter(
             "workflow_displaced_runs",
             "Runs that were stopped for urgent tasks or on overcommitted workers.",
@@ -102,6 +107,8 @@
 
     def _count_run(self, effect):
         self._runs.labels(effect.queue, effect.how).inc()
+        if effect.throttled_ms:
+            self._throttled.labels(effect.queue).observe(effect.throttled_ms / 1000)
 
     def _count_displacement(self, effect):
         self._displaced.labels(effect.queue, effect.reason).inc()
--- a/sardinegauge/workflows/besteffort.py
+++ b/sardinegauge/workflows/besteffort.py
@@ -6,7 +6,7 @@
 import logging
 import math
 
-from sardinegauge.workflows import interference, outlooks, views
+from sardinegauge.workflows import interference, outlooks, throttletimes, views
 from sardinegauge.workflows.policies import coreshares
 
 # A best-effort task with this CPU cap or less for `MIN_SLOW_MS` may move to another
@@ -323,6 +323,7 @@
     for key, cpu_cap in cap_by_run.items():
         is_changed = is_changed or state.cpu_cap_by_run.get(key, 100) != cpu_cap
         state.cpu_cap_by_run[key] = cpu_cap
+        state.throttle_times.set_cap(key, cpu_cap, state.now_ms)
         if cpu_cap > LOW_CPU_CAP_PERCENT:
             state.slow_since_ms_by_run.pop(key, None)
         else:
@@ -336,5 +337,8 @@
     for key in state.store.runs_of(view.id, view.incarnation):
         if state.cpu_cap_by_run.pop(key, 100) != 100:
             is_changed = True
+            state.throttle_times.set_cap(
+                key, throttletimes.FULL_SPEED_PERCENT, state.now_ms
+            )
             state.slow_since_ms_by_run.pop(key, None)
     return is_changed
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -200,17 +200,21 @@
 def _on_ends_recorded(state, event):
     command = event.command
     for number, task_id, run_number, how, _ in command.rows:
+        lost = state.throttle_times.pop((task_id, run_number), state.now_ms)
         log.info(
-            "run_end_recorded task=%s run=%d worker=%s number=%d how=%s",
+            "run_end_recorded task=%s run=%d worker=%s number=%d how=%s "
+            "throttled_ms=%d paused_ms=%d",
             task_id,
             run_number,
             command.worker,
             number,
             how,
+            lost.lost_ms,
+            lost.paused_ms,
         )
         state.end_ms_by_recent_run[task_id, run_number] = state.now_ms
         recovery.on_end(state, (task_id, run_number), command.worker, how)
-        _emit_run_ended(state, task_id, how)
+        _emit_run_ended(state, task_id, how, lost.lost_ms)
         state.stop_reason_by_run.pop((task_id, run_number), None)
         state.cpu_cap_by_run.pop((task_id, run_number), None)
         state.slow_since_ms_by_run.pop((task_id, run_number), None)
@@ -220,11 +224,15 @@
     state.push(command.worker, command.life)
 
 
-def _emit_run_ended(state, task_id, how):
+def _emit_run_ended(state, task_id, how, throttled_ms):
     workflow, _, _ = state.store.find_task(task_id)
     if workflow is None:
         return
-    state.effects.append(schedulerevents.RunEnded(queue=workflow.queue, how=how))
+    state.effects.append(
+        schedulerevents.RunEnded(
+            queue=workflow.queue, how=how, throttled_ms=throttled_ms
+        )
+    )
     if not workflow.is_open and workflow.id in state.open_ids:
         _on_workflow_ended(state, workflow)
 
@@ -276,10 +284,18 @@
         state.cpu_cap_by_run,
         state.slow_since_ms_by_run,
     ):
-        for task_id, run_number in list(row_by_run):
-            _, _, task = state.store.find_task(task_id)
-            if task is None or all(run.number != run_number for run in task.runs):
-                del row_by_run[task_id, run_number]
+        for key in list(row_by_run):
+            if _is_released(state, key):
+                del row_by_run[key]
+    for key in state.throttle_times.runs():
+        if _is_released(state, key):
+            state.throttle_times.pop(key, state.now_ms)
+
+
+def _is_released(state, key):
+    task_id, run_number = key
+    _, _, task = state.store.find_task(task_id)
+    return task is None or all(run.number != run_number for run in task.runs)
 
 
 def _on_cancelled(state, event):
--- a/sardinegauge/workflows/schedulerevents.py
+++ b/sardinegauge/workflows/schedulerevents.py
@@ -46,9 +46,9 @@
 
 
 class RunEnded(record.Record):
-    """Effect: count a run that ended, for the metrics."""
+    """Effect: count a run that ended, and the time that CPU caps cost it."""
 
-    __slots__ = ("how", "queue")
+    __slots__ = ("how", "queue", "throttled_ms")
 
 
 class RunTimesLearned(record.Record):
