--- a/sardinegauge/workflows/queues.py
+++ b/sardinegauge/workflows/queues.py
@@ -186,10 +186,10 @@
         return False, changed, removed
 
     def to_snapshot(self):
-        """Return the set as plain data."""
+        """Return the set as plain data, which later changes of the set leave alone."""
         return {
-            "changed": self.changed_by_name,
-            "removed_at": self.removed_by_name,
+            "changed": dict(self.changed_by_name),
+            "removed_at": dict(self.removed_by_name),
             "oldest_change": self.oldest_change,
             "version": self.version,
             "queues": [queue.to_dict() for queue in self.by_name.values()],
@@ -215,11 +215,25 @@
             [Pool.from_dict(fields) for fields in data["pools"]],
             data["source"],
         )
-        queue_set.changed_by_name = dict(data["changed"])
-        queue_set.removed_by_name = dict(data["removed_at"])
         queue_set.oldest_change = data["oldest_change"]
+        queue_set._load_changes(data["changed"], data["removed_at"])
         return queue_set
 
+    def _load_changes(self, changed_by_name, removed_by_name):
+        """Load the tables of changes, without changes later than the set itself.
+
+        Snapshots of earlier releases may hold such changes, and lack queues that were
+        removed by them.
+        """
+        for name in self.by_name:
+            version = changed_by_name.get(name, self.version)
+            self.changed_by_name[name] = min(version, self.version)
+        self.removed_by_name = {
+            name: version
+            for name, version in removed_by_name.items()
+            if version <= self.version and name not in self.by_name
+        }
+
 
 def pack(queues, pools):
     """Return queues and pools as compressed text for the log.
