--- a/sardinegauge/state/stateapp.py
+++ b/sardinegauge/state/stateapp.py
@@ -5,6 +5,7 @@
 import gc
 import random
 import sys
+import time
 
 import typer
 from tornado import httpserver
@@ -12,7 +13,13 @@
 from sardinegauge import application, background, clock, errors, logs, settings
 from sardinegauge.agreement import joining, raft, raftstate, storage, writer
 from sardinegauge.links import link, messages
-from sardinegauge.state import replica, replicaeffects, statemetrics, statuspages
+from sardinegauge.state import (
+    eventtimes,
+    replica,
+    replicaeffects,
+    statemetrics,
+    statuspages,
+)
 from sardinegauge.workflows import leaderexchange
 
 TICK_S = 0.02
@@ -77,6 +84,7 @@
         self.address = config.advertise or config.listen
         self.drain_limit_s = config.drain_limit_s
         self.metrics = statemetrics.StateMetrics()
+        self.event_times = eventtimes.EventTimes(clock.monotonic_ms())
         self.folder = None
         self.writer = None
         self.state = None
@@ -196,6 +204,7 @@
         if self._is_suspended:
             return
         generation = self._generation
+        started_s = time.perf_counter()
         try:
             effects = replica.reduce(self.state, event)
         except Exception as error:
@@ -210,6 +219,7 @@
             # belong to the old identity.
             if generation == self._generation:
                 _EFFECT_HANDLERS[type(effect)](self, effect)
+        self.event_times.add(event, time.perf_counter() - started_s)
 
     def _tick_raft(self, now_ms):
         self._dispatch(raft.Tick(now_ms=now_ms, jitter=random.random()))
@@ -217,6 +227,20 @@
     def _tick_scheduler(self, now_ms):
         self._dispatch(replica.SchedulerTick(now_ms=now_ms, wall_ms=clock.wall_ms()))
         self.metrics.update(self.state, self.writer)
+        self._report_event_times(now_ms)
+
+    def _report_event_times(self, now_ms):
+        period = self.event_times.end_period(now_ms)
+        if period is None:
+            return
+        self.metrics.add_event_times(period)
+        if period.is_busy:
+            self.log.info(
+                "reducer_busy",
+                elapsed_ms=period.elapsed_ms,
+                busy_ms=round(period.busy_ms),
+                events=period.describe(),
+            )
 
     def _on_durable(self, generation, sequence):
         # The writer of a closed data folder may still report.
--- a/sardinegauge/state/statemetrics.py
+++ b/sardinegauge/state/statemetrics.py
@@ -26,6 +26,10 @@
         self._syncs = gauge("state_log_syncs", "Log syncs since the start.")
         self._writes = gauge("state_log_writes", "Log writes since the start.")
 
+        self._event_seconds = self._metrics.counter(
+            "state_event_seconds", "Time spent on events by kind.", ("event",)
+        )
+
         self._drains = gauge("drained_domains", "Drained failure domains.")
         self._drain_ages = gauge(
             "domain_drain_age_seconds",
@@ -131,6 +135,11 @@
         wait = self._waits.labels(effect.tenant, effect.task_class)
         wait.observe(effect.wait_ms / 1000)
 
+    def add_event_times(self, period):
+        """Count the time of events in an `eventtimes.Period`."""
+        for kind in period.kinds:
+            self._event_seconds.labels(kind.kind).inc(kind.seconds)
+
     def update(self, state, writer):
         """Set the gauges from a replica's state and its writer."""
         agreement = state.raft
