Bound the reports that wait for a busy leader

Cause: a metastable overload. An agent sent a report at each change, whether or not earlier ones had been answered, and repeated each of them after 0.4 s up to three times with its old content. The leader processed all of them in the order of arrival, also those whose senders had given up, and the answers of its followers waited behind. Once it was 0.4 s late, the load grew; when the burst ended, it did not fall.

Now an agent has at most two reports in flight and sends the current state with each attempt.

--- a/sardinegauge/links/stateclient.py
+++ b/sardinegauge/links/stateclient.py
@@ -243,8 +243,8 @@
             await self._call(lambda _: heartbeat, timeout_s, timeout_s, is_read=True)
         )
 
-    async def report(self, report, timeout_s):
-        """Send a `messages.WorkerReport`.
+    async def report(self, build_report, timeout_s):
+        """Send a `messages.WorkerReport`, which is built anew for each attempt.
 
         Returns
         -------
@@ -255,7 +255,10 @@
         """
         return self._to_answered(
             await self._call(
-                lambda _: report, timeout_s, POLL_ATTEMPT_TIMEOUT_S, is_read=True
+                lambda _: build_report(),
+                timeout_s,
+                POLL_ATTEMPT_TIMEOUT_S,
+                is_read=True,
             )
         )
 
--- a/sardinegauge/state/stateapp.py
+++ b/sardinegauge/state/stateapp.py
@@ -17,6 +17,7 @@
     eventtimes,
     replica,
     replicaeffects,
+    reportqueue,
     statemetrics,
     statuspages,
 )
@@ -84,6 +85,9 @@
         self.address = config.advertise or config.listen
         self.drain_limit_s = config.drain_limit_s
         self.metrics = statemetrics.StateMetrics()
+        self.reports = reportqueue.Intake(
+            self._dispatch_report, self._on_report_replaced
+        )
         self.event_times = eventtimes.EventTimes(clock.monotonic_ms())
         self.folder = None
         self.writer = None
@@ -318,6 +322,23 @@
         elif isinstance(message, messages.WorkerReport) and message.worker:
             agent = (str(message.life), exchange.link)
             self._agent_links_by_upstream[message.worker] = agent
+            self.reports.put(token, message)
+            return
+        self._dispatch_request(token, message)
+
+    def _on_report_replaced(self, token):
+        # Its sender has given it up, or waits for the later report as well.
+        exchange = self._exchanges_by_token.pop(token, None)
+        if exchange is not None:
+            exchange.close()
+        self.metrics.count_replaced_report()
+
+    def _dispatch_report(self, token, message):
+        # The data folder and all links may have been replaced meanwhile.
+        if token in self._exchanges_by_token:
+            self._dispatch_request(token, message)
+
+    def _dispatch_request(self, token, message):
         self._dispatch(
             replica.RequestReceived(
                 now_ms=clock.monotonic_ms(),
--- a/sardinegauge/state/statemetrics.py
+++ b/sardinegauge/state/statemetrics.py
@@ -30,6 +30,11 @@
             "state_event_seconds", "Time spent on events by kind.", ("event",)
         )
 
+        self._replaced_reports = self._metrics.counter(
+            "state_replaced_reports",
+            "Reports of agents that a later one replaced before they were processed.",
+        )
+
         self._drains = gauge("drained_domains", "Drained failure domains.")
         self._drain_ages = gauge(
             "domain_drain_age_seconds",
@@ -135,6 +140,10 @@
         wait = self._waits.labels(effect.tenant, effect.task_class)
         wait.observe(effect.wait_ms / 1000)
 
+    def count_replaced_report(self):
+        """Count a report that was not processed, since a later one came."""
+        self._replaced_reports.inc()
+
     def add_event_times(self, period):
         """Count the time of events in an `eventtimes.Period`."""
         for kind in period.kinds:
--- a/sardinegauge/workflows/hostapp.py
+++ b/sardinegauge/workflows/hostapp.py
@@ -19,6 +19,9 @@
 # Delay before a report, so that simultaneous changes share one.
 REPORT_DELAY_S = 0.003
 REPORT_TIMEOUT_S = 1.5
+# Changes during these reports wait for one of them to end, so that a slow leader gets
+# fewer reports instead of more. A second one goes past a report that waits for a lease.
+MAX_REPORTS_IN_FLIGHT = 2
 CALL_TIMEOUT_S = 0.3
 
 
@@ -52,6 +55,8 @@
         self.metrics_listen = metrics_listen
         self._metrics_server = None
         self._is_report_due = False
+        self._is_report_deferred = False
+        self._reports_in_flight = 0
         self._sequence = 0
 
     async def on_start(self):
@@ -182,13 +187,29 @@
 
     def _send_report(self):
         self._is_report_due = False
+        if self._reports_in_flight >= MAX_REPORTS_IN_FLIGHT:
+            self._is_report_deferred = True
+            return
+        self._reports_in_flight += 1
         background.spawn(self._report())
 
     async def _report(self):
+        try:
+            answer = await self.client.report(self._build_report, REPORT_TIMEOUT_S)
+        finally:
+            self._reports_in_flight -= 1
+            if self._is_report_deferred:
+                self._is_report_deferred = False
+                self._schedule_report()
+        if isinstance(answer, outcome.Answered):
+            self._apply_orders(answer.value)
+
+    def _build_report(self):
+        """Return a report of the current state, also for a repeated attempt."""
         self._sequence += 1
         announcement = self.state.announcement
         fields = hostedreport.report_fields(self.state)
-        message = messages.WorkerReport(
+        return messages.WorkerReport(
             agent=self.state.agent,
             worker=announcement.worker if announcement is not None else "",
             life=self.state.incarnation,
@@ -197,9 +218,6 @@
             body=json.dumps(fields, separators=(",", ":")).encode(),
             is_lease_wanted=self.state.is_lease_wanted,
         )
-        answer = await self.client.report(message, REPORT_TIMEOUT_S)
-        if isinstance(answer, outcome.Answered):
-            self._apply_orders(answer.value)
 
     def _on_push(self, message):
         if isinstance(message, messages.WorkerOrders):
