--- a/benchmarks/statecost.py
+++ b/benchmarks/statecost.py
@@ -156,7 +156,7 @@
     """Return the table lines of the state replicas."""
     folder = pathlib.Path(folder)
     unbatched = await measure_commit(folder / "single", "benchmarks.singlewrites")
-    batched = await measure_commit(folder / "group", "sardinegauge.state.stateapp")
+    batched = await measure_commit(folder / "group", "sardinegauge.state.statecommand")
     lines = []
     for concurrency, values in batched.items():
         for text, unit, value, baseline in zip(
--- a/sardinegauge/agreement/joining.py
+++ b/sardinegauge/agreement/joining.py
@@ -52,7 +52,9 @@
         )
         # Links that other replicas opened are used too, since the configured addresses
         # of peers may all be outdated.
-        link_by_identity = {link.peer.identity: link for link in self.app.replica_links}
+        link_by_identity = {
+            link.peer.identity: link for link in self.app.replica_links.open_links
+        }
         for link in link_by_identity.values():
             background.spawn(self._send_request(link, request))
 
--- a/sardinegauge/state/eventtimes.py
+++ b/sardinegauge/state/eventtimes.py
@@ -1,5 +1,7 @@
 """Time that a replica spends on its events, to see what keeps a leader busy."""
 
+import logging
+
 from sardinegauge import record
 from sardinegauge.state import replica
 
@@ -8,6 +10,8 @@
 BUSY_SHARE = 0.6
 MAX_LOGGED_KINDS = 6
 
+log = logging.getLogger(__name__)
+
 
 class KindTime(record.Record):
     """Number of the events of one kind, and the seconds that they took."""
@@ -68,6 +72,20 @@
         total.count += 1
         total.seconds += seconds
 
+    def report(self, now_ms, metrics):
+        """Add an ended period to the metrics, and log a busy one."""
+        period = self.end_period(now_ms)
+        if period is None:
+            return
+        metrics.add_event_times(period)
+        if period.is_busy:
+            log.info(
+                "reducer_busy elapsed_ms=%d busy_ms=%d events=%s",
+                period.elapsed_ms,
+                period.busy_ms,
+                period.describe(),
+            )
+
     def end_period(self, now_ms):
         """Return the `Period` if it has ended, else None."""
         elapsed_ms = now_ms - self._started_ms
--- a/sardinegauge/state/stateapp.py
+++ b/sardinegauge/state/stateapp.py
@@ -4,19 +4,18 @@
 import errno
 import gc
 import random
-import sys
 import time
 
-import typer
 from tornado import httpserver
 
-from sardinegauge import application, background, clock, errors, logs, settings
+from sardinegauge import application, background, clock, errors, settings
 from sardinegauge.agreement import joining, raft, raftstate, storage, writer
 from sardinegauge.links import link, messages
 from sardinegauge.state import (
     eventtimes,
     replica,
     replicaeffects,
+    replicalinks,
     reportqueue,
     statemetrics,
     statuspages,
@@ -96,8 +95,7 @@
         self.http = None
         self.hello = None
         self.max_batch_writes = writer.MAX_BATCH_WRITES
-        self._dialers_by_address = {}
-        self.replica_links = set()
+        self.replica_links = replicalinks.ReplicaLinks(self)
         self._exchanges_by_token = {}
         self._agent_links_by_upstream = {}
         self._next_token = 1
@@ -193,8 +191,7 @@
         """Close the links, complete pending writes and close the data folder."""
         if self.http is not None:
             self.http.stop()
-        for dialer in self._dialers_by_address.values():
-            dialer.stop()
+        self.replica_links.stop()
         if self.server is not None:
             self.server.close_links()
         if self.writer is not None:
@@ -231,20 +228,7 @@
     def _tick_scheduler(self, now_ms):
         self._dispatch(replica.SchedulerTick(now_ms=now_ms, wall_ms=clock.wall_ms()))
         self.metrics.update(self.state, self.writer)
-        self._report_event_times(now_ms)
-
-    def _report_event_times(self, now_ms):
-        period = self.event_times.end_period(now_ms)
-        if period is None:
-            return
-        self.metrics.add_event_times(period)
-        if period.is_busy:
-            self.log.info(
-                "reducer_busy",
-                elapsed_ms=period.elapsed_ms,
-                busy_ms=round(period.busy_ms),
-                events=period.describe(),
-            )
+        self.event_times.report(now_ms, self.metrics)
 
     def _on_durable(self, generation, sequence):
         # The writer of a closed data folder may still report.
@@ -291,8 +275,7 @@
 
     def on_open(self, link):
         """Record the links of replicas, over which messages are sent to them."""
-        if link.peer.role == "state":
-            self.replica_links.add(link)
+        self.replica_links.add(link)
 
     def on_close(self, link):
         """Remove a closed link from the tables of replicas and agents."""
@@ -351,13 +334,7 @@
     # Effects.
 
     def _send(self, effect):
-        for candidate in self.replica_links:
-            if candidate.peer.identity == effect.member and candidate.is_open:
-                try:
-                    candidate.send(effect.message)
-                except errors.LinkClosedError:
-                    continue
-                return
+        self.replica_links.send(effect.member, effect.message)
 
     def _write(self, effect):
         self.writer.put(effect)
@@ -404,12 +381,7 @@
         wanted |= set(self._joiner.leader_addresses)
         wanted |= {member.address for member in self.state.raft.members.values()}
         wanted -= {self.address, self.config.listen}
-        for address in wanted - self._dialers_by_address.keys():
-            dialer = link.Dialer(address, self, self.hello)
-            self._dialers_by_address[address] = dialer
-            dialer.start()
-        for address in self._dialers_by_address.keys() - wanted:
-            self._dialers_by_address.pop(address).stop()
+        self.replica_links.dial(wanted, self.hello)
 
     def set_peers(self, addresses):
         """Replace the addresses of peers after a change of the settings file."""
@@ -449,9 +421,7 @@
         self._exchanges_by_token.clear()
         for open_link in list(self.server.links):
             open_link.close()
-        for dialer in self._dialers_by_address.values():
-            dialer.stop()
-        self._dialers_by_address.clear()
+        self.replica_links.stop()
         self.update_dialers()
 
 
@@ -468,54 +438,3 @@
     leaderexchange.SchedulePlanning: StateApplication._schedule_plan,
     **dict.fromkeys(statemetrics.RECORDED_EFFECTS, StateApplication._record),
 }
-
-command_line = typer.Typer(add_completion=False)
-
-
-def _load_settings(path):
-    try:
-        return settings.load(path, KNOWN_SETTINGS)
-    except errors.UserError as error:
-        _fail(error)
-
-
-def _fail(error):
-    print(f"sardinegauge-state: {error}", file=sys.stderr)
-    raise typer.Exit(error.exit_status)
-
-
-@command_line.callback(invoke_without_command=True)
-def run(
-    context: typer.Context,
-    settings_file: str = typer.Option("", "--settings", help="Settings file."),
-):
-    """Run one replica of the state."""
-    if context.invoked_subcommand is not None:
-        return
-    if not settings_file:
-        _fail(errors.SettingsError("--settings", ["the option is missing"]))
-    config = _load_settings(settings_file)
-    logs.configure(config.log_level)
-    raise typer.Exit(StateApplication(config, default_modules()).run())
-
-
-@command_line.command()
-def init(settings_file: str = typer.Option(..., "--settings", help="Settings file.")):
-    """Create the data folder of one initial member of a new group."""
-    config = _load_settings(settings_file)
-    if config.name not in config.initial_members:
-        problem = f"initial_members: {config.name} is not among them"
-        _fail(errors.SettingsError(settings_file, [problem]))
-    try:
-        storage.init_folder(config.data_dir, config.name, config.initial_members)
-    except errors.UserError as error:
-        _fail(error)
-
-
-def main():
-    """Run the command line."""
-    command_line()
-
-
-if __name__ == "__main__":
-    main()
--- a/tests/fleet/fleet.py
+++ b/tests/fleet/fleet.py
@@ -14,7 +14,7 @@
 from tests.fleet import ports, relay
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-STATE_MODULE = "sardinegauge.state.stateapp"
+STATE_MODULE = "sardinegauge.state.statecommand"
 AGENT_MODULE = "sardinegauge.agents.agentapp"
 ENTRY_MODULE = "sardinegauge.entries.entryapp"
 TOKENS = {"token-ada": "ada", "token-bob": "bob"}
@@ -162,7 +162,7 @@
         }
         path = self._write_settings(name, settings)
         init = self._add_process(
-            name, "sardinegauge.state.stateapp", "init", "--settings", path
+            name, "sardinegauge.state.statecommand", "init", "--settings", path
         )
         await init.start()
         if await init.child.wait() != 0:
