Let the soak send large configurations and check the routes of fronts

No soak had a configuration of more than one route, and none asked fronts for routes that were added or dropped. Configurations now hold 0, 5 or 600 routes more, and after the bound for changes each front call for the first and last of them must be answered by the last configuration. The test deployment has that bound in its settings.

--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -236,7 +236,7 @@
             "bootstrap": True,
             "data_dir": str(data_dir) if role == "core" else None,
             "advice": f"{self.side_ip}:{self.advice_port}",
-            "bounds": {"grace_s": 3},
+            "bounds": {"grace_s": 3, "config_apply_ms": 3000},
             "fault_tolerance": {"machines": 1, "zones": 0, "regions": 0},
             **fields,
         }
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -4,7 +4,11 @@
 import collections
 import time
 
+from tests import platformkit
+
 SUBMIT_PAUSE_RANGE_S = (0.1, 0.6)
+# Numbers of routes without work in a configuration.
+IDLE_ROUTE_COUNTS = (0, 5, 600)
 
 
 class Clients:
@@ -16,6 +20,7 @@
         self.random = rng
         self.count_by_status = collections.Counter()
         self.config_version = 1
+        self.idle_prefixes_by_version = {1: []}
         self.client_tasks = set()
 
     async def run(self, until_s):
@@ -56,8 +61,18 @@
 
     async def _put_configuration(self):
         self.config_version += self.random.randint(1, 3)
-        document = self.fleet.document(self.config_version)
+        prefixes = [
+            f"/idle-{self.random.getrandbits(32):x}/"
+            for _ in range(self.random.choice(IDLE_ROUTE_COUNTS))
+        ]
+        self.idle_prefixes_by_version[self.config_version] = prefixes
+        document = self.document(self.config_version)
         ip = self.random.choice(self.fleet.core_ips)
         while (await self.fleet.config("PUT", document, ip=ip))[0] != 200:
             ip = self.random.choice(self.fleet.core_ips)
             await asyncio.sleep(0.3)
+
+    def document(self, version):
+        """Return the configuration that was sent under a version."""
+        idle_prefixes = self.idle_prefixes_by_version[version]
+        return self.fleet.document(version, platformkit.PREFIX, *idle_prefixes)
--- a/tests/soak/runs.py
+++ b/tests/soak/runs.py
@@ -12,6 +12,8 @@
 from tests.soak import checker, clients, deployment, faults, operators
 
 SETTLE_LIMIT_S = 60.0
+# The bound in the settings of `platformkit`.
+PROPAGATION_BOUND_S = 3.0
 
 
 class SoakResult:
@@ -59,9 +61,24 @@
             await fleet.wait_until(condition, SETTLE_LIMIT_S)
         except AssertionError:
             observations.report("LOST", f"{job} is not {' or '.join(sorted(wanted))}")
-    expected = (200, fleet.document(load.config_version))
+    expected = (200, load.document(load.config_version))
     if await fleet.config("GET") != expected:
         observations.report("CONFIG", f"version {load.config_version} is not read back")
+    await _check_routes(fleet, observations, load)
+
+
+async def _check_routes(fleet, observations, load):
+    """Check that fronts serve the routes of the last configuration, and no others."""
+    await asyncio.sleep(PROPAGATION_BOUND_S)
+    by_version = load.idle_prefixes_by_version
+    for version, prefixes in by_version.items():
+        wanted = 200 if version == load.config_version else 404
+        for prefix in prefixes[:1] + prefixes[-1:]:
+            status, _ = await fleet.front("GET", prefix)
+            if status not in (wanted, 503):
+                observations.report(
+                    "CONFIG", f"{prefix} of version {version} is answered {status}"
+                )
 
 
 async def _is_in_state(fleet, job, states):
