--- a/tests/test_machine_properties.py
+++ b/tests/test_machine_properties.py
@@ -17,6 +17,7 @@
 from sardinegauge.state import machine
 from tests import driver
 
+SNAPSHOT_STEP = 8
 STOPS = ("stopped", "finished", "failed", "refused")
 PHASES = ("running", "starting", "running", "stopping", *STOPS)
 mostly_true = st.sampled_from((True, True, True, False))
@@ -55,6 +56,9 @@
         self.machine = self.driver.machine
         self.replica = machine.Machine()
         self.sent = []
+        # Snapshots and their text when they were taken. A snapshot is encoded in steps,
+        # so later commands must not change it.
+        self.kept_snapshots = []
         self.live_by_task = {}
         self.epoch_by_task = {}
         self.ended_by_id = {}
@@ -64,6 +68,9 @@
         answer = self.driver.apply(kind, **fields)
         self.sent.append((self.driver.index, self.driver.last))
         assert machine.apply(self.replica, *self.sent[-1]) == answer
+        if len(self.sent) % SNAPSHOT_STEP == 0:
+            snapshot = machine.to_snapshot(self.machine)
+            self.kept_snapshots.append((snapshot, json.dumps(snapshot)))
         return answer
 
     def workers(self):
@@ -366,6 +373,8 @@
                 assert self.ended_by_id.setdefault(item.id, item.state) == item.state
 
     def teardown(self):
+        for snapshot, text in self.kept_snapshots:
+            assert json.dumps(snapshot) == text
         again = machine.Machine()
         for index, command in self.sent:
             machine.apply(again, index, command)
