--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -19,6 +19,7 @@
     keptestimates,
     overcommit,
     recovery,
+    runends,
     schedulerevents,
     store,
     views,
@@ -197,105 +198,11 @@
         state.push(worker, incarnation)
 
 
-def _on_ends_recorded(state, event):
-    command = event.command
-    for number, task_id, run_number, how, _ in command.rows:
-        lost = state.throttle_times.pop((task_id, run_number), state.now_ms)
-        log.info(
-            "run_end_recorded task=%s run=%d worker=%s number=%d how=%s "
-            "throttled_ms=%d paused_ms=%d",
-            task_id,
-            run_number,
-            command.worker,
-            number,
-            how,
-            lost.lost_ms,
-            lost.paused_ms,
-        )
-        state.end_ms_by_recent_run[task_id, run_number] = state.now_ms
-        recovery.on_end(state, (task_id, run_number), command.worker, how)
-        _emit_run_ended(state, task_id, how, lost.lost_ms)
-        state.stop_reason_by_run.pop((task_id, run_number), None)
-        state.cpu_cap_by_run.pop((task_id, run_number), None)
-        state.slow_since_ms_by_run.pop((task_id, run_number), None)
-        if number:
-            _update_health(state, command.worker, task_id, how)
-    state.run_times.on_ends_recorded(state.store, command)
-    state.push(command.worker, command.life)
-
-
-def _emit_run_ended(state, task_id, how, throttled_ms):
-    workflow, _, _ = state.store.find_task(task_id)
-    if workflow is None:
-        return
-    state.effects.append(
-        schedulerevents.RunEnded(
-            queue=workflow.queue, how=how, throttled_ms=throttled_ms
-        )
-    )
-    if not workflow.is_open and workflow.id in state.open_ids:
-        _on_workflow_ended(state, workflow)
-
-
-def _on_workflow_ended(state, workflow):
-    state.open_ids.discard(workflow.id)
-    for task in workflow.tasks():
-        state.moved_from_by_task.pop(task.id, None)
-    state.advice_tracker.drop_workflow(workflow.id)
-    lasted_ms = workflow.ended_at_ms - workflow.accepted_at_ms
-    log.info(
-        "workflow_ended id=%s queue=%s state=%s lasted_ms=%d reason=%r",
-        workflow.id,
-        workflow.queue,
-        workflow.state,
-        lasted_ms,
-        workflow.reason,
-    )
-    state.effects.append(
-        schedulerevents.WorkflowEnded(
-            queue=workflow.queue, state=workflow.state, lasted_ms=lasted_ms
-        )
-    )
-
-
-def _update_health(state, worker, task_id, how):
-    if how == store.DONE:
-        state.health.record_success(worker)
-        state.failed_workers_by_task.pop(task_id, None)
-    elif how == store.FAILED:
-        failed_workers = state.failed_workers_by_task.setdefault(task_id, set())
-        failed_workers.add(worker)
-        # Failures of a task on several workers are not attributed to the later ones.
-        if len(failed_workers) == 1:
-            state.health.record_failure(worker, state.now_ms)
-
-
 def _on_released(state, event):
     view = state.view_by_id.get(event.command.worker)
     if view is not None and view.incarnation == event.command.life:
         view.is_release_pending = False
-    _drop_released_runs(state)
-
-
-def _drop_released_runs(state):
-    """Drop what is kept about runs that the store removed without an end."""
-    for row_by_run in (
-        state.stop_reason_by_run,
-        state.cpu_cap_by_run,
-        state.slow_since_ms_by_run,
-    ):
-        for key in list(row_by_run):
-            if _is_released(state, key):
-                del row_by_run[key]
-    for key in state.throttle_times.runs():
-        if _is_released(state, key):
-            state.throttle_times.pop(key, state.now_ms)
-
-
-def _is_released(state, key):
-    task_id, run_number = key
-    _, _, task = state.store.find_task(task_id)
-    return task is None or all(run.number != run_number for run in task.runs)
+    runends.drop_released(state)
 
 
 def _on_cancelled(state, event):
@@ -304,7 +211,7 @@
     if workflow is None:
         return
     if workflow.id in state.open_ids and not workflow.is_open:
-        _on_workflow_ended(state, workflow)
+        runends.on_workflow_ended(state, workflow)
     _push_stops(state, workflow)
 
 
@@ -319,14 +226,14 @@
 
 def _on_crash_recorded(state, event):
     for workflow in crashes.on_recorded(state, event.command):
-        _on_workflow_ended(state, workflow)
+        runends.on_workflow_ended(state, workflow)
         _push_stops(state, workflow)
 
 
 def _on_task_given_up(state, event):
     workflow, _, _ = state.store.find_task(event.command.task)
     if workflow is not None and not workflow.is_open and workflow.id in state.open_ids:
-        _on_workflow_ended(state, workflow)
+        runends.on_workflow_ended(state, workflow)
         _push_stops(state, workflow)
 
 
@@ -449,7 +356,7 @@
 }
 _BY_COMMAND = {
     commands.AssignRuns: _on_assigned,
-    commands.RecordEnds: _on_ends_recorded,
+    commands.RecordEnds: runends.on_recorded,
     commands.ReleaseLife: _on_released,
     commands.RecordCrash: _on_crash_recorded,
     commands.GiveUpTask: _on_task_given_up,
