Log how well latencies are forecast, and count time over target

The leader now logs one line a second with the error of the forecasts, the samples over target and the paused tasks, and has a histogram of the time over target by queue.

--- a/sardinegauge/state/statemetrics.py
+++ b/sardinegauge/state/statemetrics.py
@@ -66,6 +66,11 @@
             "Time that runs of best-effort tasks lost to their CPU caps.",
             ("queue",),
         )
+        self._over_target = self._metrics.histogram(
+            "workflow_over_target_seconds",
+            "Time that latency-critical tasks were over their target without a break.",
+            ("queue",),
+        )
         self._displaced = self._metrics.counter(
             "workflow_displaced_runs",
             "Runs that were stopped for urgent tasks or on overcommitted workers.",
@@ -119,6 +124,9 @@
         if effect.throttled_ms:
             self._throttled.labels(effect.queue).observe(effect.throttled_ms / 1000)
 
+    def _count_over_target(self, effect):
+        self._over_target.labels(effect.queue).observe(effect.lasted_ms / 1000)
+
     def _count_displacement(self, effect):
         self._displaced.labels(effect.queue, effect.reason).inc()
 
@@ -195,6 +203,7 @@
     replicaeffects.QueuesEncoded: StateMetrics._count_encoding,
     replicaeffects.TaskWaited: StateMetrics._count_wait,
     schedulerevents.RunDisplaced: StateMetrics._count_displacement,
+    schedulerevents.OverTargetEnded: StateMetrics._count_over_target,
     schedulerevents.RunEnded: StateMetrics._count_run,
     schedulerevents.RunRestarted: StateMetrics._count_restart,
     schedulerevents.RunTimesLearned: StateMetrics._set_run_time_ratios,
--- a/sardinegauge/workflows/besteffort.py
+++ b/sardinegauge/workflows/besteffort.py
@@ -6,7 +6,13 @@
 import logging
 import math
 
-from sardinegauge.workflows import interference, outlooks, throttletimes, views
+from sardinegauge.workflows import (
+    interference,
+    outlooks,
+    schedulerevents,
+    throttletimes,
+    views,
+)
 from sardinegauge.workflows.policies import coreshares
 
 # A best-effort task with this CPU cap or less for `MIN_SLOW_MS` may move to another
@@ -24,6 +30,7 @@
 SLOW_REASON = "slow"
 # Headroom that a best-effort task must find on the other worker; see `interference`.
 MIN_MOVE_HEADROOM = 0.1
+THROTTLING_LOG_MS = 1000
 # A run is active for this long before its load, a mean of half a second, is used.
 MIN_LOAD_MS = 1000
 # A run that uses less than this share of what its cap allows is taken to be stuck.
@@ -186,7 +193,10 @@
         if best_effort_task.key in view.runs
         and view.runs[best_effort_task.key].phase == views.ACTIVE
     ]
-    state.interference.observe(view.id, latencies, active, state.now_ms)
+    over_ms_by_key = state.interference.observe(
+        view.id, latencies, active, state.now_ms
+    )
+    _emit_over_target(state, over_ms_by_key)
     over_ms = state.interference.over_target_ms(view.id, state.now_ms)
     if over_ms > interference.OVER_TARGET_LIMIT_MS and active:
         log.info(
@@ -200,6 +210,38 @@
         )
     if _apply_cpu_caps(state, view, best_effort_tasks):
         state.push(view.id, view.incarnation)
+    state.interference.stats.add_caps(
+        [state.cpu_cap_by_run.get(task.key, 100) for task in best_effort_tasks]
+    )
+
+
+def _emit_over_target(state, over_ms_by_key):
+    """Count how long tasks were over their target that are not any more."""
+    for (task_id, _), over_ms in over_ms_by_key.items():
+        workflow, _, _ = state.store.find_task(task_id)
+        if workflow is not None:
+            state.effects.append(
+                schedulerevents.OverTargetEnded(queue=workflow.queue, lasted_ms=over_ms)
+            )
+
+
+def log_throttling(state):
+    """Log once a second how well latencies are forecast, and what the caps are."""
+    if state.now_ms - state.throttling_logged_ms < THROTTLING_LOG_MS:
+        return
+    state.throttling_logged_ms = state.now_ms
+    stats = state.interference.take_stats()
+    if stats.sample_count:
+        log.info(
+            "best_effort_throttling samples=%d over=%d error=%.3f best_effort=%d "
+            "capped=%d paused=%d",
+            stats.sample_count,
+            stats.over_count,
+            stats.rms_error,
+            stats.best_effort_count,
+            stats.capped_count,
+            stats.paused_count,
+        )
 
 
 def _has_latency_critical_task(state, view):
--- a/sardinegauge/workflows/interference.py
+++ b/sardinegauge/workflows/interference.py
@@ -12,6 +12,8 @@
 
 import math
 
+from sardinegauge.workflows import forecaststats
+
 # Latency target divided by the tail latency of an idle latency-critical task.
 IDLE_LATENCY_RATIO = 5.0
 TARGET_PRESSURE = 1.0 - 1.0 / IDLE_LATENCY_RATIO
@@ -101,11 +103,20 @@
         self.over_since_ms = None
 
     def record_latency(self, latency_ms, target_ms, now_ms):
-        """Record whether a latency is over the target."""
+        """Record whether a latency is over the target.
+
+        Returns
+        -------
+        int
+            How long the latency was over the target if it is not any more, otherwise 0.
+        """
+        ended_ms = 0
         if latency_ms < OVER_TARGET_RATIO * target_ms:
+            ended_ms = self.over_target_ms(now_ms)
             self.over_since_ms = None
         elif self.over_since_ms is None:
             self.over_since_ms = now_ms
+        return ended_ms
 
     def over_target_ms(self, now_ms):
         """Return for how long the latency has been over the target."""
@@ -134,7 +145,8 @@
     """The interference model of all workers.
 
     `latency_critical_tasks_by_worker` holds, by worker, a dict of the
-    `LatencyCriticalTask` by run key.
+    `LatencyCriticalTask` by run key. `stats` are a `forecaststats.ForecastStats` of the
+    reports since the last `take_stats`.
     """
 
     __slots__ = (
@@ -142,9 +154,11 @@
         "_estimate_by_best_effort_image",
         "_estimate_by_image_pair",
         "latency_critical_tasks_by_worker",
+        "stats",
     )
 
     def __init__(self):
+        self.stats = forecaststats.ForecastStats()
         self._estimate_by_best_effort_image = {}
         self._estimate_by_image_pair = {}
         self._usage_by_worker = {}
@@ -199,6 +213,11 @@
         estimate = self._estimate_by_best_effort_image.get(best_effort_image)
         return estimate is not None and estimate.mean < LOW_INTERFERENCE_PRESSURE
 
+    def take_stats(self):
+        """Return the statistics so far, and begin new ones."""
+        stats, self.stats = self.stats, forecaststats.ForecastStats()
+        return stats
+
     def observe(self, worker, rows, best_effort_tasks, now_ms):
         """Update the estimates from one report of a worker.
 
@@ -210,7 +229,14 @@
             task.
         best_effort_tasks : list of BestEffortTask
             The best-effort tasks on the worker while the latencies were measured.
+
+        Returns
+        -------
+        dict
+            For how long each task was over its target that is not any more, in ms by
+            run key.
         """
+        over_ms_by_key = {}
         previous_by_key = self.latency_critical_tasks_by_worker.get(worker, {})
         current_by_key = {}
         # Latencies cover the last half second, during which the usage may have changed.
@@ -229,13 +255,19 @@
             latency_critical_task = current_by_key[key] = previous_by_key.get(
                 key
             ) or LatencyCriticalTask(image, now_ms)
-            latency_critical_task.record_latency(latency_ms, target_ms, now_ms)
+            over_ms = latency_critical_task.record_latency(
+                latency_ms, target_ms, now_ms
+            )
+            if over_ms:
+                over_ms_by_key[key] = over_ms
             if latency_ms > 0:
                 pressure = pressure_of(latency_ms, target_ms)
-                self._update_estimates(
+                error = self._update_estimates(
                     latency_critical_task, pressure, mean_usage_by_image, now_ms
                 )
+                self.stats.add_latency(error, latency_ms > target_ms)
         self.latency_critical_tasks_by_worker[worker] = current_by_key
+        return over_ms_by_key
 
     def drop_worker(self, worker):
         """Drop the state of a worker that runs no latency-critical task."""
@@ -245,6 +277,7 @@
     def _update_estimates(
         self, latency_critical_task, pressure, usage_by_image, now_ms
     ):
+        """Correct all terms by a measured pressure; return the forecast's error."""
         latency_critical_task.baseline.grow_variance(
             BASELINE_DRIFT_PER_S, BASELINE_VARIANCE, now_ms
         )
@@ -259,15 +292,17 @@
                     )
                 )
         predicted = sum(estimate.mean * usage for estimate, usage in terms)
+        error = pressure - predicted
         if predicted > pressure >= MAX_PRESSURE:
-            return  # The measured pressure is capped, so the prediction may be right.
+            return 0.0  # The measured pressure is capped; the forecast may be right.
         innovation_variance = NOISE_VARIANCE + sum(
             estimate.variance * usage * usage for estimate, usage in terms
         )
         for estimate, usage in terms:
             gain = estimate.variance * usage / innovation_variance
-            estimate.mean += gain * (pressure - predicted)
+            estimate.mean += gain * error
             estimate.variance *= max(1.0 - gain * usage, 1e-6)
+        return error
 
     def _best_effort_estimate(self, image, now_ms):
         estimate = self._estimate_by_best_effort_image.get(image)
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -266,6 +266,7 @@
     state.wall_ms = event.wall_ms
     state.wall_offset_ms = event.wall_ms - event.now_ms
     besteffort.move_slow_best_effort_tasks(state)
+    besteffort.log_throttling(state)
     _expire_refusals(state)
     crashes.tick(state)
     isolation.tick(state)
--- a/sardinegauge/workflows/schedulerevents.py
+++ b/sardinegauge/workflows/schedulerevents.py
@@ -45,6 +45,12 @@
     __slots__ = ("queue", "reason")
 
 
+class OverTargetEnded(record.Record):
+    """Effect: count how long a latency-critical task was over its target."""
+
+    __slots__ = ("lasted_ms", "queue")
+
+
 class RunEnded(record.Record):
     """Effect: count a run that ended, and the time that CPU caps cost it."""
 
--- a/sardinegauge/workflows/schedulerstate.py
+++ b/sardinegauge/workflows/schedulerstate.py
@@ -37,7 +37,8 @@
     best-effort tasks in percent; `core_sharing` decides how the left-over cores are
     shared on workers in `short_until_ms_by_worker`, and `urgency` which tasks are
     throttled first.
-    `throttle_times` is what CPU caps have cost each run so far.
+    `throttle_times` is what CPU caps have cost each run so far,
+    `throttling_logged_ms` when the throttling was last logged.
     `slow_since_ms_by_run` is the time from which on a best-effort task has been slow,
     `moved_from_by_task` the worker that a best-effort task was moved away from. A task
     is not assigned before `refused_until_ms` to a worker that refused it, by task id
@@ -70,6 +71,7 @@
         self.step_times = outlooks.StepTimes()
         self.slow_since_ms_by_run = {}
         self.throttle_times = throttletimes.ThrottleTimes()
+        self.throttling_logged_ms = 0
         self.moved_from_by_task = {}
         self.failed_workers_by_task = {}
         self.refused_until_ms = {}
--- a/tests/test_workflow_interference.py
+++ b/tests/test_workflow_interference.py
@@ -93,6 +93,41 @@
     assert abs(known - learned) < 0.02
 
 
+def test_throttling_is_logged_and_time_over_target_counted(caplog):
+    """Guards against a shortage that neither logs nor metrics show."""
+    caplog.set_level("INFO")
+    leader = leaderkit.Leader()
+    counted = []
+    apply_effects = leader.apply_effects
+
+    def record_effects(effects):
+        counted.extend(
+            effect
+            for effect in effects
+            if isinstance(effect, schedulerevents.OverTargetEnded)
+        )
+        apply_effects(effects)
+
+    leader.apply_effects = record_effects
+    leader.report()
+    leader.submit(
+        steps_module.Step(image="web", target_ms=TARGET_MS, is_persistent=True)
+    )
+    leader.settle()
+    for latency_ms in (20, 60, 60, 20):
+        leader.now_ms += REPORT_MS
+        row = ["w.0.0.0", 1, views.ACTIVE, "", 100, latency_ms, "", 100, 0]
+        report = leaderkit.report_of("a", [])
+        report.runs = [row]
+        leader.dispatch(schedulerevents.ReportReceived, report=report)
+    leader.tick(1000)
+    assert [(effect.queue, effect.lasted_ms) for effect in counted] == [
+        ("q", 2 * REPORT_MS)
+    ]
+    (line,) = [r.message for r in caplog.records if "throttling" in r.message]
+    assert "samples=4 over=2" in line
+
+
 def test_malformed_estimates_are_skipped():
     model = interference.InterferenceModel()
     model.load_rows([["", "a"], 5, ["", "b", "x", 1], ["", "c", 0.3, 0.01]], 0)
