Refuse numbers and addresses out of range where messages are decoded

A heartbeat whose `born` or `seq` is far ahead hid all true ones for good, and its fence number would have locked the leader's own orders out; a capacity out of range made the leader refuse every report of the worker; a call to port 99999 raised OverflowError, and an answer nested very deeply RecursionError, so that the reducer never heard of the call's end; rows of another shape reached the reducer. A settings file with an infinite number ended the process that read it again, and a deadline of NaN in a client's header became a timer.

Each value is now checked where it is decoded: type, range, finite, address. Addresses have one module, which settings, links and the adapter share.

--- a/sardinegauge/agents/agentapp.py
+++ b/sardinegauge/agents/agentapp.py
@@ -10,6 +10,7 @@
 from tornado import netutil
 
 from sardinegauge import (
+    addresses,
     application,
     background,
     clock,
@@ -146,13 +147,13 @@
             loaded.queue,
         )
         self.server = link.LinkServer(self, self.hello)
-        host, port = link.split_address(loaded.listen)
+        host, port = addresses.split(loaded.listen)
         self.server.add_sockets(netutil.bind_sockets(port, host))
         if loaded.metrics_listen:
             self.status_server = statusserver.StatusServer(
                 {"/-/health": self.health_page, "/-/metrics": self.metrics_page}
             )
-            host, port = link.split_address(loaded.metrics_listen)
+            host, port = addresses.split(loaded.metrics_listen)
             self.status_server.add_sockets(netutil.bind_sockets(port, host))
         for replica in loaded.state:
             self.get_dialer(replica)
--- a/sardinegauge/clock.py
+++ b/sardinegauge/clock.py
@@ -13,5 +13,5 @@
 
 
 def wall_ms():
-    """Return milliseconds since the Unix epoch, for display and audit only."""
+    """Return milliseconds since the Unix epoch; the clock may jump."""
     return time.time_ns() // 1_000_000
--- a/sardinegauge/entries/entryhttp.py
+++ b/sardinegauge/entries/entryhttp.py
@@ -4,8 +4,8 @@
 
 from tornado import httpserver, httputil, web
 
+from sardinegauge import addresses
 from sardinegauge.entries import callerhttp, entrymetrics, operatorapi
-from sardinegauge.links import link
 
 RESERVED_PREFIXES = ("/-/", "/sardinegauge.v1.")
 # Limit of the wait for a request's head, and thus of idle time between requests.
@@ -160,6 +160,6 @@
         max_body_size=MAX_SERVER_BODY_BYTES,
         max_buffer_size=STREAM_BUFFER_BYTES,
     )
-    host, port = link.split_address(address)
+    host, port = addresses.split(address)
     server.listen(port, host)
     return server
--- a/sardinegauge/links/httpcall.py
+++ b/sardinegauge/links/httpcall.py
@@ -321,4 +321,11 @@
             raise
         finally:
             pool.release(stream)
-        return collector.status, json.loads(bytes(collector.data) or b"{}")
+        return collector.status, _parse_json(bytes(collector.data))
+
+
+def _parse_json(data):
+    try:
+        return json.loads(data or b"{}")
+    except RecursionError as error:
+        raise ValueError("the response is nested too deeply") from error
--- a/sardinegauge/links/link.py
+++ b/sardinegauge/links/link.py
@@ -15,7 +15,7 @@
 
 from tornado import iostream, tcpserver
 
-from sardinegauge import background, errors
+from sardinegauge import addresses, background, errors
 from sardinegauge.links import codec, httpmessages, messages
 
 MAX_FRAME_BYTES = 1 << 20
@@ -451,9 +451,13 @@
     Raises
     ------
     TimeoutError, OSError, tornado.iostream.StreamClosedError
-        If there is no connection within `timeout_s` seconds.
+        If there is no connection within `timeout_s` seconds, or the address is invalid.
     """
-    host, port = split_address(address)
+    try:
+        host, port = addresses.parse(address)
+    except ValueError as error:
+        # Callers treat an address that was learnt from others like a silent peer.
+        raise OSError(str(error)) from error
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     stream = stream_class(socket.socket(family, socket.SOCK_STREAM), **stream_options)
     try:
@@ -462,15 +466,3 @@
     except BaseException:
         stream.close()
         raise
-
-
-def split_address(address):
-    """Return host and port of an ``ip:port`` address.
-
-    Examples
-    --------
-    >>> split_address("127.0.0.1:7000")
-    ('127.0.0.1', 7000)
-    """
-    host, _, port = address.rpartition(":")
-    return host, int(port)
--- a/sardinegauge/settings.py
+++ b/sardinegauge/settings.py
@@ -1,9 +1,8 @@
 """Settings files: JSON with comments, validated completely before a process starts."""
 
-import ipaddress
 import json
 
-from sardinegauge import errors, record
+from sardinegauge import addresses, errors, record
 
 _REQUIRED = object()
 _ITEM_KIND_BY_LIST_KIND = {"texts": "text", "addresses": "address"}
@@ -185,10 +184,8 @@
 
 
 def _address_problem(value):
-    host, _, port = value.rpartition(":")
     try:
-        ipaddress.ip_address(host)
-        is_port = 0 < int(port) < 65536
+        addresses.parse(value)
     except ValueError:
-        is_port = False
-    return "" if is_port else "must be ip:port with an IP address"
+        return "must be ip:port with an IP address"
+    return ""
--- a/sardinegauge/state/stateapp.py
+++ b/sardinegauge/state/stateapp.py
@@ -8,7 +8,7 @@
 
 from tornado import httpserver
 
-from sardinegauge import application, background, clock, errors, settings
+from sardinegauge import addresses, application, background, clock, errors, settings
 from sardinegauge.agreement import joining, raft, raftstate, storage, writer
 from sardinegauge.links import link, messages
 from sardinegauge.state import (
@@ -116,7 +116,7 @@
         gc.freeze()
         gc.set_threshold(GC_ALLOCATIONS, 50, 100)
         self.server = link.LinkServer(self, self.hello)
-        host, port = link.split_address(self.config.listen)
+        host, port = addresses.split(self.config.listen)
         self.server.listen(port, host)
         self._listen_http()
         self.update_dialers()
@@ -170,7 +170,7 @@
     def _listen_http(self):
         if not self.config.metrics_listen:
             return
-        host, port = link.split_address(self.config.metrics_listen)
+        host, port = addresses.split(self.config.metrics_listen)
         self.http = httpserver.HTTPServer(statuspages.build_application(self))
         self.http.listen(port, host)
 
--- a/sardinegauge/workflows/flowmetrics.py
+++ b/sardinegauge/workflows/flowmetrics.py
@@ -2,8 +2,7 @@
 
 from tornado import httpserver, web
 
-from sardinegauge import metrics
-from sardinegauge.links import link
+from sardinegauge import addresses, metrics
 
 # Bounds of the histogram of the times after which refused callers return.
 RETRY_AFTER_BUCKETS_S = (1, 2, 3, 5, 8, 13, 20, 30, 60, 120, 300, 600)
@@ -130,6 +129,6 @@
     server = httpserver.HTTPServer(
         web.Application(routes, log_function=lambda handler: None)
     )
-    host, port = link.split_address(address)
+    host, port = addresses.split(address)
     server.listen(port, host)
     return server
--- a/sardinegauge/workflows/hosting.py
+++ b/sardinegauge/workflows/hosting.py
@@ -28,6 +28,9 @@
 # Calls since the last answer that found nothing listening at the worker's address,
 # after which the worker counts as down.
 CONNECT_FAILURES_UNTIL_DOWN = 2
+# Announcements may overtake each other within this time. The order of their numbers is
+# not kept for longer, as one entry with a wrong number would hide all later ones.
+MAX_REORDERING_MS = 10_000
 # Limit of the worker for the ends in one answer. A full list may lack further ends, so
 # a run that is missing from it is not taken to be gone.
 MAX_LISTED_ENDS = 500
@@ -67,9 +70,11 @@
         or announcement.worker != last_announcement.worker
     ):
         return
-    if announcement.sequence <= last_announcement.sequence:
+    is_older = announcement.sequence <= last_announcement.sequence
+    if is_older and state.now_ms - state.announced_ms <= MAX_REORDERING_MS:
         return
     state.announcement = announcement
+    state.announced_ms = state.now_ms
     if announcement.capacity != last_announcement.capacity:
         state.report()
     if announcement.is_draining and not state.is_draining:
--- a/sardinegauge/workflows/hoststate.py
+++ b/sardinegauge/workflows/hoststate.py
@@ -89,11 +89,13 @@
     is when the first call after the last answer went unanswered, or 0. `crash` is the
     `hostedcrash.Crash` that the leader has not acknowledged yet, or None.
     `orders_sent_ms` is when the newest report was sent that orders answered.
+    `announced_ms` is when the newest announcement was received.
     """
 
     def __init__(self, agent):
         self.agent = agent
         self.announcement = None
+        self.announced_ms = 0
         self.is_draining = False
         self.is_watched = False
         self.term = 0
@@ -131,6 +133,7 @@
     def begin_incarnation(self, announcement):
         """Reset the state for a new incarnation of the worker."""
         self.announcement = announcement
+        self.announced_ms = self.now_ms
         self.is_draining = announcement.is_draining
         self._reset(announcement.incarnation)
 
--- a/tests/test_wireformat.py
+++ b/tests/test_wireformat.py
@@ -13,6 +13,7 @@
 import nodesettings
 import wireformat
 
+WALL_MS = 1_700_000_500_000
 ROUTE = {
     "name": "r1",
     "host": "a.example",
@@ -69,7 +70,7 @@
         with pytest.raises(wireformat.DecodeError):
             decode(body)
     with pytest.raises(wireformat.DecodeError):
-        wireformat.decode_heartbeat("i-1", body)
+        wireformat.decode_heartbeat("i-1", body, WALL_MS)
 
 
 def test_job_keeps_every_field_of_its_steps():
@@ -148,7 +149,7 @@
 
 
 def test_heartbeat_tells_incarnation_rack_and_draining():
-    found = wireformat.decode_heartbeat("i-1", json.dumps(HEARTBEAT))
+    found = wireformat.decode_heartbeat("i-1", json.dumps(HEARTBEAT), WALL_MS)
     assert (found.incarnation, found.rack, found.is_draining) == (
         1700000000000,
         "r1-3",
@@ -170,7 +171,8 @@
 )
 def test_heartbeat_of_another_writer_names_no_worker(change):
     with pytest.raises(wireformat.DecodeError):
-        wireformat.decode_heartbeat("i-1", json.dumps({**HEARTBEAT, **change}))
+        body = json.dumps({**HEARTBEAT, **change})
+        wireformat.decode_heartbeat("i-1", body, WALL_MS)
 
 
 def test_answers_of_a_minion_are_told_apart():
@@ -181,7 +183,7 @@
         "running": [["t", 2, None, 41]],
         "ended": [[1, "u", 1, "done", ""]],
     }
-    answer = wireformat.decode_answer(hold, 200, fields)
+    answer = wireformat.decode_answer(hold, 200, fields, WALL_MS)
     assert answer.running == [["t", 2, "", 41, 0]]
     assert answer.ended == [[1, "u", 1, "done", ""]]
     assert (answer.incarnation, answer.clock_ms) == (3, 9)
@@ -192,10 +194,10 @@
         (503, workerclient.REFUSED, workerclient.UNHEALTHY),
         (400, workerclient.REFUSED, workerclient.MALFORMED),
     ):
-        answer = wireformat.decode_answer(hold, status, {"reason": "room"})
+        answer = wireformat.decode_answer(hold, status, {"reason": "room"}, WALL_MS)
         assert (answer.kind, answer.reason) == (kind, reason)
     with pytest.raises(wireformat.DecodeError):
-        wireformat.decode_answer(hold, 200, [])
+        wireformat.decode_answer(hold, 200, [], WALL_MS)
 
 
 def test_settings_name_what_a_role_needs_and_ignore_the_rest():
@@ -224,3 +226,9 @@
     for broken in ([], {}, {"good": [["i-1"]]}, {"good": "x"}):
         with pytest.raises(wireformat.DecodeError):
             wireformat.decode_advice(broken)
+
+
+@pytest.mark.parametrize("header", ["nan", "inf", "-inf", "1e400", "", "x", "5"])
+def test_deadline_of_a_client_is_a_number_that_timers_take(header):
+    deadline_ms = wireformat.decode_deadline_ms(header)
+    assert deadline_ms <= wireformat.MAX_DEADLINE_MS
