Estimate the load of latency-critical tasks by step, with its trend

Cause: the interference model estimated the load of each latency-critical task from its own reports alone, and neglects covariances. Paused tasks show nothing that would correct this.

Change: the tasks of a step serve the same users, so all of them correct one track of their load and its trend; each keeps a deviation that fades. Terms of pairs start with as much variance as terms of images. Caps and placement use the load expected when they take effect, and the limit rises from 0.70 to 0.74.

--- a/sardinegauge/workflows/interference.py
+++ b/sardinegauge/workflows/interference.py
@@ -3,41 +3,47 @@
 It is made for a load in which the tail latencies of latency-critical tasks change
 within seconds and the interference differs for each pair of images. A tail latency is
 converted into a pressure, which is additive over best-effort tasks: 0 for an idle task,
-`TARGET_PRESSURE` at the latency target. The pressure of a latency-critical task is a
-baseline, which drifts, plus for each best-effort task its usage times a coefficient:
-the sum of a term of the best-effort task's image and a term of the pair of images. All
-terms are estimated together from each report by a Kalman filter that neglects the
-covariances between them.
+`TARGET_PRESSURE` at the latency target. The pressure of a latency-critical task is the
+load of its step, a deviation of its own that fades, and for each best-effort task its
+usage times a coefficient: the sum of a term of the best-effort task's image and a term
+of the pair of images. All terms are estimated together from each report by a Kalman
+filter that neglects the covariances between them. A load that is estimated for each
+task alone can't be told from the interference on its worker.
 """
 
 import math
+import weakref
 
-from sardinegauge.workflows import forecaststats
+from sardinegauge.workflows import forecaststats, loadtrack
 
 # Latency target divided by the tail latency of an idle latency-critical task.
 IDLE_LATENCY_RATIO = 5.0
 TARGET_PRESSURE = 1.0 - 1.0 / IDLE_LATENCY_RATIO
 # Best-effort tasks are throttled to keep the expected pressure below this.
-THROTTLING_PRESSURE = 0.70
+THROTTLING_PRESSURE = 0.74
 # Limit of the expected pressure for placing one more best-effort task, below the limit
-# for throttling since the baseline drifts.
+# for throttling since the load swings.
 PLACEMENT_PRESSURE = 0.62
 # Above this pressure a latency only shows that the task is overloaded.
 MAX_PRESSURE = 0.96
 # Share of a worker's cores that is one unit of usage.
 USAGE_UNIT_SHARE = 0.1
-# Initial means and variances of the terms. A drift is the growth of a term's variance
-# per second, up to its initial variance.
-BASELINE_PRESSURE = 0.45
-BASELINE_VARIANCE = 0.05
-BASELINE_DRIFT_PER_S = 0.004
+# Initial means and variances of the terms of a coefficient. A drift is the growth of a
+# term's variance per second, up to its initial variance.
 BEST_EFFORT_PRESSURE = 0.1
-BEST_EFFORT_VARIANCE = 0.015
+BEST_EFFORT_VARIANCE = 0.012
 # Images of best-effort tasks whose term is lower count as having low interference.
 LOW_INTERFERENCE_PRESSURE = 0.05
 BEST_EFFORT_DRIFT_PER_S = 0.0001
-PAIR_VARIANCE = 0.004
-PAIR_DRIFT_PER_S = 0.0001
+PAIR_VARIANCE = 0.012
+PAIR_DRIFT_PER_S = 0.0003
+# Variance of the deviation of a latency-critical task from the load of its step, and
+# the time in which a deviation fades.
+DEVIATION_VARIANCE = 0.002
+DEVIATION_FADING_S = 2.0
+# Time from the middle of the span that a latency covers until a CPU cap that it causes
+# has been in effect for half of the time to the next report.
+FORECAST_MS = 550
 # Variance of a measured pressure.
 NOISE_VARIANCE = 0.0006
 # CPU caps are whole multiples of this percentage.
@@ -90,16 +96,17 @@
 class LatencyCriticalTask:
     """A latency-critical task beside best-effort tasks.
 
-    `baseline` is the estimate of its pressure without best-effort tasks.
-    `over_since_ms` is the time from which on its latency has been over the target, None
-    while it is not.
+    `load_track` is the `loadtrack.LoadTrack` of its step, `deviation` the estimate of
+    how far its own load differs. `over_since_ms` is the time from which on its latency
+    has been over the target, None while it is not.
     """
 
-    __slots__ = ("image", "over_since_ms", "baseline")
+    __slots__ = ("deviation", "image", "load_track", "over_since_ms")
 
-    def __init__(self, image, now_ms):
+    def __init__(self, image, load_track, now_ms):
         self.image = image
-        self.baseline = Estimate(BASELINE_PRESSURE, BASELINE_VARIANCE, now_ms)
+        self.load_track = load_track
+        self.deviation = Estimate(0.0, DEVIATION_VARIANCE, now_ms)
         self.over_since_ms = None
 
     def record_latency(self, latency_ms, target_ms, now_ms):
@@ -122,6 +129,20 @@
         """Return for how long the latency has been over the target."""
         return now_ms - self.over_since_ms if self.over_since_ms is not None else 0
 
+    def advance(self, now_ms):
+        """Move the estimates of the load on to a later time."""
+        self.load_track.advance(now_ms)
+        left = _fading(now_ms - self.deviation.updated_ms)
+        self.deviation.updated_ms = now_ms
+        self.deviation.mean *= left
+        self.deviation.variance *= left * left
+        self.deviation.variance += (1 - left * left) * DEVIATION_VARIANCE
+
+    def expected_load(self, at_ms):
+        """Return the expected pressure without best-effort tasks at a time."""
+        left = _fading(at_ms - self.deviation.updated_ms)
+        return self.load_track.forecast(at_ms) + left * self.deviation.mean
+
 
 class BestEffortTask:
     """A best-effort task beside latency-critical tasks.
@@ -150,6 +171,7 @@
     """
 
     __slots__ = (
+        "_load_track_by_step",
         "_usage_by_worker",
         "_estimate_by_best_effort_image",
         "_estimate_by_image_pair",
@@ -161,6 +183,8 @@
         self.stats = forecaststats.ForecastStats()
         self._estimate_by_best_effort_image = {}
         self._estimate_by_image_pair = {}
+        # The tracks live as long as a task of their step.
+        self._load_track_by_step = weakref.WeakValueDictionary()
         self._usage_by_worker = {}
         self.latency_critical_tasks_by_worker = {}
 
@@ -243,7 +267,8 @@
         usage_by_image = _usage_by_image(best_effort_tasks)
         previous_usage_by_image = self._usage_by_worker.get(worker, usage_by_image)
         self._usage_by_worker[worker] = usage_by_image
-        images = previous_usage_by_image.keys() | usage_by_image.keys()
+        # In the order of a dict, so that a replay corrects the terms in the same order.
+        images = {**previous_usage_by_image, **usage_by_image}
         mean_usage_by_image = {
             image: (
                 previous_usage_by_image.get(image, 0.0) + usage_by_image.get(image, 0.0)
@@ -252,9 +277,11 @@
             for image in images
         }
         for key, image, latency_ms, target_ms in rows:
-            latency_critical_task = current_by_key[key] = previous_by_key.get(
-                key
-            ) or LatencyCriticalTask(image, now_ms)
+            latency_critical_task = previous_by_key.get(key)
+            if latency_critical_task is None:
+                load_track = self._load_track(key, now_ms)
+                latency_critical_task = LatencyCriticalTask(image, load_track, now_ms)
+            current_by_key[key] = latency_critical_task
             over_ms = latency_critical_task.record_latency(
                 latency_ms, target_ms, now_ms
             )
@@ -274,14 +301,21 @@
         self.latency_critical_tasks_by_worker.pop(worker, None)
         self._usage_by_worker.pop(worker, None)
 
+    def _load_track(self, run_key, now_ms):
+        task_id, _ = run_key
+        step = task_id.rpartition(".")[0]
+        load_track = self._load_track_by_step.get(step)
+        if load_track is None:
+            load_track = self._load_track_by_step[step] = loadtrack.LoadTrack(now_ms)
+        return load_track
+
     def _update_estimates(
         self, latency_critical_task, pressure, usage_by_image, now_ms
     ):
         """Correct all terms by a measured pressure; return the forecast's error."""
-        latency_critical_task.baseline.grow_variance(
-            BASELINE_DRIFT_PER_S, BASELINE_VARIANCE, now_ms
-        )
-        terms = [(latency_critical_task.baseline, 1.0)]
+        latency_critical_task.advance(now_ms)
+        load_track = latency_critical_task.load_track
+        terms = [(latency_critical_task.deviation, 1.0)]
         for image, usage in usage_by_image.items():
             if usage > 0.0:
                 terms.append((self._best_effort_estimate(image, now_ms), usage))
@@ -291,13 +325,16 @@
                         usage,
                     )
                 )
-        predicted = sum(estimate.mean * usage for estimate, usage in terms)
+        predicted = load_track.level
+        predicted += sum(estimate.mean * usage for estimate, usage in terms)
         error = pressure - predicted
         if predicted > pressure >= MAX_PRESSURE:
             return 0.0  # The measured pressure is capped; the forecast may be right.
-        innovation_variance = NOISE_VARIANCE + sum(
+        innovation_variance = NOISE_VARIANCE + load_track.level_variance
+        innovation_variance += sum(
             estimate.variance * usage * usage for estimate, usage in terms
         )
+        load_track.correct(error, innovation_variance)
         for estimate, usage in terms:
             gain = estimate.variance * usage / innovation_variance
             estimate.mean += gain * error
@@ -333,7 +370,10 @@
         for latency_critical_task in self.latency_critical_tasks_by_worker.get(
             worker, {}
         ).values():
-            pressure = latency_critical_task.baseline.mean + sum(
+            pressure = latency_critical_task.expected_load(
+                latency_critical_task.deviation.updated_ms + FORECAST_MS
+            )
+            pressure += sum(
                 self.coefficient(latency_critical_task.image, best_effort_task.image)
                 * best_effort_task.demand
                 for best_effort_task in best_effort_tasks
@@ -364,9 +404,11 @@
         latency_critical_tasks = self.latency_critical_tasks_by_worker.get(
             worker, {}
         ).values()
-        for task in sorted(
-            latency_critical_tasks, key=lambda task: -task.baseline.mean
-        ):
+        load_by_task = {
+            task: task.expected_load(now_ms + FORECAST_MS)
+            for task in latency_critical_tasks
+        }
+        for task in sorted(load_by_task, key=load_by_task.get, reverse=True):
             effects = [
                 (
                     self.coefficient(task.image, best_effort_task.image)
@@ -375,7 +417,7 @@
                 )
                 for best_effort_task in best_effort_tasks
             ]
-            excess = task.baseline.mean - THROTTLING_PRESSURE
+            excess = load_by_task[task] - THROTTLING_PRESSURE
             excess += sum(
                 effect * share_by_key[best_effort_task.key]
                 for effect, best_effort_task in effects
@@ -397,6 +439,11 @@
         }
 
 
+def _fading(elapsed_ms):
+    """Return the share of a deviation that is left after a time."""
+    return math.exp(-max(elapsed_ms, 0) / 1000 / DEVIATION_FADING_S)
+
+
 def _rounded(estimate):
     return round(estimate.mean, 4), round(estimate.variance, 6)
 
--- a/tests/test_workflow_interference.py
+++ b/tests/test_workflow_interference.py
@@ -1,14 +1,17 @@
 """Guards against tasks that stay over their latency target beside best-effort tasks."""
 
+import math
+
 import pytest
 
-from sardinegauge.workflows import interference, schedulerevents, views
+from sardinegauge.workflows import interference, loadtrack, schedulerevents, views
 from sardinegauge.workflows import steps as steps_module
 from tests import leaderkit
 
 TARGET_MS = 50
 REPORT_MS = 300
 HARM_MS = 4000
+SWING_MS = 14_000
 
 
 @pytest.mark.parametrize(("count", "usage"), [(4, 0.1), (8, 0.02), (20, 0.02)])
@@ -56,6 +59,66 @@
     assert model.cpu_caps("a", best_effort_tasks, 40 * REPORT_MS) == {("f", 1): 100}
 
 
+def observe_swinging_step(model, interference_by_worker, seconds=20):
+    """Let a step of four tasks report while best-effort tasks come and go.
+
+    Load pattern: the load of the step swings, and a best-effort task is active on each
+    worker for the rising half of each period.
+    """
+    for number in range(int(1000 * seconds / REPORT_MS)):
+        now_ms = REPORT_MS * number
+        angle = 2 * math.pi * now_ms / SWING_MS
+        load = 0.45 + 0.2 * math.sin(angle)
+        for position, worker in enumerate("abcd"):
+            is_active = worker in interference_by_worker and math.cos(angle) > 0
+            pressure = load
+            tasks = []
+            if is_active:
+                pressure += interference_by_worker[worker]
+                tasks = [interference.BestEffortTask(("f", 1), "sweep", 1.0, 1.0)]
+            latency_ms = TARGET_MS / interference.IDLE_LATENCY_RATIO / (1 - pressure)
+            row = ((f"w.0.0.{position}", 1), "web", latency_ms, TARGET_MS)
+            model.observe(worker, [row], tasks, now_ms + 10 * position)
+
+
+def test_rising_load_is_not_taken_for_interference():
+    model = interference.InterferenceModel()
+    observe_swinging_step(model, {"a": 0.0, "b": 0.0})
+    assert model.coefficient("web", "sweep") < 0.03
+
+
+def test_interference_is_not_taken_for_a_rising_load():
+    model = interference.InterferenceModel()
+    observe_swinging_step(model, {"a": 0.2, "b": 0.2})
+    # A latency covers the time before the task became active, too.
+    assert 0.12 < model.coefficient("web", "sweep") < 0.25
+
+
+def test_load_is_forecast_with_its_trend():
+    """Without the trend, caps follow a rising load late, and a falling one too."""
+    errors, errors_without = [], []
+    for seconds in range(20, 34):
+        model = interference.InterferenceModel()
+        observe_swinging_step(model, {}, seconds)
+        (task,) = model.latency_critical_tasks_by_worker["a"].values()
+        at_ms = task.deviation.updated_ms + interference.FORECAST_MS
+        load = 0.45 + 0.2 * math.sin(2 * math.pi * at_ms / SWING_MS)
+        errors.append(task.expected_load(at_ms) - load)
+        errors_without.append(task.load_track.level - load)
+    assert math.hypot(*errors) < 0.6 * math.hypot(*errors_without)
+
+
+def test_load_track_begins_anew_after_a_silence():
+    """A trend from before a power loss says nothing about the load after it."""
+    track = loadtrack.LoadTrack(now_ms=0)
+    for now_ms in range(0, 4000, 50):
+        track.advance(now_ms)
+        error = 0.2 + 0.1 * now_ms / 1000 - track.level
+        track.correct(error, track.level_variance + 0.001)
+    track.advance(60_000)
+    assert (track.level, track.trend_per_s) == (loadtrack.INITIAL_LEVEL, 0.0)
+
+
 def test_new_leader_loads_the_estimates():
     """Load pattern: the leader changes while tasks of both kinds share a worker."""
     leader = leaderkit.Leader()
