Limit the pressure by the expected error of its forecast

The limit is now the target less the error to be expected: a part for the load and a share of the pressure that each image adds, of which only what fits below the target counts. The new test fails with the fixed margin.

--- a/sardinegauge/workflows/interference.py
+++ b/sardinegauge/workflows/interference.py
@@ -19,8 +19,11 @@
 # Latency target divided by the tail latency of an idle latency-critical task.
 IDLE_LATENCY_RATIO = 5.0
 TARGET_PRESSURE = 1.0 - 1.0 / IDLE_LATENCY_RATIO
-# Best-effort tasks are throttled to keep the expected pressure below this.
-THROTTLING_PRESSURE = 0.74
+# Best-effort tasks are throttled to keep the expected pressure below the target by the
+# expected error of the forecast: this much for the load, and this share of the pressure
+# that the best-effort tasks of one image add.
+LOAD_ERROR = 0.045
+INTERFERENCE_ERROR_SHARE = 0.3
 # Limit of the expected pressure for placing one more best-effort task, below the limit
 # for throttling since the load swings.
 PLACEMENT_PRESSURE = 0.62
@@ -417,11 +420,16 @@
                 )
                 for best_effort_task in best_effort_tasks
             ]
-            excess = load_by_task[task] - THROTTLING_PRESSURE
-            excess += sum(
-                effect * share_by_key[best_effort_task.key]
-                for effect, best_effort_task in effects
-            )
+            effect_by_image = {}
+            for effect, best_effort_task in effects:
+                image = best_effort_task.image
+                effect_by_image[image] = (
+                    effect_by_image.get(image, 0.0)
+                    + effect * share_by_key[best_effort_task.key]
+                )
+            load = load_by_task[task]
+            limit = _throttling_limit(load, list(effect_by_image.values()))
+            excess = load + sum(effect_by_image.values()) - limit
             effects.sort(key=lambda pair: (pair[1].rank, pair[0]), reverse=True)
             for effect, best_effort_task in effects:
                 if excess <= 0.0:
@@ -439,6 +447,26 @@
         }
 
 
+def _throttling_limit(load, effects):
+    """Return the limit of the pressure of a task with a load.
+
+    Of the effects of the images beside it, only as much counts for the error as fits
+    below the target, since the rest is throttled.
+
+    Examples
+    --------
+    >>> round(_throttling_limit(0.6, []), 3), round(_throttling_limit(0.2, [0.9]), 3)
+    (0.755, 0.614)
+    """
+    total = sum(effects)
+    fitting_share = 1.0
+    if total > 0.0:
+        fitting_share = min(max(TARGET_PRESSURE - load, 0.0) / total, 1.0)
+    scale = INTERFERENCE_ERROR_SHARE * fitting_share
+    errors = [scale * effect for effect in effects]
+    return TARGET_PRESSURE - math.hypot(LOAD_ERROR, *errors)
+
+
 def _fading(elapsed_ms):
     """Return the share of a deviation that is left after a time."""
     return math.exp(-max(elapsed_ms, 0) / 1000 / DEVIATION_FADING_S)
--- a/tests/test_workflow_interference.py
+++ b/tests/test_workflow_interference.py
@@ -108,6 +108,34 @@
     assert math.hypot(*errors) < 0.6 * math.hypot(*errors_without)
 
 
+def test_limit_leaves_room_for_the_error_of_the_forecast():
+    """Load pattern: two workers with the same load, one with much more interference.
+
+    With one margin for all, tasks beside much interference are often over their
+    target, and those beside little hold it back needlessly.
+    """
+    model = interference.InterferenceModel()
+    rows = [["", "light", 0.01, 0.0], ["", "heavy", 0.25, 0.0]]
+    model.load_rows(rows, 0)
+    load_by_image = {}
+    for image in ("light", "heavy"):
+        # Without usage, the reports leave the coefficients as they are.
+        idle = [interference.BestEffortTask((image, 1), image, 2.0, 0.0)]
+        for number in range(20):
+            row = ((f"w.0.0.{image}", 1), "web", 20.0, TARGET_MS)
+            model.observe(image, [row], idle, REPORT_MS * number)
+        now_ms = 20 * REPORT_MS
+        (task,) = model.latency_critical_tasks_by_worker[image].values()
+        load = task.expected_load(now_ms + interference.FORECAST_MS)
+        (cap,) = model.cpu_caps(image, idle, now_ms).values()
+        effect = 2.0 * model.coefficient("web", image) * cap / 100
+        load_by_image[image] = (load + effect, cap)
+    assert load_by_image["light"][1] == 100
+    pressure, cap = load_by_image["heavy"]
+    assert 0 < cap < 100
+    assert pressure < interference.TARGET_PRESSURE - 2 * interference.LOAD_ERROR
+
+
 def test_load_track_begins_anew_after_a_silence():
     """A trend from before a power loss says nothing about the load after it."""
     track = loadtrack.LoadTrack(now_ms=0)
