--- a/sardinegauge/workflows/besteffort.py
+++ b/sardinegauge/workflows/besteffort.py
@@ -11,6 +11,7 @@
     outlooks,
     schedulerevents,
     throttletimes,
+    throttling,
     views,
 )
 from sardinegauge.workflows.policies import coreshares
@@ -198,7 +199,7 @@
     )
     _emit_over_target(state, over_ms_by_key)
     over_ms = state.interference.over_target_ms(view.id, state.now_ms)
-    if over_ms > interference.OVER_TARGET_LIMIT_MS and active:
+    if over_ms > throttling.OVER_TARGET_LIMIT_MS and active:
         log.info(
             "fillers_slowed worker=%s over_ms=%d fillers=%d latencies=%s",
             view.id,
@@ -287,7 +288,9 @@
 
 def _apply_cpu_caps(state, view, best_effort_tasks):
     """Set the caps beside latency-critical tasks; return whether any changed."""
-    caps = state.interference.cpu_caps(view.id, best_effort_tasks, state.now_ms)
+    caps = throttling.cpu_caps(
+        state.interference, view.id, best_effort_tasks, state.now_ms
+    )
     shares = {task.key: 1.0 for task in best_effort_tasks}
     if _is_shared_in_order(state, view):
         shares = _core_shares(state, view, best_effort_tasks, caps)
@@ -350,7 +353,7 @@
 
     Only a run that is paused because of interference gets a cap of 0.
     """
-    step = interference.CPU_CAP_STEP_PERCENT
+    step = throttling.CPU_CAP_STEP_PERCENT
     caps = {}
     for key, share in share_by_run.items():
         limit = cap_by_run.get(key, 100)
--- a/sardinegauge/workflows/interference.py
+++ b/sardinegauge/workflows/interference.py
@@ -19,11 +19,6 @@
 # Latency target divided by the tail latency of an idle latency-critical task.
 IDLE_LATENCY_RATIO = 5.0
 TARGET_PRESSURE = 1.0 - 1.0 / IDLE_LATENCY_RATIO
-# Best-effort tasks are throttled to keep the expected pressure below the target by the
-# expected error of the forecast: this much for the load, and this share of the pressure
-# that the best-effort tasks of one image add.
-LOAD_ERROR = 0.045
-INTERFERENCE_ERROR_SHARE = 0.3
 # Limit of the expected pressure for placing one more best-effort task, below the limit
 # for throttling since the load swings.
 PLACEMENT_PRESSURE = 0.62
@@ -49,14 +44,6 @@
 FORECAST_MS = 550
 # Variance of a measured pressure.
 NOISE_VARIANCE = 0.0006
-# CPU caps are whole multiples of this percentage.
-CPU_CAP_STEP_PERCENT = 5
-# Best-effort tasks that raise the pressure by less than this are not throttled.
-MIN_EFFECT = 0.015
-# Regardless of the estimates, all best-effort tasks on the worker are throttled once a
-# latency-critical task has been over its target for this long, and paused after twice
-# this time.
-OVER_TARGET_LIMIT_MS = 900
 # Share of the target from which a latency counts as over it, since latencies are
 # measured coarsely.
 OVER_TARGET_RATIO = 0.95
@@ -299,6 +286,10 @@
         self.latency_critical_tasks_by_worker[worker] = current_by_key
         return over_ms_by_key
 
+    def latency_critical_tasks(self, worker):
+        """Return the `LatencyCriticalTask` of each latency-critical run of a worker."""
+        return self.latency_critical_tasks_by_worker.get(worker, {}).values()
+
     def drop_worker(self, worker):
         """Drop the state of a worker that runs no latency-critical task."""
         self.latency_critical_tasks_by_worker.pop(worker, None)
@@ -370,9 +361,7 @@
         would exceed the limit.
         """
         min_headroom = math.inf
-        for latency_critical_task in self.latency_critical_tasks_by_worker.get(
-            worker, {}
-        ).values():
+        for latency_critical_task in self.latency_critical_tasks(worker):
             pressure = latency_critical_task.expected_load(
                 latency_critical_task.deviation.updated_ms + FORECAST_MS
             )
@@ -387,95 +376,20 @@
 
     def max_effect(self, worker, image, demand):
         """Return the highest pressure that one more best-effort task adds to a task."""
-        coefficients = [
-            self.coefficient(latency_critical_task.image, image)
-            for latency_critical_task in self.latency_critical_tasks_by_worker.get(
-                worker, {}
-            ).values()
-        ]
+        images = {task.image for task in self.latency_critical_tasks(worker)}
+        coefficients = [self.coefficient(other, image) for other in images]
         return demand * max(coefficients, default=0.0)
 
     def over_target_ms(self, worker, now_ms):
         """Return the longest time that a task has been over its latency target."""
-        latency_critical_tasks = self.latency_critical_tasks_by_worker.get(
-            worker, {}
-        ).values()
         return max(
-            (task.over_target_ms(now_ms) for task in latency_critical_tasks), default=0
+            (
+                task.over_target_ms(now_ms)
+                for task in self.latency_critical_tasks(worker)
+            ),
+            default=0,
         )
 
-    def cpu_caps(self, worker, best_effort_tasks, now_ms):
-        """Return the CPU cap in percent of each best-effort task by its key.
-
-        Best-effort tasks are throttled in order of rank, highest first, so that work
-        that can still meet its deadline keeps its speed. Best-effort tasks with an
-        effect below `MIN_EFFECT` keep theirs unless a task stays over its target.
-        """
-        share_by_key = {
-            best_effort_task.key: 1.0 for best_effort_task in best_effort_tasks
-        }
-        latency_critical_tasks = self.latency_critical_tasks_by_worker.get(
-            worker, {}
-        ).values()
-        load_by_task = {
-            task: task.expected_load(now_ms + FORECAST_MS)
-            for task in latency_critical_tasks
-        }
-        for task in sorted(load_by_task, key=load_by_task.get, reverse=True):
-            effects = [
-                (
-                    self.coefficient(task.image, best_effort_task.image)
-                    * best_effort_task.demand,
-                    best_effort_task,
-                )
-                for best_effort_task in best_effort_tasks
-            ]
-            effect_by_image = {}
-            for effect, best_effort_task in effects:
-                image = best_effort_task.image
-                effect_by_image[image] = (
-                    effect_by_image.get(image, 0.0)
-                    + effect * share_by_key[best_effort_task.key]
-                )
-            load = load_by_task[task]
-            limit = _throttling_limit(load, list(effect_by_image.values()))
-            excess = load + sum(effect_by_image.values()) - limit
-            effects.sort(key=lambda pair: (pair[1].rank, pair[0]), reverse=True)
-            for effect, best_effort_task in effects:
-                if excess <= 0.0:
-                    break
-                if effect < MIN_EFFECT:
-                    continue
-                reduction = min(share_by_key[best_effort_task.key] * effect, excess)
-                share_by_key[best_effort_task.key] -= reduction / effect
-                excess -= reduction
-        over_ms = self.over_target_ms(worker, now_ms)
-        limit = min(max(2.0 - over_ms / OVER_TARGET_LIMIT_MS, 0.0), 1.0)
-        return {
-            key: int(100 * share * limit // CPU_CAP_STEP_PERCENT) * CPU_CAP_STEP_PERCENT
-            for key, share in share_by_key.items()
-        }
-
-
-def _throttling_limit(load, effects):
-    """Return the limit of the pressure of a task with a load.
-
-    Of the effects of the images beside it, only as much counts for the error as fits
-    below the target, since the rest is throttled.
-
-    Examples
-    --------
-    >>> round(_throttling_limit(0.6, []), 3), round(_throttling_limit(0.2, [0.9]), 3)
-    (0.755, 0.614)
-    """
-    total = sum(effects)
-    fitting_share = 1.0
-    if total > 0.0:
-        fitting_share = min(max(TARGET_PRESSURE - load, 0.0) / total, 1.0)
-    scale = INTERFERENCE_ERROR_SHARE * fitting_share
-    errors = [scale * effect for effect in effects]
-    return TARGET_PRESSURE - math.hypot(LOAD_ERROR, *errors)
-
 
 def _fading(elapsed_ms):
     """Return the share of a deviation that is left after a time."""
