--- a/tests/test_capacity_simulation.py
+++ b/tests/test_capacity_simulation.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests import test_workflow_simulation
+from tests import workersim, workflowsim
 
 # A start may rely on a capacity that shrank within the time of contact and one
 # announcement.
@@ -14,7 +14,7 @@
 CAPACITIES_MILLIS = (2000, 4000, 6000, 8000)
 
 
-class World(test_workflow_simulation.World):
+class World(workflowsim.World):
     """Simulation in which capacities change at random."""
 
     def __init__(self, seed):
@@ -28,7 +28,7 @@
         former.append((self.now_ms, worker.capacity_millis))
         is_over = not self.is_faulty
         worker.capacity_millis = (
-            test_workflow_simulation.CAPACITY_MILLIS
+            workersim.CAPACITY_MILLIS
             if is_over
             else self.random.choice(CAPACITIES_MILLIS)
         )
--- a/tests/test_crash_simulation.py
+++ b/tests/test_crash_simulation.py
@@ -8,7 +8,7 @@
 import pytest
 
 from sardinegauge.workflows import workflow
-from tests import test_workflow_simulation
+from tests import workflowsim
 
 WORKER_COUNT = 8
 # Time from the start of a poison task to the crash, and from there to the restart.
@@ -19,7 +19,7 @@
 LEADER_CHANGES_MS = (4000, 7000, 9500, 15_000)
 
 
-class World(test_workflow_simulation.World):
+class World(workflowsim.World):
     """Simulation in which the first task of some workflows crashes its workers."""
 
     is_faulty = False
@@ -48,7 +48,7 @@
     def call(self, agent, state, effect):
         if self.is_silent and not agent.worker.is_up:
             self.schedule(
-                test_workflow_simulation.CALL_TIMEOUT_MS,
+                workflowsim.CALL_TIMEOUT_MS,
                 lambda: self.unanswered(agent, state, effect, False),
             )
         else:
--- a/tests/test_displacement_simulation.py
+++ b/tests/test_displacement_simulation.py
@@ -14,7 +14,7 @@
 from sardinegauge.workflows import queues, schedulerevents, workerclient
 from sardinegauge.workflows import steps as steps_module
 from sardinegauge.workflows.policies import displacement, displacementlimits
-from tests import test_workflow_simulation
+from tests import workersim, workflowsim
 
 MEMORY_MB = 16_000
 SHRUNK_MEMORY_MB = 9000
@@ -33,7 +33,7 @@
 MAX_UNAVAILABLE = 1
 
 
-class Worker(test_workflow_simulation.Worker):
+class Worker(workersim.Worker):
     """A worker with memory whose tasks save a checkpoint every `CHECKPOINT_MS`."""
 
     def begin(self):
@@ -78,7 +78,7 @@
         return answer
 
 
-class Agent(test_workflow_simulation.Agent):
+class Agent(workersim.Agent):
     """An agent that announces the memory of its worker."""
 
     def dispatch(self, event):
@@ -88,7 +88,7 @@
         super().dispatch(event)
 
 
-class World(test_workflow_simulation.World):
+class World(workflowsim.World):
     """Simulation with two queues in which no fault but the scripted ones occurs."""
 
     is_faulty = False
