--- a/tests/test_straggler_simulation.py
+++ b/tests/test_straggler_simulation.py
@@ -13,7 +13,8 @@
 MIN_GAIN_BY_FORM = {"stuck": 0.05, "partly stuck": 0.05, "slow": 0.03, "failing": -0.02}
 SEEDS = range(3)
 # A seed has about four best-effort workflows; stuck workers delay the fewest of them.
-SEEDS_BY_FORM = {"stuck": range(8)}
+# With slow workers, the rises of single seeds differ by 0.3.
+SEEDS_BY_FORM = {"stuck": range(8), "slow": range(10)}
 
 
 def play(policy, seed, form="", tail_share=0.0, fleet_class=stragglerfleet.Fleet):
