Decide what a waiting run needs when a call slot becomes free

Cause: the reducer of the agent made a start call as soon as it had the order, and the client of the worker let calls wait for one of six slots without a bound; beside a worker that hangs, each slot is held for 0.3 s. A cancel, a drain or an expired order could not reach a waiting call.

The limit of open calls is part of the reducer now. A call without a free slot is not made: its run waits, and what it needs is decided when a slot is free; stops first, then CPU caps, then starts. A call that fails with an unexpected error counts as unanswered, as it would keep its slot for good.

Ruled out: the worker and the leader. The orders to stop arrived within the bound, and the record of the case shows the starts leaving the agent late.

--- a/sardinegauge/workflows/flowmetrics.py
+++ b/sardinegauge/workflows/flowmetrics.py
@@ -102,15 +102,19 @@
             "worker_calls", "Calls to the worker by how they ended.", ("call", "end")
         )
         self._runs = self.metrics.gauge("worker_runs", "Runs on the worker.")
+        self._waiting_runs = self.metrics.gauge(
+            "worker_waiting_runs", "Runs that wait for a free slot of a call."
+        )
 
     def count(self, call, end, seconds):
         """Count one call; `end` is how it ended: the answer's reason or kind."""
         self._seconds.labels(call).observe(seconds)
         self._calls.labels(call, end).inc()
 
-    def set_runs(self, count):
-        """Set the number of runs on the worker."""
+    def set_runs(self, count, waiting_count):
+        """Set the numbers of runs on the worker, and of those that wait for a call."""
         self._runs.set(count)
+        self._waiting_runs.set(waiting_count)
 
 
 class _MetricsHandler(web.RequestHandler):
--- a/sardinegauge/workflows/hostapp.py
+++ b/sardinegauge/workflows/hostapp.py
@@ -69,7 +69,7 @@
         )
 
     def _page(self):
-        self.metrics.set_runs(len(self.state.runs))
+        self.metrics.set_runs(len(self.state.runs), self.state.slots.waiting_count)
         return self.metrics.metrics.page()
 
     async def on_stop(self):
@@ -140,6 +140,13 @@
                 now_ms=clock.monotonic_ms(), call=effect, is_down=error.is_down
             )
             end = "down" if error.is_down else "unanswered"
+        except Exception:
+            # A call that never ends would keep its slot and its run for good.
+            self.log.exception("worker_call_failed", call=kind)
+            event = hostevents.CallUnanswered(
+                now_ms=clock.monotonic_ms(), call=effect, is_down=False
+            )
+            end = "failed"
         else:
             if answer.kind != workerclient.DONE:
                 self.log.info(
--- a/sardinegauge/workflows/hostedcrash.py
+++ b/sardinegauge/workflows/hostedcrash.py
@@ -31,7 +31,7 @@
 def is_settled(state):
     """Return whether no call is open that shows if its run had started.
 
-    Calls that were waiting to be sent fail only after the crash was noticed.
+    Calls that were open at the crash may fail only after it was noticed.
     """
     since_ms = state.unanswered_since_ms or state.now_ms
     return state.now_ms - since_ms >= MAX_SETTLE_MS or not any(
--- a/sardinegauge/workflows/hostedruns.py
+++ b/sardinegauge/workflows/hostedruns.py
@@ -60,6 +60,9 @@
     lease_until_ms = state.lease_until_ms()
     if run.is_call_open or not lease_until_ms or not state.is_fenced:
         return
+    if not state.slots.take():
+        state.slots.wait_to_start(key)
+        return
     task_id, run_number = key
     run.is_call_open = True
     run.called_ms = run.called_ms or state.now_ms
@@ -102,6 +105,9 @@
         return
     if state.now_ms - run.last_cpu_cap_call_ms < RETRY_MS:
         return
+    if not state.slots.take():
+        state.slots.wait_to_cap(key)
+        return
     task_id, run_number = key
     run.last_cpu_cap_call_ms = state.now_ms
     state.call(
@@ -129,6 +135,9 @@
 def _call_stop(state, key, run):
     if state.is_down:
         return
+    if not state.slots.take():
+        state.slots.wait_to_stop(key)
+        return
     task_id, run_number = key
     run.is_call_open = True
     state.call(workerclient.StopCall(task=task_id, run=run_number, fence=state.fence))
@@ -179,14 +188,32 @@
     for key, run in list(state.runs.items()):
         if run.is_call_open or state.now_ms < run.next_call_ms:
             continue
-        if run.phase == views.ORDERED and not state.is_down and _is_expired(state, run):
-            abandon_start(state, key, run, ORDER_EXPIRED)
-            log.info("start_expired task=%s run=%d", *key)
-            state.report()
-        elif run.phase == views.ORDERED:
-            _call_start(state, key, run)
-        elif run.phase == views.STOPPING and not run.is_stop_answered:
-            _call_stop(state, key, run)
+        _advance(state, key, run)
+
+
+def use_free_slots(state):
+    """Make the calls that waiting runs need by now, as far as there are slots.
+
+    A start whose order has expired, or that is not wanted any more, is not called.
+    """
+    while (key := state.slots.next_key()) is not None:
+        run = state.runs.get(key)
+        if run is not None:
+            _advance(state, key, run)
+
+
+def _advance(state, key, run):
+    """Make the call that a run needs in its phase."""
+    if run.phase == views.ORDERED and not state.is_down and _is_expired(state, run):
+        abandon_start(state, key, run, ORDER_EXPIRED)
+        log.info("start_expired task=%s run=%d", *key)
+        state.report()
+    elif run.phase == views.ORDERED:
+        _call_start(state, key, run)
+    elif run.phase == views.STOPPING and not run.is_stop_answered:
+        _call_stop(state, key, run)
+    elif run.phase == views.ACTIVE:
+        set_cpu_cap(state, key, run.target_cpu_cap)
 
 
 def _is_expired(state, run):
--- a/sardinegauge/workflows/hosting.py
+++ b/sardinegauge/workflows/hosting.py
@@ -43,6 +43,7 @@
     state.now_ms = max(state.now_ms, event.now_ms)
     state.event_number += 1
     _BY_EVENT[type(event)](state, event)
+    hostedruns.use_free_slots(state)
     effects, state.effects = state.effects, []
     return effects
 
@@ -128,6 +129,7 @@
     call = event.call
     if call.incarnation != state.incarnation:
         return
+    _release_slot(state, call)
     answer = event.answer
     if answer.kind == workerclient.WRONG_INCARNATION or (
         answer.incarnation and answer.incarnation != state.incarnation
@@ -150,6 +152,17 @@
     _ON_ANSWER[type(call.request)](state, call, answer)
 
 
+def _release_slot(state, call):
+    """Free the slot of an ended call.
+
+    A worker with another id may have the same incarnation number; calls to the former
+    one hold no slot.
+    """
+    is_hold = isinstance(call.request, workerclient.HoldCall)
+    if not is_hold and call.event_number >= state.first_event_number:
+        state.slots.release()
+
+
 def _close_call(state, call):
     request = call.request
     if isinstance(request, workerclient.HoldCall):
@@ -166,6 +179,7 @@
     call = event.call
     if call.incarnation != state.incarnation:
         return
+    _release_slot(state, call)
     _close_call(state, call)
     state.unanswered_since_ms = state.unanswered_since_ms or state.now_ms
     if not event.is_down:
--- a/sardinegauge/workflows/hoststate.py
+++ b/sardinegauge/workflows/hoststate.py
@@ -1,6 +1,6 @@
 """State of an agent: its worker, the worker's runs and their leases."""
 
-from sardinegauge.workflows import hostevents
+from sardinegauge.workflows import callslots, hostevents
 
 # Lowest rate of a worker's clock relative to true time.
 MIN_CLOCK_RATE = 0.98
@@ -89,7 +89,8 @@
     is when the first call after the last answer went unanswered, or 0. `crash` is the
     `hostedcrash.Crash` that the leader has not acknowledged yet, or None.
     `orders_sent_ms` is when the newest report was sent that orders answered.
-    `announced_ms` is when the newest announcement was received.
+    `announced_ms` is when the newest announcement was received. `first_event_number` is
+    that of the event that began the incarnation. `slots` limits its open calls.
     """
 
     def __init__(self, agent):
@@ -111,6 +112,8 @@
 
     def _reset(self, incarnation):
         self.incarnation = incarnation
+        self.first_event_number = self.event_number
+        self.slots = callslots.CallSlots()
         self.fence = incarnation
         self.is_fenced = False
         self.is_down = False
--- a/tests/test_hostapp.py
+++ b/tests/test_hostapp.py
@@ -4,7 +4,7 @@
 
 from sardinegauge import outcome
 from sardinegauge.links import messages
-from sardinegauge.workflows import hostapp
+from sardinegauge.workflows import hostapp, hostevents, workerclient
 
 
 class SlowClient:
@@ -58,3 +58,28 @@
         assert second.sequence > first.sequence
 
     asyncio.run(scenario())
+
+
+class FailingWorkerClient:
+    """Fails as no client should."""
+
+    async def call(self, announcement, request, timeout_s):
+        raise RuntimeError("an error that no client declares")
+
+
+def test_call_that_fails_unexpectedly_counts_as_unanswered():
+    """Guards against a call that never ends, whose slot would be lost for good."""
+
+    async def scenario():
+        app = hostapp.HostApplication("vm-1", [], worker_client=FailingWorkerClient())
+        events = []
+        app._dispatch = events.append
+        request = workerclient.StopCall(task="w.0.0.0", run=1, fence=1)
+        call = hostevents.Call(
+            announcement=None, incarnation=1, request=request, sent_ms=0, event_number=1
+        )
+        await app._call(call)
+        (event,) = events
+        assert isinstance(event, hostevents.CallUnanswered) and not event.is_down
+
+    asyncio.run(scenario())
