Keep out a submission that arrives after its cancel

Cause: a cancel of an unknown id changed nothing, so that its acknowledgement held only for submissions that had arrived before it.

A binding cancel of an unknown id is recorded in the replicated state, and a submission of the id is refused for 15 minutes. The record has a limit of 40,000 ids; beyond it a cancel of an unknown id is not acknowledged. Old logs hold cancels without the new field, which record nothing, so that a replay has the result that it had. A front submits no job of a caller who has left.

Ruled out: the deadline of the caller at the front alone. A caller may leave just after the submission was proposed, so only the log can decide.

--- a/sardinegauge/calls.py
+++ b/sardinegauge/calls.py
@@ -173,7 +173,7 @@
 
 
 def _cancel_workflow(request, operator):
-    return commands.CancelWorkflow(id=request.id)
+    return commands.CancelWorkflow(id=request.id, is_binding=True)
 
 
 def _placement_arguments(request):
--- a/sardinegauge/checks.py
+++ b/sardinegauge/checks.py
@@ -330,7 +330,7 @@
         "is_newcomer": flag,
         "seen_index": COUNT,
     },
-    commands.CancelWorkflow: {"id": TEXT},
+    commands.CancelWorkflow: {"id": TEXT, "is_binding": flag},
     commands.SetDomainDrain: {
         "failure_domain": TEXT,
         "undo": flag,
--- a/sardinegauge/commands.py
+++ b/sardinegauge/commands.py
@@ -338,9 +338,16 @@
 
 
 class CancelWorkflow(Command):
-    """Cancel a workflow. Answers: `Accepted`, or `Impossible` if it is unknown."""
+    """Cancel a workflow. Answers: `Accepted`, or `Impossible` if it is unknown.
 
-    __slots__ = ("id",)
+    With `is_binding`, an unknown id is recorded, and a later submission of it is
+    answered with `Conflict`; an unknown id that can't be recorded is answered with
+    `Conflict`, too. Logs of earlier releases hold cancels without this field, which
+    record nothing.
+    """
+
+    __slots__ = ("id", "is_binding")
+    _defaults = {"at_ms": 0, "is_binding": False}
 
 
 class RegisterLife(Command):
--- a/sardinegauge/state/statemetrics.py
+++ b/sardinegauge/state/statemetrics.py
@@ -35,6 +35,10 @@
             "Reports of agents that a later one replaced before they were processed.",
         )
 
+        self._cancellations = gauge(
+            "workflow_cancelled_ids", "Cancelled ids that no workflow had."
+        )
+
         self._drains = gauge("drained_domains", "Drained failure domains.")
         self._drain_ages = gauge(
             "domain_drain_age_seconds",
@@ -172,6 +176,7 @@
         voters = sum(member.is_voter for member in agreement.members.values())
         self._members.labels("voter").set(voters)
         self._members.labels("learner").set(len(agreement.members) - voters)
+        self._cancellations.set(len(state.machine.workflows.cancellations.at_ms_by_id))
         self._syncs.set(writer.syncs)
         self._writes.set(writer.writes)
         self.update_drains(
--- a/sardinegauge/workflows/flowmetrics.py
+++ b/sardinegauge/workflows/flowmetrics.py
@@ -45,6 +45,10 @@
             "Attempts to call the leader by how they ended.",
             ("message", "result"),
         )
+        self._unrecorded_cancels = self.metrics.counter(
+            "workflow_unrecorded_cancels",
+            "Cancels of unknown workflows that were refused, as too many are recorded.",
+        )
         self._polls = self.metrics.histogram(
             "queues_poll_seconds",
             "Time of polls by whether the leader confirmed the queues in force.",
@@ -55,6 +59,10 @@
             "Time since the last confirmed poll, when a request was routed.",
         )
 
+    def count_unrecorded_cancel(self):
+        """Count a cancel that was refused, since too many are recorded."""
+        self._unrecorded_cancels.inc()
+
     def count(self, queue, method, status, seconds):
         """Count one answered request; `queue` is empty if none was found."""
         self._seconds.labels(queue, method).observe(seconds)
--- a/sardinegauge/workflows/gateway.py
+++ b/sardinegauge/workflows/gateway.py
@@ -12,6 +12,7 @@
 
 from sardinegauge import background, clock, commands, outcome, record
 from sardinegauge.workflows import (
+    cancellations,
     flowmetrics,
     gatewayadmission,
     queues,
@@ -33,6 +34,7 @@
 # The rest leaves time for the way of a request and for a clock that runs slow.
 STALENESS_SHARE = 0.8
 REFUSED_BEFORE = "refused_before"
+CANCELLED = "cancelled"
 
 log = logging.getLogger(__name__)
 
@@ -257,6 +259,12 @@
         answer = await self._propose(command, deadline_s - loop.time())
         if isinstance(answer, outcome.Accepted):
             self.admission.record_accepted(queue, command.id, loop.time())
+        elif (
+            isinstance(answer, outcome.Conflict)
+            and answer.reason == cancellations.CANCELLED_BEFORE
+        ):
+            proposed.remove(command.id)
+            return self._refuse_cancelled(queue, command.id)
         elif isinstance(answer, outcome.Conflict):
             # The recorded refusal may be older than a proposal that is still on its way
             # from another gateway; a new one blocks that, too.
@@ -272,6 +280,14 @@
             proposed.remove(command.id)
         return answer
 
+    def _refuse_cancelled(self, queue, workflow_id):
+        """Refuse a workflow that its caller has cancelled; no attempt can run it."""
+        log.info("cancelled_workflow_refused id=%s queue=%s", workflow_id, queue.name)
+        self.metrics.count_admission(queue.name, CANCELLED)
+        return outcome.Refused(
+            reason=cancellations.CANCELLED_BEFORE, retry_after_ms=1000 * RETRY_AFTER_S
+        )
+
     async def _refuse(self, queue, submission, decision, deadline_s):
         """Record a refusal in the log; return the answer, or None to accept instead.
 
@@ -325,7 +341,11 @@
 
     async def cancel(self, workflow_id, timeout_s):
         """Cancel a workflow; the outcomes are those of `submit` and `NoWorkflow`."""
-        answer = await self._propose(commands.CancelWorkflow(id=workflow_id), timeout_s)
+        command = commands.CancelWorkflow(id=workflow_id, is_binding=True)
+        answer = await self._propose(command, timeout_s)
+        if isinstance(answer, outcome.Conflict):
+            self.metrics.count_unrecorded_cancel()
+            return outcome.Refused(reason=answer.reason)
         return NoWorkflow() if isinstance(answer, NoQueue) else answer
 
     async def _propose(self, command, timeout_s):
--- a/sardinegauge/workflows/store.py
+++ b/sardinegauge/workflows/store.py
@@ -1,7 +1,7 @@
 """Replicated state of queues, workflows and registered workers; part of the machine."""
 
 from sardinegauge import outcome, record
-from sardinegauge.workflows import queues, refusals, steps
+from sardinegauge.workflows import cancellations, queues, refusals, steps
 from sardinegauge.workflows import workflow as workflow_module
 
 # Ended workflows are kept this long, so that duplicate submissions and late queries
@@ -46,6 +46,7 @@
 
     __slots__ = (
         "_incarnations_by_worker",
+        "cancellations",
         "ended_ids",
         "estimates",
         "open_ids",
@@ -68,6 +69,7 @@
         self.estimates = []
         self.run_times = []
         self.refusals = refusals.Refusals()
+        self.cancellations = cancellations.Cancellations()
         self.runs_by_incarnation = {}
         self.run_changes_by_worker = {}
         self.suspected_ids = set()
@@ -161,15 +163,17 @@
             "estimates": self.estimates,
             "run_times": self.run_times,
             "refusals": self.refusals.to_snapshot(),
+            "cancellations": self.cancellations.to_snapshot(),
         }
 
     def load_snapshot(self, data):
         """Load the state from the result of `to_snapshot`."""
         self.queue_set = queues.QueueSet.from_snapshot(data["queues"])
-        # Snapshots of earlier releases have no estimates and no refusals.
+        # Snapshots of earlier releases have no estimates, refusals and cancellations.
         self.estimates = data.get("estimates", [])
         self.run_times = data.get("run_times", [])
         self.refusals.load_snapshot(data.get("refusals", []))
+        self.cancellations.load_snapshot(data.get("cancellations", []))
         for fields in data["workers"]:
             self.worker_by_id[fields["worker"]] = RegisteredWorker.from_dict(fields)
         for workflow_data in data["workflows"]:
@@ -236,6 +240,10 @@
         return outcome.Invalid(problems=problems)
     if command.queue not in store.queue_set.by_name:
         return outcome.Impossible(reason="no such queue")
+    if store.cancellations.blocks(command.id, command.at_ms):
+        return outcome.Conflict(
+            index, operator="", reason=cancellations.CANCELLED_BEFORE
+        )
     refusal_index = store.refusals.blocking_index(command)
     if refusal_index:
         return outcome.Conflict(refusal_index, operator="", reason="refused before")
@@ -251,12 +259,23 @@
     store = machine.workflows
     workflow = store.workflow_by_id.get(command.id)
     if workflow is None:
-        return outcome.Impossible(reason="no such workflow")
+        return _cancel_unknown(store, index, command)
     if workflow.is_open:
         end_workflow(store, workflow, workflow_module.CANCELLED, command.at_ms)
     return outcome.Accepted(ids=[command.id])
 
 
+def _cancel_unknown(store, index, command):
+    """Keep out a submission that may still be on its way."""
+    if command.is_binding and cancellations.can_be_submitted(command.id):
+        if not store.cancellations.add(command.id, command.at_ms):
+            return outcome.Conflict(
+                index, operator="", reason="too many cancelled ids are recorded"
+            )
+        store.refusals.remove(command.id)
+    return outcome.Impossible(reason="no such workflow")
+
+
 # Commands of the leader.
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,6 +5,7 @@
 import pathlib
 import re
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -264,6 +265,26 @@
     run_scenario(tmp_path, scenario)
 
 
+def test_front_submits_no_job_of_a_caller_who_has_left(tmp_path):
+    """Guards against jobs that a suspended front submits long after their deadline."""
+
+    async def scenario(platform):
+        body = b'{"spec": "100", "steps": [{"count": 1, "cpu": 1, "estimate_ms": 1}]}'
+        path = f"{platformkit.PREFIX}5c0e7a21d94b36f8"
+        head = f"POST {path} HTTP/1.1\r\nHost: {platformkit.HOST}\r\n"
+        head += f"Content-Length: {len(body)}\r\n\r\n"
+        front = platform.processes["front", platform.front_ip]
+        front.send_signal(signal.SIGSTOP)
+        with socket.create_connection((platform.front_ip, platform.front_port)) as sent:
+            sent.sendall(head.encode() + body)
+        front.send_signal(signal.SIGCONT)
+        for _ in range(10):
+            assert (await platform.front("GET", path))[0] == 410
+            await asyncio.sleep(0.05)
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_front_finishes_requests_on_open_connections_when_stopped(tmp_path):
     async def scenario(platform):
         assert await platform.submit("a1", 100) == 200
--- a/tests/test_workflow_snapshots.py
+++ b/tests/test_workflow_snapshots.py
@@ -49,6 +49,7 @@
     log.submit(steps.Step(count=2, is_speculative=True), id="v", queue="other")
     log.assign(["w.0.0.0", 1, "a", 1], ["v.0.0.0", 1, "a", 1])
     log.apply(commands.RefuseWorkflow(id="u", queue="q", retry_after_s=3))
+    log.apply(commands.CancelWorkflow(id="s", is_binding=True))
     log.apply(commands.KeepEstimates(rows=[["", "x", 0.1, 0.1]], run_times=[]))
     snapshot = machine.to_snapshot(log.machine)
     text = json.dumps(snapshot)
@@ -60,6 +61,7 @@
     log.apply(commands.RefuseWorkflow(id="t", queue="q", retry_after_s=3))
     log.apply(commands.KeepEstimates(rows=[["", "x", 0.2, 0.1]], run_times=[]))
     log.apply(commands.CancelWorkflow(id="v"))
+    log.apply(commands.CancelWorkflow(id="r", is_binding=True))
     log.set_queues(3, other.replace(priority=3))
     assert json.dumps(snapshot) == text
 
