Limit the size of orders, reports and the commands made of them

Cause: nothing limited the message.

Orders hold at most 512 KiB, stops first and starts last; what is left out goes with the next ones. The same cause on related paths: ends and checkpoints in a report, rows of runs (1,500 on a worker), a checkpoint of any length, the leader's commands made of a report, and the kept estimates, where an entry over 1 MiB would have blocked the whole log. A link leaves out a frame that its peer would refuse, logs it, and stays open for the others.

Ruled out: the leader's view of the worker. It had reports all the time, which is why it never took the tasks back.

--- a/benchmarks/interferenceload.py
+++ b/benchmarks/interferenceload.py
@@ -170,7 +170,7 @@
         )
 
     def push(self, worker_id):
-        body = json.loads(orders.encode(self.state, worker_id, 1))
+        body = json.loads(orders.encode(self.state, worker_id, 1).data)
         worker = self.worker_by_id[worker_id]
         self.schedule(MESSAGE_MS, lambda: self.execute(worker, body))
 
--- a/sardinegauge/links/link.py
+++ b/sardinegauge/links/link.py
@@ -156,6 +156,7 @@
         self.peer = None
         self.bytes_sent = 0
         self.bytes_received = 0
+        self.frames_not_sent = 0
         self._next_correlation = 1
         self._outbound_by_correlation = {}
         self._inbound_by_correlation = {}
@@ -287,10 +288,25 @@
         return self.send_frames((frame,))
 
     def send_frames(self, frames):
-        """Write several frames with one write, which saves system calls."""
+        """Write several frames with one write, which saves system calls.
+
+        A frame that is larger than a peer accepts is left out and logged, so that the
+        sender of a request gets no answer in time.
+        """
         parts = []
         for frame in frames:
             data = codec.encode(frame)
+            if len(data) > MAX_FRAME_BYTES:
+                # The peer would close the link, and with it all other exchanges.
+                log.error(
+                    "frame_not_sent peer=%s message=%s bytes=%d limit=%d",
+                    self.peer_name,
+                    type(frame.message).__name__,
+                    len(data),
+                    MAX_FRAME_BYTES,
+                )
+                self.frames_not_sent += 1
+                continue
             parts += (_LENGTH_PREFIX.pack(len(data)), data)
         data = b"".join(parts)
         try:
--- a/sardinegauge/state/replicaeffects.py
+++ b/sardinegauge/state/replicaeffects.py
@@ -27,6 +27,12 @@
     __slots__ = ("byte_count",)
 
 
+class OrdersCut(record.Record):
+    """Effect: record in the metrics that rows were left out of a worker's orders."""
+
+    __slots__ = ("left_out",)
+
+
 class ScheduleApply(record.Record):
     """Effect: schedule `ApplyCommitted` after the events that are already queued."""
 
--- a/sardinegauge/state/statemetrics.py
+++ b/sardinegauge/state/statemetrics.py
@@ -98,6 +98,10 @@
             "Workers in backoff or on probation since runs stood still there.",
         )
 
+        self._cut_orders = self._metrics.counter(
+            "workflow_cut_orders",
+            "Orders that left out rows for their size, which go with the next ones.",
+        )
         self._queues_encoded = self._metrics.counter(
             "queues_encoded", "Times that changes of the queues were encoded for polls."
         )
@@ -145,6 +149,9 @@
         self._queues_encoded.inc()
         self._queues_encoded_bytes.inc(effect.byte_count)
 
+    def _count_cut_orders(self, effect):
+        self._cut_orders.inc()
+
     def _set_suspected_workers(self, effect):
         self._suspected.set(effect.count)
 
@@ -205,6 +212,7 @@
 
 
 _RECORD_BY_EFFECT = {
+    replicaeffects.OrdersCut: StateMetrics._count_cut_orders,
     replicaeffects.QueuesEncoded: StateMetrics._count_encoding,
     replicaeffects.TaskWaited: StateMetrics._count_wait,
     schedulerevents.RunDisplaced: StateMetrics._count_displacement,
--- a/sardinegauge/workflows/candidates.py
+++ b/sardinegauge/workflows/candidates.py
@@ -7,6 +7,9 @@
 
 from sardinegauge.workflows import placement, reservations, views
 
+# Limit of the runs of one worker, whose rows must fit one report.
+MAX_RUNS = 1500
+
 
 class _Entry:
     """A candidate, and the versions of what it was built from."""
@@ -76,7 +79,10 @@
             self._entry_by_worker[view.id] = entry
         cold_penalty = placement.cold_penalty(view.cold_left_ms(state.now_ms))
         entry.candidate.penalty = state.health.penalty(view.id) + cold_penalty
-        entry.candidate.start_limit = state.health.start_limit(view.id)
+        run_count = len(state.store.runs_of(view.id, view.incarnation))
+        entry.candidate.start_limit = min(
+            state.health.start_limit(view.id), max(MAX_RUNS - run_count, 0)
+        )
         return entry.candidate
 
 
--- a/sardinegauge/workflows/flowmetrics.py
+++ b/sardinegauge/workflows/flowmetrics.py
@@ -113,16 +113,21 @@
         self._waiting_runs = self.metrics.gauge(
             "worker_waiting_runs", "Runs that wait for a free slot of a call."
         )
+        self._unreported = self.metrics.gauge(
+            "worker_unreported_rows",
+            "Ends and checkpoints that the last report left out for its size.",
+        )
 
     def count(self, call, end, seconds):
         """Count one call; `end` is how it ended: the answer's reason or kind."""
         self._seconds.labels(call).observe(seconds)
         self._calls.labels(call, end).inc()
 
-    def set_runs(self, count, waiting_count):
-        """Set the numbers of runs on the worker, and of those that wait for a call."""
-        self._runs.set(count)
-        self._waiting_runs.set(waiting_count)
+    def update(self, state):
+        """Set the gauges from the agent's `hoststate.State`."""
+        self._runs.set(len(state.runs))
+        self._waiting_runs.set(state.slots.waiting_count)
+        self._unreported.set(state.unreported_count)
 
 
 class _MetricsHandler(web.RequestHandler):
--- a/sardinegauge/workflows/hostapp.py
+++ b/sardinegauge/workflows/hostapp.py
@@ -69,7 +69,7 @@
         )
 
     def _page(self):
-        self.metrics.set_runs(len(self.state.runs), self.state.slots.waiting_count)
+        self.metrics.update(self.state)
         return self.metrics.metrics.page()
 
     async def on_stop(self):
--- a/sardinegauge/workflows/hosting.py
+++ b/sardinegauge/workflows/hosting.py
@@ -302,10 +302,12 @@
 
 def _record_ends(state, ended):
     for end in ended:
-        number, task_id, run_number, how, _ = end
+        number, task_id, run_number, how, checkpoint = end
         if number <= state.seen_end or number in state.ends:
             continue
-        state.ends[number] = list(end)
+        key = (task_id, run_number)
+        checkpoint = _usable_checkpoint(state, key, checkpoint)
+        state.ends[number] = [number, task_id, run_number, how, checkpoint]
         log.info(
             "run_ended task=%s run=%d number=%d how=%s",
             task_id,
@@ -313,10 +315,24 @@
             number,
             how,
         )
-        state.runs.pop((task_id, run_number), None)
+        state.runs.pop(key, None)
         state.report()
 
 
+def _usable_checkpoint(state, key, checkpoint):
+    """Return a listed checkpoint, or the one before if it is too long to be sent."""
+    if len(checkpoint) <= hoststate.MAX_CHECKPOINT_LENGTH:
+        return checkpoint
+    log.warning(
+        "checkpoint_too_long task=%s run=%d length=%d limit=%d",
+        *key,
+        len(checkpoint),
+        hoststate.MAX_CHECKPOINT_LENGTH,
+    )
+    run = state.runs.get(key)
+    return run.saved_checkpoint if run is not None else ""
+
+
 def _update_runs(state, call, answer):
     listed_keys = set()
     ended_keys = {
@@ -332,7 +348,7 @@
             run = state.runs[key] = hoststate.HostedRun(views.ORDERED)
         if run.phase in (views.ORDERED, views.GONE):
             _mark_active(state, key, run, "list")
-        run.saved_checkpoint = checkpoint
+        run.saved_checkpoint = _usable_checkpoint(state, key, checkpoint)
         run.progress = progress
         run.load = load
     if len(answer.ended) >= MAX_LISTED_ENDS:
--- a/sardinegauge/workflows/hoststate.py
+++ b/sardinegauge/workflows/hoststate.py
@@ -15,6 +15,8 @@
 # leader may have withdrawn it, as in a drained failure domain, where no start may take
 # effect 5,000 ms after the drain was acknowledged.
 START_ORDER_MS = 3000
+# Limit of the length of a checkpoint, so that a report and an order hold at least one.
+MAX_CHECKPOINT_LENGTH = 16_384
 
 
 class HostedRun:
@@ -28,7 +30,8 @@
     `cpu_cap` and `target_cpu_cap` are the confirmed and the ordered share of the run's
     full speed, in percent. `unanswered_starts` counts start calls without an answer;
     `last_answer_event` is the number of the event that brought the answer to the last
-    start or stop call.
+    start or stop call. `checkpoint_reported_event` is the number of the event before
+    the last report that held the checkpoint, of those that left out others.
     """
 
     __slots__ = (
@@ -36,6 +39,7 @@
         "called_ms",
         "last_answer_event",
         "checkpoint",
+        "checkpoint_reported_event",
         "is_call_open",
         "is_stop_answered",
         "load",
@@ -63,6 +67,7 @@
         self.called_ms = 0
         self.ordered_ms = 0
         self.saved_checkpoint = ""
+        self.checkpoint_reported_event = 0
         self.progress = 0
         self.load = 0
         self.reason = ""
@@ -91,6 +96,8 @@
     `orders_sent_ms` is when the newest report was sent that orders answered.
     `announced_ms` is when the newest announcement was received. `first_event_number` is
     that of the event that began the incarnation. `slots` limits its open calls.
+    `unreported_count` is the number of ends and checkpoints that the last report left
+    out.
     """
 
     def __init__(self, agent):
@@ -108,6 +115,7 @@
         self.effects = []
         self.question_by_step = {}
         self.crash = None
+        self.unreported_count = 0
         self._reset(0)
 
     def _reset(self, incarnation):
--- a/sardinegauge/workflows/incarnations.py
+++ b/sardinegauge/workflows/incarnations.py
@@ -9,7 +9,7 @@
 import logging
 
 from sardinegauge import commands
-from sardinegauge.workflows import views
+from sardinegauge.workflows import commandsize, views
 
 # Duration of a lease from the time at which the report that requested it was sent.
 LEASE_MS = 5600
@@ -117,17 +117,32 @@
             return
         # No lease may be granted until the release is applied.
         view.is_release_pending = True
-        checkpoints = [
-            [task_id, run_number, reported.checkpoint]
-            for (task_id, run_number), reported in view.runs.items()
-            if reported.checkpoint
-        ]
+        checkpoints = _bounded_checkpoints(view)
     log.info("life_released worker=%s life=%d runs=%d", worker, incarnation, len(runs))
     state.propose(
         commands.ReleaseLife(worker=worker, life=incarnation, checkpoints=checkpoints)
     )
 
 
+def _bounded_checkpoints(view):
+    """Return rows of task, run and reported checkpoint, as many as fit one command."""
+    rows = [
+        [task_id, run_number, reported.checkpoint]
+        for (task_id, run_number), reported in view.runs.items()
+        if reported.checkpoint
+    ]
+    parts = commandsize.split_rows(rows)
+    if len(parts) > 1:
+        log.warning(
+            "checkpoints_dropped worker=%s life=%d kept=%d dropped=%d",
+            view.id,
+            view.incarnation,
+            len(parts[0]),
+            len(rows) - len(parts[0]),
+        )
+    return parts[0] if parts else []
+
+
 def may_grant_lease(state, worker, incarnation):
     """Return whether a lease may be granted to this incarnation of a worker."""
     view = state.view_by_id.get(worker)
--- a/sardinegauge/workflows/keptestimates.py
+++ b/sardinegauge/workflows/keptestimates.py
@@ -4,13 +4,17 @@
 by declared run times, until it has estimates of its own.
 """
 
+import logging
+
 from sardinegauge import commands
-from sardinegauge.workflows import schedulerevents
+from sardinegauge.workflows import commandsize, schedulerevents
 from sardinegauge.workflows.policies import runtimes
 
 # Least time between two proposals.
 INTERVAL_MS = 2000
 
+log = logging.getLogger(__name__)
+
 
 def load(state):
     """Load the estimates of the earlier leader."""
@@ -19,12 +23,20 @@
     state.estimates_proposed_ms = state.now_ms
 
 
+def _bounded_rows(rows):
+    """Return the rows that fit one command; those of single images come first."""
+    parts = commandsize.split_rows(rows)
+    if len(parts) > 1:
+        log.info("estimates_cut kept=%d of=%d", len(parts[0]), len(rows))
+    return parts[0] if parts else []
+
+
 def propose(state):
     """Propose the estimates if they have changed."""
     if state.now_ms - state.estimates_proposed_ms < INTERVAL_MS:
         return
     state.estimates_proposed_ms = state.now_ms
-    estimates = state.interference.to_rows()
+    estimates = _bounded_rows(state.interference.to_rows())
     learned = state.run_times.changed_rows(state.store.run_times)
     if not learned and (not estimates or estimates == state.store.estimates):
         return
--- a/sardinegauge/workflows/leaderexchange.py
+++ b/sardinegauge/workflows/leaderexchange.py
@@ -177,6 +177,9 @@
 def _build_orders(state, worker, incarnation):
     leader_exchange = state.leader_exchange
     leader_exchange.sequence += 1
+    encoded = orders.encode(leader_exchange.scheduler, worker, incarnation)
+    if encoded.left_out:
+        state.emit(replicaeffects.OrdersCut(left_out=encoded.left_out))
     return messages.WorkerOrders(
         confirmed=True,
         leader=state.raft.leader_address,
@@ -185,7 +188,7 @@
         term=leader_exchange.scheduler.term,
         sequence=leader_exchange.sequence,
         replicas=_replica_addresses(state),
-        body=orders.encode(leader_exchange.scheduler, worker, incarnation),
+        body=encoded.data,
     )
 
 
--- a/sardinegauge/workflows/placementexplanation.py
+++ b/sardinegauge/workflows/placementexplanation.py
@@ -4,7 +4,7 @@
 already has found no room in the last plan, so it would not be in the way.
 """
 
-from sardinegauge.workflows import displacementrecords, displacing, steps
+from sardinegauge.workflows import candidates, displacementrecords, displacing, steps
 from sardinegauge.workflows import workflow as workflow_module
 
 # Id of the workflow of the hypothetical task; ids of real ones hold no blank.
@@ -82,6 +82,8 @@
         return f"no label {step.required_label}"
     if candidate is None:
         return _reason_unusable(state, view)
+    if len(state.store.runs_of(view.id, view.incarnation)) >= candidates.MAX_RUNS:
+        return f"limit of {candidates.MAX_RUNS} runs"
     if candidate.reservation_count >= candidate.start_limit:
         return "suspected, since runs stood still or were slow there"
     if view.id in state.isolation.probe_by_worker:
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -10,6 +10,7 @@
 from sardinegauge import commands
 from sardinegauge.workflows import (
     besteffort,
+    commandsize,
     crashes,
     displacing,
     draining,
@@ -137,9 +138,10 @@
             _record_refusal(state, view, key, reported)
             how = store.LOST if reported.reason == views.CRASHED else store.REFUSED
             ends.append([0, task_id, run_number, how, reported.checkpoint])
-    if ends:
-        command = commands.RecordEnds(worker=view.id, life=view.incarnation, rows=ends)
-        state.propose(command)
+    for rows in commandsize.split_rows(ends):
+        state.propose(
+            commands.RecordEnds(worker=view.id, life=view.incarnation, rows=rows)
+        )
 
 
 def _record_refusal(state, view, key, reported):
--- a/sardinegauge/workflows/views.py
+++ b/sardinegauge/workflows/views.py
@@ -378,9 +378,17 @@
         self.remaining_ms = report.remaining_ms
         self.cold_ms = report.cold_ms
         self.received_ms = now_ms
-        self.runs = {(row[0], row[1]): ReportedRun(*row[2:]) for row in report.runs}
+        self.runs = self._decode_runs(report)
         self.ended = {(row[1], row[2]): row[3] for row in report.ends}
 
+    def _decode_runs(self, report):
+        runs = {(row[0], row[1]): ReportedRun(*row[2:]) for row in report.runs}
+        for key, run in runs.items():
+            # A report that would be too large leaves out checkpoints.
+            if not run.checkpoint and key in self.runs:
+                run.checkpoint = self.runs[key].checkpoint
+        return runs
+
     def _measure_lateness(self, report, now_ms):
         """Measure how much later than others a report arrived, from its sending time.
 
--- a/tests/leaderkit.py
+++ b/tests/leaderkit.py
@@ -89,7 +89,7 @@
         return self.commit(command)
 
     def orders(self, worker="a", incarnation=1):
-        return json.loads(orders.encode(self.state, worker, incarnation))
+        return json.loads(orders.encode(self.state, worker, incarnation).data)
 
     def placed(self):
         """Return the worker of each running task by its id."""
--- a/tests/workflowsim.py
+++ b/tests/workflowsim.py
@@ -139,7 +139,7 @@
             sequence=self.order_sequence,
             sent_ms=sent_ms,
             grant_ms=grant_ms,
-            body=orders.encode(leader, worker, incarnation),
+            body=orders.encode(leader, worker, incarnation).data,
         )
 
     def push(self, leader, worker, incarnation):
