Release the runs of a worker that answers nothing while its agent lives

Cause found: a worker that is lapsed and silent is reported as not fenced, and the leader released lapsed workers only if they were fenced, or if their agent had sent no report. With an agent that lives, neither ended the state; leases were granted on and on.

A lapsed worker is released once the last grant has ended, is granted no lease, and its agent asks for none while nothing answers. The first answer is reported at once. The release by an agent's report alone is gone, since a restarted agent does not know the leases of its former process.

Not shown: that the users' run ended in this state. Their logs name neither the lapse nor a release.

--- a/sardinegauge/workflows/hosting.py
+++ b/sardinegauge/workflows/hosting.py
@@ -142,6 +142,9 @@
         _close_call(state, call)
         _record_unanswered_start(state, call)
         return
+    if not state.is_responsive:
+        # The leader renews no lease of a worker that does not answer.
+        state.report()
     state.answered_ms = state.now_ms
     state.unanswered_since_ms = 0
     state.connect_failures = 0
--- a/sardinegauge/workflows/hoststate.py
+++ b/sardinegauge/workflows/hoststate.py
@@ -172,9 +172,14 @@
 
     @property
     def is_lease_wanted(self):
-        """Whether the leader should renew the grant."""
+        """Whether the leader should renew the grant.
+
+        A grant that can't be passed on to the worker would only delay its release.
+        """
         return (
-            self.incarnation > 0 and self.grant_until_ms - self.now_ms < RENEW_BELOW_MS
+            self.incarnation > 0
+            and self.is_responsive
+            and self.grant_until_ms - self.now_ms < RENEW_BELOW_MS
         )
 
     def call(self, request):
--- a/sardinegauge/workflows/incarnations.py
+++ b/sardinegauge/workflows/incarnations.py
@@ -62,8 +62,6 @@
             if not any(_may_be_running(view, key) for key in runs):
                 propose_release(state, view.id, incarnation)
     _release_replaced_workers(state, view)
-    if view.is_lapsed:
-        propose_release(state, view.id, view.incarnation)
 
 
 def _release_replaced_workers(state, view):
@@ -86,11 +84,14 @@
 def release_expired_incarnations(state, view):
     """Release the incarnation of a silent worker once its leases have expired.
 
-    A worker is silent without a recent report. Its former incarnations are released
-    `LATE_START_MARGIN_MS` later: as the new incarnation was not fenced, a delayed start
-    call may still take effect.
+    A worker is silent without a recent report, or if its agent reports that it doesn't
+    answer. The end of its leases is known from the grants, since a restarted agent does
+    not know which leases its former process gave to the worker. Its former incarnations
+    are released `LATE_START_MARGIN_MS` later: as the new incarnation was not fenced, a
+    delayed start call may still take effect.
     """
-    if view.is_fresh(state.now_ms) or state.now_ms <= view.grant_until_ms:
+    is_silent = view.is_lapsed or not view.is_fresh(state.now_ms)
+    if not is_silent or state.now_ms <= view.grant_until_ms:
         return
     propose_release(state, view.id, view.incarnation)
     if state.now_ms <= view.grant_until_ms + LATE_START_MARGIN_MS:
@@ -150,6 +151,7 @@
         view is not None
         and view.incarnation == incarnation
         and not view.is_release_pending
+        and not view.is_lapsed
     )
 
 
--- a/tests/test_workflow_hosting.py
+++ b/tests/test_workflow_hosting.py
@@ -439,3 +439,28 @@
     for call in calls:
         agent.dispatch(hostevents.CallUnanswered, call=call, is_down=False)
     assert agent.state.slots.open_count == 0
+
+
+def test_grant_is_wanted_only_while_the_worker_answers(agent):
+    """Guards against grants that delay the release of a silent worker's runs."""
+    agent.answer(agent.start())
+    while agent.state.is_responsive:
+        agent.tick()
+        agent.order()
+    assert not agent.state.is_lease_wanted
+    agent.take_calls(workerclient.HoldCall)
+    agent.tick()
+    # The first answer is reported at once, so that the leases are renewed in time.
+    reports = agent.reports
+    agent.state.report_due_ms = agent.now_ms + 400
+    call = hostevents.Call(
+        announcement=agent.state.announcement,
+        incarnation=1,
+        request=workerclient.PaceCall(task="w.0.0.0", run=1, percent=50, fence=1),
+        sent_ms=agent.now_ms,
+        event_number=agent.state.event_number,
+    )
+    agent.state.slots.take()
+    agent.answer(call)
+    assert agent.reports == reports + 1
+    assert agent.state.is_lease_wanted
--- a/tests/test_workflow_scheduler.py
+++ b/tests/test_workflow_scheduler.py
@@ -83,6 +83,34 @@
     assert leader.placed() == {}
 
 
+def test_runs_of_a_worker_that_answers_nothing_start_elsewhere():
+    """Guards against tasks of a silent worker that wait for good, as its agent lives.
+
+    A restarted agent does not know the leases that its former process gave, so the
+    grants tell when they have ended.
+    """
+    leader = Leader()
+    leader.report("a")
+    leader.settle()
+    leader.submit(Step(is_persistent=True))
+    leader.settle()
+    incarnations.record_grant(leader.state, "a", leader.now_ms)
+    leader.report("b")
+    granted_ms = leader.now_ms
+    while leader.placed() != {"w.0.0.0": "b"}:
+        leader.now_ms += 100
+        leader.report("a", is_fenced=False, is_lapsed=leader.now_ms > granted_ms + 1500)
+        leader.report("b")
+        leader.tick(0)
+        leader.settle()
+        waited_ms = leader.now_ms - granted_ms
+        assert waited_ms < incarnations.LEASE_MS + 1000
+    assert waited_ms > incarnations.LEASE_MS + incarnations.LEASE_MARGIN_MS
+    assert not incarnations.may_grant_lease(leader.state, "a", 1)
+    leader.report("a")
+    assert incarnations.may_grant_lease(leader.state, "a", 1)
+
+
 def test_all_incarnations_are_released_when_the_worker_is_replaced():
     """Guards against runs that stay assigned to a worker that no longer exists.
 
