Don't take a run for gone by a list that was overtaken

Cause found: of two holds that are open at once, the worker may execute the one that was sent last first. Its list lacks a run that the other list has shown already; the agent called the run gone, the leader recorded that it had never started, and the task started again beside the first run. Lists were ordered against answers to start and stop calls, but not against lists that show a run.

A list that shows a run counts as an answer about it now, so that only a list requested after it tells that the run is gone.

The new test of the agent fails without the change.

Not shown: that the users' runs met this order of events.

--- a/sardinegauge/workflows/hosting.py
+++ b/sardinegauge/workflows/hosting.py
@@ -351,6 +351,7 @@
             run = state.runs[key] = hoststate.HostedRun(views.ORDERED)
         if run.phase in (views.ORDERED, views.GONE):
             _mark_active(state, key, run, "list")
+        run.last_answer_event = state.event_number
         run.saved_checkpoint = _usable_checkpoint(state, key, checkpoint)
         run.progress = progress
         run.load = load
--- a/sardinegauge/workflows/hoststate.py
+++ b/sardinegauge/workflows/hoststate.py
@@ -29,9 +29,11 @@
     `saved_checkpoint` the newest one that the worker listed.
     `cpu_cap` and `target_cpu_cap` are the confirmed and the ordered share of the run's
     full speed, in percent. `unanswered_starts` counts start calls without an answer;
-    `last_answer_event` is the number of the event that brought the answer to the last
-    start or stop call. `checkpoint_reported_event` is the number of the event before
-    the last report that held the checkpoint, of those that left out others.
+    `last_answer_event` is the number of the event that brought the last answer to a
+    start or stop call, or the last list that shows the run: calls overtake each other,
+    so a list that was requested before it may be older. `checkpoint_reported_event` is
+    the number of the event before the last report that held the checkpoint, of those
+    that left out others.
     """
 
     __slots__ = (
--- a/tests/silencesim.py
+++ b/tests/silencesim.py
@@ -84,6 +84,7 @@
         super().__init__(seed, worker_count)
         self.max_freeze_ms = limits.get("max_freeze_ms", 3500)
         self.max_silence_ms = limits.get("max_silence_ms", 6500)
+        self.max_way_ms = limits.get("max_way_ms", 3)
         self.workers = [Worker(self, number) for number in range(worker_count)]
         self.agents = [Agent(self, worker) for worker in self.workers]
         self.lost_worker = None
--- a/tests/test_workflow_hosting.py
+++ b/tests/test_workflow_hosting.py
@@ -334,6 +334,36 @@
     assert agent.phase_of() == views.ACTIVE
 
 
+def test_list_that_was_overtaken_does_not_make_a_run_vanish(agent):
+    """Guards against a second run of a task whose first one runs on.
+
+    Of two overlapping holds, the worker may execute the later one first, before the
+    start. Its list must not hide the run that the other list shows.
+    """
+    agent.answer(agent.start())
+    agent.order(stops=[KEY])
+    other = ("w.0.0.1", 1)
+    agent.order(starts=[[*other, "payload", ""]])
+    (stop,) = agent.take_calls(workerclient.StopCall)
+    agent.tick()
+    early = agent.take_calls(workerclient.HoldCall)
+    agent.answer(stop)
+    late = agent.take_calls(workerclient.HoldCall)
+    assert early and late
+    agent.now_ms += 2
+    agent.answer(early[0], incarnation=1, running=[[*other, "", 5, 0]], ended=[])
+    assert agent.phase_of(other) == views.ACTIVE
+    agent.now_ms += 2
+    agent.answer(late[0], incarnation=1, running=[], ended=[])
+    assert agent.phase_of(other) == views.ACTIVE
+    # A list that is requested later tells that the run is gone.
+    agent.tick()
+    agent.answer_holds()
+    agent.tick()
+    agent.answer_holds()
+    assert agent.phase_of(other) == views.GONE
+
+
 def test_cpu_cap_is_ordered_until_it_is_confirmed(agent):
     agent.answer(agent.start())
     agent.order(paces=[[*KEY, 30]])
--- a/tests/workflowsim.py
+++ b/tests/workflowsim.py
@@ -52,6 +52,8 @@
         self.order_sequence = 0
         self.commit_ms = 0
         self.is_check_enabled = True
+        # Longest way of a call to a worker, and of its answer.
+        self.max_way_ms = 3
         self.done_since_ms = {}
         self.violations = []
         self.workers = [workersim.Worker(self, n) for n in range(worker_count)]
@@ -190,7 +192,7 @@
             )
         else:
             self.schedule(
-                self.random.randint(0, 3),
+                self.random.randint(0, self.max_way_ms),
                 lambda: self.execute_call(agent, state, effect, draw < 0.08),
             )
 
@@ -225,7 +227,7 @@
                     )
                 )
 
-        self.schedule(self.random.randint(0, 3), deliver)
+        self.schedule(self.random.randint(0, self.max_way_ms), deliver)
 
     def unanswered(self, agent, state, effect, is_down):
         if state is agent.state:
