Count what lasting tasks spend their time on

Neither logs nor metrics told apart whether its tasks waited for a worker, were being started, sat on a worker without contact, or were over their target. The leader counts them once a second now, by queue and state.

No behaviour changes. Each open lasting task is looked at once a second.

--- a/sardinegauge/state/statemetrics.py
+++ b/sardinegauge/state/statemetrics.py
@@ -75,6 +75,11 @@
             "Time that latency-critical tasks were over their target without a break.",
             ("queue",),
         )
+        self._lasting = self._metrics.counter(
+            "workflow_lasting_task_seconds",
+            "Time of lasting tasks by what they were doing.",
+            ("queue", "state"),
+        )
         self._displaced = self._metrics.counter(
             "workflow_displaced_runs",
             "Runs that were stopped for urgent tasks or on overcommitted workers.",
@@ -135,6 +140,11 @@
     def _count_over_target(self, effect):
         self._over_target.labels(effect.queue).observe(effect.lasted_ms / 1000)
 
+    def _count_lasting(self, effect):
+        for name, count in effect.count_by_state.items():
+            seconds = count * effect.lasted_ms / 1000
+            self._lasting.labels(effect.queue, name).inc(seconds)
+
     def _count_displacement(self, effect):
         self._displaced.labels(effect.queue, effect.reason).inc()
 
@@ -216,6 +226,7 @@
     replicaeffects.QueuesEncoded: StateMetrics._count_encoding,
     replicaeffects.TaskWaited: StateMetrics._count_wait,
     schedulerevents.RunDisplaced: StateMetrics._count_displacement,
+    schedulerevents.LastingTasksCounted: StateMetrics._count_lasting,
     schedulerevents.OverTargetEnded: StateMetrics._count_over_target,
     schedulerevents.RunEnded: StateMetrics._count_run,
     schedulerevents.RunRestarted: StateMetrics._count_restart,
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -18,6 +18,7 @@
     incarnations,
     isolation,
     keptestimates,
+    lastingtasks,
     overcommit,
     recovery,
     runends,
@@ -269,6 +270,7 @@
     state.wall_offset_ms = event.wall_ms - event.now_ms
     besteffort.move_slow_best_effort_tasks(state)
     besteffort.log_throttling(state)
+    lastingtasks.tick(state)
     _expire_refusals(state)
     crashes.tick(state)
     isolation.tick(state)
--- a/sardinegauge/workflows/schedulerevents.py
+++ b/sardinegauge/workflows/schedulerevents.py
@@ -51,6 +51,12 @@
     __slots__ = ("lasted_ms", "queue")
 
 
+class LastingTasksCounted(record.Record):
+    """Effect: count the time of lasting tasks of a queue in each state."""
+
+    __slots__ = ("count_by_state", "lasted_ms", "queue")
+
+
 class RunEnded(record.Record):
     """Effect: count a run that ended, and the time that CPU caps cost it."""
 
--- a/sardinegauge/workflows/schedulerstate.py
+++ b/sardinegauge/workflows/schedulerstate.py
@@ -13,6 +13,7 @@
     health,
     interference,
     isolation,
+    lastingtasks,
     ordering,
     outlooks,
     planner,
@@ -72,6 +73,7 @@
         self.slow_since_ms_by_run = {}
         self.throttle_times = throttletimes.ThrottleTimes()
         self.throttling_logged_ms = 0
+        self.lasting_account = lastingtasks.Account()
         self.moved_from_by_task = {}
         self.failed_workers_by_task = {}
         self.refused_until_ms = {}
