--- a/sardinegauge/workflows/hostedruns.py
+++ b/sardinegauge/workflows/hostedruns.py
@@ -80,6 +80,18 @@
     )
 
 
+def mark_active(state, key, run, source):
+    """Record that a run is active, as seen in the answer to its start or in a list."""
+    run.phase = views.ACTIVE
+    run.active_ms = run.active_ms or state.now_ms
+    log.info(
+        "run_active task=%s run=%d seen_in=%s unanswered=%d",
+        *key,
+        source,
+        run.unanswered_starts,
+    )
+
+
 def abandon_start(state, key, run, reason):
     """Give up an ordered run that did not start.
 
--- a/sardinegauge/workflows/hosting.py
+++ b/sardinegauge/workflows/hosting.py
@@ -11,9 +11,9 @@
 from sardinegauge.workflows import (
     hostedadvice,
     hostedcrash,
+    hostedlists,
     hostedruns,
     hostevents,
-    hoststate,
     views,
     workerclient,
 )
@@ -31,9 +31,6 @@
 # Announcements may overtake each other within this time. The order of their numbers is
 # not kept for longer, as one entry with a wrong number would hide all later ones.
 MAX_REORDERING_MS = 10_000
-# Limit of the worker for the ends in one answer. A full list may lack further ends, so
-# a run that is missing from it is not taken to be gone.
-MAX_LISTED_ENDS = 500
 log = logging.getLogger(__name__)
 
 
@@ -235,7 +232,7 @@
     if run.phase != views.ORDERED:
         return
     if answer.kind == workerclient.DONE:
-        _mark_active(state, key, run, "answer")
+        hostedruns.mark_active(state, key, run, "answer")
         hostedruns.set_cpu_cap(state, key, run.target_cpu_cap)
         return
     if answer.reason == workerclient.LEASE_EXPIRED:
@@ -249,17 +246,6 @@
     state.report()
 
 
-def _mark_active(state, key, run, source):
-    run.phase = views.ACTIVE
-    run.active_ms = run.active_ms or state.now_ms
-    log.info(
-        "run_active task=%s run=%d seen_in=%s unanswered=%d",
-        *key,
-        source,
-        run.unanswered_starts,
-    )
-
-
 def _on_stop_answer(state, call, answer):
     run = state.runs.get((call.request.task, call.request.run))
     if run is None:
@@ -293,80 +279,16 @@
     state.is_lapsed = False
     if call.request.seen_end > state.acknowledged_end:
         state.acknowledged_end = call.request.seen_end
-    _record_ends(state, answer.ended)
+    hostedlists.record_ends(state, answer.ended)
     if call.event_number >= state.last_list_event:
         state.last_list_event = call.event_number
-        _update_runs(state, call, answer)
+        hostedlists.update_runs(state, call, answer)
     state.next_hold_ms = state.now_ms
     hostedruns.send_hold(state)
     if state.is_watched and state.now_ms >= state.report_due_ms - REPORT_EARLY_MS:
         state.report()
 
 
-def _record_ends(state, ended):
-    for end in ended:
-        number, task_id, run_number, how, checkpoint = end
-        if number <= state.seen_end or number in state.ends:
-            continue
-        key = (task_id, run_number)
-        checkpoint = _usable_checkpoint(state, key, checkpoint)
-        state.ends[number] = [number, task_id, run_number, how, checkpoint]
-        log.info(
-            "run_ended task=%s run=%d number=%d how=%s",
-            task_id,
-            run_number,
-            number,
-            how,
-        )
-        state.runs.pop(key, None)
-        state.report()
-
-
-def _usable_checkpoint(state, key, checkpoint):
-    """Return a listed checkpoint, or the one before if it is too long to be sent."""
-    if len(checkpoint) <= hoststate.MAX_CHECKPOINT_LENGTH:
-        return checkpoint
-    log.warning(
-        "checkpoint_too_long task=%s run=%d length=%d limit=%d",
-        *key,
-        len(checkpoint),
-        hoststate.MAX_CHECKPOINT_LENGTH,
-    )
-    run = state.runs.get(key)
-    return run.saved_checkpoint if run is not None else ""
-
-
-def _update_runs(state, call, answer):
-    listed_keys = set()
-    ended_keys = {
-        (task_id, run_number) for _, task_id, run_number, _, _ in state.ends.values()
-    }
-    for task_id, run_number, checkpoint, progress, load in answer.running:
-        key = (task_id, run_number)
-        listed_keys.add(key)
-        if key in ended_keys:
-            continue
-        run = state.runs.get(key)
-        if run is None:
-            run = state.runs[key] = hoststate.HostedRun(views.ORDERED)
-        if run.phase in (views.ORDERED, views.GONE):
-            _mark_active(state, key, run, "list")
-        run.last_answer_event = state.event_number
-        run.saved_checkpoint = _usable_checkpoint(state, key, checkpoint)
-        run.progress = progress
-        run.load = load
-    if len(answer.ended) >= MAX_LISTED_ENDS:
-        return
-    for key, run in list(state.runs.items()):
-        if key in listed_keys or call.event_number < run.last_answer_event:
-            continue
-        is_started = run.phase == views.ACTIVE
-        if is_started or (run.phase == views.STOPPING and run.is_stop_answered):
-            run.reason = run.reason or "not running"
-            run.phase = views.GONE
-            state.report()
-
-
 def _on_orders(state, event):
     message = event.message
     if (message.term, message.sequence) <= (state.term, state.sequence):
