--- a/sardinegauge/workflows/hostedreport.py
+++ b/sardinegauge/workflows/hostedreport.py
@@ -92,7 +92,10 @@
 
 
 def _choose_checkpoints(state):
-    """Return the runs whose checkpoints don't fit, those that were reported last."""
+    """Choose the checkpoints to report, and return the runs whose ones don't fit.
+
+    Those that were not reported for longest go first.
+    """
     sizes = {
         key: len(json.dumps(run.saved_checkpoint))
         for key, run in state.runs.items()
