Leave the repetition of CPU caps to the leader again

Found in the review of the diff. Ticks repeat only starts and stops now, as before; a cap that waited for a slot is set once one is free.

Measured: the first of the two new tests fails before.

--- a/sardinegauge/workflows/hostedruns.py
+++ b/sardinegauge/workflows/hostedruns.py
@@ -196,11 +196,11 @@
 
 
 def retry_calls(state):
-    """Repeat the start and stop calls that are due."""
+    """Repeat the start and stop calls that are due; the leader repeats CPU caps."""
     for key, run in list(state.runs.items()):
-        if run.is_call_open or state.now_ms < run.next_call_ms:
-            continue
-        _advance(state, key, run)
+        is_due = not run.is_call_open and state.now_ms >= run.next_call_ms
+        if is_due and run.phase != views.ACTIVE:
+            _advance(state, key, run)
 
 
 def use_free_slots(state):
--- a/tests/test_callslots.py
+++ b/tests/test_callslots.py
@@ -97,3 +97,28 @@
     for call in calls:
         agent.dispatch(hostevents.CallUnanswered, call=call, is_down=False)
     assert agent.state.slots.open_count == 0
+
+
+def test_only_the_leader_repeats_a_cpu_cap_without_an_answer(agent):
+    """Guards against a call in each tick for a cap that the worker refuses."""
+    agent.answer(agent.start())
+    agent.order(paces=[[*KEY, 30]])
+    (call,) = agent.take_calls(workerclient.PaceCall)
+    agent.dispatch(hostevents.CallUnanswered, call=call, is_down=False)
+    for _ in range(5):
+        agent.tick()
+    assert agent.take_calls(workerclient.PaceCall) == []
+    agent.order(paces=[[*KEY, 30]])
+    assert len(agent.take_calls(workerclient.PaceCall)) == 1
+
+
+def test_cpu_cap_that_waits_for_a_slot_is_set_to_the_newest_order(agent):
+    """Guards against a cap that is lost, or set to a share that was ordered before."""
+    agent.answer(agent.start())
+    _, calls = burst_of_starts(agent, 30)
+    agent.order(paces=[[*KEY, 30]])
+    agent.order(paces=[[*KEY, 40]])
+    assert agent.take_calls(workerclient.PaceCall) == []
+    agent.answer(calls[0])
+    (call,) = agent.take_calls(workerclient.PaceCall)
+    assert call.request.percent == 40
