--- a/tests/statefleet.py
+++ b/tests/statefleet.py
@@ -10,6 +10,7 @@
 from sardinegauge.agreement import storage
 from sardinegauge.links import messages, stateclient
 from sardinegauge.state import domaindrains, replica, stateapp
+from sardinegauge.workflows import store
 
 
 class FakeMachine:
@@ -21,6 +22,7 @@
         self.replies = {}
         self.configuration = types.SimpleNamespace(version=0, document={}, operator="")
         self.domain_drains = domaindrains.DomainDrains()
+        self.workflows = store.Store()
 
 
 def apply(machine, index, command):
