Split exchanges and dialers off the link, and settings off the agent's application

Change: exchanges.Exchange, dialers.Dialer and dialers.connect, and agentsettings with the known settings, the command line and the identity have modules of their own. No behaviour changes; test_docs reads the agent's settings from their new module.

Measured: the tests of links, agents, entries, state processes and docs pass.

--- a/benchmarks/agentcost.py
+++ b/benchmarks/agentcost.py
@@ -7,7 +7,7 @@
 
 from benchmarks import leaderloss, requestbench
 from sardinegauge import commands, outcome
-from sardinegauge.links import link, messages, stateclient
+from sardinegauge.links import dialers, link, messages, stateclient
 from tests.fleet import fleet as fleets
 
 WARM_UP_S = 30.0
@@ -109,7 +109,7 @@
 def connect_simulated_entries(fleet):
     """Open the links that more entries would keep to the agents; return the dialers."""
     dialers = [
-        link.Dialer(
+        dialers.Dialer(
             fleet.advertise_by_name[agent],
             IdleHandler(),
             messages.Hello(
--- a/sardinegauge/agents/agentapp.py
+++ b/sardinegauge/agents/agentapp.py
@@ -1,7 +1,6 @@
 """The agent process: links, timers, connections to the upstream, and status pages."""
 
 import asyncio
-import getopt
 import os
 import random
 import sys
@@ -17,12 +16,12 @@
     errors,
     plainlogs,
     plainmetrics,
-    settings,
     statusserver,
 )
 from sardinegauge.agents import (
     agent,
     agentevents,
+    agentsettings,
     forwarding,
     hostedtask,
     requesttable,
@@ -30,7 +29,7 @@
     worker,
     workercalls,
 )
-from sardinegauge.links import httpcall, httpmessages, link, messages
+from sardinegauge.links import dialers, httpcall, httpmessages, link, messages
 
 # Each wake-up costs about 0.1 ms; leases and retries need no finer resolution.
 TICK_S = 0.25
@@ -42,25 +41,6 @@
 # Number of replica addresses learned from other replicas that have a dialer.
 MAX_LEARNED_ADDRESSES = 8
 
-USAGE = "usage: sardinegauge-agent --settings FILE"
-
-KNOWN_SETTINGS = [
-    *settings.LINKS,
-    *settings.PROCESS,
-    settings.Setting(name="rack", kind="text", default=""),
-    settings.Setting(name="state", kind="addresses"),
-    settings.Setting(name="upstream", kind="address"),
-    settings.Setting(name="worker", kind="address", default=""),
-    settings.Setting(name="services", kind="texts", default=[]),
-    settings.Setting(name="cores", kind="number", default=0, minimum=0),
-    settings.Setting(name="memory_mb", kind="integer", default=0, minimum=0),
-    settings.Setting(name="accelerators", kind="integer", default=0, minimum=0),
-    settings.Setting(name="task_slots", kind="integer", default=8, minimum=0),
-    settings.Setting(name="connections", kind="integer", default=64, minimum=1),
-    settings.Setting(name="queue", kind="integer", default=32, minimum=0, maximum=1024),
-    settings.Setting(name="leaving", kind="flag", default=False),
-]
-
 
 class AgentApplication(application.Application, link.Handler):
     """Owns the sockets of one agent and executes the effects of its reducer."""
@@ -117,21 +97,7 @@
         loaded = self.settings
         incarnation = f"{loaded.name}-{random.SystemRandom().getrandbits(48):012x}"
         address = loaded.advertise or loaded.listen
-        identity = agentevents.Identity(
-            upstream=loaded.name,
-            incarnation=incarnation,
-            address=address,
-            failure_domain=loaded.failure_domain,
-            rack=loaded.rack,
-            services=loaded.services,
-            room=messages.Room(
-                cores=float(loaded.cores),
-                memory_mb=loaded.memory_mb,
-                accelerators=loaded.accelerators,
-                tasks=loaded.task_slots if self.worker_calls else 0,
-                connections=loaded.connections,
-            ),
-        )
+        identity = agentsettings.make_identity(loaded, incarnation)
         self.hello = messages.Hello(
             role="agent",
             name=loaded.name,
@@ -211,7 +177,7 @@
         dialer = self.dialer_by_address.get(address)
         if dialer is None:
             self.drop_oldest_dialer()
-            dialer = link.Dialer(address, self, self.hello)
+            dialer = dialers.Dialer(address, self, self.hello)
             self.dialer_by_address[address] = dialer
             dialer.start()
         return dialer
@@ -406,7 +372,7 @@
     async def on_reload(self):
         """Reload `leaving` from the settings file; other settings need a restart."""
         try:
-            loaded = settings.load(self.path, KNOWN_SETTINGS)
+            loaded = agentsettings.load(self.path)
         except errors.SettingsError as error:
             self.log.error("reload_failed", error=str(error))
             return
@@ -462,22 +428,11 @@
 }
 
 
-def _settings_path(arguments):
-    # argparse would use 0.7 MB, and typer 5 MB, of the agent's memory budget of 32 MB.
-    try:
-        options, rest = getopt.getopt(arguments, "", ["settings="])
-    except getopt.GetoptError as error:
-        raise errors.UsageError(f"{error}; {USAGE}") from error
-    if rest or not options:
-        raise errors.UsageError(USAGE)
-    return options[-1][1]
-
-
 def main():
     """Run the agent with the file given by ``--settings``; return the exit status."""
     try:
-        path = _settings_path(sys.argv[1:])
-        loaded = settings.load(path, KNOWN_SETTINGS)
+        path = agentsettings.parse_path(sys.argv[1:])
+        loaded = agentsettings.load(path)
     except errors.UserError as error:
         print(f"sardinegauge-agent: {error}", file=sys.stderr)
         return error.exit_status
--- a/sardinegauge/agents/forwarding.py
+++ b/sardinegauge/agents/forwarding.py
@@ -38,7 +38,7 @@
 
     Parameters
     ----------
-    exchange : link.Exchange
+    exchange : exchanges.Exchange
         Exchange with the entry, closed when the request ends.
     head : httpmessages.RequestHead
     on_abandoned : callable
--- a/sardinegauge/entries/agentlinks.py
+++ b/sardinegauge/entries/agentlinks.py
@@ -5,7 +5,7 @@
 from tornado import iostream
 
 from sardinegauge import errors
-from sardinegauge.links import link
+from sardinegauge.links import dialers, link
 
 
 class _AgentHandler(link.Handler):
@@ -62,7 +62,7 @@
         """Maintain a link to an agent, in place of one to its former address."""
         self.disconnect(name)
         handler = _AgentHandler(self, name)
-        dialer = link.Dialer(address, handler, self.hello)
+        dialer = dialers.Dialer(address, handler, self.hello)
         self._peers[name] = _Peer(dialer, handler)
         dialer.start()
 
@@ -102,7 +102,7 @@
 
         Returns
         -------
-        tuple of (link.Exchange, asyncio.Lock)
+        tuple of (exchanges.Exchange, asyncio.Lock)
             The exchange, and the lock to hold while a body chunk is sent. Without the
             lock, the bodies of many requests could overrun the send buffer of a link.
 
--- a/sardinegauge/links/httpcall.py
+++ b/sardinegauge/links/httpcall.py
@@ -14,7 +14,7 @@
 
 from tornado import http1connection, httputil, iostream
 
-from sardinegauge.links import link
+from sardinegauge.links import dialers
 
 CONNECT_TIMEOUT_S = 1.0
 CHUNK_BYTES = 64 * 1024
@@ -148,7 +148,7 @@
         If the peer refuses or does not answer within `CONNECT_TIMEOUT_S`.
     """
     try:
-        stream = await link.connect(address, CONNECT_TIMEOUT_S, ClientStream)
+        stream = await dialers.connect(address, CONNECT_TIMEOUT_S, ClientStream)
     except (TimeoutError, OSError, iostream.StreamClosedError) as error:
         raise ConnectError(f"{address}: {error or 'no answer'}") from error
     stream.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/sardinegauge/links/link.py
+++ b/sardinegauge/links/link.py
@@ -9,27 +9,21 @@
 import asyncio
 import contextlib
 import logging
-import random
-import socket
 import struct
 
 from tornado import iostream, tcpserver
 
-from sardinegauge import addresses, background, errors
-from sardinegauge.links import codec, httpmessages, messages
+from sardinegauge import background, errors
+from sardinegauge.links import codec, exchanges, httpmessages, messages
 
 MAX_FRAME_BYTES = 1 << 20
 MAX_SEND_BUFFER_BYTES = 16 << 20
-MAX_QUEUED_FRAMES = 1024
 PING_INTERVAL_S = 0.5
 # A network partition does not close the socket, so a link without input for this long
 # is closed.
 SILENCE_TIMEOUT_S = 2.0
 # A silence timer that fires later than this means that this process itself was stalled.
 STALL_THRESHOLD_S = 0.2
-CONNECT_TIMEOUT_S = 1.0
-RECONNECT_MIN_S = 0.05
-RECONNECT_MAX_S = 1.0
 PROTOCOL = 1
 
 _LENGTH_PREFIX = struct.Struct("<I")
@@ -55,97 +49,6 @@
         """Handle the first message of an exchange that the peer opened."""
 
 
-class Exchange:
-    """A sequence of messages in both directions under one correlation id.
-
-    The initiator gets it from `Link.open_exchange`, the responder in
-    `Handler.on_exchange`. Each of them must close its own side.
-    """
-
-    __slots__ = ("_is_initiator", "_listener", "_queue", "correlation", "link")
-
-    def __init__(self, link, correlation, is_initiator):
-        self.link = link
-        self.correlation = correlation
-        self._is_initiator = is_initiator
-        self._queue = asyncio.Queue()
-        self._listener = None
-
-    def send(self, message):
-        """Queue a message; return a future that is done when the socket accepted it.
-
-        Raises
-        ------
-        LinkClosedError
-            If the link is closed or its send buffer is full.
-        """
-        return self.link.send_frame(
-            codec.Frame(
-                correlation=self.correlation,
-                is_reply=not self._is_initiator,
-                message=message,
-            )
-        )
-
-    def send_batch(self, batch):
-        """Queue several messages in one write to the socket; see `send`."""
-        return self.link.send_frames(
-            [
-                codec.Frame(
-                    correlation=self.correlation,
-                    is_reply=not self._is_initiator,
-                    message=message,
-                )
-                for message in batch
-            ]
-        )
-
-    async def receive(self, timeout_s):
-        """Return the peer's next message in this exchange.
-
-        Raises
-        ------
-        LinkClosedError
-            If the link closes first.
-        asyncio.TimeoutError
-            If nothing arrives within `timeout_s` seconds.
-        """
-        if self._queue.empty():
-            # asyncio.wait_for of Python 3.11 swallows a cancellation that arrives
-            # together with a message, so the cancelled task would continue.
-            async with asyncio.timeout(timeout_s):
-                message = await self._queue.get()
-        else:
-            message = self._queue.get_nowait()
-        if message is None:
-            self._queue.put_nowait(None)
-            raise errors.LinkClosedError(f"link to {self.link.peer_name} closed")
-        return message
-
-    def set_listener(self, listener):
-        """Pass further messages to a callable instead of to `receive`.
-
-        The callable gets None when the link closes. Waking a task that waits in
-        `receive` costs more than handling most messages.
-        """
-        self._listener = listener
-
-    def close(self):
-        """Remove the exchange from its link, which drops later frames of it."""
-        self.link.remove_exchange(self.correlation, self._is_initiator)
-
-    def deliver(self, message):
-        """Pass on a message from the peer; None means that the link closed."""
-        if self._listener is not None:
-            self._listener(message)
-            return
-        if message is not None and self._queue.qsize() >= MAX_QUEUED_FRAMES:
-            raise errors.WireError(
-                "peer sent more frames than its flow-control credit allows"
-            )
-        self._queue.put_nowait(message)
-
-
 class Link:
     """One connection to a peer process, after the exchange of hellos."""
 
@@ -262,7 +165,7 @@
             return
         if isinstance(message, _CONTINUATION_MESSAGES):
             return  # This side has closed the exchange already.
-        exchange = Exchange(self, frame.correlation, is_initiator=False)
+        exchange = exchanges.Exchange(self, frame.correlation, is_initiator=False)
         self._inbound_by_correlation[frame.correlation] = exchange
         self.handler.on_exchange(exchange, message)
 
@@ -280,7 +183,7 @@
             await asyncio.sleep(PING_INTERVAL_S)
 
     def send(self, message):
-        """Send a one-way message; see `Exchange.send` for errors."""
+        """Send a one-way message; see `exchanges.Exchange.send` for errors."""
         return self.send_frame(codec.Frame(message=message))
 
     def send_frame(self, frame):
@@ -325,7 +228,7 @@
         """Open an exchange with its first message and return it."""
         correlation = self._next_correlation
         self._next_correlation += 1
-        exchange = Exchange(self, correlation, is_initiator=True)
+        exchange = exchanges.Exchange(self, correlation, is_initiator=True)
         self._outbound_by_correlation[correlation] = exchange
         try:
             exchange.send(message)
@@ -335,7 +238,7 @@
         return exchange
 
     async def request(self, message, timeout_s):
-        """Send a message and return the single reply; see `Exchange.receive`."""
+        """Send a message and return the reply; see `exchanges.Exchange.receive`."""
         exchange = self.open_exchange(message)
         try:
             return await exchange.receive(timeout_s)
@@ -394,91 +297,3 @@
         self.stop()
         for link in list(self.links):
             link.close()
-
-
-class Dialer:
-    """Maintains one link to an address, reconnecting with jittered backoff.
-
-    Timeouts are `asyncio.timeout` blocks: `asyncio.wait_for` of Python 3.11 loses a
-    cancellation that arrives when its future is done, so a stopped process kept a
-    link that never ended.
-
-    Parameters
-    ----------
-    address : str
-        ``ip:port`` of the peer.
-    handler : Handler
-        Receives what the peer sends.
-    hello : messages.Hello
-        Sent first on every connection.
-    """
-
-    def __init__(self, address, handler, hello):
-        self.address = address
-        self.handler = handler
-        self.hello = hello
-        self.link = None
-        self._task = None
-
-    @property
-    def is_open(self):
-        """Whether a link is open."""
-        return self.link is not None and self.link.is_open
-
-    def start(self):
-        """Start connecting in the background."""
-        self._task = background.spawn(self._run())
-
-    def stop(self):
-        """Stop reconnecting and close the link."""
-        if self._task is not None:
-            self._task.cancel()
-        if self.link is not None:
-            self.link.close()
-
-    async def _run(self):
-        backoff_s = RECONNECT_MIN_S
-        while True:
-            if await self._connect_once():
-                backoff_s = RECONNECT_MIN_S
-            await asyncio.sleep(backoff_s * random.uniform(0.5, 1.0))
-            backoff_s = min(backoff_s * 2, RECONNECT_MAX_S)
-
-    async def _connect_once(self):
-        """Connect and run the link until it closes; return whether it ever opened."""
-        try:
-            stream = await connect(
-                self.address, CONNECT_TIMEOUT_S, max_buffer_size=2 * MAX_FRAME_BYTES
-            )
-        except (TimeoutError, OSError, iostream.StreamClosedError):
-            return False
-        stream.max_write_buffer_size = MAX_SEND_BUFFER_BYTES
-        self.link = Link(stream, self.handler, self.hello)
-        await self.link.run()
-        return self.link.peer is not None
-
-
-async def connect(address, timeout_s, stream_class=iostream.IOStream, **stream_options):
-    """Return a connected stream to a numeric ``ip:port`` address.
-
-    Numeric addresses need no resolver; the resolver's threads would add to the memory
-    use of the agent.
-
-    Raises
-    ------
-    TimeoutError, OSError, tornado.iostream.StreamClosedError
-        If there is no connection within `timeout_s` seconds, or the address is invalid.
-    """
-    try:
-        host, port = addresses.parse(address)
-    except ValueError as error:
-        # Callers treat an address that was learnt from others like a silent peer.
-        raise OSError(str(error)) from error
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    stream = stream_class(socket.socket(family, socket.SOCK_STREAM), **stream_options)
-    try:
-        async with asyncio.timeout(timeout_s):
-            return await stream.connect((host, port))
-    except BaseException:
-        stream.close()
-        raise
--- a/sardinegauge/links/stateclient.py
+++ b/sardinegauge/links/stateclient.py
@@ -5,7 +5,7 @@
 import random
 
 from sardinegauge import commands, errors, outcome
-from sardinegauge.links import link, messages
+from sardinegauge.links import dialers, link, messages
 
 # A frozen or partitioned leader does not answer; after these timeouts the client asks
 # another replica.
@@ -103,7 +103,7 @@
                 self._open_link(address)
 
     def _open_link(self, address):
-        dialer = link.Dialer(address, self, self._hello)
+        dialer = dialers.Dialer(address, self, self._hello)
         self._dialers_by_address[address] = dialer
         self._dialed_at_s[address] = asyncio.get_running_loop().time()
         dialer.start()
--- a/sardinegauge/state/replicalinks.py
+++ b/sardinegauge/state/replicalinks.py
@@ -1,7 +1,7 @@
 """Links to the other replicas of the group."""
 
 from sardinegauge import errors
-from sardinegauge.links import link
+from sardinegauge.links import dialers
 
 
 class ReplicaLinks:
@@ -32,7 +32,7 @@
     def dial(self, addresses, hello):
         """Start and stop dialers, so that there is one for each of these addresses."""
         for address in addresses - self._dialers_by_address.keys():
-            dialer = link.Dialer(address, self._handler, hello)
+            dialer = dialers.Dialer(address, self._handler, hello)
             self._dialers_by_address[address] = dialer
             dialer.start()
         for address in self._dialers_by_address.keys() - addresses:
--- a/tests/agentkit.py
+++ b/tests/agentkit.py
@@ -12,7 +12,7 @@
 
 from tornado import netutil
 
-from sardinegauge.links import httpmessages, link, messages
+from sardinegauge.links import dialers, httpmessages, link, messages
 from tests.fleet import ports
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -175,7 +175,7 @@
 
     async def connect(self):
         hello = messages.Hello(role="entry", name="e1")
-        self.dialer = link.Dialer(self.listen, IgnoringHandler(), hello)
+        self.dialer = dialers.Dialer(self.listen, IgnoringHandler(), hello)
         self.dialer.start()
         await wait_until(lambda: self.dialer.is_open, "a link to the agent")
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -7,12 +7,12 @@
 import pytest
 
 from sardinegauge import settings
-from sardinegauge.agents import agentapp
+from sardinegauge.agents import agentsettings
 from sardinegauge.entries import entryapp
 from sardinegauge.state import configuration, stateapp
 
 ROOT = pathlib.Path(__file__).resolve().parents[1]
-MODULE_BY_PROCESS = {"state": stateapp, "entry": entryapp, "agent": agentapp}
+MODULE_BY_PROCESS = {"state": stateapp, "entry": entryapp, "agent": agentsettings}
 METRIC_NAME = re.compile(
     r"\.?(?:histogram|counter|gauge)\(\s*\"([a-z_]+)\"", re.MULTILINE
 )
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -6,7 +6,7 @@
 from tornado import netutil, tcpclient
 
 from sardinegauge import background, errors
-from sardinegauge.links import link, messages
+from sardinegauge.links import dialers, link, messages
 
 
 class Echo(link.Handler):
@@ -31,7 +31,9 @@
     sockets = netutil.bind_sockets(0, "127.0.0.1")
     server.add_sockets(sockets)
     address = f"127.0.0.1:{sockets[0].getsockname()[1]}"
-    dialer = link.Dialer(address, Echo(), messages.Hello(role="entry", name="client"))
+    dialer = dialers.Dialer(
+        address, Echo(), messages.Hello(role="entry", name="client")
+    )
     dialer.start()
     while not dialer.is_open:
         await asyncio.sleep(0.005)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -13,7 +13,7 @@
 import pytest
 from hypothesis import strategies
 
-from sardinegauge.links import httpcall, link, messages
+from sardinegauge.links import dialers, httpcall, messages
 from sardinegauge.workflows import (
     hostedadvice,
     hostedreport,
@@ -235,7 +235,7 @@
     with pytest.raises(workerclient.NoAnswerError):
         asyncio.run(call())
     with pytest.raises(OSError):
-        asyncio.run(link.connect(address, 0.3))
+        asyncio.run(dialers.connect(address, 0.3))
 
 
 def test_deeply_nested_answer_counts_as_no_answer():
--- a/tests/test_stateapp.py
+++ b/tests/test_stateapp.py
@@ -9,7 +9,7 @@
 
 from sardinegauge import commands, errors, outcome
 from sardinegauge.agreement import storage
-from sardinegauge.links import httpmessages, link, messages, stateclient
+from sardinegauge.links import dialers, httpmessages, messages, stateclient
 from sardinegauge.state import replica, stateapp
 from tests import statefleet
 
@@ -225,7 +225,7 @@
         name = next(n for n in "abc" if n != fleet.leader())
         address = fleet.address_by_name[name]
         handler = stateclient.StateClient([], messages.Hello(role="entry"))
-        follower = link.Dialer(address, handler, messages.Hello(role="entry"))
+        follower = dialers.Dialer(address, handler, messages.Hello(role="entry"))
         follower.start()
         await statefleet.wait_until(lambda: follower.is_open)
         for request in (
