Wait for a ready front before the tests submit jobs

Cause: the kit, not the product. The kept logs of that run show the configuration acknowledged at 01:27:21.030, while the front, spawned at 01:27:20.25, had an empty log: its process had not started, so its port refused the connection. The platform sends clients to a front only while its readiness check responds with 200 (PROTOCOL.md, Ingress); platformkit.running waits for that, the poison test and the soak did not.

Shown to fail before: with the front stopped by SIGSTOP for its first 4 s, the test fails with the same assertion (0 == 200); with the change it passes.

Change: the wait is a method of Platform, used by both. No assertion changes. The kit logs a call without an answer with its error, so that pytest prints which call failed and why.

--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import json
+import logging
 import os
 import pathlib
 import signal
@@ -24,6 +25,7 @@
 PREFIX = "/q/"
 START_LIMIT_S = 30
 MAX_CALLS = 500
+log = logging.getLogger(__name__)
 
 
 class Minion:
@@ -289,6 +291,7 @@
         self.ports.close()
 
     async def call(self, method, url, body=None, host=None, timeout_s=4):
+        """Make a call and return its status and body; 0 if there was no answer."""
         request = httpclient.HTTPRequest(
             url,
             method=method,
@@ -299,9 +302,13 @@
         )
         try:
             response = await self.client.fetch(request, raise_error=False)
-        except (OSError, httpclient.HTTPClientError):
+        except (OSError, httpclient.HTTPClientError) as error:
+            log.warning("call_unanswered method=%s url=%s error=%r", method, url, error)
             return 0, {}
         if response.code == 599:
+            log.warning(
+                "call_unanswered method=%s url=%s error=%r", method, url, response.error
+            )
             return 0, {}
         return response.code, json.loads(response.body or b"{}")
 
@@ -367,6 +374,14 @@
     async def wait_until_accepted(self, document):
         await self.wait_until(lambda: self._is_accepted(document))
 
+    async def wait_until_ready(self):
+        """Wait for the front, which clients are not sent to before."""
+        await self.wait_until(self._is_ready)
+
+    async def _is_ready(self):
+        url = f"http://{self.front_ip}:{self.ready_port}/api/readiness"
+        return (await self.call("GET", url))[0] == 200
+
     async def _is_accepted(self, document):
         return (await self.config("PUT", document))[0] == 200
 
@@ -388,15 +403,10 @@
         platform.start_all()
         beats = asyncio.ensure_future(platform.beat())
         await platform.wait_until_accepted(platform.document(1))
-        await platform.wait_until(lambda: _is_ready(platform))
+        await platform.wait_until_ready()
         yield platform
     finally:
         if beats is not None:
             beats.cancel()
         platform.stop_all()
         platform.client.close()
-
-
-async def _is_ready(platform):
-    url = f"http://{platform.front_ip}:{platform.ready_port}/api/readiness"
-    return (await platform.call("GET", url))[0] == 200
--- a/tests/soak/runs.py
+++ b/tests/soak/runs.py
@@ -35,6 +35,7 @@
         await fleet.start_fleet()
         heartbeats = asyncio.ensure_future(fleet.send_heartbeats())
         await fleet.wait_until_accepted(fleet.document(1))
+        await fleet.wait_until_ready()
         until_s = time.monotonic() + seconds
         load = clients.Clients(fleet, observations, random.Random(rng.random()))
         injector = faults.FaultInjector(fleet, random.Random(rng.random()))
--- a/tests/test_poison_task.py
+++ b/tests/test_poison_task.py
@@ -44,6 +44,7 @@
             await fleet.start_fleet()
             heartbeats = asyncio.ensure_future(fleet.send_heartbeats())
             await fleet.wait_until_accepted(fleet.document(1))
+            await fleet.wait_until_ready()
             for job in HEALTHY_JOBS:
                 assert await fleet.submit(job, 1500, count=3) == 200
             assert await fleet.submit(POISON_JOB, 1000, count=1) == 200
