Split the tests of the agent's reducer and of the entry's HTTP side by subject

Change: properties, streaming tests, and what drives the reducer and the entry have files of their own.

--- a/tests/test_entryapp.py
+++ b/tests/test_entryapp.py
@@ -1,67 +1,21 @@
 """Tests that the entry's HTTP side loses, swaps and truncates no responses."""
 
 import asyncio
-import contextlib
 import json
 import random
-import tracemalloc
 from types import SimpleNamespace
 
 import pytest
-from tornado import httpclient, simple_httpclient
 
 from sardinegauge import errors
-from sardinegauge.entries import entryhttp, requestattempt, requestdispatcher
+from sardinegauge.entries import entryhttp, requestdispatcher
 from sardinegauge.links import httpmessages
-from tests import entryfakes
-
-
-async def fetch(app, path, **options):
-    client = simple_httpclient.SimpleAsyncHTTPClient(
-        force_instance=True, max_clients=1000
-    )
-    options = {"raise_error": False, "request_timeout": 20, **options}
-    return await client.fetch(app.base + path, **options)
-
-
-async def send_raw(app, data, timeout_s=10):
-    """Send raw bytes; return all bytes until the entry closes the connection."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", app.port)
-    writer.write(data)
-    async with asyncio.timeout(timeout_s):
-        try:
-            answer = await reader.read()
-        except ConnectionResetError:
-            answer = b"reset"
-    writer.close()
-    return answer
-
-
-def run(test, *agents, state=None, **changes):
-    """Run `test(app)` against an entry with agents; return its result."""
-
-    async def main():
-        fake = state or entryfakes.FakeState(agent() for agent in agents)
-        async with entryfakes.running(fake, **changes) as app:
-            app.agents = fake.agents
-            app.fake = fake
-            async with asyncio.timeout(40):
-                return await test(app)
-
-    return asyncio.run(main())
-
-
-def agent(respond=None, name="u1", **options):
-    return lambda: entryfakes.FakeAgent(name, respond, **options)
-
-
-def verdict(response):
-    return response.headers["Sardinegauge-Verdict"]
+from tests import entryfakes, entrykit
 
 
 def test_request_reaches_the_agent_and_its_whole_response_returns():
     async def test(app):
-        response = await fetch(
+        response = await entrykit.fetch(
             app,
             "/shop/a?b=1",
             method="POST",
@@ -70,16 +24,16 @@
         )
         return response, *app.agents[0].received[0]
 
-    response, head, body = run(test, agent())
+    response, head, body = entrykit.run(test, entrykit.agent())
     assert (response.code, response.body) == (200, b"/shop/a?b=1")
-    assert verdict(response) == "ran"
+    assert entrykit.verdict(response) == "ran"
     assert (head.service, head.incarnation, body) == ("shop", "i1", b"x" * 200_000)
     names = {header.name for header in head.headers}
     assert "X-End" in names and not names & {"X-Hop", "Connection"}
 
 
 def test_unserved_service_is_refused_at_once_as_not_run():
-    response = run(lambda app: fetch(app, "/nothing"))
+    response = entrykit.run(lambda app: entrykit.fetch(app, "/nothing"))
     assert (response.code, response.headers["Retry-After"]) == (503, "1")
     assert json.loads(response.body)["verdict"] == "not-run"
 
@@ -90,9 +44,9 @@
 
     async def test(app):
         paths = ("/shop/a", "/-/ready", "/-/health")
-        return [(await fetch(app, path)).code for path in paths]
+        return [(await entrykit.fetch(app, path)).code for path in paths]
 
-    assert run(test, state=state) == [503, 503, 200]
+    assert entrykit.run(test, state=state) == [503, 503, 200]
 
 
 def test_each_of_many_callers_gets_its_own_response():
@@ -102,14 +56,14 @@
 
     async def test(app):
         async def one(number):
-            response = await fetch(
+            response = await entrykit.fetch(
                 app, f"/shop/{number}", method="POST", body=b"#%d" % number
             )
             return response.body == b"/shop/%d#%d" % (number, number)
 
         return await asyncio.gather(*(one(number) for number in range(300)))
 
-    assert all(run(test, agent(slow), agent(slow, "u2")))
+    assert all(entrykit.run(test, entrykit.agent(slow), entrykit.agent(slow, "u2")))
 
 
 def test_pipelined_requests_are_answered_in_their_order():
@@ -119,14 +73,12 @@
 
     requests = b"GET /shop/1 HTTP/1.1\r\nHost: a\r\n\r\n"
     requests += b"GET /shop/2 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
-    answer = run(lambda app: send_raw(app, requests), agent(slow_first))
+    answer = entrykit.run(
+        lambda app: entrykit.send_raw(app, requests), entrykit.agent(slow_first)
+    )
     assert 0 < answer.index(b"/shop/1") < answer.index(b"/shop/2")
 
 
-def _raw(head, body=b""):
-    return head.replace("\n", "\r\n").encode() + body
-
-
 MALFORMED = [
     ("GET shop HTTP/1.1\nHost: a\n\n", b"400"),
     ("nonsense\n\n", b"400"),
@@ -157,11 +109,13 @@
     async def test(app):
         answers = []
         for head, _ in MALFORMED:
-            data = _raw(head).replace(b"Host: a", b"Host: a\r\nConnection: close")
-            answers.append(await send_raw(app, data))
+            data = entrykit.raw_request(head).replace(
+                b"Host: a", b"Host: a\r\nConnection: close"
+            )
+            answers.append(await entrykit.send_raw(app, data))
         return answers, list(app.agents[0].heads)
 
-    answers, heads = run(test, agent())
+    answers, heads = entrykit.run(test, entrykit.agent())
     for (head, status), answer in zip(MALFORMED, answers, strict=True):
         assert answer.startswith(b"HTTP/1.1 " + status), (head[:60], answer[:200])
         assert b"Traceback" not in answer
@@ -171,14 +125,22 @@
 def test_slow_sender_is_timed_out(monkeypatch):
     monkeypatch.setattr(requestdispatcher, "BODY_STALL_TIMEOUT_S", 0.2)
     head = "POST /shop HTTP/1.1\nHost: a\nContent-Length: 9\nConnection: close\n\nabc"
-    answer = run(lambda app: send_raw(app, _raw(head)), agent())
+    answer = entrykit.run(
+        lambda app: entrykit.send_raw(app, entrykit.raw_request(head)), entrykit.agent()
+    )
     assert answer.startswith(b"HTTP/1.1 408"), answer
     assert b"not-run" in answer
 
 
 def test_slow_head_is_timed_out(monkeypatch):
     monkeypatch.setattr(entryhttp, "HEADER_TIMEOUT_S", 0.2)
-    assert run(lambda app: send_raw(app, b"GET /shop HTTP/1.1\r\nHo"), agent()) == b""
+    assert (
+        entrykit.run(
+            lambda app: entrykit.send_raw(app, b"GET /shop HTTP/1.1\r\nHo"),
+            entrykit.agent(),
+        )
+        == b""
+    )
 
 
 def test_early_answer_precedes_the_body_end_and_keeps_the_connection():
@@ -186,17 +148,19 @@
 
     async def test(app):
         reader, writer = await asyncio.open_connection("127.0.0.1", app.port)
-        writer.write(_raw(bad, b"abc"))
+        writer.write(entrykit.raw_request(bad, b"abc"))
         async with asyncio.timeout(0.9):
             early = await reader.readuntil(b"}\n")
-        writer.write(b"defghi" + _raw("GET /shop/2 HTTP/1.1\nHost: a\n\n"))
+        writer.write(
+            b"defghi" + entrykit.raw_request("GET /shop/2 HTTP/1.1\nHost: a\n\n")
+        )
         later = await reader.readuntil(b"/shop/2")
-        writer.write(_raw(bad, b"abc"))
+        writer.write(entrykit.raw_request(bad, b"abc"))
         stalled = await asyncio.wait_for(reader.read(), 5)
         writer.close()
         return early, later, stalled
 
-    early, later, stalled = run(test, agent())
+    early, later, stalled = entrykit.run(test, entrykit.agent())
     assert early.startswith(b"HTTP/1.1 400") and b"HTTP/1.1 200" in later
     assert b"HTTP/1.1 400" in stalled, "the connection was not closed"
 
@@ -205,14 +169,14 @@
     async def test(app):
         _, writer = await asyncio.open_connection("127.0.0.1", app.port)
         head = "POST /shop HTTP/1.1\nHost: a\nContent-Length: 900000\n\n"
-        writer.write(_raw(head, b"x" * 500_000))
+        writer.write(entrykit.raw_request(head, b"x" * 500_000))
         await entryfakes.wait_until(lambda: app.agents[0].heads)
         writer.close()
         await entryfakes.wait_until(lambda: app.agents[0].aborts)
         await entryfakes.wait_until(lambda: not app.state.requests)
         return app.agents[0].received
 
-    assert run(test, agent()) == []
+    assert entrykit.run(test, entrykit.agent()) == []
 
 
 def test_truncated_response_closes_the_connection_unfinished():
@@ -234,11 +198,15 @@
             for path in ("sized", "chunked"):
                 head = f"GET /shop/{path} HTTP/{version}\nHost: a\n"
                 answers.append(
-                    await send_raw(app, _raw(head + "Connection: close\n\n"))
+                    await entrykit.send_raw(
+                        app, entrykit.raw_request(head + "Connection: close\n\n")
+                    )
                 )
         return answers
 
-    for answer in run(test, agent(short)) + run(test, agent(cut)):
+    for answer in entrykit.run(test, entrykit.agent(short)) + entrykit.run(
+        test, entrykit.agent(cut)
+    ):
         is_unfinished = answer == b"reset" or not answer.endswith(b"\r\n0\r\n\r\n")
         assert is_unfinished and b"1234567890" not in answer
         # A response delimited by the end of the connection needs a reset to show that
@@ -252,8 +220,10 @@
         headers = [httpmessages.Header(name="X", value="a\r\nSet-Cookie: b")]
         entryfakes.send_response(exchange, b"", headers=headers)
 
-    response = run(lambda app: fetch(app, "/shop"), agent(bad))
-    assert (response.code, verdict(response)) == (502, "ran")
+    response = entrykit.run(
+        lambda app: entrykit.fetch(app, "/shop"), entrykit.agent(bad)
+    )
+    assert (response.code, entrykit.verdict(response)) == (502, "ran")
     assert b"Traceback" not in response.body
 
 
@@ -268,7 +238,9 @@
     requests = b"HEAD /shop HTTP/1.1\r\nHost: a\r\n\r\n"
     requests += b"GET /shop/empty HTTP/1.1\r\nHost: a\r\n\r\n"
     requests += b"HEAD /none HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
-    answer = run(lambda app: send_raw(app, requests), agent(respond))
+    answer = entrykit.run(
+        lambda app: entrykit.send_raw(app, requests), entrykit.agent(respond)
+    )
     heads = answer.split(b"\r\n\r\n")
     assert [head[:12] for head in heads] == [
         b"HTTP/1.1 200",
@@ -281,12 +253,16 @@
 def test_refused_request_moves_to_another_upstream():
     async def test(app):
         codes = [
-            (await fetch(app, "/shop", method="POST", body=b"x")).code
+            (await entrykit.fetch(app, "/shop", method="POST", body=b"x")).code
             for _ in range(10)
         ]
         return codes, [len(agent.received) for agent in app.agents]
 
-    codes, counts = run(test, agent(entryfakes.refuse(draining=True)), agent(name="u2"))
+    codes, counts = entrykit.run(
+        test,
+        entrykit.agent(entryfakes.refuse(draining=True)),
+        entrykit.agent(name="u2"),
+    )
     assert codes == [200] * 10
     assert counts[0] <= 1 and counts[1] == 10
 
@@ -302,13 +278,15 @@
             await entryfakes.answer_ok(agent, exchange, head, body)
 
     async def test(app):
-        order = await fetch(app, "/shop", method="POST", body=b"x")
-        lookup = await fetch(app, "/shop")
+        order = await entrykit.fetch(app, "/shop", method="POST", body=b"x")
+        lookup = await entrykit.fetch(app, "/shop")
         heads = [head.method for agent in app.agents for head in agent.heads]
         return order, lookup, sorted(heads)
 
-    order, lookup, heads = run(test, agent(lose_first), agent(lose_first, "u2"))
-    assert (order.code, verdict(order)) == (504, "may-have-run")
+    order, lookup, heads = entrykit.run(
+        test, entrykit.agent(lose_first), entrykit.agent(lose_first, "u2")
+    )
+    assert (order.code, entrykit.verdict(order)) == (504, "may-have-run")
     assert "Retry-After" not in order.headers
     assert lookup.code == 200
     assert heads == ["GET", "GET", "POST"]
@@ -319,10 +297,12 @@
         agent.server.close_links()
 
     async def test(app):
-        return await fetch(app, "/shop", method="POST", body=b"x", request_timeout=3)
+        return await entrykit.fetch(
+            app, "/shop", method="POST", body=b"x", request_timeout=3
+        )
 
-    response = run(test, agent(vanish))
-    assert (response.code, verdict(response)) == (504, "may-have-run")
+    response = entrykit.run(test, entrykit.agent(vanish))
+    assert (response.code, entrykit.verdict(response)) == (504, "may-have-run")
 
 
 def test_deadline_is_answered_at_once_and_aborts_the_attempt():
@@ -331,127 +311,17 @@
 
     async def test(app):
         headers = {"Sardinegauge-Deadline-Ms": "100"}
-        response = await fetch(app, "/shop", headers=headers, request_timeout=3)
+        response = await entrykit.fetch(
+            app, "/shop", headers=headers, request_timeout=3
+        )
         await entryfakes.wait_until(lambda: app.agents[0].aborts)
         return response, app.agents[0].aborts[0]
 
-    response, abort = run(test, agent(never))
-    assert (response.code, verdict(response)) == (504, "may-have-run")
+    response, abort = entrykit.run(test, entrykit.agent(never))
+    assert (response.code, entrykit.verdict(response)) == (504, "may-have-run")
     assert isinstance(abort, httpmessages.Abort)
 
 
-async def send_large_response(agent, exchange, head, body):
-    """Answer with as many bytes as the body had, or with 32 MiB and no `BodyEnd`."""
-    window, agent.sent, limit = 256 * 1024, 0, body or 32 << 20
-    exchange.send(httpmessages.ResponseHead(status=200))
-    with contextlib.suppress(errors.LinkClosedError, TimeoutError):
-        while agent.sent < limit:
-            while window < 64 * 1024:
-                message = await exchange.receive(10)
-                if isinstance(message, httpmessages.Abort):
-                    return
-                window += message.size
-            data = bytes(min(limit - agent.sent, 64 * 1024))
-            await exchange.send(httpmessages.BodyChunk(data=data))
-            agent.sent += len(data)
-            window -= len(data)
-        if body:
-            exchange.send(httpmessages.BodyEnd(length=body))
-
-
-def test_large_bodies_stream_both_ways_in_bounded_memory():
-    size = 48 << 20
-
-    async def test(app):
-        app.agents[0].stores_bodies = False
-
-        async def produce(write):
-            for _ in range(size // (1 << 20)):
-                await write(bytes(1 << 20))
-
-        received = 0
-
-        def count(chunk):
-            nonlocal received
-            received += len(chunk)
-
-        tracemalloc.start()
-        client = simple_httpclient.SimpleAsyncHTTPClient(
-            force_instance=True, max_body_size=1 << 30
-        )
-        request = httpclient.HTTPRequest(
-            app.base + "/shop",
-            method="POST",
-            body_producer=produce,
-            streaming_callback=count,
-            request_timeout=60,
-            headers={"Content-Length": str(size), "Sardinegauge-Deadline-Ms": "60000"},
-        )
-        response = await client.fetch(request, raise_error=False)
-        peak = tracemalloc.get_traced_memory()[1]
-        tracemalloc.stop()
-        return response.code, received, peak
-
-    code, received, peak = run(test, agent(send_large_response))
-    assert (code, received) == (200, size)
-    assert peak < 12 << 20, f"{peak} bytes held for bodies of {size}"
-
-
-def test_agent_without_credit_gets_no_more_than_the_window():
-    async def test(app):
-        app.agents[0].credit_ratio = 0
-        _, writer = await asyncio.open_connection("127.0.0.1", app.port)
-        head = "POST /shop HTTP/1.1\nHost: a\nContent-Length: 2000000\n\n"
-        writer.write(_raw(head, bytes(2_000_000)))
-        await entryfakes.wait_until(lambda: app.agents[0].received_bytes >= 192 * 1024)
-        await asyncio.sleep(0.1)
-        writer.close()
-        return app.agents[0].received_bytes
-
-    assert run(test, agent()) <= 256 * 1024
-
-
-def test_caller_that_does_not_read_pauses_the_agent():
-    async def test(app):
-        (sender,) = app.agents
-        _, writer = await asyncio.open_connection("127.0.0.1", app.port, limit=1024)
-        writer.write(b"GET /shop HTTP/1.1\r\nHost: a\r\n\r\n")
-        await entryfakes.wait_until(lambda: sender.received)
-        before = -1
-        while before != sender.sent or not sender.sent:
-            before = sender.sent
-            await asyncio.sleep(0.3)
-        writer.close()
-        await entryfakes.wait_until(lambda: not app.state.requests)
-        return before
-
-    # The window and the kernel's socket buffers limit the bytes in flight.
-    assert run(test, agent(send_large_response)) < 16 << 20
-
-
-def test_stalled_readers_and_agents_do_not_hold_a_request(monkeypatch):
-    monkeypatch.setattr(requestattempt, "STALL_TIMEOUT_S", 0.5)
-
-    async def pause(agent, exchange, head, body):
-        exchange.send(httpmessages.ResponseHead(status=200))
-        exchange.send(httpmessages.BodyChunk(data=b"begun"))
-        agent.aborts.append(await exchange.receive(10))
-
-    async def test(app):
-        _, writer = await asyncio.open_connection("127.0.0.1", app.port, limit=1024)
-        writer.write(b"GET /shop HTTP/1.1\r\nHost: a\r\n\r\n")
-        await entryfakes.wait_until(lambda: app.agents[0].received)
-        await entryfakes.wait_until(lambda: not app.state.requests, timeout_s=5)
-        await entryfakes.wait_until(lambda: not app.agents[0].in_flight, timeout_s=5)
-        writer.close()
-        return app.state.upstreams.by_name["u1"].consecutive_failures
-
-    assert run(test, agent(send_large_response)) == 0, (
-        "a slow reader counted against the upstream"
-    )
-    assert run(test, agent(pause)) == 1
-
-
 def test_request_over_the_concurrency_limit_is_refused_at_once():
     release = asyncio.Event()
 
@@ -460,15 +330,15 @@
         entryfakes.send_response(exchange, b"held")
 
     async def test(app):
-        held = [asyncio.ensure_future(fetch(app, "/shop")) for _ in range(3)]
+        held = [asyncio.ensure_future(entrykit.fetch(app, "/shop")) for _ in range(3)]
         await entryfakes.wait_until(lambda: len(app.agents[0].received) == 3)
-        refused = await fetch(app, "/shop", request_timeout=3)
+        refused = await entrykit.fetch(app, "/shop", request_timeout=3)
         release.set()
         return [r.code for r in await asyncio.gather(*held)], refused
 
-    codes, refused = run(test, agent(hold), max_concurrent=3)
+    codes, refused = entrykit.run(test, entrykit.agent(hold), max_concurrent=3)
     assert codes == [200] * 3
-    assert (refused.code, verdict(refused)) == (503, "not-run")
+    assert (refused.code, entrykit.verdict(refused)) == (503, "not-run")
 
 
 def test_drain_finishes_requests_in_flight_and_refuses_new_ones():
@@ -479,7 +349,7 @@
         entryfakes.send_response(exchange, b"whole" * 200_000)
 
     async def test(app):
-        held = [asyncio.ensure_future(fetch(app, "/shop")) for _ in range(8)]
+        held = [asyncio.ensure_future(entrykit.fetch(app, "/shop")) for _ in range(8)]
         await entryfakes.wait_until(lambda: len(app.agents[0].received) == 8)
         reader, writer = await asyncio.open_connection("127.0.0.1", app.port)
         drain = asyncio.ensure_future(app.on_drain())
@@ -493,7 +363,7 @@
         writer.close()
         return [(r.code, len(r.body)) for r in await asyncio.gather(*held)], refused
 
-    answers, refused = run(test, agent(hold))
+    answers, refused = entrykit.run(test, entrykit.agent(hold))
     assert answers == [(200, 1_000_000)] * 8
     assert refused.startswith(b"HTTP/1.1 503") and b"not-run" in refused
 
@@ -508,7 +378,7 @@
         await drain
         return is_early
 
-    assert run(test, agent()) is False
+    assert entrykit.run(test, entrykit.agent()) is False
 
 
 def test_upstream_removed_from_the_directory_finishes_its_requests():
@@ -520,17 +390,17 @@
 
     async def test(app):
         (leaving,) = app.agents
-        held = asyncio.ensure_future(fetch(app, "/shop"))
+        held = asyncio.ensure_future(entrykit.fetch(app, "/shop"))
         await entryfakes.wait_until(lambda: leaving.received)
         app.fake.publish([])
         await entryfakes.wait_until(lambda: not app.state.upstreams.by_name)
-        refused = await fetch(app, "/shop")
+        refused = await entrykit.fetch(app, "/shop")
         release.set()
         response = await held
         await entryfakes.wait_until(lambda: not leaving.server.links)
         return refused.code, response.code, response.body
 
-    assert run(test, agent(hold)) == (503, 200, b"held")
+    assert entrykit.run(test, entrykit.agent(hold)) == (503, 200, b"held")
 
 
 def test_connections_are_limited_and_released(monkeypatch):
@@ -539,14 +409,14 @@
     async def test(app):
         held = [await asyncio.open_connection("127.0.0.1", app.port) for _ in range(2)]
         await entryfakes.wait_until(lambda: app.server.connection_count == 2)
-        refused = await send_raw(app, b"")
+        refused = await entrykit.send_raw(app, b"")
         held[0][1].close()
         await entryfakes.wait_until(lambda: app.server.connection_count == 1)
-        answered = await fetch(app, "/shop")
+        answered = await entrykit.fetch(app, "/shop")
         held[1][1].close()
         return refused, answered.code
 
-    refused, code = run(test, agent())
+    refused, code = entrykit.run(test, entrykit.agent())
     assert refused.startswith(b"HTTP/1.1 503") and code == 200
 
 
@@ -559,7 +429,7 @@
         await entryfakes.wait_until(lambda: app.agents[0].key_queries)
         return len(app.agents[0].key_queries)
 
-    assert run(test, agent()) == 1
+    assert entrykit.run(test, entrykit.agent()) == 1
 
 
 def test_metrics_page_names_tenants_of_the_configuration_only():
@@ -567,10 +437,10 @@
 
     async def test(app):
         for tenant in ("karri", "unheard-of"):
-            await fetch(app, "/shop", headers={"Sardinegauge-Tenant": tenant})
-        return (await fetch(app, "/-/metrics")).body.decode()
+            await entrykit.fetch(app, "/shop", headers={"Sardinegauge-Tenant": tenant})
+        return (await entrykit.fetch(app, "/-/metrics")).body.decode()
 
-    page = run(test, state=state)
+    page = entrykit.run(test, state=state)
     assert 'sardinegauge_request_seconds_count{class="idempotent",tenant="karri"}' in (
         page
     )
