Tell which decision chose a worker in logs and metrics

Cause: run_assigned named neither the module that chose the worker nor why the log refused a row, so the start beyond a step's limit on a worker (docs/incidents/starts-beyond-the-limit.md) could not be traced to one.

Change: run_assigned has by= and result= (instead of taken=), and the metric workflow_decided_starts counts starts by both. Starts of isolated tasks are kept with the other planned ones instead of in a table of their own.

Tests of the scheduler, the moves, displacement, crashes and the docs passed afterwards.

--- a/sardinegauge/state/statemetrics.py
+++ b/sardinegauge/state/statemetrics.py
@@ -85,6 +85,11 @@
             "Runs that were stopped for urgent tasks or on overcommitted workers.",
             ("queue", "reason"),
         )
+        self._decided = self._metrics.counter(
+            "workflow_decided_starts",
+            "Starts by the decision that chose the worker, and what the log did.",
+            ("decision", "result"),
+        )
         self._crashes = self._metrics.counter(
             "workflow_worker_crashes", "Crashes of workers.", ("pool",)
         )
@@ -148,6 +153,9 @@
     def _count_displacement(self, effect):
         self._displaced.labels(effect.queue, effect.reason).inc()
 
+    def _count_decided_rows(self, effect):
+        self._decided.labels(effect.decision, effect.result).inc(effect.count)
+
     def _count_crash(self, effect):
         self._crashes.labels(effect.pool).inc()
         self._lost_runs.labels(effect.pool).inc(effect.run_count)
@@ -229,6 +237,7 @@
     schedulerevents.LastingTasksCounted: StateMetrics._count_lasting,
     schedulerevents.OverTargetEnded: StateMetrics._count_over_target,
     schedulerevents.RunEnded: StateMetrics._count_run,
+    schedulerevents.RowsDecided: StateMetrics._count_decided_rows,
     schedulerevents.RunRestarted: StateMetrics._count_restart,
     schedulerevents.RunTimesLearned: StateMetrics._set_run_time_ratios,
     schedulerevents.SuspectedWorkersCounted: StateMetrics._set_suspected_workers,
--- /dev/null
+++ b/sardinegauge/workflows/decisions.py
@@ -0,0 +1,15 @@
+"""Names of the decisions that choose a worker, and of what the log does with them."""
+
+# Kinds of decision, as in logs and metrics.
+PLAN = "plan"
+ISOLATION = "isolation"
+MOVE = "move"
+DISPLACEMENT = "displacement"
+RELIEF = "relief"
+# A row that this leader did not propose itself.
+UNKNOWN = "unknown"
+
+# What the log did with a row of `commands.AssignRuns`: assigned it, or refused it.
+ASSIGNED = "assigned"
+# The task or the incarnation of the worker is gone, or a later run was assigned.
+OUTDATED = "outdated"
--- a/sardinegauge/workflows/displacing.py
+++ b/sardinegauge/workflows/displacing.py
@@ -8,7 +8,12 @@
 import itertools
 import logging
 
-from sardinegauge.workflows import displacementrecords, reservations, schedulerevents
+from sardinegauge.workflows import (
+    decisions,
+    displacementrecords,
+    reservations,
+    schedulerevents,
+)
 from sardinegauge.workflows.policies import displacement, displacementlimits
 
 # A task that found no room waits this long before it displaces runs: room often becomes
@@ -223,7 +228,7 @@
         state = self._state
         view = state.view_by_id[choice.worker]
         record = self._record_by_worker[choice.worker]
-        reservations.add(state, task, view)
+        reservations.add(state, task, view, decisions.DISPLACEMENT)
         record.free.reserve(claim)
         for victim in choice.victims:
             stop_run(state, view, victim.key, DISPLACED_REASON, task.id, victim.lost_ms)
--- a/sardinegauge/workflows/drainmoves.py
+++ b/sardinegauge/workflows/drainmoves.py
@@ -8,7 +8,7 @@
 import logging
 
 from sardinegauge import commands
-from sardinegauge.workflows import besteffort, draining, views
+from sardinegauge.workflows import besteffort, decisions, draining, views
 from sardinegauge.workflows.policies import drainmoves
 
 # Least time between two choices of runs to move; longer if none could be moved.
@@ -399,5 +399,5 @@
     for task_id, worker in move.target_by_task.items():
         incarnation = state.registered_incarnation(worker)
         rows.append([task_id, number, worker, incarnation])
-        state.worker_by_planned_task[task_id] = worker
+        state.record_planned(task_id, worker, decisions.MOVE)
     state.propose(commands.AssignRuns(rows=rows))
--- a/sardinegauge/workflows/overcommit.py
+++ b/sardinegauge/workflows/overcommit.py
@@ -7,6 +7,7 @@
 
 from sardinegauge.workflows import (
     candidates,
+    decisions,
     displacementrecords,
     displacing,
     reservations,
@@ -49,7 +50,8 @@
     for victim in victims:
         if victim.is_persistent:
             _, _, task = state.store.find_task(victim.key[0])
-            reservations.add(state, task, candidate_by_key[victim.key].view)
+            view_of_room = candidate_by_key[victim.key].view
+            reservations.add(state, task, view_of_room, decisions.RELIEF)
         displacing.stop_run(
             state, view, victim.key, OVERCOMMITTED_REASON, "", victim.lost_ms
         )
--- a/sardinegauge/workflows/planner.py
+++ b/sardinegauge/workflows/planner.py
@@ -8,10 +8,10 @@
 import collections
 import heapq
 
+from sardinegauge.workflows import decisions, reservations
 from sardinegauge.workflows import isolation as isolation_module
 from sardinegauge.workflows import ordering as ordering_module
 from sardinegauge.workflows import placement as placement_module
-from sardinegauge.workflows import reservations
 
 # Assignments in one plan after which no further step is planned, so that the command
 # stays small.
@@ -124,7 +124,7 @@
             return []
         matching = self._find_matching(state, queue, waiting[0], offer)
         matching = offer.find_open(matching)
-        count_by_worker = _count_runs_by_worker(tasks, state, offer)
+        count_by_worker = _count_runs_by_worker(tasks, state)
         if step.is_gang:
             if any(task.id in state.crashes.undecided_ms_by_task for task in waiting):
                 return []
@@ -177,12 +177,12 @@
                 continue
             queue = state.store.queue_of(workflow)
             matching = self._find_matching(state, queue, suspects[0], offer)
-            count_by_worker = _count_runs_by_worker(tasks, state, offer)
+            count_by_worker = _count_runs_by_worker(tasks, state)
             for task in suspects:
                 chosen = self._isolate(state, task, matching, count_by_worker, offer)
                 if chosen is not None:
                     chosen.reserve(step)
-                    offer.isolated_worker_by_task[task.id] = chosen.view.id
+                    state.record_planned(task.id, chosen.view.id, decisions.ISOLATION)
                     assignments.append(_assignment(task, chosen))
         return assignments
 
@@ -284,14 +284,12 @@
         "_exhausted_steps_by_group",
         "_matching_by_group",
         "candidates",
-        "isolated_worker_by_task",
         "isolation",
     )
 
     def __init__(self, candidates, isolation):
         self.candidates = candidates
         self.isolation = isolation
-        self.isolated_worker_by_task = {}
         self._matching_by_group = {}
         self._exhausted_steps_by_group = {}
 
@@ -428,21 +426,15 @@
     ]
 
 
-def _count_runs_by_worker(tasks, state, offer):
+def _count_runs_by_worker(tasks, state):
     """Return the runs of a step by worker with planned ones, empty without a limit."""
     count_by_worker = {}
     if not tasks[0].step.max_per_worker:
         return count_by_worker
     for task in tasks:
         workers = [run.worker for run in task.runs]
-        workers += [
-            planned[task.id]
-            for planned in (
-                state.worker_by_planned_task,
-                offer.isolated_worker_by_task,
-            )
-            if task.id in planned
-        ]
+        if task.id in state.worker_by_planned_task:
+            workers.append(state.worker_by_planned_task[task.id])
         for worker in workers:
             count_by_worker[worker] = count_by_worker.get(worker, 0) + 1
     return count_by_worker
--- a/sardinegauge/workflows/reservations.py
+++ b/sardinegauge/workflows/reservations.py
@@ -13,12 +13,14 @@
 class Reservation:
     """Room for the next run of a task on an incarnation of a worker, until `end_ms`.
 
-    `last_run` is the task's highest run number so far.
+    `decision` is the one of `decisions` that chose the worker, `last_run` the task's
+    highest run number so far.
     """
 
-    __slots__ = ("end_ms", "incarnation", "last_run", "step", "worker")
+    __slots__ = ("decision", "end_ms", "incarnation", "last_run", "step", "worker")
 
-    def __init__(self, task, worker, incarnation, end_ms):
+    def __init__(self, task, worker, incarnation, end_ms, decision):
+        self.decision = decision
         self.step = task.step
         self.last_run = task.last_run
         self.worker = worker
@@ -26,10 +28,11 @@
         self.end_ms = end_ms
 
 
-def add(state, task, view):
-    """Reserve room for a task on a worker."""
+def add(state, task, view, decision):
+    """Reserve room for a task on a worker that one of `decisions` chose."""
+    end_ms = state.now_ms + RESERVATION_MS
     state.reservation_by_task[task.id] = Reservation(
-        task, view.id, view.incarnation, state.now_ms + RESERVATION_MS
+        task, view.id, view.incarnation, end_ms, decision
     )
 
 
@@ -95,7 +98,7 @@
             continue
         candidate.reserve(step)
         del state.reservation_by_task[task_id]
-        state.worker_by_planned_task[task_id] = reservation.worker
+        state.record_planned(task_id, reservation.worker, reservation.decision)
         row = [task_id, task.last_run + 1, reservation.worker, reservation.incarnation]
         assignments.append(row)
     return assignments
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -5,6 +5,7 @@
 leader is proposed as a command, all other state is soft and rebuilt from reports.
 """
 
+import collections
 import logging
 
 from sardinegauge import commands
@@ -12,6 +13,7 @@
     besteffort,
     commandsize,
     crashes,
+    decisions,
     displacing,
     draining,
     drainmoves,
@@ -174,22 +176,36 @@
 def _on_assigned(state, event):
     incarnation_by_worker = {}
     assigned_ids = set(event.answer.ids)
+    result_by_task = {
+        row[0]: decisions.OUTDATED
+        for row in event.command.rows
+        if row[0] not in assigned_ids
+    }
+    count_by_result = collections.Counter()
     for task_id, run_number, worker, incarnation in event.command.rows:
-        state.worker_by_planned_task.pop(task_id, None)
+        decision = state.drop_planned(task_id)
+        result = result_by_task.get(task_id, decisions.ASSIGNED)
+        count_by_result[decision, result] += 1
         incarnation_by_worker[worker] = incarnation
         view = state.view_by_id.get(worker)
         log.info(
-            "run_assigned task=%s run=%d worker=%s life=%d report_age_ms=%d taken=%s",
+            "run_assigned task=%s run=%d worker=%s life=%d report_age_ms=%d by=%s "
+            "result=%s",
             task_id,
             run_number,
             worker,
             incarnation,
             state.now_ms - view.received_ms if view is not None else -1,
-            task_id in assigned_ids,
+            decision,
+            result,
         )
         if task_id in assigned_ids:
             isolation.on_assigned(state, task_id, run_number, worker, incarnation)
             recovery.on_assigned(state, (task_id, run_number), worker)
+    for (decision, result), count in count_by_result.items():
+        state.effects.append(
+            schedulerevents.RowsDecided(decision=decision, result=result, count=count)
+        )
     for worker, incarnation in incarnation_by_worker.items():
         view = state.view_by_id.get(worker)
         if view is not None and view.incarnation == incarnation:
@@ -344,7 +360,8 @@
     drainmoves.assign_reserved(state)
     assignments = state.planner.plan(state, state.now_ms, wall_ms)
     for task_id, _, worker, _ in assignments:
-        state.worker_by_planned_task[task_id] = worker
+        if task_id not in state.worker_by_planned_task:
+            state.record_planned(task_id, worker, decisions.PLAN)
     if assignments:
         state.propose(commands.AssignRuns(rows=assignments))
     displacing.displace(state)
--- a/sardinegauge/workflows/schedulerevents.py
+++ b/sardinegauge/workflows/schedulerevents.py
@@ -81,6 +81,16 @@
     __slots__ = ("lasted_ms", "queue", "state")
 
 
+class RowsDecided(record.Record):
+    """Effect: count rows of `commands.AssignRuns` by what the log did with them.
+
+    `decision` is one of `decisions`; `result` is `decisions.ASSIGNED` or why the log
+    refused the rows.
+    """
+
+    __slots__ = ("count", "decision", "result")
+
+
 class RunRestarted(record.Record):
     """Effect: count a run that is stopped to start elsewhere, for the metrics."""
 
--- a/sardinegauge/workflows/schedulerstate.py
+++ b/sardinegauge/workflows/schedulerstate.py
@@ -7,6 +7,7 @@
     backlog,
     candidates,
     crashes,
+    decisions,
     displacing,
     draining,
     drainmoves,
@@ -32,7 +33,8 @@
     """Soft state of the leader.
 
     A run key is a pair of task id and run number. `worker_by_planned_task` holds the
-    workers of assignments that are proposed but not applied yet, by task id.
+    workers of assignments that are proposed but not applied yet, by task id, and
+    `decision_by_planned_task` which of `decisions` chose each of them.
     `workers_by_agent` holds the ids of all workers seen beside an agent in this term.
     `stop_reason_by_run` holds the runs to stop, and `cpu_cap_by_run` the CPU caps of
     best-effort tasks in percent; `core_sharing` decides how the left-over cores are
@@ -64,6 +66,7 @@
         self.view_by_id = {}
         self.workers_by_agent = {}
         self.worker_by_planned_task = {}
+        self.decision_by_planned_task = {}
         self.stop_reason_by_run = {}
         self.cpu_cap_by_run = {}
         self.core_sharing = coreshares.InOrder()
@@ -99,6 +102,16 @@
         registered = self.store.worker_by_id.get(worker)
         return registered.life if registered is not None else 0
 
+    def record_planned(self, task_id, worker, decision):
+        """Record an assignment that is proposed or about to be."""
+        self.worker_by_planned_task[task_id] = worker
+        self.decision_by_planned_task[task_id] = decision
+
+    def drop_planned(self, task_id):
+        """Drop an assignment that was applied; return which decision it was."""
+        self.worker_by_planned_task.pop(task_id, None)
+        return self.decision_by_planned_task.pop(task_id, decisions.UNKNOWN)
+
     def propose(self, command):
         """Emit the effect that proposes a command."""
         self.effects.append(schedulerevents.Propose(command=command))
