Drop reserved room that pool, label or limit no longer allow

Callers saw ROUTE: a start where it is not allowed any more.

Cause: pool, required label and limit were checked when a worker was chosen for a move or a displacement, and not seconds later, when the former run had ended and the start was proposed. A configuration, other labels in a report or a run that the worker reports late may have come in between.

Change: both ask stepcounts.reason_against, without their own promise, and log reservation_dropped with the decision and the reason.

--- a/sardinegauge/workflows/drainmoves.py
+++ b/sardinegauge/workflows/drainmoves.py
@@ -8,7 +8,14 @@
 import logging
 
 from sardinegauge import commands
-from sardinegauge.workflows import besteffort, decisions, draining, stepcounts, views
+from sardinegauge.workflows import (
+    besteffort,
+    decisions,
+    draining,
+    reservations,
+    stepcounts,
+    views,
+)
 from sardinegauge.workflows.policies import drainmoves
 
 # Least time between two choices of runs to move; longer if none could be moved.
@@ -338,8 +345,11 @@
             usable = state.candidates.find_usable(state, state.now_ms)
             candidate_by_worker = {c.view.id: c for c in usable}
         if not _is_room_left(state, move, candidate_by_worker):
-            log.info("reservation_dropped task=%s", move.keys[0][0])
-            drain_moves.moves.remove(move)
+            _drop(state, move, "room")
+            continue
+        reason = _reason_against(state, move)
+        if reason:
+            _drop(state, move, reason)
             continue
         move.is_assigned = True
         _assign(state, move)
@@ -378,6 +388,27 @@
     return True
 
 
+def _reason_against(state, move):
+    """Return why a reserved worker may not take its task any more, or ""."""
+    counts = None
+    for task_id, worker in move.target_by_task.items():
+        workflow, occurrence, task = state.store.find_task(task_id)
+        if counts is None:
+            members = occurrence.tasks_by_step[task.position]
+            counts = stepcounts.StepCounts(state, members, move.target_by_task)
+        view = state.view_by_id[worker]
+        reason = stepcounts.reason_against(state, workflow, task, view, counts)
+        if reason:
+            return reason
+        counts.add(worker)
+    return ""
+
+
+def _drop(state, move, reason):
+    state.drain_moves.moves.remove(move)
+    reservations.log_dropped(move.keys[0][0], decisions.MOVE, reason)
+
+
 def _assign(state, move):
     rows = []
     tasks = [state.store.find_task(task_id)[2] for task_id in move.target_by_task]
--- a/sardinegauge/workflows/reservations.py
+++ b/sardinegauge/workflows/reservations.py
@@ -5,9 +5,14 @@
 leader has none, and decides anew.
 """
 
+import logging
+
+from sardinegauge.workflows import stepcounts
+
 # Reserved room is given up after this time: a stop is usually confirmed within 1 s, and
 # a worker that takes longer is not the right one for an urgent task.
 RESERVATION_MS = 5000
+log = logging.getLogger(__name__)
 
 
 class Reservation:
@@ -87,7 +92,13 @@
     for task_id, reservation in list(state.reservation_by_task.items()):
         candidate = candidate_by_worker.get(reservation.worker)
         _, _, task = state.store.find_task(task_id)
-        if candidate is None or reservation.worker in closed_ids or task.runs:
+        if candidate is None or reservation.worker in closed_ids:
+            continue
+        reason = _reason_against(state, task_id, candidate.view)
+        if reason:
+            _drop(state, task_id, candidate, reason)
+            continue
+        if task.runs:
             continue
         if state.now_ms < state.refused_until_ms.get((task_id, reservation.worker), 0):
             continue
@@ -102,3 +113,23 @@
         row = [task_id, task.last_run + 1, reservation.worker, reservation.incarnation]
         assignments.append(row)
     return assignments
+
+
+def _reason_against(state, task_id, view):
+    """Return why a worker may not take the task that it is reserved for, or ""."""
+    workflow, occurrence, task = state.store.find_task(task_id)
+    members = occurrence.tasks_by_step[task.position]
+    counts = stepcounts.StepCounts(state, members, {task_id})
+    return stepcounts.reason_against(state, workflow, task, view, counts)
+
+
+def _drop(state, task_id, candidate, reason):
+    """Give up a reservation whose worker may not take the task any more."""
+    reservation = state.reservation_by_task.pop(task_id)
+    candidate.free.release(reservation.step)
+    log_dropped(task_id, reservation.decision, reason)
+
+
+def log_dropped(task_id, decision, reason):
+    """Log that room reserved for a task by one of `decisions` is given up."""
+    log.info("reservation_dropped task=%s by=%s reason=%s", task_id, decision, reason)
--- a/sardinegauge/workflows/stepcounts.py
+++ b/sardinegauge/workflows/stepcounts.py
@@ -6,7 +6,7 @@
 
 import collections
 
-from sardinegauge.workflows import views
+from sardinegauge.workflows import decisions, views
 
 
 class StepCounts:
@@ -73,6 +73,20 @@
             self._count_by_worker[worker] += step_ids.count(step_id)
 
 
+def reason_against(state, workflow, task, view, counts):
+    """Return why a promised start may not be on its worker any more, or "".
+
+    Pool, label and limit hold when the worker is chosen, and may not when its room
+    becomes free. `counts` are the `StepCounts` without the promise itself.
+    """
+    if view.pool != state.store.queue_of(workflow).pool:
+        return decisions.POOL
+    label = task.step.required_label
+    if label and label not in view.labels:
+        return decisions.LABEL
+    return "" if counts.allows(view.id) else decisions.LIMIT
+
+
 def find_strays(view, runs):
     """Return the keys of the reported runs that the store no longer has.
 
--- a/tests/test_workflow_steplimit.py
+++ b/tests/test_workflow_steplimit.py
@@ -8,6 +8,7 @@
     displacing,
     drainmoves,
     overcommit,
+    queues,
     reservations,
     schedulerevents,
     steps,
@@ -22,6 +23,7 @@
     is_persistent=True,
     target_ms=50,
     max_per_worker=1,
+    required_label="k",
 )
 FIRST, SECOND = "w.0.0.0", "w.0.0.1"
 DOMAIN_BY_WORKER = {"a": "z1", "b": "z2", "c": "z1"}
@@ -34,6 +36,7 @@
         self.counted = []
         self.strays = []
         self.memory_mb_by_worker = {}
+        self.labels = ["k"]
         super().__init__()
         self.report_all()
         self.settle()
@@ -53,7 +56,13 @@
             runs = [[*key, views.ACTIVE] for key in self.store.runs_of(worker, 1)]
             runs += self.strays if worker == "b" else []
             memory_mb = self.memory_mb_by_worker.get(worker, 8000)
-            self.report(worker, runs=runs, failure_domain=domain, memory_mb=memory_mb)
+            self.report(
+                worker,
+                runs=runs,
+                failure_domain=domain,
+                memory_mb=memory_mb,
+                labels=self.labels,
+            )
 
     def wait(self, ms):
         self.now_ms += ms
@@ -64,6 +73,12 @@
         self.commit(commands.AssignRuns(rows=[[task, 1, worker, 1]]))
         self.report_all()
 
+    def set_pool(self, pool):
+        queue = self.store.queue_set.by_name["q"].replace(pool=pool)
+        pools = [queues.Pool(name=name) for name in ("p", "p2")]
+        packed = queues.pack([queue], pools)
+        self.commit(commands.SetQueues(version=2, packed=packed))
+
     def reduce(self, function, *arguments):
         self.state.effects = []
         function(self.state, *arguments)
@@ -97,6 +112,10 @@
 
 def promise_stray(leader):
     leader.assign(FIRST, "c")
+    add_stray(leader)
+
+
+def add_stray(leader):
     leader.strays = [[FIRST, 7, views.ACTIVE]]
     leader.report_all()
 
@@ -160,6 +179,44 @@
     assert decide(leader) == (promise is promise_nothing)
 
 
+def change_pool(leader):
+    leader.set_pool("p2")
+
+
+def change_labels(leader):
+    leader.labels = []
+    leader.report_all()
+
+
+def change_nothing(leader):
+    """Leave the reservation valid."""
+
+
+CHANGES = (
+    (change_nothing, ""),
+    (change_pool, decisions.POOL),
+    (change_labels, decisions.LABEL),
+    (add_stray, decisions.LIMIT),
+)
+
+
+@pytest.mark.parametrize("change, reason", CHANGES)
+@pytest.mark.parametrize("promise", [promise_move, promise_displacement])
+def test_reservation_that_no_longer_holds_is_dropped(promise, change, reason, caplog):
+    """Failure: pool, label and limit were checked only when room was reserved."""
+    caplog.set_level("INFO")
+    leader = Leader()
+    promise(leader)
+    change(leader)
+    ends = [[1, FIRST, 1, "stopped", ""]]
+    leader.commit(commands.RecordEnds(worker="c", life=1, rows=ends))
+    leader.report_all()
+    leader.settle()
+    assert leader.placed() == ({} if reason else {FIRST: "b"})
+    assert ("reservation_dropped" in caplog.text) == bool(reason)
+    assert f"reason={reason}" in caplog.text or not reason
+
+
 def test_task_that_fails_during_a_move_of_its_step_does_not_start_at_its_target():
     """Failure: the plan started it there, and then the move the other one."""
     fleet = test_workflow_drainmoves.Fleet(a1="z1", a2="z1", b="z2")
