--- a/sardinegauge/workflows/drainmoves.py
+++ b/sardinegauge/workflows/drainmoves.py
@@ -8,7 +8,14 @@
 import logging
 
 from sardinegauge import commands
-from sardinegauge.workflows import besteffort, draining, views
+from sardinegauge.workflows import (
+    besteffort,
+    decisions,
+    draining,
+    reservations,
+    stepcounts,
+    views,
+)
 from sardinegauge.workflows.policies import drainmoves
 
 # Least time between two choices of runs to move; longer if none could be moved.
@@ -245,33 +252,33 @@
         if kind in self._full_kinds:
             return False
         members = occurrence.tasks_by_step[task.position]
-        count_by_worker = _count_by_worker(state, members, unit)
+        moved_ids = {task_id for task_id, _ in unit.keys}
+        counts = stepcounts.StepCounts(state, members, moved_ids)
         pool = state.store.queue_of(workflow).pool
         target_by_task = {}
         for task_id, _ in unit.keys:
-            target = self._choose(pool, task_id, task.step, count_by_worker)
+            target = self._choose(pool, task_id, task.step, counts)
             if target is None:
                 self._full_kinds.add(kind)
                 # The room of the members before is given back.
                 self._candidates = state.candidates.find_usable(state, state.now_ms)
                 return False
             target.reserve(task.step)
-            count_by_worker[target.view.id] = count_by_worker.get(target.view.id, 0) + 1
+            counts.add(target.view.id)
             target_by_task[task_id] = target.view.id
         move = Move(unit.keys, target_by_task, state.now_ms)
         self.move_by_unit[unit.keys[0]] = move
         state.drain_moves.moves.append(move)
         return True
 
-    def _choose(self, pool, task_id, step, count_by_worker):
+    def _choose(self, pool, task_id, step, counts):
         state = self._state
         avoided = state.failed_workers_by_task.get(task_id, ())
-        limit = step.max_per_worker
         suitable = [
             candidate
             for candidate in self._candidates
             if candidate.view.pool == pool
-            and (not limit or count_by_worker.get(candidate.view.id, 0) < limit)
+            and counts.allows(candidate.view.id)
             and _is_suitable(state, candidate, step)
         ]
         if not suitable:
@@ -295,20 +302,6 @@
     )
 
 
-def _count_by_worker(state, members, unit):
-    """Return the runs and reservations of a step by worker, without the unit's runs."""
-    moved_ids = {task_id for task_id, _ in unit.keys}
-    reserved = state.drain_moves.reserved_workers()
-    count_by_worker = {}
-    for task in members:
-        workers = [run.worker for run in task.runs if task.id not in moved_ids]
-        if task.id in reserved:
-            workers.append(reserved[task.id])
-        for worker in workers:
-            count_by_worker[worker] = count_by_worker.get(worker, 0) + 1
-    return count_by_worker
-
-
 def _is_suitable(state, candidate, step):
     """Return whether a task would run at full speed beside what runs on a worker."""
     view = candidate.view
@@ -352,8 +345,11 @@
             usable = state.candidates.find_usable(state, state.now_ms)
             candidate_by_worker = {c.view.id: c for c in usable}
         if not _is_room_left(state, move, candidate_by_worker):
-            log.info("reservation_dropped task=%s", move.keys[0][0])
-            drain_moves.moves.remove(move)
+            _drop(state, move, "room")
+            continue
+        reason = _reason_against(state, move)
+        if reason:
+            _drop(state, move, reason)
             continue
         move.is_assigned = True
         _assign(state, move)
@@ -392,6 +388,27 @@
     return True
 
 
+def _reason_against(state, move):
+    """Return why a reserved worker may not take its task any more, or ""."""
+    counts = None
+    for task_id, worker in move.target_by_task.items():
+        workflow, occurrence, task = state.store.find_task(task_id)
+        if counts is None:
+            members = occurrence.tasks_by_step[task.position]
+            counts = stepcounts.StepCounts(state, members, move.target_by_task)
+        view = state.view_by_id[worker]
+        reason = stepcounts.reason_against(state, workflow, task, view, counts)
+        if reason:
+            return reason
+        counts.add(worker)
+    return ""
+
+
+def _drop(state, move, reason):
+    state.drain_moves.moves.remove(move)
+    reservations.log_dropped(move.keys[0][0], decisions.MOVE, reason)
+
+
 def _assign(state, move):
     rows = []
     tasks = [state.store.find_task(task_id)[2] for task_id in move.target_by_task]
@@ -399,5 +416,5 @@
     for task_id, worker in move.target_by_task.items():
         incarnation = state.registered_incarnation(worker)
         rows.append([task_id, number, worker, incarnation])
-        state.worker_by_planned_task[task_id] = worker
+        state.record_planned(task_id, worker, decisions.MOVE)
     state.propose(commands.AssignRuns(rows=rows))
--- a/sardinegauge/workflows/reservations.py
+++ b/sardinegauge/workflows/reservations.py
@@ -5,20 +5,27 @@
 leader has none, and decides anew.
 """
 
+import logging
+
+from sardinegauge.workflows import stepcounts
+
 # Reserved room is given up after this time: a stop is usually confirmed within 1 s, and
 # a worker that takes longer is not the right one for an urgent task.
 RESERVATION_MS = 5000
+log = logging.getLogger(__name__)
 
 
 class Reservation:
     """Room for the next run of a task on an incarnation of a worker, until `end_ms`.
 
-    `last_run` is the task's highest run number so far.
+    `decision` is the one of `decisions` that chose the worker, `last_run` the task's
+    highest run number so far.
     """
 
-    __slots__ = ("end_ms", "incarnation", "last_run", "step", "worker")
+    __slots__ = ("decision", "end_ms", "incarnation", "last_run", "step", "worker")
 
-    def __init__(self, task, worker, incarnation, end_ms):
+    def __init__(self, task, worker, incarnation, end_ms, decision):
+        self.decision = decision
         self.step = task.step
         self.last_run = task.last_run
         self.worker = worker
@@ -26,10 +33,11 @@
         self.end_ms = end_ms
 
 
-def add(state, task, view):
-    """Reserve room for a task on a worker."""
+def add(state, task, view, decision):
+    """Reserve room for a task on a worker that one of `decisions` chose."""
+    end_ms = state.now_ms + RESERVATION_MS
     state.reservation_by_task[task.id] = Reservation(
-        task, view.id, view.incarnation, state.now_ms + RESERVATION_MS
+        task, view.id, view.incarnation, end_ms, decision
     )
 
 
@@ -84,7 +92,13 @@
     for task_id, reservation in list(state.reservation_by_task.items()):
         candidate = candidate_by_worker.get(reservation.worker)
         _, _, task = state.store.find_task(task_id)
-        if candidate is None or reservation.worker in closed_ids or task.runs:
+        if candidate is None or reservation.worker in closed_ids:
+            continue
+        reason = _reason_against(state, task_id, candidate.view)
+        if reason:
+            _drop(state, task_id, candidate, reason)
+            continue
+        if task.runs:
             continue
         if state.now_ms < state.refused_until_ms.get((task_id, reservation.worker), 0):
             continue
@@ -95,7 +109,27 @@
             continue
         candidate.reserve(step)
         del state.reservation_by_task[task_id]
-        state.worker_by_planned_task[task_id] = reservation.worker
+        state.record_planned(task_id, reservation.worker, reservation.decision)
         row = [task_id, task.last_run + 1, reservation.worker, reservation.incarnation]
         assignments.append(row)
     return assignments
+
+
+def _reason_against(state, task_id, view):
+    """Return why a worker may not take the task that it is reserved for, or ""."""
+    workflow, occurrence, task = state.store.find_task(task_id)
+    members = occurrence.tasks_by_step[task.position]
+    counts = stepcounts.StepCounts(state, members, {task_id})
+    return stepcounts.reason_against(state, workflow, task, view, counts)
+
+
+def _drop(state, task_id, candidate, reason):
+    """Give up a reservation whose worker may not take the task any more."""
+    reservation = state.reservation_by_task.pop(task_id)
+    candidate.free.release(reservation.step)
+    log_dropped(task_id, reservation.decision, reason)
+
+
+def log_dropped(task_id, decision, reason):
+    """Log that room reserved for a task by one of `decisions` is given up."""
+    log.info("reservation_dropped task=%s by=%s reason=%s", task_id, decision, reason)
