Check limit and queue of a start at the log

Callers saw ROUTE: a start beyond a step's limit on a worker, or in the former service of its queue.

Cause: the log took each row of AssignRuns whose task and incarnation it knew. A configuration or another decision applied between decision and row was not seen by anyone.

Change: workflows/assigning.py (from store.py) refuses rows beyond the limit and of queues changed after queues_version, the new field of AssignRuns; a gang's rows are taken as a whole. Rows without the field, as in logs of earlier releases, are applied as before. The answer names the reason, which goes to run_assigned and workflow_decided_starts; a refused move is dropped. The leader does not propose the same again, as it counts at least what the log counts and decides on the newer queues.

--- a/sardinegauge/checks.py
+++ b/sardinegauge/checks.py
@@ -350,7 +350,10 @@
     commands.GiveUpTask: {"task": TEXT},
     commands.ClearSuspects: {"tasks": items(TEXT)},
     commands.RegisterLife: {**_WORKER_INCARNATION, "agent": TEXT},
-    commands.AssignRuns: {"rows": items(row(TEXT, COUNT, TEXT, COUNT))},
+    commands.AssignRuns: {
+        "rows": items(row(TEXT, COUNT, TEXT, COUNT)),
+        "queues_version": COUNT,
+    },
     commands.RecordEnds: {
         **_WORKER_INCARNATION,
         "rows": items(row(COUNT, TEXT, COUNT, TEXT, OPTIONAL_TEXT)),
--- a/sardinegauge/commands.py
+++ b/sardinegauge/commands.py
@@ -360,9 +360,14 @@
     """Assign runs of tasks; rows of task, run, worker and incarnation.
 
     Rows that are outdated are skipped; the answer's ids are the assigned tasks.
+    `queues_version` is that of the queues on which the leader decided: rows beyond the
+    limit of a step on a worker or of a queue that changed later are skipped, too, and
+    with a member all of its gang. Logs of earlier releases hold no such version, and
+    their rows are not checked for this.
     """
 
-    __slots__ = ("rows",)
+    __slots__ = ("rows", "queues_version")
+    _defaults = {"at_ms": 0, "queues_version": 0}
 
 
 class RecordEnds(Command):
--- a/sardinegauge/state/machine.py
+++ b/sardinegauge/state/machine.py
@@ -19,7 +19,7 @@
     tasks,
     workers,
 )
-from sardinegauge.workflows import crashrecord, refusals, store
+from sardinegauge.workflows import assigning, crashrecord, refusals, store
 
 SNAPSHOT_FORMAT = 1
 
@@ -94,7 +94,7 @@
     commands.CancelWorkflow: store.cancel,
     commands.KeepEstimates: store.keep_estimates,
     commands.RegisterLife: store.register_incarnation,
-    commands.AssignRuns: store.assign_runs,
+    commands.AssignRuns: assigning.assign_runs,
     commands.RecordEnds: store.record_ends,
     commands.ReleaseLife: store.release_incarnation,
     commands.RecordCrash: crashrecord.record_crash,
--- a/sardinegauge/workflows/decisions.py
+++ b/sardinegauge/workflows/decisions.py
@@ -19,3 +19,5 @@
 ASSIGNED = "assigned"
 # The task or the incarnation of the worker is gone, or a later run was assigned.
 OUTDATED = "outdated"
+# The queue changed after the decision, and perhaps its pool with it.
+QUEUE_CHANGED = "queue_changed"
--- a/sardinegauge/workflows/drainmoves.py
+++ b/sardinegauge/workflows/drainmoves.py
@@ -7,7 +7,6 @@
 
 import logging
 
-from sardinegauge import commands
 from sardinegauge.workflows import (
     besteffort,
     decisions,
@@ -417,4 +416,14 @@
         incarnation = state.registered_incarnation(worker)
         rows.append([task_id, number, worker, incarnation])
         state.record_planned(task_id, worker, decisions.MOVE)
-    state.propose(commands.AssignRuns(rows=rows))
+    state.propose_assignments(rows)
+
+
+def on_refused(state, task_id):
+    """Drop the move of a task whose assignment the log refused."""
+    drain_moves = state.drain_moves
+    drain_moves.moves = [
+        move
+        for move in drain_moves.moves
+        if not move.is_assigned or task_id not in move.target_by_task
+    ]
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -176,15 +176,13 @@
 def _on_assigned(state, event):
     incarnation_by_worker = {}
     assigned_ids = set(event.answer.ids)
-    result_by_task = {
-        row[0]: decisions.OUTDATED
-        for row in event.command.rows
-        if row[0] not in assigned_ids
-    }
+    reason_by_task = event.answer.value.get("reason_by_task", {})
     count_by_result = collections.Counter()
     for task_id, run_number, worker, incarnation in event.command.rows:
         decision = state.drop_planned(task_id)
-        result = result_by_task.get(task_id, decisions.ASSIGNED)
+        result = decisions.ASSIGNED
+        if task_id not in assigned_ids:
+            result = reason_by_task.get(task_id, decisions.OUTDATED)
         count_by_result[decision, result] += 1
         incarnation_by_worker[worker] = incarnation
         view = state.view_by_id.get(worker)
@@ -199,7 +197,9 @@
             decision,
             result,
         )
-        if task_id in assigned_ids:
+        if result != decisions.ASSIGNED:
+            drainmoves.on_refused(state, task_id)
+        else:
             isolation.on_assigned(state, task_id, run_number, worker, incarnation)
             recovery.on_assigned(state, (task_id, run_number), worker)
     for (decision, result), count in count_by_result.items():
@@ -363,7 +363,7 @@
         if task_id not in state.worker_by_planned_task:
             state.record_planned(task_id, worker, decisions.PLAN)
     if assignments:
-        state.propose(commands.AssignRuns(rows=assignments))
+        state.propose_assignments(assignments)
     displacing.displace(state)
     _send_questions(state)
     effects, state.effects = state.effects, []
--- a/sardinegauge/workflows/schedulerstate.py
+++ b/sardinegauge/workflows/schedulerstate.py
@@ -2,6 +2,7 @@
 
 import collections
 
+from sardinegauge import commands
 from sardinegauge.workflows import (
     advicetracker,
     backlog,
@@ -116,6 +117,11 @@
         """Emit the effect that proposes a command."""
         self.effects.append(schedulerevents.Propose(command=command))
 
+    def propose_assignments(self, rows):
+        """Propose assignments that were decided on the queues in force."""
+        version = self.store.queue_set.version
+        self.propose(commands.AssignRuns(rows=rows, queues_version=version))
+
     def push(self, worker, incarnation):
         """Emit the effect that sends a worker's orders now."""
         self.effects.append(
--- a/sardinegauge/workflows/store.py
+++ b/sardinegauge/workflows/store.py
@@ -305,46 +305,6 @@
     return outcome.Accepted()
 
 
-def assign_runs(machine, index, command):
-    """Assign runs; the answer lists the tasks whose rows were still applicable."""
-    store = machine.workflows
-    assigned_ids = []
-    for task_id, number, worker, incarnation in command.rows:
-        if _assign(store, task_id, number, worker, incarnation, command.at_ms):
-            assigned_ids.append(task_id)
-    return outcome.Accepted(ids=assigned_ids)
-
-
-def _assign(store, task_id, number, worker, incarnation, at_ms):
-    registered = store.worker_by_id.get(worker)
-    if registered is None or registered.life != incarnation:
-        return False
-    workflow, occurrence, task = store.find_task(task_id)
-    if task is None:
-        workflow, occurrence, task = _create_task(store, task_id)
-    if task is None or not workflow.is_open or task.is_done:
-        return False
-    if number <= task.last_run or (task.runs and not task.step.is_speculative):
-        return False
-    run = workflow_module.Run(
-        number=number, worker=worker, incarnation=incarnation, assigned_at_ms=at_ms
-    )
-    task.last_run = number
-    store.add_run(occurrence, task, run)
-    workflow.state = workflow_module.RUNNING
-    return True
-
-
-def _create_task(store, task_id):
-    """Create the occurrence of a task id; return the same as `Store.find_task`."""
-    parts = task_id.split(".")
-    workflow = store.workflow_by_id.get(parts[0])
-    if workflow is None or len(parts) != 4 or not parts[1].isdigit():
-        return None, None, None
-    workflow.occurrence(int(parts[1]))
-    return store.find_task(task_id)
-
-
 def record_ends(machine, index, command):
     """Record ends; an end number that was recorded before is ignored.
 
--- a/tests/test_workflow_steplimit.py
+++ b/tests/test_workflow_steplimit.py
@@ -10,11 +10,12 @@
     overcommit,
     queues,
     reservations,
+    scheduler,
     schedulerevents,
     steps,
     views,
 )
-from tests import leaderkit, test_workflow_drainmoves
+from tests import leaderkit, test_workflow_drainmoves, test_workflow_store
 
 LIMITED = steps.Step(
     count=2,
@@ -77,7 +78,7 @@
         queue = self.store.queue_set.by_name["q"].replace(pool=pool)
         pools = [queues.Pool(name=name) for name in ("p", "p2")]
         packed = queues.pack([queue], pools)
-        self.commit(commands.SetQueues(version=2, packed=packed))
+        self.commit(commands.SetQueues(version=self.index, packed=packed))
 
     def reduce(self, function, *arguments):
         self.state.effects = []
@@ -217,6 +218,67 @@
     assert f"reason={reason}" in caplog.text or not reason
 
 
+@pytest.mark.parametrize("is_gang, expected", [(False, ["v.0.0.0"]), (True, [])])
+def test_log_refuses_a_row_beyond_the_limit(is_gang, expected):
+    """Failure: two decisions that did not know of each other were both applied."""
+    log = test_workflow_store.Log()
+    log.register()
+    log.submit(LIMITED.replace(is_gang=is_gang), id="v")
+    rows = [["v.0.0.0", 1, "a", 1], ["v.0.0.1", 1, "a", 1]]
+    answer = log.apply(commands.AssignRuns(rows=rows, queues_version=1))
+    assert answer.ids == expected
+    refused = {row[0] for row in rows} - set(expected)
+    reasons = dict.fromkeys(refused, decisions.LIMIT)
+    assert answer.value == {"reason_by_task": reasons}
+
+
+def test_rows_of_earlier_releases_are_applied_as_before():
+    """Failure: a log replayed differently than it was applied."""
+    log = test_workflow_store.Log()
+    log.register()
+    log.submit(LIMITED.replace(is_gang=True))
+    log.set_queues(2, test_workflow_store.QUEUE.replace(priority=3))
+    plain = {"kind": "AssignRuns", "at_ms": 3}
+    plain["rows"] = [[FIRST, 1, "a", 1], [SECOND, 1, "a", 1]]
+    answer = log.apply(commands.REGISTRY.from_tagged(plain))
+    assert answer.ids == [FIRST, SECOND]
+
+
+def test_start_decided_before_its_queue_changed_is_decided_again():
+    """Failure: the run started in the former service of its queue."""
+    leader = Leader()
+    leader.apply_effects(scheduler.plan(leader.state, leader.now_ms))
+    (decided,) = leader.proposed
+    leader.proposed = []
+    leader.set_pool("p2")
+    leader.commit(decided)
+    leader.settle()
+    assert leader.counted == [("plan", "queue_changed", 1)]
+    assert leader.placed() == {}
+    assert leader.proposed == []
+    leader.set_pool("p")
+    leader.settle()
+    assert leader.placed() == {FIRST: "b"}
+
+
+def test_move_whose_start_the_log_refused_is_dropped():
+    """Failure: it kept room and counted as under way until it expired."""
+    leader = Leader()
+    promise_move(leader)
+    ends = [[1, FIRST, 1, "stopped", ""]]
+    leader.commit(commands.RecordEnds(worker="c", life=1, rows=ends))
+    leader.report_all()
+    leader.apply_effects(scheduler.plan(leader.state, leader.now_ms))
+    (decided,) = leader.proposed
+    leader.proposed = []
+    leader.assign(SECOND, "b")
+    leader.commit(decided)
+    leader.settle()
+    assert leader.counted[-1] == ("move", "limit", 1)
+    assert leader.state.drain_moves.moves == []
+    assert leader.placed() == {SECOND: "b"}
+
+
 def test_task_that_fails_during_a_move_of_its_step_does_not_start_at_its_target():
     """Failure: the plan started it there, and then the move the other one."""
     fleet = test_workflow_drainmoves.Fleet(a1="z1", a2="z1", b="z2")
