Throttle best-effort tasks beside tasks that are being started

Latency-critical tasks were over their target in the seconds after a loss of power, though the new leader has what its predecessor learned about interference. Cause: the interference model knew a task only from its first report as active on. Until then the worker counted as empty: the headroom was infinite, the effect 0, and no cap was set, so that best-effort tasks of the same plan started beside tasks being started, at full speed. `set_cpu_caps` at the assignment was meant to prevent this and found no task to protect.

Assigned runs now count from their assignment on, and planned tasks within the plan, with the load of their step (the initial level if unknown) and the interference learned so far.

The three tests of test_unknown_latencies failed before: no cap on the start, no cap order, and the best-effort task placed beside the latency-critical task of its plan.

--- a/benchmarks/emulatedworkers.py
+++ b/benchmarks/emulatedworkers.py
@@ -173,18 +173,29 @@
         "end_count",
         "ends",
         "id",
+        "incarnation",
         "is_registered",
     )
 
     def __init__(self, number, cores):
         self.id = f"w{number}"
         self.cores = cores
+        self.incarnation = 1
         self.is_registered = False
         self.critical_by_key = {}
         self.best_effort_by_key = {}
         self.ends = []
         self.end_count = 0
 
+    def restart(self):
+        """Lose all runs; the next report is that of a new incarnation."""
+        self.incarnation += 1
+        self.is_registered = False
+        self.critical_by_key.clear()
+        self.best_effort_by_key.clear()
+        self.ends.clear()
+        self.end_count = 0
+
     def is_known(self, key):
         """Return whether a run is active or has ended here."""
         return (
--- a/benchmarks/interferenceload.py
+++ b/benchmarks/interferenceload.py
@@ -170,12 +170,17 @@
         )
 
     def push(self, worker_id):
-        body = json.loads(orders.encode(self.state, worker_id, 1).data)
         worker = self.worker_by_id[worker_id]
-        self.schedule(MESSAGE_MS, lambda: self.execute(worker, body))
+        incarnation = worker.incarnation
+        body = json.loads(orders.encode(self.state, worker_id, incarnation).data)
+        self.schedule(MESSAGE_MS, lambda: self.receive(worker, incarnation, body))
 
     # Workers and their agents.
 
+    def receive(self, worker, incarnation, body):
+        if worker.incarnation == incarnation:
+            self.execute(worker, body)
+
     def execute(self, worker, body):
         seen_end = body["seen_end"]
         worker.ends = [row for row in worker.ends if row[0] > seen_end]
@@ -233,7 +238,7 @@
         report = views.Report(
             agent=f"a{worker.id}",
             worker=worker.id,
-            life=1,
+            life=worker.incarnation,
             pool="p",
             is_fenced=True,
             cpu_millis=1000 * worker.cores,
--- a/sardinegauge/workflows/besteffort.py
+++ b/sardinegauge/workflows/besteffort.py
@@ -261,6 +261,15 @@
     )
 
 
+def _latency_critical_images(state, view):
+    """Return the images of the latency-critical runs of a worker by run key."""
+    return {
+        key: task.step.image
+        for key, task in state.store.runs_of(view.id, view.incarnation).items()
+        if task.step.target_ms and key not in view.ended
+    }
+
+
 def _latencies(state, view):
     """Return the rows of `interference.InterferenceModel.observe` for a report."""
     latencies = []
@@ -288,6 +297,9 @@
 
 def _apply_cpu_caps(state, view, best_effort_tasks):
     """Set the caps beside latency-critical tasks; return whether any changed."""
+    state.interference.expect(
+        view.id, _latency_critical_images(state, view), state.now_ms
+    )
     caps = throttling.cpu_caps(
         state.interference, view.id, best_effort_tasks, state.now_ms
     )
--- a/sardinegauge/workflows/candidates.py
+++ b/sardinegauge/workflows/candidates.py
@@ -100,7 +100,7 @@
             task_id, _ = key
             _, _, task = state.store.find_task(task_id)
             if task is not None:
-                candidate.reserve(task.step)
+                candidate.reserve(task.step, key)
     candidate.reservation_count = 0
     return candidate
 
--- a/sardinegauge/workflows/interference.py
+++ b/sardinegauge/workflows/interference.py
@@ -88,13 +88,15 @@
 
     `load_track` is the `loadtrack.LoadTrack` of its step, `deviation` the estimate of
     how far its own load differs. `over_since_ms` is the time from which on its latency
-    has been over the target, None while it is not.
+    has been over the target, None while it is not. `is_active` is False until a report
+    shows the run as active.
     """
 
-    __slots__ = ("deviation", "image", "load_track", "over_since_ms")
+    __slots__ = ("deviation", "image", "is_active", "load_track", "over_since_ms")
 
     def __init__(self, image, load_track, now_ms):
         self.image = image
+        self.is_active = False
         self.load_track = load_track
         self.deviation = Estimate(0.0, DEVIATION_VARIANCE, now_ms)
         self.over_since_ms = None
@@ -222,6 +224,25 @@
             total += pair.mean
         return max(total, 0.0)
 
+    def effect(self, latency_critical_task, best_effort_image):
+        """Return the pressure that one unit of usage adds to a task.
+
+        Nothing is assumed for an image that was never observed beside a task that is
+        not active yet.
+        """
+        coefficient = self._coefficient_of(latency_critical_task)
+        return coefficient(latency_critical_task.image, best_effort_image)
+
+    def _coefficient_of(self, latency_critical_task):
+        if latency_critical_task.is_active:
+            return self.coefficient
+        return self._learned_coefficient
+
+    def _learned_coefficient(self, latency_critical_image, best_effort_image):
+        if best_effort_image not in self._estimate_by_best_effort_image:
+            return 0.0
+        return self.coefficient(latency_critical_image, best_effort_image)
+
     def is_low_interference(self, best_effort_image):
         """Return whether an image is known to have low interference."""
         estimate = self._estimate_by_best_effort_image.get(best_effort_image)
@@ -268,9 +289,11 @@
         }
         for key, image, latency_ms, target_ms in rows:
             latency_critical_task = previous_by_key.get(key)
-            if latency_critical_task is None:
+            if latency_critical_task is None or not latency_critical_task.is_active:
+                # The estimates begin with the first latency.
                 load_track = self._load_track(key, now_ms)
                 latency_critical_task = LatencyCriticalTask(image, load_track, now_ms)
+            latency_critical_task.is_active = True
             current_by_key[key] = latency_critical_task
             over_ms = latency_critical_task.record_latency(
                 latency_ms, target_ms, now_ms
@@ -286,6 +309,20 @@
         self.latency_critical_tasks_by_worker[worker] = current_by_key
         return over_ms_by_key
 
+    def expect(self, worker, image_by_key, now_ms):
+        """Add the latency-critical runs of a worker that are being started.
+
+        They count with the load of their step and the interference learned so far.
+        Otherwise best-effort tasks would start at full speed beside them, and slow down
+        only after their first latencies.
+        """
+        task_by_key = self.latency_critical_tasks_by_worker.setdefault(worker, {})
+        for key, image in image_by_key.items():
+            if key not in task_by_key:
+                load_track = self._load_track_by_step.get(_step_of(key))
+                load_track = load_track or loadtrack.LoadTrack(now_ms)
+                task_by_key[key] = LatencyCriticalTask(image, load_track, now_ms)
+
     def latency_critical_tasks(self, worker):
         """Return the `LatencyCriticalTask` of each latency-critical run of a worker."""
         return self.latency_critical_tasks_by_worker.get(worker, {}).values()
@@ -296,8 +333,7 @@
         self._usage_by_worker.pop(worker, None)
 
     def _load_track(self, run_key, now_ms):
-        task_id, _ = run_key
-        step = task_id.rpartition(".")[0]
+        step = _step_of(run_key)
         load_track = self._load_track_by_step.get(step)
         if load_track is None:
             load_track = self._load_track_by_step[step] = loadtrack.LoadTrack(now_ms)
@@ -353,31 +389,47 @@
         estimate.grow_variance(PAIR_DRIFT_PER_S, PAIR_VARIANCE, now_ms)
         return estimate
 
-    def headroom(self, worker, best_effort_tasks, image, demand):
+    def headroom(self, worker, best_effort_tasks, image, demand, planned_images=()):
         """Return the pressure left with one more best-effort task.
 
         It is the least distance to `PLACEMENT_PRESSURE` over the worker's
         latency-critical tasks: infinite without any, negative if the pressure of one
-        would exceed the limit.
+        would exceed the limit. `planned_images` are the images of those that the
+        current plan starts there.
         """
-        min_headroom = math.inf
-        for latency_critical_task in self.latency_critical_tasks(worker):
-            pressure = latency_critical_task.expected_load(
-                latency_critical_task.deviation.updated_ms + FORECAST_MS
+        loads = [
+            (
+                task.image,
+                task.expected_load(task.deviation.updated_ms + FORECAST_MS),
+                self._coefficient_of(task),
             )
+            for task in self.latency_critical_tasks(worker)
+        ]
+        loads += [
+            (planned_image, loadtrack.INITIAL_LEVEL, self._learned_coefficient)
+            for planned_image in planned_images
+        ]
+        min_headroom = math.inf
+        for latency_critical_image, pressure, coefficient in loads:
             pressure += sum(
-                self.coefficient(latency_critical_task.image, best_effort_task.image)
+                coefficient(latency_critical_image, best_effort_task.image)
                 * best_effort_task.demand
                 for best_effort_task in best_effort_tasks
             )
-            pressure += self.coefficient(latency_critical_task.image, image) * demand
+            pressure += coefficient(latency_critical_image, image) * demand
             min_headroom = min(min_headroom, PLACEMENT_PRESSURE - pressure)
         return min_headroom
 
-    def max_effect(self, worker, image, demand):
+    def max_effect(self, worker, image, demand, planned_images=()):
         """Return the highest pressure that one more best-effort task adds to a task."""
-        images = {task.image for task in self.latency_critical_tasks(worker)}
-        coefficients = [self.coefficient(other, image) for other in images]
+        tasks = self.latency_critical_tasks(worker)
+        active_images = {task.image for task in tasks if task.is_active}
+        starting_images = {task.image for task in tasks if not task.is_active}
+        starting_images.update(planned_images)
+        coefficients = [self.coefficient(other, image) for other in active_images]
+        coefficients += [
+            self._learned_coefficient(other, image) for other in starting_images
+        ]
         return demand * max(coefficients, default=0.0)
 
     def over_target_ms(self, worker, now_ms):
@@ -391,6 +443,12 @@
         )
 
 
+def _step_of(run_key):
+    """Return the id of the step of a run."""
+    task_id, _ = run_key
+    return task_id.rpartition(".")[0]
+
+
 def _fading(elapsed_ms):
     """Return the share of a deviation that is left after a time."""
     return math.exp(-max(elapsed_ms, 0) / 1000 / DEVIATION_FADING_S)
--- a/sardinegauge/workflows/placement.py
+++ b/sardinegauge/workflows/placement.py
@@ -51,6 +51,7 @@
     `free` is a `views.Room`. `best_effort_millis` are the thousandths of a core that
     the `best_effort_tasks` on the worker would use, `used_millis` the average use of
     its other tasks, `latency_critical_count` the number of its latency-critical tasks.
+    `planned_images` are the images of those that the current plan starts there.
     `interference` is the model of all workers. `reservation_count` counts the
     reservations of the current plan, for tasks that the worker does not run yet; at
     most `start_limit` are allowed.
@@ -61,6 +62,7 @@
         "best_effort_tasks",
         "free",
         "penalty",
+        "planned_images",
         "reservation_count",
         "latency_critical_count",
         "interference",
@@ -78,6 +80,7 @@
         self.used_millis = 0
         self.latency_critical_count = 0
         self.best_effort_tasks = []
+        self.planned_images = []
         self.reservation_count = 0
         self.start_limit = math.inf
 
@@ -86,7 +89,10 @@
         return self.reservation_count < self.start_limit and self.free.fits(step)
 
     def reserve(self, step, key=None):
-        """Reserve the resources of one more task of a step."""
+        """Reserve the resources of one more task of a step.
+
+        `key` is that of its run, None for a task that is only planned.
+        """
         self.reservation_count += 1
         self.free.reserve(step)
         if step.is_filler:
@@ -98,6 +104,8 @@
         elif step.target_ms:
             self.latency_critical_count += 1
             self.used_millis += LATENCY_CRITICAL_CORE_USE * step.cpu_millis
+            if key is None:
+                self.planned_images.append(step.image)
         else:
             self.used_millis += step.cpu_millis
 
@@ -110,13 +118,19 @@
     def max_effect(self, step):
         """Return the highest pressure that one more best-effort task would add."""
         amount = interference.usage_units(step.cpu_millis, self.view.capacity)
-        return self.interference.max_effect(self.view.id, step.image, amount)
+        return self.interference.max_effect(
+            self.view.id, step.image, amount, self.planned_images
+        )
 
     def headroom(self, step):
         """Return the headroom that is left with one more best-effort task."""
         amount = interference.usage_units(step.cpu_millis, self.view.capacity)
         return self.interference.headroom(
-            self.view.id, self.best_effort_tasks, step.image, amount
+            self.view.id,
+            self.best_effort_tasks,
+            step.image,
+            amount,
+            self.planned_images,
         )
 
 
--- a/sardinegauge/workflows/throttling.py
+++ b/sardinegauge/workflows/throttling.py
@@ -44,7 +44,7 @@
     }
     for task in sorted(load_by_task, key=load_by_task.get, reverse=True):
         effects = [
-            (model.coefficient(task.image, other.image) * other.demand, other)
+            (model.effect(task, other.image) * other.demand, other)
             for other in best_effort_tasks
         ]
         _reduce_shares(load_by_task[task], effects, share_by_key)
