--- a/sardinegauge/workflows/candidates.py
+++ b/sardinegauge/workflows/candidates.py
@@ -110,10 +110,11 @@
         # The resources of a run are free once the agent reports its end.
         if key not in view.ended:
             candidate.reserve(task.step, key)
-    for task_id, _ in stepcounts.find_strays(view, runs):
+    for key in stepcounts.find_strays(view, runs):
+        task_id, _ = key
         _, _, task = state.store.find_task(task_id)
         if task is not None:
-            candidate.reserve(task.step)
+            candidate.reserve(task.step, key)
     candidate.reservation_count = 0
     return candidate
 
