Withdraw starts on the way to the former service of a queue

Callers saw ROUTE: a start in a service to which their queue is not sent.

Cause: a run that was assigned before a configuration changed the pool of its queue was still ordered afterwards, until its worker confirmed the start; the same if the worker reported another pool or other labels in one incarnation, which agents pass on as announced.

Evidence: the three cases of the new test fail without the change, two starts being ordered (a configuration, a worker's report, a new leader).

Change: such unconfirmed runs are stopped and assigned anew, when a configuration changes their queue and when a report changes pool or labels.

Tests of workflows, state process, replica, domain drains and docs pass.

--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -80,6 +80,7 @@
     if view is None or report.life > view.incarnation:
         view = incarnations.create_view(state, report.worker, report.life, report.agent)
     was_usable = view.may_start(state.now_ms)
+    former_place = (view.pool, view.labels)
     view.update(report, state.now_ms)
     state.workers_by_agent.setdefault(report.agent, set()).add(view.id)
     if view.may_start(state.now_ms) != was_usable:
@@ -105,6 +106,8 @@
     # A new leader does not know whether the capacity shrank before its first report.
     if view.has_shrunk or view.update_count == 1:
         withdrawal.withdraw_starts(state, view)
+    if (view.pool, view.labels) != former_place:
+        withdrawal.withdraw_misplaced(state, view)
     displacing.record_checkpoints(state, view)
     overcommit.relieve(state, view)
     besteffort.update_cpu_caps(state, view)
@@ -277,6 +280,13 @@
         )
 
 
+def _on_queues_set(state, event):
+    """Withdraw starts on the way to a pool that is no longer that of their queue."""
+    former_version = state.queues_version
+    state.queues_version = state.store.queue_set.version
+    withdrawal.on_queues_changed(state, former_version)
+
+
 def _ignore(state, event):
     """Do nothing; the next plan uses what the command changed."""
 
@@ -386,7 +396,7 @@
     commands.RegisterLife: _on_registered,
     commands.CancelWorkflow: _on_cancelled,
     commands.SubmitWorkflow: _on_submitted,
-    commands.SetQueues: _ignore,
+    commands.SetQueues: _on_queues_set,
     commands.DrainDomain: draining.on_command,
     commands.SetDomainDrain: draining.on_command,
 }
--- a/sardinegauge/workflows/schedulerstate.py
+++ b/sardinegauge/workflows/schedulerstate.py
@@ -49,7 +49,8 @@
     and worker.
     `end_ms_by_recent_run` is when the end of a run was recorded.
     `proposed_crash_by_agent` and `crash_by_agent` hold the incarnation of the last
-    proposed and recorded crash of a worker by its agent.
+    proposed and recorded crash of a worker by its agent. `queues_version` is the
+    version of the queues up to which starts were withdrawn.
     """
 
     def __init__(self, machine):
@@ -95,6 +96,7 @@
         self.wall_ms = 0
         self.wall_offset_ms = 0
         self.term = 0
+        self.queues_version = machine.workflows.queue_set.version
         self.is_plan_due = False
         self.effects = []
 
--- a/sardinegauge/workflows/withdrawal.py
+++ b/sardinegauge/workflows/withdrawal.py
@@ -1,16 +1,17 @@
-"""Withdrawal of assigned runs that a worker has no room for any more.
+"""Withdrawal of assigned runs whose worker may not take them any more.
 
-The capacity of a worker may shrink while starts are on the way to it. An assigned run
-whose start is not confirmed is stopped and assigned elsewhere; for what runs, see
-`overcommit`.
+The capacity of a worker may shrink while starts are on the way to it, or a
+configuration may send their queue to another pool. An assigned run whose start is not
+confirmed is stopped and assigned elsewhere; for what runs, see `overcommit`.
 """
 
 import logging
 
 from sardinegauge.workflows import candidates, views
 
-# Reason to stop a run.
+# Reasons to stop a run.
 SHRUNK_REASON = "shrunk"
+MISPLACED_REASON = "misplaced"
 log = logging.getLogger(__name__)
 
 
@@ -34,6 +35,55 @@
         state.push(view.id, view.incarnation)
 
 
+def on_queues_changed(state, former_version):
+    """Withdraw the starts of queues that changed after a version of the queues."""
+    changed_by_name = state.store.queue_set.changed_by_name
+    changed_names = {
+        name for name, version in changed_by_name.items() if version > former_version
+    }
+    if not changed_names:
+        return
+    for view in state.view_by_id.values():
+        withdraw_misplaced(state, view, changed_names)
+
+
+def withdraw_misplaced(state, view, queue_names=None):
+    """Stop unconfirmed runs on a worker without the pool or the label that they need.
+
+    With `queue_names`, only runs of these queues are looked at. Before its first
+    report, the pool of a worker is not known.
+    """
+    if not view.update_count:
+        return
+    withdrawn = [
+        (key, task)
+        for key, task in state.store.runs_of(view.id, view.incarnation).items()
+        if key not in state.stop_reason_by_run
+        and is_unconfirmed(view, key)
+        and _is_misplaced(state, view, task, queue_names)
+    ]
+    for key, task in withdrawn:
+        log.info(
+            "start_withdrawn task=%s run=%d worker=%s reason=%s",
+            *key,
+            view.id,
+            MISPLACED_REASON,
+        )
+        stop(state, key, task, MISPLACED_REASON)
+    if withdrawn:
+        state.push(view.id, view.incarnation)
+
+
+def _is_misplaced(state, view, task, queue_names):
+    workflow, _, _ = state.store.find_task(task.id)
+    if queue_names is not None and workflow.queue not in queue_names:
+        return False
+    label = task.step.required_label
+    if label and label not in view.labels:
+        return True
+    return view.pool != state.store.queue_of(workflow).pool
+
+
 def _is_exceeded(free):
     return min(free.cpu_millis, free.memory_mb, free.accelerators) < 0
 
--- a/tests/test_workflow_withdrawal.py
+++ b/tests/test_workflow_withdrawal.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from sardinegauge.workflows import steps, views
+from sardinegauge import commands
+from sardinegauge.workflows import queues, steps, views
 from tests import leaderkit, test_workflow_hosting
 
 STEP = steps.Step(count=4, cpu_millis=2000)
@@ -102,3 +103,34 @@
     assert agent.reports == reports
     agent.announce(sequence=4, cpu_millis=4000)
     assert agent.reports == reports + 1
+
+
+def send_queue_elsewhere(leader):
+    queue = leader.store.queue_set.by_name["q"].replace(pool="p2")
+    packed = queues.pack([queue], [queues.Pool(name="p2")])
+    leader.commit(commands.SetQueues(version=2, packed=packed))
+
+
+def change_pool_of_worker(leader):
+    leader.report(runs=runs(views.ACTIVE, views.ORDERED), pool="p2")
+
+
+def begin_term_after_change(leader):
+    send_queue_elsewhere(leader)
+    leader.start_term(2)
+    leader.report(runs=runs(views.ACTIVE, views.ORDERED))
+
+
+@pytest.mark.parametrize(
+    "change", [send_queue_elsewhere, change_pool_of_worker, begin_term_after_change]
+)
+def test_starts_on_the_way_to_the_former_service_of_a_queue_are_withdrawn(
+    leader, change
+):
+    """Failure: a start was ordered in a service to which its queue is not sent."""
+    leader.report(runs=runs(views.ACTIVE, views.ORDERED))
+    change(leader)
+    orders = leader.orders()
+    assert orders["starts"] == []
+    assert orders["still_ordered"] == []
+    assert sorted(orders["stops"]) == [[f"w.0.0.{index}", 1] for index in (1, 2, 3)]
