Start lost lasting tasks before later work of their priority

A lasting workflow that lost tasks long after its submission started them last within its priority, behind all work that arrived later.

A workflow with a persistent step is never late, and its persistent tasks count as remaining work only while they wait. The order by worth per work and the priorities stay as they are.

Both tests of test_lasting_order failed before (the batch got the room); with the lateness mended alone, the one with two lost tasks still fails. Neighbouring tests of ordering, urgency, displacement and overcommitment pass.

--- a/sardinegauge/workflows/ordering.py
+++ b/sardinegauge/workflows/ordering.py
@@ -183,6 +183,7 @@
     """
 
     __slots__ = (
+        "_has_end",
         "_made_ms",
         "_remaining_count",
         "critical_path_ms",
@@ -191,6 +192,7 @@
     )
 
     def __init__(self, workflow, occurrence, run_times, wall_ms, undeclared_ms=0):
+        self._has_end = not workflow.is_persistent
         self._made_ms = wall_ms
         self._remaining_count = sum(occurrence.remaining_by_step)
         ratios = [
@@ -200,14 +202,21 @@
         self.critical_path_ms = critical_path_ms(workflow.steps, ratios)
         self.remaining_path_ms = remaining_path_ms(workflow.steps, occurrence, ratios)
         self.remaining_work = work_of(
-            workflow.steps, occurrence.remaining_by_step, ratios, undeclared_ms
+            workflow.steps,
+            outstanding_counts(workflow, occurrence),
+            ratios,
+            undeclared_ms,
         )
 
     def lateness(self, queue, elapsed_ms):
         """Return how late the end is expected: 0 in time, 1 late, 2 worth nothing.
 
-        Callers count the span from the real run times, so it follows the estimates.
+        Callers count the span from the real run times, so it follows the estimates. A
+        workflow without an end is never late: its callers lose worth while it waits,
+        however long ago they submitted it.
         """
+        if not self._has_end:
+            return 0
         span_ms = queue.stretch * self.critical_path_ms + queue.objective_ms
         lasting_ms = elapsed_ms + self.remaining_path_ms
         return (lasting_ms > span_ms) + (lasting_ms > EXPIRY_SPANS * span_ms)
@@ -236,6 +245,19 @@
     return max(end_ms_by_step, default=0)
 
 
+def outstanding_counts(workflow, occurrence):
+    """Return the number of tasks of each step that remaining work is counted for.
+
+    A persistent task that runs needs no further work.
+    """
+    return [
+        waiting if step.is_persistent else remaining
+        for step, waiting, remaining in zip(
+            workflow.steps, occurrence.waiting_by_step, occurrence.remaining_by_step
+        )
+    ]
+
+
 def work_of(steps, counts, ratios, undeclared_ms):
     """Return the work of some tasks of each step, in thousandths of a core times ms.
 
