Wait for all cores before the tests of the platform begin

The test is of cores that run; the kit waits for an answer of each before a test begins. No assertion changes.

--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -375,8 +375,13 @@
         await self.wait_until(lambda: self._is_accepted(document))
 
     async def wait_until_ready(self):
-        """Wait for the front, which clients are not sent to before."""
+        """Wait for the front, which clients are not sent to before, and the cores."""
         await self.wait_until(self._is_ready)
+        for ip in self.core_ips:
+            await self.wait_until(lambda ip=ip: self._is_serving(ip))
+
+    async def _is_serving(self, ip):
+        return (await self.config("GET", ip=ip))[0] != 0
 
     async def _is_ready(self):
         url = f"http://{self.front_ip}:{self.ready_port}/api/readiness"
