Count workflows as waiting until a run begins

Cause: the count was of open workflows without an assigned run. A run is assigned before its worker has started anything; the start may be refused or wait at the agent. That a run began is in the reports, which the store lacks.

Change: the leader counts (workflows/waitingcount.py).

--- a/sardinegauge/state/requests.py
+++ b/sardinegauge/state/requests.py
@@ -15,6 +15,7 @@
 from sardinegauge.workflows import (
     leaderexchange,
     placementexplanation,
+    waitingcount,
     workflowqueries,
 )
 
@@ -227,6 +228,8 @@
         return domainqueries.answer(state.machine, state.leader_exchange.scheduler)
     if kind == "explain_placement":
         return placementexplanation.explain(state.leader_exchange.scheduler, arguments)
+    if kind == "waiting":
+        return waitingcount.answer(state.leader_exchange.scheduler, arguments)
     if kind in workflowqueries.KINDS:
         return workflowqueries.answer(state.machine.workflows, kind, arguments)
     return state.modules.queries.answer(state.machine, kind, arguments)
--- a/sardinegauge/workflows/runends.py
+++ b/sardinegauge/workflows/runends.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from sardinegauge.workflows import recovery, schedulerevents, store
+from sardinegauge.workflows import recovery, schedulerevents, store, waitingcount
 
 log = logging.getLogger(__name__)
 
@@ -51,6 +51,7 @@
 def on_workflow_ended(state, workflow):
     """Drop what was kept about a workflow that has ended, and log its end."""
     state.open_ids.discard(workflow.id)
+    waitingcount.on_workflow_ended(state, workflow)
     for task in workflow.tasks():
         state.moved_from_by_task.pop(task.id, None)
     state.advice_tracker.drop_workflow(workflow.id)
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -27,6 +27,7 @@
     schedulerevents,
     store,
     views,
+    waitingcount,
     withdrawal,
     workerclient,
 )
@@ -64,6 +65,7 @@
     keptestimates.load(state)
     for worker in state.store.worker_by_id.values():
         incarnations.create_view(state, worker.worker, worker.life, worker.agent)
+    waitingcount.begin(state)
     isolation.begin(state)
     draining.begin(state)
     drainmoves.begin(state)
@@ -98,6 +100,7 @@
     incarnations.release_former_incarnations(state, view)
     state.run_times.observe_report(state.store, view, state.now_ms)
     _record_advice(state, report)
+    waitingcount.on_report(state, view)
     crashes.on_report(state, report)
     isolation.on_report(state, view)
     recovery.on_report(state, view)
@@ -220,6 +223,11 @@
         state.push(worker, incarnation)
 
 
+def _on_ends_recorded(state, event):
+    waitingcount.on_ends_recorded(state, event.command)
+    runends.on_recorded(state, event)
+
+
 def _on_released(state, event):
     view = state.view_by_id.get(event.command.worker)
     if view is not None and view.incarnation == event.command.life:
@@ -388,7 +396,7 @@
 }
 _BY_COMMAND = {
     commands.AssignRuns: _on_assigned,
-    commands.RecordEnds: runends.on_recorded,
+    commands.RecordEnds: _on_ends_recorded,
     commands.ReleaseLife: _on_released,
     commands.RecordCrash: _on_crash_recorded,
     commands.GiveUpTask: _on_task_given_up,
--- a/sardinegauge/workflows/schedulerstate.py
+++ b/sardinegauge/workflows/schedulerstate.py
@@ -22,6 +22,7 @@
     recovery,
     schedulerevents,
     throttletimes,
+    waitingcount,
 )
 from sardinegauge.workflows.policies import (
     coreshares,
@@ -92,6 +93,7 @@
         self.crashes = crashes.Crashes()
         self.isolation = isolation.Isolation()
         self.recovery = recovery.Recovery()
+        self.begun_workflows = waitingcount.BegunWorkflows()
         self.backlog = backlog.BacklogTracker()
         self.wall_ms = 0
         self.wall_offset_ms = 0
--- a/sardinegauge/workflows/store.py
+++ b/sardinegauge/workflows/store.py
@@ -144,14 +144,6 @@
         self._incarnations_by_worker.pop(worker, None)
         self.run_changes_by_worker.pop(worker, None)
 
-    def count_waiting(self, queue_name):
-        """Return the number of open workflows of a queue without an assigned run."""
-        return sum(
-            self.workflow_by_id[workflow_id].state == workflow_module.PENDING
-            and self.workflow_by_id[workflow_id].queue == queue_name
-            for workflow_id in self.open_ids
-        )
-
     def to_snapshot(self):
         """Return the state as plain data."""
         return {
--- a/sardinegauge/workflows/workflowqueries.py
+++ b/sardinegauge/workflows/workflowqueries.py
@@ -15,7 +15,7 @@
     kind : str
         One of `KINDS`.
     arguments : dict
-        ``waiting``: ``queue``; ``workflow`` and ``workflow_detail``: ``id``;
+        ``workflow`` and ``workflow_detail``: ``id``;
         ``workflows``: optional ``queue``.
 
     Returns
@@ -39,13 +39,6 @@
     return {"version": queue_set.version, "document": json.dumps(document, indent=1)}
 
 
-def _waiting_count(store, arguments):
-    name = arguments["queue"]
-    # A gateway may not know yet that the queue was removed.
-    is_known = name in store.queue_set.by_name
-    return {"waiting": store.count_waiting(name), "is_known": is_known}
-
-
 def _workflow(store, arguments):
     workflow = store.workflow_by_id.get(arguments["id"])
     if workflow is None:
@@ -97,7 +90,6 @@
 _ANSWERS = {
     "queues": _queues,
     "queue_document": _queue_document,
-    "waiting": _waiting_count,
     "workflow": _workflow,
     "workflows": _workflows,
     "workflow_detail": _workflow_detail,
