Count unavailable tasks of a step in one place

Relief of overcommitted workers took a task for available as soon as it was active, though it is at work only at 100 percent; restarts of slow runs also took one on a silent worker for available.

Change: availability.py holds the rule of the moves out of drained domains, and all three ask it. Reports of the test kit can give the progress; the test of persistent tasks reports them as at work, as it meant, and asks the same.

--- a/sardinegauge/workflows/drainmoves.py
+++ b/sardinegauge/workflows/drainmoves.py
@@ -8,6 +8,7 @@
 import logging
 
 from sardinegauge.workflows import (
+    availability,
     besteffort,
     decisions,
     draining,
@@ -106,16 +107,8 @@
     )
 
 
-def _find_reported(state, task, run):
-    """Return the `views.ReportedRun` of a run in a recent report, or None."""
-    view = state.view_by_id.get(run.worker)
-    if view is None or view.incarnation != run.incarnation:
-        return None
-    return view.runs.get((task.id, run.number)) if view.is_fresh(state.now_ms) else None
-
-
 def _reported_phase(state, task, run):
-    reported = _find_reported(state, task, run)
+    reported = availability.find_reported(state, task, run)
     return reported.phase if reported is not None else ""
 
 
@@ -153,7 +146,7 @@
         if len(member.runs) != 1 or (member.id, run_number) in state.stop_reason_by_run:
             return None
         run = member.runs[0]
-        reported = _find_reported(state, member, run)
+        reported = availability.find_reported(state, member, run)
         if (
             run.number != run_number
             or reported is None
@@ -171,7 +164,10 @@
         return None
     if step_id not in rank_and_away_by_step:
         rank = _rank(state, workflow, occurrence)
-        rank_and_away_by_step[step_id] = (rank, count_away(state, members))
+        rank_and_away_by_step[step_id] = (
+            rank,
+            availability.count_unavailable(state, members),
+        )
     rank, away_count = rank_and_away_by_step[step_id]
     return drainmoves.Unit(
         keys=[(member.id, run_number) for member in moved],
@@ -192,24 +188,6 @@
     return state.planner.ordering.key(workflow, queue, occurrence, wall_ms)
 
 
-def count_away(state, tasks):
-    """Return how many of a step's tasks are not available, for any cause."""
-    return sum(not task.is_done and not _is_available(state, task) for task in tasks)
-
-
-def _is_available(state, task):
-    for run in task.runs:
-        reported = _find_reported(state, task, run)
-        if (
-            reported is not None
-            and reported.phase == views.ACTIVE
-            and reported.progress >= 100
-            and (task.id, run.number) not in state.stop_reason_by_run
-        ):
-            return True
-    return False
-
-
 def _stop(state, unit, move):
     for task_id, run_number in unit.keys:
         _, _, task = state.store.find_task(task_id)
--- a/sardinegauge/workflows/overcommit.py
+++ b/sardinegauge/workflows/overcommit.py
@@ -6,13 +6,13 @@
 """
 
 from sardinegauge.workflows import (
+    availability,
     candidates,
     decisions,
     displacementrecords,
     displacing,
     reservations,
     stepcounts,
-    views,
 )
 
 # A capacity that is back after this time costs no run: stopping one and starting it
@@ -105,26 +105,8 @@
     if task.step.max_unavailable < 0:
         return float("inf")
     members = occurrence.tasks_by_step[task.position]
-    unavailable = sum(not _is_available(state, member) for member in members)
-    return task.step.max_unavailable - unavailable
-
-
-def _is_available(state, task):
-    """Return whether a task certainly runs, and is not being stopped."""
-    for run in task.runs:
-        view = state.view_by_id.get(run.worker)
-        key = (task.id, run.number)
-        if view is None or view.incarnation != run.incarnation:
-            continue
-        reported = view.runs.get(key)
-        if (
-            reported is not None
-            and reported.phase == views.ACTIVE
-            and view.is_fresh(state.now_ms)
-            and not displacementrecords.is_leaving(state, view, key, task)
-        ):
-            return True
-    return False
+    unavailable_count = availability.count_unavailable(state, members)
+    return task.step.max_unavailable - unavailable_count
 
 
 def _find_room(state, usable, pool, counts, task, view):
--- a/sardinegauge/workflows/recovery.py
+++ b/sardinegauge/workflows/recovery.py
@@ -8,6 +8,7 @@
 import logging
 
 from sardinegauge.workflows import (
+    availability,
     restartgain,
     schedulerevents,
     spareroom,
@@ -246,23 +247,15 @@
     limit = task.step.max_unavailable
     if not task.step.is_persistent or limit < 0:
         return True
-    unavailable_count = sum(
-        not _is_at_work(state, member)
+    others = [
+        member
         for member in occurrence.tasks_by_step[task.position]
         if member is not task
-    )
+    ]
+    unavailable_count = availability.count_unavailable(state, others)
     return unavailable_count + 1 <= limit
 
 
-def _is_at_work(state, task):
-    for run in task.runs:
-        track = state.recovery.tracker.track_by_run.get((task.id, run.number))
-        is_stopping = (task.id, run.number) in state.stop_reason_by_run
-        if track is not None and track.progress >= 100 and not is_stopping:
-            return True
-    return False
-
-
 def _restart(state, verdict, run, queue, gain_ms):
     task_id, run_number = verdict.info.key
     recovery = state.recovery
--- a/tests/leaderkit.py
+++ b/tests/leaderkit.py
@@ -105,7 +105,9 @@
         self.dispatch(schedulerevents.Tick, wall_ms=self.now_ms)
 
 
-def report_of(worker, runs, incarnation=1, ends=(), survived_ms=0, **fields):
+def report_of(
+    worker, runs, incarnation=1, ends=(), survived_ms=0, progress=0, **fields
+):
     """Return the report of a worker; `runs` are rows of task, run and phase."""
     values = {
         "agent": f"agent-{worker}",
@@ -121,7 +123,7 @@
     return views.Report(
         worker=worker,
         life=incarnation,
-        runs=[[*row, "", 0, 0, "", 100, survived_ms] for row in runs],
+        runs=[[*row, "", progress, 0, "", 100, survived_ms] for row in runs],
         ends=[list(row) for row in ends],
         **values,
     )
--- a/tests/test_workflow_overcommit.py
+++ b/tests/test_workflow_overcommit.py
@@ -55,10 +55,7 @@
     assert len(stopped(leader)) == 1 and stopped(leader)[0].startswith("w1")
 
 
-def test_persistent_tasks_move_only_to_room_elsewhere_and_within_max_unavailable():
-    leader = leader_of((SERVING.replace(count=2), "q"))
-    leader.go_on(3000, memory_mb=100)
-    assert stopped(leader) == [], "no other worker has room"
+def report_with_room_elsewhere(leader, progress):
     leader.workers = "ab"
     leader.report("b")
     leader.settle()
@@ -66,14 +63,28 @@
         leader.tick(100)
         leader.report("b")
         runs = [[*key, views.ACTIVE] for key in leader.store.runs_of("a", 1)]
-        leader.report("a", runs=runs, memory_mb=100)
+        leader.report("a", runs=runs, memory_mb=100, progress=progress)
         leader.settle()
+
+
+def test_persistent_tasks_move_only_to_room_elsewhere_and_within_max_unavailable():
+    leader = leader_of((SERVING.replace(count=2), "q"))
+    leader.go_on(3000, memory_mb=100)
+    assert stopped(leader) == [], "no other worker has room"
+    report_with_room_elsewhere(leader, progress=100)
     (task,) = stopped(leader)
     leader.report("a", runs=[], memory_mb=100, ends=[[1, task, 1, store.STOPPED, ""]])
     leader.settle()
     assert leader.placed()[task] == "b"
 
 
+def test_relief_counts_tasks_that_are_active_but_not_at_work_yet_as_unavailable():
+    """Failure: relief stopped a task while another of its step was still starting."""
+    leader = leader_of((SERVING.replace(count=2), "q"))
+    report_with_room_elsewhere(leader, progress=40)
+    assert stopped(leader) == []
+
+
 def test_gang_is_not_torn_apart():
     gang = BATCH.replace(count=2, is_gang=True, memory_mb=3000)
     leader = leader_of((gang, "low"))
