Create no occurrence for a row of a former incarnation

Cause: the assignment by the log looked up the task before the worker's incarnation, and created its occurrence for a row that is refused.

Change: the incarnation is checked first, and whether a row belongs to a gang is read from the workflow's steps.

Measured: the new test fails before, and passes now.

--- a/sardinegauge/workflows/assigning.py
+++ b/sardinegauge/workflows/assigning.py
@@ -31,9 +31,9 @@
     for position, row in enumerate(command.rows):
         group = position
         if command.queues_version:
-            _, _, task = _find_or_create_task(store, row[0])
-            if task is not None and task.step.is_gang:
-                group = task.id.rpartition(".")[0]
+            step = _find_step(store, row[0])
+            if step is not None and step.is_gang:
+                group = row[0].rpartition(".")[0]
         rows_by_group.setdefault(group, []).append(row)
     return rows_by_group.values()
 
@@ -71,8 +71,11 @@
             return decisions.OUTDATED
         added_by_worker = collections.Counter()
         for task_id, number, worker, incarnation in rows:
+            registered = self._store.worker_by_id.get(worker)
+            if registered is None or registered.life != incarnation:
+                return decisions.OUTDATED
             workflow, occurrence, task = _find_or_create_task(self._store, task_id)
-            if self._is_outdated(workflow, task, number, worker, incarnation):
+            if _is_outdated(workflow, task, number):
                 return decisions.OUTDATED
             if not self._command.queues_version:
                 continue
@@ -87,16 +90,6 @@
                 return decisions.LIMIT
         return ""
 
-    def _is_outdated(self, workflow, task, number, worker, incarnation):
-        registered = self._store.worker_by_id.get(worker)
-        if registered is None or registered.life != incarnation:
-            return True
-        if task is None or not workflow.is_open or task.is_done:
-            return True
-        if number <= task.last_run:
-            return True
-        return bool(task.runs) and not task.step.is_speculative
-
     def _has_queue_changed(self, workflow):
         """Return whether the queue changed after the version of the decision."""
         changed_by_name = self._store.queue_set.changed_by_name
@@ -130,6 +123,24 @@
             self._count_by_step[step_id][worker] += 1
 
 
+def _is_outdated(workflow, task, number):
+    if task is None or not workflow.is_open or task.is_done:
+        return True
+    if number <= task.last_run:
+        return True
+    return bool(task.runs) and not task.step.is_speculative
+
+
+def _find_step(store, task_id):
+    """Return the step of a task id, of which no occurrence may exist yet, or None."""
+    parts = task_id.split(".")
+    workflow = store.workflow_by_id.get(parts[0])
+    if workflow is None or len(parts) != 4 or not parts[2].isdecimal():
+        return None
+    position = int(parts[2])
+    return workflow.steps[position] if position < len(workflow.steps) else None
+
+
 def _find_or_create_task(store, task_id):
     """Return the same as `Store.find_task`, and create the occurrence if needed."""
     found = store.find_task(task_id)
--- a/tests/test_workflow_store.py
+++ b/tests/test_workflow_store.py
@@ -372,3 +372,12 @@
     log.machine = machine.from_snapshot(snapshot)
     log.set_queues(14, *found[:5])
     assert list(log.store.queue_set.by_name) == [f"q{number}" for number in range(5)]
+
+
+def test_row_of_a_former_incarnation_creates_no_occurrence():
+    """Failure: replayed and live replicas had different snapshots."""
+    log = Log()
+    log.register()
+    log.submit()
+    log.assign(["w.0.0.0", 1, "a", 99])
+    assert not log.machine.workflows.workflow_by_id["w"].occurrences
