Refuse a constructor on records, and a count before the leader schedules

Cause: a record class with an __init__ of its own would lose it once its constructor is built, and a query for the number of waiting workflows before the leader schedules ended with an AttributeError as its reason. No class and no caller does so today; found by the review.

Change: such a class is refused where it is defined, and the query says what is missing.

Measured: the doctests of records and the tests of the count pass.

--- a/sardinegauge/record.py
+++ b/sardinegauge/record.py
@@ -83,8 +83,9 @@
 
     def __init_subclass__(cls, **options):
         super().__init_subclass__(**options)
-        if "__init__" not in cls.__dict__:
-            cls.__init__ = _build_and_call_constructor
+        if "__init__" in cls.__dict__:
+            raise TypeError(f"{cls.__name__} has fields and can't define __init__")
+        cls.__init__ = _build_and_call_constructor
 
     @classmethod
     def field_names(cls):
--- a/sardinegauge/workflows/waitingcount.py
+++ b/sardinegauge/workflows/waitingcount.py
@@ -57,7 +57,15 @@
 
 
 def answer(state, arguments):
-    """Return the answer to a query ``waiting`` of the queue in `arguments`."""
+    """Return the answer to a query ``waiting`` of the queue in `arguments`.
+
+    Raises
+    ------
+    ValueError
+        If the leader has not begun to schedule yet.
+    """
+    if state is None:
+        raise ValueError("the leader has not begun to schedule yet")
     name = arguments["queue"]
     store = state.store
     count = sum(
