--- a/tests/test_workflow_drainmoves.py
+++ b/tests/test_workflow_drainmoves.py
@@ -63,6 +63,7 @@
             ends=self.ends[worker],
             failure_domain=domain,
             cpu_millis=1000 * self.cores,
+            **self.report_fields(worker),
         )
         report.runs = [
             [*key, views.ACTIVE, "", self.progress(key), 0, "", 100, self.now_ms - ms]
@@ -70,6 +71,10 @@
         ]
         self.dispatch(schedulerevents.ReportReceived, report=report)
 
+    def report_fields(self, worker):
+        """Return further fields of a report; for fleets with more faults."""
+        return {}
+
     def progress(self, key):
         return self.progress_by_task.get(key[0], self.first_progress)
 
