Count a step once for all tasks of a decision

Whether a worker has the pool and label that a step needs stands once, in workflows/eligibility.py, for reservations, moves and withdrawals. Tests of the limit, its simulation, withdrawal, displacement, moves, relief and docs pass.

--- a/sardinegauge/workflows/displacing.py
+++ b/sardinegauge/workflows/displacing.py
@@ -173,6 +173,7 @@
 
     __slots__ = (
         "_candidates",
+        "_counts_by_step",
         "_describer",
         "_min_priority",
         "_record_by_worker",
@@ -194,6 +195,7 @@
         # Only less urgent runs than the most urgent waiting task can be displaced.
         self._min_priority = 1 + min(map(self._describer.priority, tasks))
         self._record_by_worker = {}
+        self._counts_by_step = {}
 
     def carry_out(self):
         """Choose and stop runs for each task, as far as the limits allow.
@@ -230,6 +232,7 @@
         view = state.view_by_id[choice.worker]
         record = self._record_by_worker[choice.worker]
         reservations.add(state, task, view, decisions.DISPLACEMENT)
+        self._counts_by_step[task.id.rpartition(".")[0]].add(choice.worker)
         record.free.reserve(claim)
         for victim in choice.victims:
             stop_run(state, view, victim.key, DISPLACED_REASON, task.id, victim.lost_ms)
@@ -241,8 +244,7 @@
 
     def _find_views(self, task, queue, occurrence):
         """Return the views of the workers on which a task may start."""
-        members = occurrence.tasks_by_step[task.position]
-        counts = stepcounts.StepCounts(self._state, members)
+        counts = self._find_counts(task, occurrence)
         label = task.step.required_label
         found = []
         for candidate in self._candidates:
@@ -257,6 +259,15 @@
             found.append(view)
         return found
 
+    def _find_counts(self, task, occurrence):
+        """Return the counts of a task's step, made once in a decision."""
+        step_id = task.id.rpartition(".")[0]
+        if step_id not in self._counts_by_step:
+            members = occurrence.tasks_by_step[task.position]
+            counts = stepcounts.StepCounts(self._state, members)
+            self._counts_by_step[step_id] = counts
+        return self._counts_by_step[step_id]
+
     def _describe(self, candidate):
         view = candidate.view
         if view.id in self._record_by_worker:
--- a/sardinegauge/workflows/drainmoves.py
+++ b/sardinegauge/workflows/drainmoves.py
@@ -12,6 +12,7 @@
     besteffort,
     decisions,
     draining,
+    eligibility,
     reservations,
     stepcounts,
     views,
@@ -367,17 +368,16 @@
 
 def _reason_against(state, move):
     """Return why a reserved worker may not take its task any more, or ""."""
-    counts = None
-    for task_id, worker in move.target_by_task.items():
-        workflow, occurrence, task = state.store.find_task(task_id)
-        if counts is None:
-            members = occurrence.tasks_by_step[task.position]
-            counts = stepcounts.StepCounts(state, members, move.target_by_task)
+    workflow, occurrence, task = state.store.find_task(move.keys[0][0])
+    members = occurrence.tasks_by_step[task.position]
+    counts = stepcounts.StepCounts(state, members)
+    for worker in move.target_by_task.values():
         view = state.view_by_id[worker]
-        reason = stepcounts.reason_against(state, workflow, task, view, counts)
+        reason = eligibility.reason_against(state, workflow, task.step, view)
         if reason:
             return reason
-        counts.add(worker)
+        if counts.is_exceeded(worker):
+            return decisions.LIMIT
     return ""
 
 
--- a/sardinegauge/workflows/overcommit.py
+++ b/sardinegauge/workflows/overcommit.py
@@ -51,8 +51,8 @@
     for victim in victims:
         if victim.is_persistent:
             _, _, task = state.store.find_task(victim.key[0])
-            view_of_room = candidate_by_key[victim.key].view
-            reservations.add(state, task, view_of_room, decisions.RELIEF)
+            target = candidate_by_key[victim.key].view
+            reservations.add(state, task, target, decisions.RELIEF)
         displacing.stop_run(
             state, view, victim.key, OVERCOMMITTED_REASON, "", victim.lost_ms
         )
--- a/sardinegauge/workflows/reservations.py
+++ b/sardinegauge/workflows/reservations.py
@@ -7,7 +7,7 @@
 
 import logging
 
-from sardinegauge.workflows import stepcounts
+from sardinegauge.workflows import decisions, eligibility, stepcounts
 
 # Reserved room is given up after this time: a stop is usually confirmed within 1 s, and
 # a worker that takes longer is not the right one for an urgent task.
@@ -88,13 +88,14 @@
     candidate_by_worker = {
         candidate.view.id: candidate for candidate in offer.candidates
     }
+    counts_by_step = {}
     assignments = []
     for task_id, reservation in list(state.reservation_by_task.items()):
         candidate = candidate_by_worker.get(reservation.worker)
         _, _, task = state.store.find_task(task_id)
         if candidate is None or reservation.worker in closed_ids:
             continue
-        reason = _reason_against(state, task_id, candidate.view)
+        reason = _reason_against(state, task_id, reservation, counts_by_step)
         if reason:
             _drop(state, task_id, candidate, reason)
             continue
@@ -115,12 +116,21 @@
     return assignments
 
 
-def _reason_against(state, task_id, view):
+def _reason_against(state, task_id, reservation, counts_by_step):
     """Return why a worker may not take the task that it is reserved for, or ""."""
     workflow, occurrence, task = state.store.find_task(task_id)
-    members = occurrence.tasks_by_step[task.position]
-    counts = stepcounts.StepCounts(state, members, {task_id})
-    return stepcounts.reason_against(state, workflow, task, view, counts)
+    view = state.view_by_id[reservation.worker]
+    reason = eligibility.reason_against(state, workflow, task.step, view)
+    step_id = task_id.rpartition(".")[0]
+    if step_id not in counts_by_step:
+        members = occurrence.tasks_by_step[task.position]
+        counts_by_step[step_id] = stepcounts.StepCounts(state, members)
+    counts = counts_by_step[step_id]
+    if not reason and counts.is_exceeded(reservation.worker):
+        reason = decisions.LIMIT
+    if reason:
+        counts.remove(reservation.worker)
+    return reason
 
 
 def _drop(state, task_id, candidate, reason):
--- a/sardinegauge/workflows/stepcounts.py
+++ b/sardinegauge/workflows/stepcounts.py
@@ -6,7 +6,7 @@
 
 import collections
 
-from sardinegauge.workflows import decisions, views
+from sardinegauge.workflows import views
 
 
 class StepCounts:
@@ -22,8 +22,7 @@
     tasks : list of workflow.Task
         All tasks of the step.
     left_out : set of str
-        Ids of tasks whose own runs and promises don't count, as they move or as the
-        caller is about to use the promise.
+        Ids of tasks whose own runs and promises don't count, as they move.
     """
 
     __slots__ = ("_count_by_worker", "_limit")
@@ -39,6 +38,15 @@
         """Return whether one more task of the step may be on a worker."""
         return not self._limit or self._count_by_worker[worker] < self._limit
 
+    def is_exceeded(self, worker):
+        """Return whether a worker has or is promised more tasks than it may have."""
+        return bool(self._limit) and self._count_by_worker[worker] > self._limit
+
+    def remove(self, worker):
+        """Count one task of the step less on a worker."""
+        if self._limit:
+            self._count_by_worker[worker] -= 1
+
     def add(self, worker):
         """Count one more task of the step on a worker."""
         if self._limit:
@@ -53,19 +61,21 @@
 
     def _count_runs_and_promises(self, state, tasks, left_out):
         moved = state.drain_moves.reserved_workers()
+        planned = state.worker_by_planned_task
+        reserved = state.reservation_by_task
         for task in tasks:
             if task.id in left_out:
                 continue
             workers = [run.worker for run in task.runs]
-            reservation = state.reservation_by_task.get(task.id)
-            promised = {
-                moved.get(task.id),
-                state.worker_by_planned_task.get(task.id),
-                reservation.worker if reservation is not None else None,
-            }
-            # The task's own run there ends before the promise is kept.
-            workers += promised.difference(workers, [None])
-            self._count_by_worker.update(workers)
+            promised = {moved.get(task.id), planned.get(task.id)}
+            if task.id in reserved:
+                promised.add(reserved[task.id].worker)
+            for worker in promised:
+                # The task's own run there ends before the promise is kept.
+                if worker is not None and worker not in workers:
+                    workers.append(worker)
+            for worker in workers:
+                self._count_by_worker[worker] += 1
 
     def _count_strays(self, state, tasks):
         step_id = tasks[0].id.rpartition(".")[0]
@@ -73,20 +83,6 @@
             self._count_by_worker[worker] += step_ids.count(step_id)
 
 
-def reason_against(state, workflow, task, view, counts):
-    """Return why a promised start may not be on its worker any more, or "".
-
-    Pool, label and limit hold when the worker is chosen, and may not when its room
-    becomes free. `counts` are the `StepCounts` without the promise itself.
-    """
-    if view.pool != state.store.queue_of(workflow).pool:
-        return decisions.POOL
-    label = task.step.required_label
-    if label and label not in view.labels:
-        return decisions.LABEL
-    return "" if counts.allows(view.id) else decisions.LIMIT
-
-
 def find_strays(view, runs):
     """Return the keys of the reported runs that the store no longer has.
 
--- a/sardinegauge/workflows/withdrawal.py
+++ b/sardinegauge/workflows/withdrawal.py
@@ -7,7 +7,7 @@
 
 import logging
 
-from sardinegauge.workflows import candidates, views
+from sardinegauge.workflows import candidates, eligibility, views
 
 # Reasons to stop a run.
 SHRUNK_REASON = "shrunk"
@@ -78,10 +78,7 @@
     workflow, _, _ = state.store.find_task(task.id)
     if queue_names is not None and workflow.queue not in queue_names:
         return False
-    label = task.step.required_label
-    if label and label not in view.labels:
-        return True
-    return view.pool != state.store.queue_of(workflow).pool
+    return bool(eligibility.reason_against(state, workflow, task.step, view))
 
 
 def _is_exceeded(free):
