Bound the due occurrences that one plan takes

Cause: each plan created and sorted all occurrences that were due.

Change: a plan takes the first unfinished occurrences until those with assignable tasks hold 1,000 unfinished tasks; occurrences at work don't count. A cluster of real processes beside such a job was not run.

--- a/sardinegauge/workflows/workflow.py
+++ b/sardinegauge/workflows/workflow.py
@@ -9,6 +9,10 @@
 FAILED = "failed"
 CANCELLED = "cancelled"
 
+# Due occurrences are left for a later plan once those before them hold this many
+# unfinished tasks while some of these could be assigned.
+MAX_DUE_TASKS = 1000
+
 OPEN_STATES = frozenset({PENDING, RUNNING})
 
 
@@ -130,6 +134,14 @@
         for tasks in self.tasks_by_step:
             yield from tasks
 
+    @property
+    def has_assignable_tasks(self):
+        """Whether a task has no run though the steps that it depends on are done."""
+        return any(
+            count and self.is_step_ready(position)
+            for position, count in enumerate(self.waiting_by_step)
+        )
+
     @property
     def is_complete(self):
         """Whether every task is done."""
@@ -154,6 +166,7 @@
         "repeats",
         "state",
         "steps",
+        "_first_unfinished",
     )
 
     def __init__(self, command, steps):
@@ -170,6 +183,7 @@
         self.reason = ""
         self.occurrences = {}
         self.completed_occurrences = set()
+        self._first_unfinished = 0
         self.is_persistent = any(step.is_persistent for step in steps)
 
     @property
@@ -192,13 +206,24 @@
         return self.first_at_ms + number * self.interval_ms
 
     def due_occurrences(self, wall_ms):
-        """Return the unfinished occurrences that are due."""
+        """Return the first unfinished occurrences that are due.
+
+        Those at work are returned, too. Later ones follow as `MAX_DUE_TASKS` allows, so
+        that a workflow whose times have all passed doesn't hold up all others.
+        """
         due = []
-        for number in range(max(self.repeats, 1)):
-            if self.due_at_ms(number) > wall_ms:
+        task_count = 0
+        while self._first_unfinished in self.completed_occurrences:
+            self._first_unfinished += 1
+        for number in range(self._first_unfinished, max(self.repeats, 1)):
+            if self.due_at_ms(number) > wall_ms or task_count >= MAX_DUE_TASKS:
                 break
-            if number not in self.completed_occurrences:
-                due.append(self.occurrence(number))
+            if number in self.completed_occurrences:
+                continue
+            occurrence = self.occurrence(number)
+            due.append(occurrence)
+            if occurrence.has_assignable_tasks:
+                task_count += sum(occurrence.remaining_by_step)
         return due
 
     def tasks(self):
@@ -253,6 +278,7 @@
         workflow.steps = [steps_module.Step.from_dict(step) for step in data["steps"]]
         workflow.is_persistent = any(step.is_persistent for step in workflow.steps)
         workflow.completed_occurrences = set(data["completed"])
+        workflow._first_unfinished = 0
         workflow.occurrences = {}
         for occurrence_data in data["occurrences"]:
             _load_occurrence(
