--- a/tests/test_claimexecutor.py
+++ b/tests/test_claimexecutor.py
@@ -5,7 +5,7 @@
 from sardinegauge import outcome
 from sardinegauge.links import httpmessages
 from tests import entryfakes
-from tests.test_entryapp import agent, fetch, run, verdict
+from tests.entrykit import agent, fetch, run, verdict
 
 KEY = {"Idempotency-Key": "order-7", "Sardinegauge-Tenant": "karri"}
 
