--- a/sardinegauge/workflows/interference.py
+++ b/sardinegauge/workflows/interference.py
@@ -14,7 +14,7 @@
 import math
 import weakref
 
-from sardinegauge.workflows import forecaststats, loadtrack
+from sardinegauge.workflows import forecaststats, latencycritical, loadtrack
 
 # Latency target divided by the tail latency of an idle latency-critical task.
 IDLE_LATENCY_RATIO = 5.0
@@ -35,18 +35,11 @@
 BEST_EFFORT_DRIFT_PER_S = 0.0001
 PAIR_VARIANCE = 0.012
 PAIR_DRIFT_PER_S = 0.0003
-# Variance of the deviation of a latency-critical task from the load of its step, and
-# the time in which a deviation fades.
-DEVIATION_VARIANCE = 0.002
-DEVIATION_FADING_S = 2.0
 # Time from the middle of the span that a latency covers until a CPU cap that it causes
 # has been in effect for half of the time to the next report.
 FORECAST_MS = 550
 # Variance of a measured pressure.
 NOISE_VARIANCE = 0.0006
-# Share of the target from which a latency counts as over it, since latencies are
-# measured coarsely.
-OVER_TARGET_RATIO = 0.95
 
 
 def pressure_of(latency_ms, target_ms):
@@ -64,78 +57,6 @@
     )
 
 
-class Estimate:
-    """A mean with its variance."""
-
-    __slots__ = ("mean", "updated_ms", "variance")
-
-    def __init__(self, mean, variance, now_ms):
-        self.mean = mean
-        self.variance = variance
-        self.updated_ms = now_ms
-
-    def grow_variance(self, per_s, limit, now_ms):
-        """Add the drift since the last update to the variance, up to a limit."""
-        elapsed_s = max(now_ms - self.updated_ms, 0) / 1000
-        self.updated_ms = now_ms
-        self.variance = max(
-            self.variance, min(self.variance + per_s * elapsed_s, limit)
-        )
-
-
-class LatencyCriticalTask:
-    """A latency-critical task beside best-effort tasks.
-
-    `load_track` is the `loadtrack.LoadTrack` of its step, `deviation` the estimate of
-    how far its own load differs. `over_since_ms` is the time from which on its latency
-    has been over the target, None while it is not. `is_active` is False until a report
-    shows the run as active.
-    """
-
-    __slots__ = ("deviation", "image", "is_active", "load_track", "over_since_ms")
-
-    def __init__(self, image, load_track, now_ms):
-        self.image = image
-        self.is_active = False
-        self.load_track = load_track
-        self.deviation = Estimate(0.0, DEVIATION_VARIANCE, now_ms)
-        self.over_since_ms = None
-
-    def record_latency(self, latency_ms, target_ms, now_ms):
-        """Record whether a latency is over the target.
-
-        Returns
-        -------
-        int
-            How long the latency was over the target if it is not any more, otherwise 0.
-        """
-        ended_ms = 0
-        if latency_ms < OVER_TARGET_RATIO * target_ms:
-            ended_ms = self.over_target_ms(now_ms)
-            self.over_since_ms = None
-        elif self.over_since_ms is None:
-            self.over_since_ms = now_ms
-        return ended_ms
-
-    def over_target_ms(self, now_ms):
-        """Return for how long the latency has been over the target."""
-        return now_ms - self.over_since_ms if self.over_since_ms is not None else 0
-
-    def advance(self, now_ms):
-        """Move the estimates of the load on to a later time."""
-        self.load_track.advance(now_ms)
-        left = _fading(now_ms - self.deviation.updated_ms)
-        self.deviation.updated_ms = now_ms
-        self.deviation.mean *= left
-        self.deviation.variance *= left * left
-        self.deviation.variance += (1 - left * left) * DEVIATION_VARIANCE
-
-    def expected_load(self, at_ms):
-        """Return the expected pressure without best-effort tasks at a time."""
-        left = _fading(at_ms - self.deviation.updated_ms)
-        return self.load_track.forecast(at_ms) + left * self.deviation.mean
-
-
 class BestEffortTask:
     """A best-effort task beside latency-critical tasks.
 
@@ -203,7 +124,9 @@
         for row in rows:
             try:
                 latency_critical_image, best_effort_image, mean, variance = row
-                estimate = Estimate(float(mean), float(variance), now_ms)
+                estimate = latencycritical.Estimate(
+                    float(mean), float(variance), now_ms
+                )
             except (TypeError, ValueError):
                 continue
             if latency_critical_image:
@@ -292,7 +215,9 @@
             if latency_critical_task is None or not latency_critical_task.is_active:
                 # The estimates begin with the first latency.
                 load_track = self._load_track(key, now_ms)
-                latency_critical_task = LatencyCriticalTask(image, load_track, now_ms)
+                latency_critical_task = latencycritical.LatencyCriticalTask(
+                    image, load_track, now_ms
+                )
             latency_critical_task.is_active = True
             current_by_key[key] = latency_critical_task
             over_ms = latency_critical_task.record_latency(
@@ -321,7 +246,9 @@
             if key not in task_by_key:
                 load_track = self._load_track_by_step.get(_step_of(key))
                 load_track = load_track or loadtrack.LoadTrack(now_ms)
-                task_by_key[key] = LatencyCriticalTask(image, load_track, now_ms)
+                task_by_key[key] = latencycritical.LatencyCriticalTask(
+                    image, load_track, now_ms
+                )
 
     def latency_critical_tasks(self, worker):
         """Return the `LatencyCriticalTask` of each latency-critical run of a worker."""
@@ -374,7 +301,9 @@
     def _best_effort_estimate(self, image, now_ms):
         estimate = self._estimate_by_best_effort_image.get(image)
         if estimate is None:
-            estimate = Estimate(BEST_EFFORT_PRESSURE, BEST_EFFORT_VARIANCE, now_ms)
+            estimate = latencycritical.Estimate(
+                BEST_EFFORT_PRESSURE, BEST_EFFORT_VARIANCE, now_ms
+            )
             self._estimate_by_best_effort_image[image] = estimate
         estimate.grow_variance(BEST_EFFORT_DRIFT_PER_S, BEST_EFFORT_VARIANCE, now_ms)
         return estimate
@@ -383,7 +312,7 @@
         key = (latency_critical_image, best_effort_image)
         estimate = self._estimate_by_image_pair.get(key)
         if estimate is None:
-            estimate = self._estimate_by_image_pair[key] = Estimate(
+            estimate = self._estimate_by_image_pair[key] = latencycritical.Estimate(
                 0.0, PAIR_VARIANCE, now_ms
             )
         estimate.grow_variance(PAIR_DRIFT_PER_S, PAIR_VARIANCE, now_ms)
@@ -449,11 +378,6 @@
     return task_id.rpartition(".")[0]
 
 
-def _fading(elapsed_ms):
-    """Return the share of a deviation that is left after a time."""
-    return math.exp(-max(elapsed_ms, 0) / 1000 / DEVIATION_FADING_S)
-
-
 def _rounded(estimate):
     return round(estimate.mean, 4), round(estimate.variance, 6)
 
