Split the starts of moved tasks off the moves

What happens after the former runs have ended is movestarts.py; whether a worker is isolated stood three times and is a method of Isolation now. No change of behaviour; tests of moves, displacement, relief, crashes, limits, scheduler and docs pass.

--- a/sardinegauge/workflows/displacing.py
+++ b/sardinegauge/workflows/displacing.py
@@ -188,8 +188,7 @@
         self._candidates = [
             candidate
             for candidate in state.candidates.find_usable(state, state.now_ms)
-            if candidate.view.id not in state.isolation.probe_by_worker
-            and candidate.view.id not in state.isolation.reservation_end_ms_by_worker
+            if not state.isolation.is_isolated(candidate.view.id)
             and not state.health.is_backing_off(candidate.view.id)
         ]
         # Only less urgent runs than the most urgent waiting task can be displaced.
--- a/sardinegauge/workflows/isolation.py
+++ b/sardinegauge/workflows/isolation.py
@@ -62,6 +62,13 @@
         self.reservation_end_ms_by_worker = {}
         self.assigned_ms_by_worker = {}
 
+    def is_isolated(self, worker):
+        """Return whether a suspected task runs on a worker or is about to."""
+        return (
+            worker in self.probe_by_worker
+            or worker in self.reservation_end_ms_by_worker
+        )
+
 
 def begin(state):
     """Resume the probes of an earlier leader."""
--- a/sardinegauge/workflows/overcommit.py
+++ b/sardinegauge/workflows/overcommit.py
@@ -122,8 +122,7 @@
             and worker.pool == pool
             and (not step.required_label or step.required_label in worker.labels)
             and candidate.free.fits(step)
-            and worker.id not in state.isolation.probe_by_worker
-            and worker.id not in state.isolation.reservation_end_ms_by_worker
+            and not state.isolation.is_isolated(worker.id)
             and not state.health.is_backing_off(worker.id)
         ):
             return candidate
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -21,6 +21,7 @@
     isolation,
     keptestimates,
     lastingtasks,
+    movestarts,
     overcommit,
     recovery,
     runends,
@@ -204,7 +205,7 @@
             result,
         )
         if result != decisions.ASSIGNED:
-            drainmoves.on_refused(state, task_id)
+            movestarts.on_refused(state, task_id)
         else:
             isolation.on_assigned(state, task_id, run_number, worker, incarnation)
             recovery.on_assigned(state, (task_id, run_number), worker)
@@ -375,7 +376,7 @@
     state.is_plan_due = False
     state.advice_tracker.expire_questions(state.now_ms)
     wall_ms = state.now_ms + state.wall_offset_ms
-    drainmoves.assign_reserved(state)
+    movestarts.assign_reserved(state)
     assignments = state.planner.plan(state, state.now_ms, wall_ms)
     for task_id, _, worker, _ in assignments:
         if task_id not in state.worker_by_planned_task:
