Keep a worker that answers when another id is announced

Cause: the agent took the announcement with the highest start time for its VM's worker, whatever the known worker did. A heartbeat of another writer with a fresh id replaced a sound worker for good, as the start time of the known one is lower.

Fails before: two tests of test_foreignannouncements.py ('foreign' == 'i-1').

Change: while the known worker is fenced, answers and isn't draining, another id doesn't replace it; an announced worker that has answered nothing for 1.2 s gives way to any other that announces itself. A replacement is taken once calls to the former worker fail.

A foreign writer beside real processes was not run.

--- a/sardinegauge/workflows/hosting.py
+++ b/sardinegauge/workflows/hosting.py
@@ -57,7 +57,11 @@
     is_new = announcement.incarnation > state.incarnation or (
         is_other and announcement.incarnation == state.incarnation
     )
-    if last_announcement is None or is_new:
+    if is_other and not _may_be_replaced(state):
+        _log_ignored(state, announcement)
+        return
+    is_returning = is_other and _is_unheard(state)
+    if last_announcement is None or is_new or is_returning:
         hostedcrash.record(state)
         state.begin_incarnation(announcement)
         hostedruns.send_hold(state)
@@ -83,6 +87,33 @@
         state.report()
 
 
+def _may_be_replaced(state):
+    """Return whether a worker with another id may be the VM's worker by now.
+
+    An announcement may come from another writer, and one VM has one worker. While the
+    known one answers and isn't about to leave, it is the one.
+    """
+    return state.is_draining or not (state.is_fenced and state.is_responsive)
+
+
+def _is_unheard(state):
+    """Return whether the announced worker has answered nothing for a while."""
+    return not state.is_fenced and not state.is_responsive
+
+
+def _log_ignored(state, announcement):
+    if announcement.worker == state.ignored_worker:
+        return
+    state.ignored_worker = announcement.worker
+    log.warning(
+        "announcement_ignored worker=%s life=%d pool=%s answering=%s",
+        announcement.worker,
+        announcement.incarnation,
+        announcement.pool,
+        _worker_id(state),
+    )
+
+
 def _on_left(state, event):
     announcement = state.announcement
     if announcement is None or announcement.worker != event.worker:
--- a/sardinegauge/workflows/hoststate.py
+++ b/sardinegauge/workflows/hoststate.py
@@ -99,7 +99,8 @@
     `announced_ms` is when the newest announcement was received. `first_event_number` is
     that of the event that began the incarnation. `slots` limits its open calls.
     `unreported_count` is the number of ends and checkpoints that the last report left
-    out.
+    out. `ignored_worker` is the last worker whose announcement was ignored as the known
+    one answers.
     """
 
     def __init__(self, agent):
@@ -118,6 +119,7 @@
         self.question_by_step = {}
         self.crash = None
         self.unreported_count = 0
+        self.ignored_worker = ""
         self._reset(0)
 
     def _reset(self, incarnation):
