--- a/sardinegauge/workflows/hosting.py
+++ b/sardinegauge/workflows/hosting.py
@@ -57,7 +57,7 @@
     is_new = announcement.incarnation > state.incarnation or (
         is_other and announcement.incarnation == state.incarnation
     )
-    if is_other and not _may_be_replaced(state):
+    if is_other and not _may_be_replaced(state, announcement):
         _log_ignored(state, announcement)
         return
     is_returning = is_other and _is_unheard(state)
@@ -87,12 +87,15 @@
         state.report()
 
 
-def _may_be_replaced(state):
+def _may_be_replaced(state, announcement):
     """Return whether a worker with another id may be the VM's worker by now.
 
     An announcement may come from another writer, and one VM has one worker. While the
-    known one answers and isn't about to leave, it is the one.
+    known one answers and isn't about to leave, none of another pool replaces it; one of
+    its own pool is its next incarnation, which must not wait.
     """
+    if announcement.pool == state.announcement.pool:
+        return True
     return state.is_draining or not (state.is_fenced and state.is_responsive)
 
 
