--- a/tests/test_entryapp.py
+++ b/tests/test_entryapp.py
@@ -59,11 +59,14 @@
             response = await entrykit.fetch(
                 app, f"/shop/{number}", method="POST", body=b"#%d" % number
             )
-            return response.body == b"/shop/%d#%d" % (number, number)
+            if response.body == b"/shop/%d#%d" % (number, number):
+                return None
+            return number, response.code, response.reason, response.body
 
         return await asyncio.gather(*(one(number) for number in range(300)))
 
-    assert all(entrykit.run(test, entrykit.agent(slow), entrykit.agent(slow, "u2")))
+    results = entrykit.run(test, entrykit.agent(slow), entrykit.agent(slow, "u2"))
+    assert [result for result in results if result] == []
 
 
 def test_pipelined_requests_are_answered_in_their_order():
