--- a/sardinegauge/record.py
+++ b/sardinegauge/record.py
@@ -11,7 +11,7 @@
     """Construct the first instance of a record class.
 
     Constructors are built at first use, since most processes use few of the classes. A
-    loop over the fields for each instance would take four times as long.
+    loop over the fields for each instance takes more than twice as long.
     """
     cls = type(self)
     cls.__init__ = _build_constructor(cls)
--- a/tests/test_steplimit_simulation.py
+++ b/tests/test_steplimit_simulation.py
@@ -9,7 +9,7 @@
 from tests import test_workflow_drainmoves
 
 DOMAIN_BY_WORKER = {f"{domain}-{n}": domain for domain in ("z1", "z2") for n in "12"}
-PLAYS = 300
+ROUNDS = 300
 MOVES_AND_LAPSES = ("lapse",)
 ALL_FAULTS = ("lapse",) * 10 + ("lose", "return", "shrink", "grow", "fill")
 # Share of the rounds in which a worker carries out no orders.
@@ -89,7 +89,6 @@
             self.silent.clear()
         elif kind in ("shrink", "grow"):
             self.memory_mb_by_worker[worker] = 4000 if kind == "shrink" else 8000
-
         elif kind == "fill":
             self.submit(BEST_EFFORT, id=f"f{self.now_ms}", queue="low")
 
@@ -99,7 +98,7 @@
         self.ends[worker].append([number, *key, "lapsed", ""])
 
     def run(self):
-        for number in range(PLAYS):
+        for number in range(ROUNDS):
             if number % 40 == 0:
                 self.submit(LIMITED, id=f"w{number}")
             if number % 40 == 39 and number > 80:
