review: case 8, a long checkpoint on a lost minion leaves its task stuck

The log refuses checkpoints over 1,000 characters, the agent sends up to 16,384. The command that records the lost run is called invalid and isn't proposed again, so the task never starts again.

--- a/review/common-2/kit.py
+++ b/review/common-2/kit.py
@@ -29,6 +29,8 @@
 HEARTBEAT_S = 1.5
 # A task that lasts is at work after this time.
 STARTUP_MS = 300
+# `checkpoint_s` of the settings.
+CHECKPOINT_MS = 2000
 # Exit statuses of a script.
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
@@ -47,17 +49,29 @@
 
 
 class _Run:
-    """A run at work: `work_ms` is 0 for a task that lasts."""
+    """A run at work, as its `spec` says: ms of work, and the length of checkpoints.
 
-    def __init__(self, work_ms, now_ms):
-        self.work_ms = work_ms
+    The work is 0 for a task that lasts, and without a length it has no checkpoints.
+    """
+
+    def __init__(self, spec, checkpoint, now_ms):
+        work, _, length = spec.partition(":")
+        self.work_ms = int(work)
+        self.checkpoint_length = int(length or 0)
         self.begun_ms = now_ms
-        self.worked_ms = 0
+        self.worked_ms = int(checkpoint[:8], 16) if checkpoint else 0
 
     @property
     def is_done(self):
         return 0 < self.work_ms <= self.worked_ms
 
+    @property
+    def checkpoint(self):
+        saved_ms = self.worked_ms // CHECKPOINT_MS * CHECKPOINT_MS
+        if not saved_ms or not self.checkpoint_length:
+            return ""
+        return f"{saved_ms:08x}".ljust(self.checkpoint_length, "c")
+
     @property
     def percent(self):
         whole_ms = self.work_ms or STARTUP_MS
@@ -65,12 +79,12 @@
 
 
 class Minion:
-    """A minion that ends a task as done after the ms of work in its `spec`.
+    """A minion that ends a task as done after the work in its `spec`; see `_Run`.
 
-    With `spec` 0 the task lasts until it is stopped. `on_order` is called with the
-    minion, the name of the call and its body. It returns "" to carry an order out,
-    "busy" to refuse it, or the seconds after which an order that is left without an
-    answer is carried out. While `is_hung`, all that runs stands still.
+    `on_order` is called with the minion, the name of the call and its body. It returns
+    "" to carry an order out, "busy" to refuse it, or the seconds after which an order
+    that is left without an answer is carried out. While `is_hung`, all that runs stands
+    still.
     """
 
     def __init__(self, fleet, number, labels):
@@ -134,7 +148,8 @@
     def end(self, key, how):
         """End a run and list its end."""
         run = self.running.pop(key)
-        self.ended.append([len(self.ended) + 1, *key, how, ""])
+        saved = "" if how == "done" else run.checkpoint
+        self.ended.append([len(self.ended) + 1, *key, how, saved])
         self.blocked[key[0]] = max(self.blocked.get(key[0], 0), key[1])
         self.fleet.record.add(f"minion {self.id} {how} {key[0]}/{key[1]}")
         self.fleet.ends.append((time.monotonic(), self.id, *key, how))
@@ -171,7 +186,9 @@
         if body["until_ms"] <= self.clock_ms:
             return 409, {"reason": "late"}
         self.extend(body["until_ms"])
-        self.running[key] = _Run(int(body["spec"]), self.clock_ms)
+        self.running[key] = _Run(
+            body["spec"], body.get("checkpoint", ""), self.clock_ms
+        )
         self.fleet.record.add(f"minion {self.id} begins {key[0]}/{key[1]}")
         self.fleet.starts.append((time.monotonic(), self.id, *key))
         return 200, {}
@@ -277,7 +294,10 @@
         if self._is_gone:
             self.request.connection.close()
             return
-        running = [[*key, "", run.percent, 5] for key, run in minion.running.items()]
+        running = [
+            [*key, run.checkpoint, run.percent, 5]
+            for key, run in minion.running.items()
+        ]
         ended = [row for row in minion.ended if row[0] > body["last_seen"]]
         lists = {"running": running, "ended": ended[:500], "born": minion.born}
         self._answer(200, lists)
