Fence out the calls of an agent's former process

Cause: only the process that made a start call knew that it had no answer and could still be executed. Its successor took a refused start for gone, so the leader started the task elsewhere. Both processes used the worker's incarnation as fence, so the worker executed the late call. A start that expired before the worker was fenced had the same fault.

Change: each process of an agent takes a higher fence than all that the worker has seen, and starts runs only under that. The first list under it shows what former processes have started; the worker refuses the rest of their calls. A start that is given up before the fence is stopped first.

The driver of test_workflow_hosting.py answers two holds until the worker is fenced; the fence that it expects is one higher.

--- a/sardinegauge/workflows/hostapp.py
+++ b/sardinegauge/workflows/hostapp.py
@@ -46,7 +46,7 @@
 
     def __init__(self, name, replicas, worker_client, metrics_listen="", advice=None):
         super().__init__(name)
-        self.state = hoststate.State(name)
+        self.state = hoststate.State(name, clock.wall_ms())
         self.worker_client = worker_client
         self.advice = advice or adviceclient.NoService()
         hello = messages.Hello(role="agent", name=name)
--- a/sardinegauge/workflows/hostedruns.py
+++ b/sardinegauge/workflows/hostedruns.py
@@ -96,10 +96,10 @@
     """Give up an ordered run that did not start.
 
     The run is gone at once if no start call can take effect any more; otherwise it is
-    stopped first.
+    stopped first. Before the worker is fenced, that may be a call of a former process.
     """
     run.reason = reason
-    if run.unanswered_starts or run.is_call_open:
+    if run.unanswered_starts or run.is_call_open or not state.is_fenced:
         run.phase = views.STOPPING
         run.next_call_ms = state.now_ms
         _call_stop(state, key, run)
--- a/sardinegauge/workflows/hosting.py
+++ b/sardinegauge/workflows/hosting.py
@@ -11,6 +11,7 @@
 from sardinegauge.workflows import (
     hostedadvice,
     hostedcrash,
+    hostedfence,
     hostedlists,
     hostedruns,
     hostevents,
@@ -273,8 +274,7 @@
         run.next_call_ms = state.now_ms + hostedruns.RETRY_MS
         return
     if answer.reason == workerclient.STALE_FENCE:
-        state.fence += 1
-        state.is_fenced = False
+        hostedfence.on_refused(state, call.request.fence)
         state.next_hold_ms = state.now_ms
     hostedruns.abandon_start(state, key, run, answer.reason)
     state.report()
@@ -304,12 +304,10 @@
     state.open_hold_count -= 1
     if answer.kind != workerclient.DONE:
         if answer.reason == workerclient.STALE_FENCE:
-            state.fence += 1
+            hostedfence.on_refused(state, call.request.fence)
         state.next_hold_ms = state.now_ms + hostedruns.RETRY_MS
         return
-    if call.request.fence == state.fence and not state.is_fenced:
-        state.is_fenced = True
-        state.report()
+    hostedfence.on_accepted(state, call.request.fence)
     state.is_lapsed = False
     if call.request.seen_end > state.acknowledged_end:
         state.acknowledged_end = call.request.seen_end
--- a/sardinegauge/workflows/hoststate.py
+++ b/sardinegauge/workflows/hoststate.py
@@ -1,6 +1,6 @@
 """State of an agent: its worker, the worker's runs and their leases."""
 
-from sardinegauge.workflows import callslots, hostevents
+from sardinegauge.workflows import callslots, hostedfence, hostevents
 
 # Lowest rate of a worker's clock relative to true time.
 MIN_CLOCK_RATE = 0.98
@@ -87,6 +87,7 @@
 class State:
     """State of the agent for one incarnation of its worker.
 
+    `started_wall_ms` is when the agent's process started, in ms since the Unix epoch.
     `event_number` counts the events reduced so far. `anchor_ms` and `anchor_clock_ms`
     are the same moment on the agent's and on the worker's clock. `grant_until_ms` is
     the end of the leader's grant, `lease_end_ms` the latest end of any lease given to
@@ -97,14 +98,19 @@
     `hostedcrash.Crash` that the leader has not acknowledged yet, or None.
     `orders_sent_ms` is when the newest report was sent that orders answered.
     `announced_ms` is when the newest announcement was received. `first_event_number` is
-    that of the event that began the incarnation. `slots` limits its open calls.
+    that of the event that began the incarnation. `fence` is the number that calls to
+    the worker carry; while `is_fenced`, the worker accepts none of a former process of
+    the agent. `is_fence_highest` is whether it is higher than all that the worker had
+    seen, `fence_step` how much it rises when the worker refuses it. `slots` limits the
+    open calls to the worker.
     `unreported_count` is the number of ends and checkpoints that the last report left
     out. `ignored_worker` is the last worker whose announcement was ignored as the known
     one answers.
     """
 
-    def __init__(self, agent):
+    def __init__(self, agent, started_wall_ms=0):
         self.agent = agent
+        self.started_wall_ms = started_wall_ms
         self.announcement = None
         self.announced_ms = 0
         self.is_draining = False
@@ -126,7 +132,9 @@
         self.incarnation = incarnation
         self.first_event_number = self.event_number
         self.slots = callslots.CallSlots()
-        self.fence = incarnation
+        self.fence = hostedfence.first_fence(incarnation, self.started_wall_ms)
+        self.fence_step = 1
+        self.is_fence_highest = False
         self.is_fenced = False
         self.is_down = False
         self.is_lapsed = False
--- /dev/null
+++ b/tests/test_restart_simulation.py
@@ -0,0 +1,15 @@
+"""Guards against runs that an agent's restart doubles or loses."""
+
+import pytest
+
+from tests import restartsim
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_no_task_runs_twice_beside_restarting_agents_and_late_starts(seed):
+    """Guards against a late start of a former process beside a refused one."""
+    world = restartsim.World(seed)
+    world.run()
+    assert world.violations == []
+    store = world.machine.workflows
+    assert {item.state for item in store.workflow_by_id.values()} == {"completed"}
--- a/tests/test_workflow_hosting.py
+++ b/tests/test_workflow_hosting.py
@@ -25,7 +25,7 @@
         self.calls = []
         self.reports = 0
         self.announce()
-        self.answer_holds()
+        self.fence_worker()
 
     def dispatch(self, event_class, **fields):
         event = event_class(now_ms=self.now_ms, **fields)
@@ -64,6 +64,13 @@
                 ended=[list(row) for row in ended],
             )
 
+    def fence_worker(self):
+        """Let the worker accept the first fence, and the one above it."""
+        self.answer_holds()
+        assert not self.state.is_fenced
+        self.answer_holds()
+        assert self.state.is_fenced
+
     def order(
         self, starts=(), stops=(), seen_end=0, grant_ms=4500, sent_ms=None, **fields
     ):
@@ -112,7 +119,7 @@
     call = agent.start()
     left_ms = call.request.lease_until_ms - (agent.now_ms - 50_000)
     assert 4000 < left_ms <= 4500 * 0.98
-    assert call.request.fence == 1
+    assert call.request.fence == 2
     agent.answer(call)
     assert agent.phase_of() == views.ACTIVE
 
@@ -258,8 +265,8 @@
     assert agent.state.runs == {}
     (hold,) = agent.take_calls(workerclient.HoldCall)[-1:]
     assert hold.request.fence == 2 and not agent.state.is_fenced
-    agent.answer(hold, incarnation=2, running=[], ended=[])
-    assert agent.state.is_fenced
+    agent.calls.append(hold)
+    agent.fence_worker()
     agent.announce(incarnation=1, sequence=9)
     assert agent.state.incarnation == 2
 
@@ -276,7 +283,7 @@
     agent.answer(hold, kind=workerclient.WRONG_INCARNATION, incarnation=2)
     assert (agent.state.incarnation, agent.state.is_down) == (1, True)
     agent.announce(incarnation=2, worker="i-2")
-    agent.answer_holds()
+    agent.fence_worker()
     assert agent.state.announcement.worker == "i-2"
     assert agent.state.is_fenced and not agent.state.is_down
 
--- a/tests/workersim.py
+++ b/tests/workersim.py
@@ -120,7 +120,7 @@
         self.restart()
 
     def restart(self):
-        self.state = hoststate.State(self.worker.agent)
+        self.state = hoststate.State(self.worker.agent, self.world.now_ms)
         self.sequence = 0
 
     def dispatch(self, event):
