Take a CPU cap for unknown that another call may have set

Cause: a restarted agent reported 100 percent as the confirmed cap of each run that it found, and a cap call without an answer left the former cap confirmed. The leader orders a cap only if it differs from the reported one, so a best-effort task could stay throttled, or run at full speed beside a latency-critical one, until its cap changed again.

Change: such a cap is reported as unknown, and the leader orders the cap of a best-effort task anew. It does so once more when no late call can follow. Other tasks never get a cap, so nothing is ordered for them.

Tests: three tests in test_hostedfence.py, which fail without the change.

--- a/sardinegauge/workflows/besteffort.py
+++ b/sardinegauge/workflows/besteffort.py
@@ -352,6 +352,8 @@
         task = runs.get(key)
         if task is None or not task.step.is_filler or reported.phase != views.ACTIVE:
             continue
+        if reported.cpu_cap == views.UNKNOWN_CPU_CAP:
+            continue
         allowed_millis = task.step.cpu_millis * reported.cpu_cap / 100
         is_stuck = reported.load < STUCK_LOAD_SHARE * allowed_millis
         if reported.survived_ms >= MIN_LOAD_MS and not is_stuck:
--- a/sardinegauge/workflows/hostedlists.py
+++ b/sardinegauge/workflows/hostedlists.py
@@ -62,6 +62,8 @@
         run = state.runs.get(key)
         if run is None:
             run = state.runs[key] = hoststate.HostedRun(views.ORDERED)
+            # A former process of the agent may have set it.
+            run.cpu_cap = views.UNKNOWN_CPU_CAP
         if run.phase in (views.ORDERED, views.GONE):
             hostedruns.mark_active(state, key, run, "list")
         run.last_answer_event = state.event_number
--- a/sardinegauge/workflows/hostedruns.py
+++ b/sardinegauge/workflows/hostedruns.py
@@ -129,6 +129,14 @@
     )
 
 
+def check_late_caps(state):
+    """Have the CPU caps set anew that a late call may have changed after the last."""
+    for run in state.runs.values():
+        if 0 < run.cap_unsettled_until_ms <= state.now_ms:
+            run.cap_unsettled_until_ms = 0
+            run.cpu_cap = views.UNKNOWN_CPU_CAP
+
+
 def stop_run(state, key):
     """Stop a run, known or not, since a start call may still be on the way."""
     if is_ended(state, key):
--- a/sardinegauge/workflows/hosting.py
+++ b/sardinegauge/workflows/hosting.py
@@ -219,6 +219,7 @@
     state.unanswered_since_ms = state.unanswered_since_ms or state.now_ms
     if not event.is_down:
         _record_unanswered_start(state, call)
+        _record_unanswered_cap(state, call)
     if event.is_down:
         state.connect_failures += 1
         if state.connect_failures >= CONNECT_FAILURES_UNTIL_DOWN:
@@ -235,6 +236,16 @@
             run.last_unanswered_ms = state.now_ms
 
 
+def _record_unanswered_cap(state, call):
+    """Record that the worker may execute a CPU cap at any time from now on."""
+    request = call.request
+    if isinstance(request, workerclient.PaceCall):
+        run = state.runs.get((request.task, request.run))
+        if run is not None:
+            run.cpu_cap = views.UNKNOWN_CPU_CAP
+            run.cap_unsettled_until_ms = state.now_ms + MAX_CALL_DELAY_MS
+
+
 def _on_other_incarnation(state, call, answer):
     """Switch to a new incarnation of the worker that answered before it was announced.
 
@@ -367,6 +378,7 @@
 def _on_tick(state, event):
     if state.announcement is not None:
         _check_lapse(state)
+        hostedruns.check_late_caps(state)
         hostedruns.retry_calls(state)
         hostedruns.send_hold(state)
     hostedadvice.send_due_questions(state)
--- a/sardinegauge/workflows/hoststate.py
+++ b/sardinegauge/workflows/hoststate.py
@@ -28,7 +28,9 @@
     start was called first, 0 before. `checkpoint` is the one to start from,
     `saved_checkpoint` the newest one that the worker listed.
     `cpu_cap` and `target_cpu_cap` are the confirmed and the ordered share of the run's
-    full speed, in percent. `unanswered_starts` counts start calls without an answer;
+    full speed, in percent; `cpu_cap` is `views.UNKNOWN_CPU_CAP` if an unconfirmed call
+    may have changed it. `cap_unsettled_until_ms` is until when such a call may still be
+    executed, 0 for none. `unanswered_starts` counts start calls without an answer;
     `last_answer_event` is the number of the event that brought the last answer to a
     start or stop call, or the last list that shows the run: calls overtake each other,
     so a list that was requested before it may be older. `checkpoint_reported_event` is
@@ -48,6 +50,7 @@
         "next_call_ms",
         "ordered_ms",
         "cpu_cap",
+        "cap_unsettled_until_ms",
         "last_cpu_cap_call_ms",
         "payload",
         "phase",
@@ -76,6 +79,7 @@
         self.cpu_cap = 100
         self.target_cpu_cap = 100
         self.last_cpu_cap_call_ms = 0
+        self.cap_unsettled_until_ms = 0
         self.unanswered_starts = 0
         self.last_unanswered_ms = 0
         self.last_answer_event = 0
--- a/sardinegauge/workflows/views.py
+++ b/sardinegauge/workflows/views.py
@@ -25,6 +25,8 @@
 # reports, since clocks differ. With a report every 400 ms, a delay that lasts for 3 s
 # is taken for a change of the agent's clock, as after a suspension of its VM.
 DELAY_WINDOW = 8
+# The reported CPU cap of a run whose cap the agent does not know.
+UNKNOWN_CPU_CAP = -1
 
 
 class Room(record.Record):
@@ -80,8 +82,8 @@
     `progress` is the finished share of the work in percent, 100 for an active
     persistent task. `load` is the tail latency in ms of a latency-critical task, for
     others the thousandths of a core in use. `cpu_cap` is the last confirmed CPU
-    cap, in percent of the full speed. `survived_ms` is the time from when the run
-    became active to the last answer of its worker.
+    cap, in percent of the full speed, or `UNKNOWN_CPU_CAP`. `survived_ms` is the time
+    from when the run became active to the last answer of its worker.
     """
 
     __slots__ = (
--- a/tests/test_hostedfence.py
+++ b/tests/test_hostedfence.py
@@ -2,8 +2,18 @@
 
 import pytest
 
-from sardinegauge.workflows import hostedfence, hoststate, views, workerclient
-from tests import test_workflow_hosting
+from sardinegauge.workflows import (
+    hostedfence,
+    hostedreport,
+    hostevents,
+    hosting,
+    hoststate,
+    schedulerevents,
+    steps,
+    views,
+    workerclient,
+)
+from tests import leaderkit, test_workflow_hosting
 from tests.test_workflow_hosting import KEY
 
 
@@ -76,3 +86,57 @@
         agent.tick()
     assert agent.phase_of() == views.STOPPING
     assert agent.take_calls(workerclient.StopCall)
+
+
+def reported_cap(agent):
+    (row,) = hostedreport.report_fields(agent.state)["runs"]
+    return row[-2]
+
+
+def test_cpu_cap_that_a_former_process_has_set_is_unknown():
+    """Guards against a run that stays throttled for good after an agent's restart."""
+    agent = test_workflow_hosting.Agent()
+    agent.tick()
+    agent.answer_holds(running=[[*KEY, "", 5, 0]])
+    assert reported_cap(agent) == views.UNKNOWN_CPU_CAP
+    agent.order(paces=[[*KEY, 100]])
+    (call,) = agent.take_calls(workerclient.PaceCall)
+    agent.answer(call)
+    assert reported_cap(agent) == 100
+
+
+def test_cpu_cap_without_an_answer_is_unknown_until_it_can_no_longer_be_late():
+    """Guards against a cap that takes effect after the one that replaced it."""
+    agent = test_workflow_hosting.Agent()
+    agent.answer(agent.start())
+    agent.order(paces=[[*KEY, 30]])
+    (call,) = agent.take_calls(workerclient.PaceCall)
+    agent.dispatch(hostevents.CallUnanswered, call=call, is_down=False)
+    assert reported_cap(agent) == views.UNKNOWN_CPU_CAP
+    agent.tick()
+    agent.order(paces=[[*KEY, 100]])
+    (call,) = agent.take_calls(workerclient.PaceCall)
+    agent.answer(call)
+    assert reported_cap(agent) == 100
+    agent.tick(hosting.MAX_CALL_DELAY_MS)
+    assert reported_cap(agent) == views.UNKNOWN_CPU_CAP
+    agent.order(paces=[[*KEY, 100]])
+    (call,) = agent.take_calls(workerclient.PaceCall)
+    agent.answer(call)
+    agent.tick(hosting.MAX_CALL_DELAY_MS)
+    assert reported_cap(agent) == 100
+
+
+@pytest.mark.parametrize("is_filler", [True, False])
+def test_leader_orders_an_unknown_cpu_cap_of_a_best_effort_task(is_filler):
+    """Guards against caps that stay as they are, and calls that no task needs."""
+    leader = leaderkit.Leader()
+    leader.report()
+    leader.submit(steps.Step(count=1, cpu_millis=1000, is_filler=is_filler))
+    leader.settle()
+    row = ["w.0.0.0", 1, views.ACTIVE, "", 5, 0, "", views.UNKNOWN_CPU_CAP, 500]
+    report = leaderkit.report_of("a", [])
+    report.runs = [row]
+    leader.dispatch(schedulerevents.ReportReceived, report=report)
+    expected = [["w.0.0.0", 1, 100]] if is_filler else []
+    assert leader.orders()["paces"] == expected
