Let a worker on probation get more than runs that prove nothing

Cause: the only place on probation was free again once its run had ended as done or had progressed by 5 percent. A persistent task does neither; members of gangs, paused best-effort runs and long runs don't either, or only after minutes.

Change: a persistent run counts by being at 100 percent after a second.

--- a/sardinegauge/workflows/recovery.py
+++ b/sardinegauge/workflows/recovery.py
@@ -289,13 +289,21 @@
     """Count the probes that progress as expected as successes of their worker."""
     bad_keys = {verdict.info.key for verdict in judgement.verdicts}
     for worker in state.health.suspected_ids:
-        for key in state.health.probe_keys(worker) - bad_keys:
+        probe_keys = state.health.probe_keys(worker)
+        if probe_keys & bad_keys:
+            state.health.record_probe_fault(worker)
+        for key in probe_keys - bad_keys:
             track = state.recovery.tracker.track_by_run.get(key)
             if track is not None and _is_proven(track):
                 _end_probe(state, worker, key, True)
+    for worker in state.health.clear_proven():
+        log.info("worker_cleared worker=%s", worker)
 
 
 def _is_proven(track):
+    if track.info.is_persistent:
+        # It makes no progress once it is at work, which it reaches by working.
+        return track.progress >= 100 and track.survived_ms >= PROVING_MS
     gained = track.progress - track.first_progress
     return (
         track.stalled_ms == 0
--- a/tests/test_workflow_recovery.py
+++ b/tests/test_workflow_recovery.py
@@ -233,3 +233,56 @@
             leader.dispatch(schedulerevents.ReportReceived, report=report)
         leader.tick(REPORT_MS)
     assert leader.store.open_ids
+
+
+def on_probation(*found_steps, rate=20, seconds=12):
+    """Return the seconds until all tasks run on a suspected worker, None if never."""
+    leader = Leader("bad")
+    leader.state.health.suspect("bad", leader.now_ms)
+    for number, step in enumerate(found_steps):
+        leader.submit(step, id=f"w{number}")
+    begun_ms = leader.now_ms
+    wanted_count = sum(step.count for step in found_steps)
+    while leader.now_ms - begun_ms < 1000 * seconds:
+        leader.report_all(rate=rate)
+        if len(leader.placed()) == wanted_count:
+            return (leader.now_ms - begun_ms) / 1000
+    return None
+
+
+def test_persistent_tasks_prove_a_worker_by_being_at_work():
+    """Guards against a worker on which the first persistent task is the last start."""
+    step = steps_module.Step(
+        count=1, cpu_millis=1000, estimate_ms=1000, is_persistent=True
+    )
+    assert on_probation(step, step, step) <= 6
+
+
+@pytest.mark.parametrize(
+    "fields, rate",
+    [
+        ({"is_gang": True, "count": 4}, 20),
+        ({"estimate_ms": 1_200_000}, 0.08),
+        ({"is_filler": True}, 0),
+    ],
+)
+def test_probes_that_can_prove_nothing_do_not_keep_their_place(fields, rate):
+    """Guards against gangs, long and paused runs that hold a worker on probation."""
+    step = steps_module.Step(**{"cpu_millis": 1000, "count": 1, **fields})
+    assert on_probation(step, step, rate=rate) <= 7
+
+
+def test_stuck_probe_begins_the_time_without_a_fault_anew():
+    """Guards against a bad worker that is cleared though each probe stands still."""
+    workers = health.Health()
+    workers.suspect("a", 0)
+    workers.now_ms = health.MIN_BACKOFF_MS
+    limit = health.SUCCESSES_UNTIL_CLEARED
+    for _ in range(2 * limit):
+        workers.record_start("a", ("w.0.0.0", 1))
+        workers.now_ms += health.FAULTLESS_MS - 1
+        workers.record_probe_fault("a")
+        workers.record_end("a", ("w.0.0.0", 1), is_success=False)
+        assert workers.start_limit("a") == 1 and workers.clear_proven() == []
+    workers.now_ms += limit * health.FAULTLESS_MS
+    assert workers.clear_proven() == ["a"]
