Replace a lost voter before its successor stops counting as lost

Cause: a voter that never comes back kept its vote for 8 s, a constant, while the deployment counts it as lost for catchup_s after its successor has started. The next permitted losses left too few live voters to elect a leader or to change the members. A new leader counted the 8 s anew.

A replica that was removed while it was away asks to join again after that time instead of 3 s, if it is shorter.

--- a/sardinegauge/agreement/joining.py
+++ b/sardinegauge/agreement/joining.py
@@ -6,13 +6,34 @@
 
 INTERVAL_S = 0.5
 TIMEOUT_S = 1.0
-# A member without contact to a leader for this long requests membership again, as it
-# may have been removed from the group.
+# A member without contact to a leader for this long, or for as long as it takes to be
+# replaced, requests membership again, as it may have been removed from the group.
 LEADERLESS_MS = 3000
 # Limit of the leader addresses learned from replies; the oldest is dropped first.
 MAX_ADDRESSES = 8
 
 
+def is_needed(state, address):
+    """Return whether a replica has to request membership of its group.
+
+    Not needed for a leader, and for a member under its current address that is in
+    contact with a leader.
+
+    Parameters
+    ----------
+    state : raftstate.State
+    address : str
+        Address of the replica.
+    """
+    if state.role == raftstate.LEADER:
+        return False
+    member = state.members.get(state.identity)
+    if member is None or member.address != address:
+        return True
+    limit_ms = min(LEADERLESS_MS, state.replacement_ms)
+    return state.now_ms - state.leader_contact_ms > limit_ms
+
+
 class Joiner:
     """Requests membership from all linked replicas and learns the leader's address.
 
@@ -26,23 +47,9 @@
         self.leader_addresses = []
         self._last_answer = None
 
-    @property
-    def _is_needed(self):
-        state = self.app.state.raft
-        if state.role == raftstate.LEADER:
-            return False
-        member = state.members.get(state.identity)
-        if member is None or member.address != self.app.address:
-            return True
-        return state.now_ms - state.leader_contact_ms > LEADERLESS_MS
-
     async def request_membership(self, now_ms):
-        """Send a join request to all linked replicas if one is needed.
-
-        It is needed unless this replica is the leader, or a member under its current
-        address that is in contact with a leader.
-        """
-        if not self._is_needed:
+        """Send a join request to all linked replicas if one is needed."""
+        if not is_needed(self.app.state.raft, self.app.address):
             return
         request = messages.JoinRequest(
             identity=self.app.state.raft.identity,
--- a/sardinegauge/agreement/raft.py
+++ b/sardinegauge/agreement/raft.py
@@ -19,8 +19,6 @@
 # need its vote would stall.
 MAX_PROMOTION_LAG_ENTRIES = 64
 TRANSFER_TIMEOUT_MS = 1000
-# A voter that has not replied for this long is replaced by a learner of another name.
-VOTER_REPLACEMENT_MS = 8000
 MEMBER_ACTIONS = ("promote", "remove")
 # Limits of the entries that compaction retains before a snapshot, so that a member
 # catches up from the log after a short outage instead of from a snapshot.
@@ -363,12 +361,12 @@
     """Tell whether a failed member has a live successor that can take its place.
 
     The successor is the new identity with the failed member's name or, for a voter
-    that failed longer ago than `VOTER_REPLACEMENT_MS`, any learner that is caught up.
+    that failed longer ago than `replacement_ms`, any learner that is caught up.
     """
     is_past_limit = (
         failed.is_voter
         and state.now_ms - state.progress[failed.identity].last_ack_ms
-        > VOTER_REPLACEMENT_MS
+        > state.replacement_ms
     )
     for successor in state.members.values():
         if successor.identity == failed.identity or not _is_live(
--- a/sardinegauge/agreement/raftstate.py
+++ b/sardinegauge/agreement/raftstate.py
@@ -10,6 +10,8 @@
 ELECTION_SPREAD_MS = 600
 # A leader that has no acknowledgement from a quorum for this long steps down.
 CHECK_QUORUM_MS = 600
+# Default of the silence after which a voter is replaced by a learner of another name.
+REPLACEMENT_MS = 8000
 
 FOLLOWER = "follower"
 PRECANDIDATE = "precandidate"
@@ -175,6 +177,9 @@
         failed members. With 0 it only replaces members whose data folder was lost,
         and operators make all other changes. An entry is committed only when more
         than half of this number of voters hold it, even while the group has fewer.
+    replacement_ms : int
+        With `target_voters`, a voter that has not replied for this long is replaced by
+        a learner of another name.
     """
 
     __slots__ = (
@@ -205,6 +210,7 @@
         "progress",
         "read_round_started_ms",
         "reads",
+        "replacement_ms",
         "role",
         "sequence",
         "snapshot",
@@ -217,9 +223,12 @@
         "votes",
     )
 
-    def __init__(self, identity, stored, now_ms, target_voters=0):
+    def __init__(
+        self, identity, stored, now_ms, target_voters=0, replacement_ms=REPLACEMENT_MS
+    ):
         self.identity = identity
         self.target_voters = target_voters
+        self.replacement_ms = replacement_ms
         self.term = stored.term
         self.vote = stored.vote
         self.log = stored.log
--- a/sardinegauge/state/replica.py
+++ b/sardinegauge/state/replica.py
@@ -73,12 +73,25 @@
         Monotonic time of creation.
     target_voters : int
         See `raftstate.State`.
+    replacement_ms : int
+        See `raftstate.State`.
     """
 
-    def __init__(self, identity, address, stored, modules, now_ms, target_voters=0):
+    def __init__(
+        self,
+        identity,
+        address,
+        stored,
+        modules,
+        now_ms,
+        target_voters=0,
+        replacement_ms=raftstate.REPLACEMENT_MS,
+    ):
         self.address = address
         self.modules = modules
-        self.raft = raftstate.State(identity, stored, now_ms, target_voters)
+        self.raft = raftstate.State(
+            identity, stored, now_ms, target_voters, replacement_ms
+        )
         self.machine = modules.machine.Machine()
         self.applied_index = stored.snapshot.index
         if stored.snapshot.blob:
--- a/sardinegauge/state/stateapp.py
+++ b/sardinegauge/state/stateapp.py
@@ -37,6 +37,7 @@
 # would leave it unknown whether the request ran.
 LINGER_S = 1.2
 
+MIN_REPLACEMENT_S = 1.0
 KNOWN_SETTINGS = [
     *settings.LINKS,
     *settings.PROCESS,
@@ -45,6 +46,13 @@
     settings.Setting(name="initial_members", kind="table", default={}),
     # Number of voters that the group maintains itself; 0 leaves members to operators.
     settings.Setting(name="replicas", kind="integer", default=0, minimum=0, maximum=99),
+    # A shorter silence would be as short as an election.
+    settings.Setting(
+        name="replacement_s",
+        kind="number",
+        default=raftstate.REPLACEMENT_MS / 1000,
+        minimum=MIN_REPLACEMENT_S,
+    ),
 ]
 
 
@@ -149,6 +157,7 @@
             self.modules,
             clock.monotonic_ms(),
             self.config.replicas,
+            int(1000 * self.config.replacement_s),
         )
         self._generation += 1
         self._start_writer()
--- a/tests/raftsim.py
+++ b/tests/raftsim.py
@@ -1,4 +1,4 @@
-"""Simulator of three Raft replicas in virtual time, with faults of network and disk.
+"""Simulator of Raft replicas in virtual time, with faults of network and disk.
 
 The simulator executes every effect of the reducer. Messages in transit may be
 reordered, duplicated or dropped. Writes wait in a queue of their replica; a crash loses
@@ -8,7 +8,14 @@
 import json
 import random
 
-from sardinegauge.agreement import membership, raft, raftlog, raftstate, storage
+from sardinegauge.agreement import (
+    joining,
+    membership,
+    raft,
+    raftlog,
+    raftstate,
+    storage,
+)
 
 NAMES = ("a", "b", "c")
 
@@ -82,8 +89,9 @@
     events at all.
     """
 
-    def __init__(self, name, disk):
+    def __init__(self, name, disk, **limits):
         self.name = name
+        self.limits = limits
         self.identity = name
         self.disk = disk
         self.is_isolated = False
@@ -94,7 +102,8 @@
 
     def start(self, now_ms):
         self.writes = []
-        self.state = raftstate.State(self.identity, self.disk.stored(), now_ms)
+        stored = self.disk.stored()
+        self.state = raftstate.State(self.identity, stored, now_ms, **self.limits)
         self.applied = []
         if self.state.snapshot.blob:
             _, data = membership.unpack_snapshot(self.state.snapshot.blob)
@@ -102,13 +111,16 @@
 
 
 class Simulator:
-    """Three replicas and their messages in transit, with checks after every event.
+    """Replicas and their messages in transit, with checks after every event.
+
+    `limits` are passed on to the `raftstate.State` of each replica.
 
     No two leaders share a term, no two replicas commit different entries at an index,
     and no read is answered at an index below the commits that preceded it.
     """
 
-    def __init__(self, seed=0):
+    def __init__(self, seed=0, names=NAMES, **limits):
+        self.limits = limits
         self.random = random.Random(seed)
         self.now_ms = 0
         self.in_transit = []
@@ -120,9 +132,9 @@
         self.rejoins = 0
         members = {
             name: membership.Member(identity=name, name=name, address=name)
-            for name in NAMES
+            for name in names
         }
-        self.nodes = {name: Node(name, Disk(members)) for name in NAMES}
+        self.nodes = {name: Node(name, Disk(members), **limits) for name in names}
         for node in self.nodes.values():
             node.start(0)
 
@@ -220,6 +232,11 @@
         node.disk = Disk()
         node.start(self.now_ms)
 
+    def add(self, name):
+        """Add a replica with an empty folder, which requests to join."""
+        node = self.nodes[name] = Node(name, Disk(), **self.limits)
+        node.start(self.now_ms)
+
     def propose(self, node):
         self.next_number += 1
         body = str(self.next_number).encode()
@@ -241,12 +258,13 @@
         )
 
     def join_non_members(self):
-        """Deliver the join requests of replicas that are not members.
+        """Deliver the join requests of replicas that need membership.
 
         Each goes to every leader that is not isolated.
         """
         for node in self.nodes.values():
-            if node.identity in node.state.members or node.is_isolated:
+            is_silent = node.is_isolated or node.is_frozen
+            if is_silent or not joining.is_needed(node.state, node.name):
                 continue
             member = membership.Member(
                 identity=node.identity, name=node.name, address=node.name
