Record what the log can hold of a refused command, and tell its proposer

Cause: agents report checkpoints of up to 16,384 characters, the log's check of RecordEnds and ReleaseLife took 1,000. A refused command reached no scheduler, so the marks of its proposal stayed and it was never repeated; all its other rows were lost with it.

Change: one bound for agents and log, which earlier logs replay without. Rows are held against the log's checks before they are proposed. A command of the leader that is refused all the same is logged, counted and returned to the scheduler, which proposes what can be recorded. The same for RecordCrash, KeepEstimates and ReportTasks.

--- a/sardinegauge/agents/taskhost.py
+++ b/sardinegauge/agents/taskhost.py
@@ -7,6 +7,9 @@
 longer list the task.
 """
 
+import logging
+
+from sardinegauge import checkpoints
 from sardinegauge.agents import hostedtask
 
 # Delay before a failed call to the worker is repeated.
@@ -22,6 +25,8 @@
 # many epochs cover a far longer time.
 MAX_ENDED_EPOCHS = 4096
 
+log = logging.getLogger(__name__)
+
 
 class TaskHost:
     """Tasks of one agent by name; methods that change tasks return effects."""
@@ -281,6 +286,15 @@
             return []
         if not checkpoint:
             return self.call_failed(now_ms, task, epoch)
+        if not checkpoints.is_storable(checkpoint):
+            log.warning(
+                "checkpoint_not_used task=%s epoch=%d length=%d limit=%d",
+                task,
+                epoch,
+                len(checkpoint),
+                checkpoints.MAX_LENGTH,
+            )
+            return self._stop(now_ms, hosted, "evicted without a checkpoint")
         hosted.checkpoint = checkpoint
         return self._stop(now_ms, hosted, "evicted")
 
--- a/sardinegauge/checks.py
+++ b/sardinegauge/checks.py
@@ -7,7 +7,7 @@
 
 import math
 
-from sardinegauge import commands
+from sardinegauge import checkpoints, commands
 from sardinegauge.links import httpmessages, messages
 
 MAX_TEXT_LENGTH = 1_000
@@ -188,6 +188,13 @@
 # A learned effect may be negative.
 ESTIMATE = number(-MAX_NUMBER)
 LONG_TEXT = text(MAX_BODY_LENGTH, is_empty_allowed=True)
+CHECKPOINT = text(checkpoints.MAX_LENGTH, is_empty_allowed=True)
+RUN_ROW = row(TEXT, COUNT)
+ESTIMATE_ROW = row(OPTIONAL_TEXT, OPTIONAL_TEXT, ESTIMATE, ESTIMATE)
+RUN_TIME_ROW = row(OPTIONAL_TEXT, OPTIONAL_TEXT, ESTIMATE, ESTIMATE, ESTIMATE)
+CRASH_ROW = row(TEXT, COUNT, TEXT)
+END_ROW = row(COUNT, TEXT, COUNT, TEXT, CHECKPOINT)
+CHECKPOINT_ROW = row(TEXT, COUNT, CHECKPOINT)
 
 _ROOM = fields(
     messages.Room,
@@ -216,18 +223,23 @@
 _EVICTION = fields(
     commands.Eviction, {"task": TEXT, "epoch": COUNT, "reason": LONG_TEXT}
 )
-_TASK_CHANGE = fields(
-    commands.TaskChange,
-    {
-        # An invalid change must not cause the other changes of its report to be
-        # refused, so any text is valid here and the handler ignores unknown values.
-        "task": LONG_TEXT,
-        "epoch": COUNT,
-        "phase": LONG_TEXT,
-        "reason": LONG_TEXT,
-        "checkpoint": OPTIONAL_TEXT,
-    },
-)
+
+
+def _task_change(checkpoint):
+    return fields(
+        commands.TaskChange,
+        {
+            # An invalid change must not cause the other changes of its report to be
+            # refused, so any text is valid here and the handler ignores unknown values.
+            "task": LONG_TEXT,
+            "epoch": COUNT,
+            "phase": LONG_TEXT,
+            "reason": LONG_TEXT,
+            "checkpoint": checkpoint,
+        },
+    )
+
+
 _HEADER = fields(
     httpmessages.Header,
     {"name": TEXT, "value": LONG_TEXT},
@@ -284,7 +296,11 @@
     commands.WorkerLost: _UPSTREAM,
     commands.AssignTasks: {"assignments": items(_ASSIGNMENT)},
     commands.EvictTasks: {"evictions": items(_EVICTION)},
-    commands.ReportTasks: {**_UPSTREAM, "changes": items(_TASK_CHANGE)},
+    commands.ReportTasks: {
+        **_UPSTREAM,
+        "has_long_checkpoints": flag,
+        "changes": items(_task_change(OPTIONAL_TEXT)),
+    },
     commands.ResizeTasks: {
         "cores_by_task": table(SIZE),
         "memory_mb_by_task": table(COUNT),
@@ -337,15 +353,13 @@
         "operator": OPTIONAL_TEXT,
     },
     commands.KeepEstimates: {
-        "rows": items(row(OPTIONAL_TEXT, OPTIONAL_TEXT, ESTIMATE, ESTIMATE)),
-        "run_times": items(
-            row(OPTIONAL_TEXT, OPTIONAL_TEXT, ESTIMATE, ESTIMATE, ESTIMATE)
-        ),
+        "rows": items(ESTIMATE_ROW),
+        "run_times": items(RUN_TIME_ROW),
     },
     commands.RecordCrash: {
         **_WORKER_INCARNATION,
         "agent": TEXT,
-        "rows": items(row(TEXT, COUNT, TEXT)),
+        "rows": items(CRASH_ROW),
     },
     commands.GiveUpTask: {"task": TEXT},
     commands.ClearSuspects: {"tasks": items(TEXT)},
@@ -356,17 +370,46 @@
     },
     commands.RecordEnds: {
         **_WORKER_INCARNATION,
+        "has_long_checkpoints": flag,
         "rows": items(row(COUNT, TEXT, COUNT, TEXT, OPTIONAL_TEXT)),
     },
     commands.ReleaseLife: {
         **_WORKER_INCARNATION,
+        "has_long_checkpoints": flag,
         "checkpoints": items(row(TEXT, COUNT, OPTIONAL_TEXT)),
     },
 }
+_LONG_CHECKPOINT_CHECKS = {
+    commands.ReportTasks: {"changes": items(_task_change(CHECKPOINT))},
+    commands.RecordEnds: {"rows": items(END_ROW)},
+    commands.ReleaseLife: {"checkpoints": items(CHECKPOINT_ROW)},
+}
 _CHECKS = {
     cls: [("at_ms", COUNT), *checks_by_field.items()]
     for cls, checks_by_field in _CHECKS_BY_COMMAND.items()
 }
+_CHECKS_WITH_LONG_CHECKPOINTS = {
+    cls: list({**dict(_CHECKS[cls]), **checks_by_field}.items())
+    for cls, checks_by_field in _LONG_CHECKPOINT_CHECKS.items()
+}
+
+
+def is_valid(check, value):
+    """Return whether a check finds no problem with a value.
+
+    Examples
+    --------
+    >>> is_valid(RUN_ROW, ["w.0.0.0", 1]), is_valid(RUN_ROW, ["", 1])
+    (True, False)
+    """
+    problems = []
+    check(value, "", problems)
+    return not problems
+
+
+def is_long_checkpoint(checkpoint):
+    """Return whether a command needs `has_long_checkpoints` for a checkpoint."""
+    return len(checkpoint) > MAX_TEXT_LENGTH
 
 
 def problems_of(command):
@@ -381,6 +424,9 @@
     if type(command) not in _CHECKS:
         # The registry also contains the base classes of commands.
         return [["kind", f"{type(command).__name__} is not a command"]]
-    for field, check in _CHECKS[type(command)]:
+    field_checks = _CHECKS[type(command)]
+    if getattr(command, "has_long_checkpoints", False) is True:
+        field_checks = _CHECKS_WITH_LONG_CHECKPOINTS[type(command)]
+    for field, check in field_checks:
         check(getattr(command, field), field, problems)
     return problems
--- a/sardinegauge/commands.py
+++ b/sardinegauge/commands.py
@@ -202,7 +202,26 @@
     _defaults = {"reason": "", "checkpoint": ""}
 
 
-class ReportTasks(Command):
+class CheckpointCommand(Command):
+    """Base of the commands that hold checkpoints.
+
+    With `has_long_checkpoints`, they may have `checkpoints.MAX_LENGTH` characters each.
+    Logs of earlier releases hold commands without that field, which are invalid with a
+    longer one than `checks.MAX_TEXT_LENGTH`.
+    """
+
+    __slots__ = ("has_long_checkpoints",)
+    _defaults = {"at_ms": 0, "has_long_checkpoints": False}
+
+    def to_dict(self):
+        """Return the fields; replicas of earlier releases don't know the flag."""
+        fields = super().to_dict()
+        if not fields["has_long_checkpoints"]:
+            del fields["has_long_checkpoints"]
+        return fields
+
+
+class ReportTasks(CheckpointCommand):
     """Changes of phase reported by one agent; those of old epochs have no effect."""
 
     __slots__ = ("changes", "upstream", "incarnation")
@@ -370,7 +389,7 @@
     _defaults = {"at_ms": 0, "queues_version": 0}
 
 
-class RecordEnds(Command):
+class RecordEnds(CheckpointCommand):
     """Record ends of runs in one incarnation of a worker.
 
     Rows hold number, task, run, how and checkpoint; the number is 0 for an end that the
@@ -380,14 +399,14 @@
     __slots__ = ("worker", "life", "rows")
 
 
-class ReleaseLife(Command):
+class ReleaseLife(CheckpointCommand):
     """Release all runs of an incarnation that has ended or whose leases have expired.
 
     `checkpoints` are rows of task, run and the newest checkpoint known to the leader.
     """
 
     __slots__ = ("worker", "life", "checkpoints")
-    _defaults = {"at_ms": 0, "checkpoints": list}
+    _defaults = {"at_ms": 0, "has_long_checkpoints": False, "checkpoints": list}
 
 
 class RecordCrash(Command):
--- a/sardinegauge/scheduling/heartbeats.py
+++ b/sardinegauge/scheduling/heartbeats.py
@@ -1,6 +1,6 @@
 """Processing of heartbeats: registrations, leases, changes of phase and usage."""
 
-from sardinegauge import commands
+from sardinegauge import checkpoints, commands
 from sardinegauge.scheduling import estimates, pacing, quarantine
 
 LEASE_MS = 10_000
@@ -138,6 +138,10 @@
         if task.upstream != heartbeat.upstream:
             continue
         phase = report.phase
+        checkpoint = report.checkpoint
+        if not checkpoints.is_storable(checkpoint):
+            # The log can't hold it; the task keeps the one before.
+            checkpoint = ""
         if phase == "running":
             run = run_by_task[report.task]
             if (
@@ -147,7 +151,7 @@
                 run.usage_processed_ms = now_ms
                 _process_usage(state, now_ms, task, run, report)
             is_change = task.state == "assigned" or (
-                report.checkpoint and report.checkpoint != task.checkpoint
+                checkpoint and checkpoint != task.checkpoint
             )
         else:
             is_change = phase in STOPPED_PHASES
@@ -159,7 +163,7 @@
                 epoch=report.epoch,
                 phase=phase,
                 reason=report.reason,
-                checkpoint=report.checkpoint,
+                checkpoint=checkpoint,
             )
         )
     return changes
--- a/sardinegauge/scheduling/scheduler.py
+++ b/sardinegauge/scheduling/scheduler.py
@@ -5,7 +5,7 @@
 other state is soft: a new leader rebuilds it from the state machine and heartbeats.
 """
 
-from sardinegauge import commands, record
+from sardinegauge import checks, commands, record
 from sardinegauge.scheduling import (
     drains,
     explanations,
@@ -138,7 +138,12 @@
     changes = heartbeats.process_task_reports(state, now_ms, heartbeat)
     if changes:
         command = commands.ReportTasks(
-            upstream=upstream, incarnation=incarnation, changes=changes
+            upstream=upstream,
+            incarnation=incarnation,
+            changes=changes,
+            has_long_checkpoints=any(
+                checks.is_long_checkpoint(change.checkpoint) for change in changes
+            ),
         )
         effects.append(_propose(state, now_ms, command))
     view = state.views.get(upstream)
--- a/sardinegauge/state/replica.py
+++ b/sardinegauge/state/replica.py
@@ -21,6 +21,7 @@
 SNAPSHOT_ENTRIES = 10_000
 # Settled claims hold whole responses, so a log of fewer entries can be large.
 SNAPSHOT_LOG_BYTES = 64 << 20
+MAX_LOGGED_PROBLEM_LENGTH = 200
 
 log = logging.getLogger(__name__)
 
@@ -205,6 +206,8 @@
         requests.reply_ran(state, proposal.token, answer, entry.index)
     if isinstance(answer, outcome.Invalid):
         # The command changed nothing, and its fields may be of any type.
+        if proposal is not None and proposal.token is None:
+            _on_own_command_refused(state, entry.index, command, answer)
         return
     _emit_wait_times(state, command, assigned_tasks)
     if isinstance(command, commands.WorkerLost):
@@ -219,6 +222,22 @@
         leaderexchange.on_command_applied(state, entry.index, command, answer)
 
 
+def _on_own_command_refused(state, index, command, answer):
+    """Log a refusal, which only a fault of the system causes, and report it back."""
+    kind = type(command).__name__
+    log.error(
+        "command_refused index=%d kind=%s problems=%d first=%.*s",
+        index,
+        kind,
+        len(answer.problems),
+        MAX_LOGGED_PROBLEM_LENGTH,
+        answer.problems[:1],
+    )
+    state.emit(replicaeffects.CommandRefused(kind=kind))
+    if state.is_leading:
+        leaderexchange.on_command_refused(state, command)
+
+
 def _assigned_tasks(state, command):
     """Return the assigned tasks of a report, which may set them to running."""
     if not state.is_leading or not isinstance(command, commands.ReportTasks):
--- a/sardinegauge/state/replicaeffects.py
+++ b/sardinegauge/state/replicaeffects.py
@@ -39,6 +39,12 @@
     __slots__ = ()
 
 
+class CommandRefused(record.Record):
+    """Effect: count a command of this leader that the machine called invalid."""
+
+    __slots__ = ("kind",)
+
+
 class Proposal(record.Record):
     """An appended command that has not been applied.
 
--- a/sardinegauge/state/statemetrics.py
+++ b/sardinegauge/state/statemetrics.py
@@ -108,6 +108,11 @@
             "Workers in backoff or on probation since runs stood still there.",
         )
 
+        self._refused_commands = self._metrics.counter(
+            "refused_commands",
+            "Commands of the leader itself that the state machine refused as invalid.",
+            ["kind"],
+        )
         self._cut_orders = self._metrics.counter(
             "workflow_cut_orders",
             "Orders that left out rows for their size, which go with the next ones.",
@@ -167,6 +172,9 @@
         self._queues_encoded.inc()
         self._queues_encoded_bytes.inc(effect.byte_count)
 
+    def _count_refused_command(self, effect):
+        self._refused_commands.labels(effect.kind).inc()
+
     def _count_cut_orders(self, effect):
         self._cut_orders.inc()
 
@@ -230,6 +238,7 @@
 
 
 _RECORD_BY_EFFECT = {
+    replicaeffects.CommandRefused: StateMetrics._count_refused_command,
     replicaeffects.OrdersCut: StateMetrics._count_cut_orders,
     replicaeffects.QueuesEncoded: StateMetrics._count_encoding,
     replicaeffects.TaskWaited: StateMetrics._count_wait,
--- a/sardinegauge/workflows/crashes.py
+++ b/sardinegauge/workflows/crashes.py
@@ -12,8 +12,8 @@
 import collections
 import logging
 
-from sardinegauge import commands
-from sardinegauge.workflows import crashrecord, schedulerevents
+from sardinegauge import checks, commands
+from sardinegauge.workflows import commandrows, crashrecord, schedulerevents
 
 # A run is suspected if the worker is not known to have been up for longer than this
 # since its start: by the number of runs that its task lost in crashes before. It grows,
@@ -75,11 +75,18 @@
     if crash is None or state.proposed_crash_by_agent.get(report.agent) == crash.life:
         return
     state.proposed_crash_by_agent[report.agent] = crash.life
+    # The row of an incarnation is like that of a run: a text and a number.
+    if not commandrows.valid_rows(
+        checks.RUN_ROW, [[crash.worker, crash.life]], "crash"
+    ):
+        return
     _log_crash(report, crash)
     state.effects.append(
         schedulerevents.WorkerCrashed(pool=report.pool, run_count=len(crash.runs))
     )
-    findings = classify(state.store, crash.runs)
+    findings = commandrows.valid_rows(
+        checks.CRASH_ROW, classify(state.store, crash.runs), "crash"
+    )
     state.propose(
         commands.RecordCrash(
             worker=crash.worker, life=crash.life, agent=report.agent, rows=findings
--- a/sardinegauge/workflows/hostedlists.py
+++ b/sardinegauge/workflows/hostedlists.py
@@ -2,6 +2,7 @@
 
 import logging
 
+from sardinegauge import checkpoints
 from sardinegauge.workflows import hostedruns, hoststate, views
 
 # Limit of the worker for the ends in one answer. A full list may lack further ends, so
@@ -31,14 +32,14 @@
 
 
 def _usable_checkpoint(state, key, checkpoint):
-    """Return a listed checkpoint, or the one before if it is too long to be sent."""
-    if len(checkpoint) <= hoststate.MAX_CHECKPOINT_LENGTH:
+    """Return a listed checkpoint, or the one before if the log can't hold it."""
+    if checkpoints.is_storable(checkpoint):
         return checkpoint
     log.warning(
-        "checkpoint_too_long task=%s run=%d length=%d limit=%d",
+        "checkpoint_not_used task=%s run=%d length=%d limit=%d",
         *key,
         len(checkpoint),
-        hoststate.MAX_CHECKPOINT_LENGTH,
+        checkpoints.MAX_LENGTH,
     )
     run = state.runs.get(key)
     return run.saved_checkpoint if run is not None else ""
--- a/sardinegauge/workflows/hoststate.py
+++ b/sardinegauge/workflows/hoststate.py
@@ -15,8 +15,6 @@
 # leader may have withdrawn it, as in a drained failure domain, where no start may take
 # effect 5,000 ms after the drain was acknowledged.
 START_ORDER_MS = 3000
-# Limit of the length of a checkpoint, so that a report and an order hold at least one.
-MAX_CHECKPOINT_LENGTH = 16_384
 
 
 class HostedRun:
--- a/sardinegauge/workflows/incarnations.py
+++ b/sardinegauge/workflows/incarnations.py
@@ -8,8 +8,8 @@
 
 import logging
 
-from sardinegauge import commands
-from sardinegauge.workflows import commandsize, views
+from sardinegauge import checks, commands
+from sardinegauge.workflows import commandrows, commandsize, views
 
 # Duration of a lease from the time at which the report that requested it was sent.
 LEASE_MS = 5600
@@ -121,7 +121,12 @@
         checkpoints = _bounded_checkpoints(view)
     log.info("life_released worker=%s life=%d runs=%d", worker, incarnation, len(runs))
     state.propose(
-        commands.ReleaseLife(worker=worker, life=incarnation, checkpoints=checkpoints)
+        commands.ReleaseLife(
+            worker=worker,
+            life=incarnation,
+            checkpoints=checkpoints,
+            has_long_checkpoints=commandrows.has_long_checkpoints(checkpoints),
+        )
     )
 
 
@@ -132,6 +137,7 @@
         for (task_id, run_number), reported in view.runs.items()
         if reported.checkpoint
     ]
+    rows = commandrows.valid_rows(checks.CHECKPOINT_ROW, rows, "checkpoint")
     parts = commandsize.split_rows(rows)
     if len(parts) > 1:
         log.warning(
--- a/sardinegauge/workflows/keptestimates.py
+++ b/sardinegauge/workflows/keptestimates.py
@@ -6,8 +6,8 @@
 
 import logging
 
-from sardinegauge import commands
-from sardinegauge.workflows import commandsize, schedulerevents
+from sardinegauge import checks, commands
+from sardinegauge.workflows import commandrows, commandsize, schedulerevents
 from sardinegauge.workflows.policies import runtimes
 
 # Least time between two proposals.
@@ -25,6 +25,7 @@
 
 def _bounded_rows(rows):
     """Return the rows that fit one command; those of single images come first."""
+    rows = commandrows.valid_rows(checks.ESTIMATE_ROW, rows, "estimate")
     parts = commandsize.split_rows(rows)
     if len(parts) > 1:
         log.info("estimates_cut kept=%d of=%d", len(parts[0]), len(rows))
@@ -40,9 +41,10 @@
     learned = state.run_times.changed_rows(state.store.run_times)
     if not learned and (not estimates or estimates == state.store.estimates):
         return
-    state.propose(
-        commands.KeepEstimates(rows=estimates, run_times=state.run_times.to_rows())
+    run_times = commandrows.valid_rows(
+        checks.RUN_TIME_ROW, state.run_times.to_rows(), "run_time"
     )
+    state.propose(commands.KeepEstimates(rows=estimates, run_times=run_times))
     if learned:
         runtimes.log_learned(learned)
         state.effects.append(schedulerevents.RunTimesLearned(rows=learned))
--- a/sardinegauge/workflows/leaderexchange.py
+++ b/sardinegauge/workflows/leaderexchange.py
@@ -8,7 +8,7 @@
 
 import logging
 
-from sardinegauge import record
+from sardinegauge import checks, record
 from sardinegauge.agreement import reads, replication
 from sardinegauge.links import messages
 from sardinegauge.state import replicaeffects, replicasteps
@@ -111,6 +111,7 @@
         return
     if message.worker:
         try:
+            _check_incarnation(message)
             report = views.decode_report(message)
         except _MALFORMED as error:
             log.warning("report_malformed agent=%s error=%r", message.agent, error)
@@ -129,6 +130,17 @@
         _refuse(state, token, message)
 
 
+def _check_incarnation(message):
+    """Check that the log can hold what identifies an incarnation of a worker."""
+    for name, check in (
+        ("agent", checks.TEXT),
+        ("worker", checks.TEXT),
+        ("life", checks.COUNT),
+    ):
+        if not checks.is_valid(check, getattr(message, name)):
+            raise ValueError(f"{name} has the wrong type or size")
+
+
 def _refuse(state, token, message):
     reply = messages.WorkerOrders(
         leader=state.raft.leader_address,
@@ -210,6 +222,12 @@
     dispatch(state, event)
 
 
+def on_command_refused(state, command):
+    """Pass a command of this leader that the machine refused to the scheduler."""
+    event = schedulerevents.CommandRefused(now_ms=state.now_ms, command=command)
+    dispatch(state, event)
+
+
 def backlog_fields(state):
     """Return the fields of a poll reply that gateways admit workflows by."""
     current = state.leader_exchange.scheduler
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -11,6 +11,7 @@
 from sardinegauge import commands
 from sardinegauge.workflows import (
     besteffort,
+    commandrows,
     commandsize,
     crashes,
     decisions,
@@ -24,6 +25,7 @@
     movestarts,
     overcommit,
     recovery,
+    refusedcommands,
     runends,
     schedulerevents,
     store,
@@ -136,7 +138,7 @@
     if state.registered_incarnation(view.id) != view.incarnation:
         return
     last_number = max(view.proposed_end, state.store.worker_by_id[view.id].seen_end)
-    ends = [list(end) for end in report.ends if end[0] > last_number]
+    ends = [commandrows.valid_end(end) for end in report.ends if end[0] > last_number]
     if ends:
         view.proposed_end = ends[-1][0]
     for (task_id, run_number), reported in view.runs.items():
@@ -147,11 +149,21 @@
             view.proposed_gone_runs.add(key)
             _record_refusal(state, view, key, reported)
             how = store.LOST if reported.reason == views.CRASHED else store.REFUSED
-            ends.append([0, task_id, run_number, how, reported.checkpoint])
+            row = [0, task_id, run_number, how, reported.checkpoint]
+            ends.append(commandrows.valid_end(row))
     for rows in commandsize.split_rows(ends):
-        state.propose(
-            commands.RecordEnds(worker=view.id, life=view.incarnation, rows=rows)
+        _propose_rows(state, view, rows)
+
+
+def _propose_rows(state, view, rows):
+    state.propose(
+        commands.RecordEnds(
+            worker=view.id,
+            life=view.incarnation,
+            rows=rows,
+            has_long_checkpoints=commandrows.has_long_checkpoints(rows),
         )
+    )
 
 
 def _record_refusal(state, view, key, reported):
@@ -393,6 +405,7 @@
     schedulerevents.LeadershipGained: _on_leadership_gained,
     schedulerevents.ReportReceived: _on_report,
     schedulerevents.CommandApplied: _on_command_applied,
+    schedulerevents.CommandRefused: refusedcommands.on_refused,
     schedulerevents.Tick: _on_tick,
 }
 _BY_COMMAND = {
--- a/sardinegauge/workflows/schedulerevents.py
+++ b/sardinegauge/workflows/schedulerevents.py
@@ -21,6 +21,12 @@
     __slots__ = ("answer", "command", "index", "now_ms")
 
 
+class CommandRefused(record.Record):
+    """Event: the machine called a command of this leader invalid."""
+
+    __slots__ = ("command", "now_ms")
+
+
 class Tick(record.Record):
     """Event: time passed; expected every 100 ms."""
 
--- a/tests/leaderkit.py
+++ b/tests/leaderkit.py
@@ -2,7 +2,7 @@
 
 import json
 
-from sardinegauge import commands
+from sardinegauge import commands, outcome
 from sardinegauge.state import machine
 from sardinegauge.workflows import (
     orders,
@@ -58,7 +58,11 @@
         self.index += 1
         command.at_ms = self.now_ms
         answer = machine.apply(self.machine, self.index, command)
-        if hasattr(self, "state"):
+        if not hasattr(self, "state"):
+            return answer
+        if isinstance(answer, outcome.Invalid):
+            self.dispatch(schedulerevents.CommandRefused, command=command)
+        else:
             self.dispatch(
                 schedulerevents.CommandApplied,
                 index=self.index,
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -1,5 +1,6 @@
 """Tests of the agent's reducer in virtual time."""
 
+from sardinegauge import checkpoints
 from sardinegauge.agents import agent, agentevents, hostedtask, requesttable, worker
 from sardinegauge.links import httpmessages, messages
 from tests import agentdriver
@@ -109,6 +110,19 @@
     )
 
 
+def test_checkpoint_that_the_log_cannot_hold_is_left_out():
+    """Guards against an eviction whose report the log refuses for its checkpoint."""
+    state = agentdriver.ready_state()
+    agentdriver.reply(state, 1, 0, [order("a")])
+    taken = {"task": "a", "epoch": 1, "is_taken": True, "reason": ""}
+    agent.reduce(state, agentevents.StartAnswered(now_ms=2, **taken))
+    agentdriver.reply(state, 3, 0, [order("a", action="evict")])
+    saved = {"task": "a", "epoch": 1, "checkpoint": "c" * (checkpoints.MAX_LENGTH + 1)}
+    effects = agent.reduce(state, agentevents.CheckpointAnswered(now_ms=4, **saved))
+    assert agentdriver.of_kind(hostedtask.Stop, effects)
+    assert state.host.by_task["a"].checkpoint == ""
+
+
 def test_a_lost_throttle_is_repeated():
     """Guards against a throttled task that keeps its cores after one failed call."""
     state = agentdriver.ready_state()
--- a/tests/test_message_sizes.py
+++ b/tests/test_message_sizes.py
@@ -5,13 +5,12 @@
 
 import pytest
 
-from sardinegauge import commands
+from sardinegauge import checkpoints, commands
 from sardinegauge.links import codec, link, messages
 from sardinegauge.workflows import (
     candidates,
     commandsize,
     hostedreport,
-    hoststate,
     keptestimates,
     orders,
     views,
@@ -20,7 +19,7 @@
 from tests import leaderkit, test_link, test_workflow_hosting
 
 STEP = steps_module.Step(count=30, cpu_millis=10, memory_mb=1, estimate_ms=1000)
-LONG_CHECKPOINT = "c" * hoststate.MAX_CHECKPOINT_LENGTH
+LONG_CHECKPOINT = "c" * checkpoints.MAX_LENGTH
 
 
 def frame_bytes(message):
@@ -129,7 +128,7 @@
     """Guards against ends that never reach the leader."""
     agent = agent_with_runs(0, "")
     ends = [
-        [n + 1, f"w.0.0.{n}", 1, "stopped", '"' * hoststate.MAX_CHECKPOINT_LENGTH]
+        [n + 1, f"w.0.0.{n}", 1, "stopped", '"' * checkpoints.MAX_LENGTH]
         for n in range(40)
     ]
     agent.tick()
@@ -155,7 +154,7 @@
     agent.tick()
     agent.answer_holds(ended=[[1, *key, "stopped", "x" * 2_000_000]])
     assert report_of(agent).ends == [[1, *key, "stopped", "good"]]
-    assert "checkpoint_too_long" in caplog.text
+    assert "checkpoint_not_used" in caplog.text
 
 
 def test_commands_made_of_reports_fit_an_entry_of_the_log(leader):
