--- a/sardinegauge/state/stateapp.py
+++ b/sardinegauge/state/stateapp.py
@@ -37,7 +37,9 @@
 # would leave it unknown whether the request ran.
 LINGER_S = 1.2
 
+# A shorter silence would be as short as an election.
 MIN_REPLACEMENT_S = 1.0
+
 KNOWN_SETTINGS = [
     *settings.LINKS,
     *settings.PROCESS,
@@ -46,7 +48,6 @@
     settings.Setting(name="initial_members", kind="table", default={}),
     # Number of voters that the group maintains itself; 0 leaves members to operators.
     settings.Setting(name="replicas", kind="integer", default=0, minimum=0, maximum=99),
-    # A shorter silence would be as short as an election.
     settings.Setting(
         name="replacement_s",
         kind="number",
--- a/sardinegauge/workflows/crashes.py
+++ b/sardinegauge/workflows/crashes.py
@@ -75,10 +75,8 @@
     if crash is None or state.proposed_crash_by_agent.get(report.agent) == crash.life:
         return
     state.proposed_crash_by_agent[report.agent] = crash.life
-    # The row of an incarnation is like that of a run: a text and a number.
-    if not commandrows.valid_rows(
-        checks.RUN_ROW, [[crash.worker, crash.life]], "crash"
-    ):
+    incarnation = [crash.worker, crash.life]
+    if not commandrows.valid_rows(checks.INCARNATION_ROW, [incarnation], "crash"):
         return
     _log_crash(report, crash)
     state.effects.append(
--- a/tests/test_hostedfence.py
+++ b/tests/test_hostedfence.py
@@ -14,7 +14,8 @@
     workerclient,
 )
 from tests import leaderkit, test_workflow_hosting
-from tests.test_workflow_hosting import KEY
+
+KEY = test_workflow_hosting.KEY
 
 
 def fence_process(agent, started_wall_ms, worker_fence):
