Stop a run that a late call has started in a worker's next life

Two runs of a task could be active at the same time for seconds where workers crash and return under their id beside late starts.

Cause: for 5 s after a run's end was recorded, a listed run was taken for that of an older report, whatever the incarnation that listed it. A run that a late call had started in the worker's next life was not stopped for as long, and the next run of its task began beside it.

Change: recorded ends are known by worker and incarnation, too.

--- a/sardinegauge/workflows/orders.py
+++ b/sardinegauge/workflows/orders.py
@@ -98,7 +98,11 @@
 
 
 def _add_rows(state, view, runs, body):
-    """Add all rows but those of starts; return the rows of runs to start."""
+    """Add all rows but those of starts; return the rows of runs to start.
+
+    A run whose end in this incarnation was recorded lately is listed by an older
+    report. In another incarnation it was started by a late call, and has to be stopped.
+    """
     starts = []
     still_ordered = []
     paces = []
@@ -124,7 +128,7 @@
                 body.add("forget", list(key), len(key[0]))
         elif (
             key not in runs
-            and key not in state.end_ms_by_recent_run
+            and (*key, view.id, view.incarnation) not in state.end_ms_by_recent_run
             and reported.phase != views.STOPPING
         ):
             body.add("stops", list(key), len(key[0]))
--- a/sardinegauge/workflows/runends.py
+++ b/sardinegauge/workflows/runends.py
@@ -23,7 +23,8 @@
             lost.lost_ms,
             lost.paused_ms,
         )
-        state.end_ms_by_recent_run[task_id, run_number] = state.now_ms
+        place = (command.worker, command.life)
+        state.end_ms_by_recent_run[task_id, run_number, *place] = state.now_ms
         recovery.on_end(state, (task_id, run_number), command.worker, how)
         _emit_run_ended(state, task_id, how, lost.lost_ms)
         state.stop_reason_by_run.pop((task_id, run_number), None)
--- a/sardinegauge/workflows/schedulerstate.py
+++ b/sardinegauge/workflows/schedulerstate.py
@@ -48,7 +48,8 @@
     `moved_from_by_task` the worker that a best-effort task was moved away from. A task
     is not assigned before `refused_until_ms` to a worker that refused it, by task id
     and worker.
-    `end_ms_by_recent_run` is when the end of a run was recorded.
+    `end_ms_by_recent_run` is when the end of a run was recorded, by task, run, worker
+    and incarnation.
     `proposed_crash_by_agent` and `crash_by_agent` hold the incarnation of the last
     proposed and recorded crash of a worker by its agent. `queues_version` is the
     version of the queues up to which starts were withdrawn.
--- a/tests/restartsim.py
+++ b/tests/restartsim.py
@@ -49,10 +49,15 @@
 
 
 class World(workflowsim.World):
-    """The world of `workflowsim` with agents in a rolling restart."""
+    """The world of `workflowsim` with agents in a rolling restart.
 
-    def __init__(self, seed, worker_count=5):
+    Beside each restart, a worker crashes with the probability `crash_share` and comes
+    back under its id.
+    """
+
+    def __init__(self, seed, worker_count=5, crash_share=0.0):
         super().__init__(seed, worker_count)
+        self.crash_share = crash_share
         self.workers = [Worker(self, number) for number in range(worker_count)]
         self.agents = [Agent(self, worker) for worker in self.workers]
         self.next_agent = 0
@@ -72,6 +77,13 @@
         agent.starts_at_ms = self.now_ms + self.random.randint(100, MAX_DOWN_MS)
         worker = self.random.choice(self.workers)
         worker.unhealthy_until_ms = self.now_ms + UNHEALTHY_MS
+        if self.crash_share and self.random.random() < self.crash_share:
+            self.crash(self.random.choice(self.workers))
+
+    def crash(self, worker):
+        if worker.is_up:
+            worker.crash()
+            self.schedule(self.random.randint(50, 3000), worker.restart)
 
     def call(self, agent, state, effect):
         is_start = isinstance(effect.request, workerclient.StartCall)
--- a/tests/test_workflow_scheduler.py
+++ b/tests/test_workflow_scheduler.py
@@ -173,6 +173,22 @@
     assert task.last_run == 2
 
 
+@pytest.mark.parametrize("incarnation, is_stopped", [(1, False), (2, True)])
+def test_listed_run_is_outdated_only_where_its_end_was_recorded(
+    leader, incarnation, is_stopped
+):
+    """Guards against a late start in the next life that runs on beside another run."""
+    leader.submit(Step())
+    leader.settle()
+    leader.report(ends=[[1, "w.0.0.0", 1, "stopped", ""]])
+    leader.settle()
+    leader.report(incarnation=incarnation)
+    leader.settle()
+    leader.report(incarnation=incarnation, runs=[["w.0.0.0", 1, views.ACTIVE]])
+    stops = leader.orders(incarnation=incarnation)["stops"]
+    assert (["w.0.0.0", 1] in stops) == is_stopped
+
+
 def test_worker_of_another_id_beside_the_same_agent_replaces_the_former(leader):
     leader.submit(Step())
     leader.settle()
