Judge the runs of a restarted agent as those of others

Cause: since the CPU cap of a run that a restarted agent finds is unknown, runs that never get a cap counted as using none of their cores, for as long as they ran. They got no verdict if they stood still, and taught nothing about run times.

Change: the leader takes an unknown cap of a task that never gets one for none. The cap of a best-effort task stays unknown until it is set anew.

Tests: test_stuck_runs_are_found_though_a_restarted_agent_knows_no_cpu_cap fails before.

--- a/sardinegauge/workflows/besteffort.py
+++ b/sardinegauge/workflows/besteffort.py
@@ -179,6 +179,18 @@
     return interference.BestEffortTask(key, step.image, demand, usage, rank)
 
 
+def resolve_cpu_caps(state, view):
+    """Take the CPU cap that an agent does not know for none, where no task gets one.
+
+    The cap of a best-effort task stays unknown until it is set anew.
+    """
+    runs = state.store.runs_of(view.id, view.incarnation)
+    for key, reported in view.runs.items():
+        if reported.cpu_cap == views.UNKNOWN_CPU_CAP and key in runs:
+            if not runs[key].step.is_filler:
+                reported.cpu_cap = views.FULL_CPU_CAP
+
+
 def update_cpu_caps(state, view):
     """Update the model with the latencies of a report, and set the CPU caps."""
     if not _has_latency_critical_task(state, view):
--- a/sardinegauge/workflows/orders.py
+++ b/sardinegauge/workflows/orders.py
@@ -120,7 +120,7 @@
             still_ordered.append(key)
         elif reported is not None and reported.phase == views.ACTIVE:
             cpu_cap = state.cpu_cap_by_run.get(key, 100)
-            if _is_cap_due(task, cpu_cap, reported):
+            if cpu_cap != reported.cpu_cap:
                 paces.append([*key, cpu_cap])
     for key, reported in view.runs.items():
         if reported.phase == views.GONE:
@@ -140,13 +140,6 @@
     return starts
 
 
-def _is_cap_due(task, cpu_cap, reported):
-    """Return whether a CPU cap is to be set; only best-effort tasks ever get one."""
-    if reported.cpu_cap == views.UNKNOWN_CPU_CAP:
-        return task.step.is_filler
-    return cpu_cap != reported.cpu_cap
-
-
 def _add_starts(state, view, starts, body):
     """Add the runs to start, as far as they fit."""
     payload_bytes_by_workflow = {}
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -87,6 +87,7 @@
     was_usable = view.may_start(state.now_ms)
     former_place = (view.pool, view.labels)
     view.update(report, state.now_ms)
+    besteffort.resolve_cpu_caps(state, view)
     state.workers_by_agent.setdefault(report.agent, set()).add(view.id)
     if view.may_start(state.now_ms) != was_usable:
         log.info(
--- a/sardinegauge/workflows/views.py
+++ b/sardinegauge/workflows/views.py
@@ -25,7 +25,8 @@
 # reports, since clocks differ. With a report every 400 ms, a delay that lasts for 3 s
 # is taken for a change of the agent's clock, as after a suspension of its VM.
 DELAY_WINDOW = 8
-# The reported CPU cap of a run whose cap the agent does not know.
+# Reported CPU caps of a run: full speed, and one that the agent does not know.
+FULL_CPU_CAP = 100
 UNKNOWN_CPU_CAP = -1
 
 
--- a/tests/test_workflow_recovery.py
+++ b/tests/test_workflow_recovery.py
@@ -19,9 +19,10 @@
     Those on worker `bad` stand still.
     """
 
-    def __init__(self, *workers):
+    def __init__(self, *workers, cpu_cap=100):
         super().__init__()
         self.workers = workers
+        self.cpu_cap = cpu_cap
         self.progress_by_run = {}
         self.began_ms_by_run = {}
         self.is_bad = False
@@ -39,7 +40,8 @@
                     self.progress_by_run[key] = min(100, moved)
                 progress = int(self.progress_by_run.get(key, 0))
                 survived_ms = self.now_ms - began_ms
-                row = [*key, views.ACTIVE, "", progress, 1000, "", 100, survived_ms]
+                row = [*key, views.ACTIVE, "", progress, 1000, "", self.cpu_cap]
+                row.append(survived_ms)
                 rows.append(row)
             if worker not in silent:
                 report = leaderkit.report_of(worker, ()).replace(runs=rows)
@@ -61,10 +63,10 @@
             self.report_all(silent)
 
 
-def running(worker_count=3, count=12, is_full=False, **fields):
+def running(worker_count=3, count=12, is_full=False, cpu_cap=100, **fields):
     """Return a leader whose workers have run a step for 1.2 s."""
     workers = ["bad", *(f"b{n}" for n in range(worker_count - 1))]
-    leader = Leader(*workers)
+    leader = Leader(*workers, cpu_cap=cpu_cap)
     leader.submit(leader.step(count, **fields))
     if is_full:
         leader.submit(leader.step(8 * worker_count - count), id="other")
@@ -105,6 +107,13 @@
     assert bool(leader.stops()) == is_restarted
 
 
+def test_stuck_runs_are_found_though_a_restarted_agent_knows_no_cpu_cap():
+    """Guards against runs that get no verdict for good after an agent's restart."""
+    leader = running(cpu_cap=views.UNKNOWN_CPU_CAP)
+    leader.go_bad()
+    assert leader.stops()
+
+
 def test_worker_that_is_silent_loses_nothing():
     leader = running()
     leader.go_bad(8, silent=["bad"])
