--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -20,6 +20,7 @@
 SUCCESSOR_MS = 1000
 CATCHUP_MS = 4000
 MAX_PAUSE_MS = 7000
+KINDS_OF_PAUSE = ("frozen", "isolated")
 
 
 def make_group(seed=0, replacement_ms=CATCHUP_MS // 2):
@@ -96,9 +97,6 @@
     return simulator
 
 
-KINDS_OF_PAUSE = ("frozen", "isolated")
-
-
 @pytest.mark.parametrize("seed", range(6))
 def test_losses_within_the_limit_never_cost_the_quorum(seed):
     """Guards against changes of members that count on machines that are lost."""
