Test the processes against crowds of clients that don't behave

Clients that the users don't control ended a process: it ran out of memory. The tests start real processes with low limits in their settings, send 300 connections at once, and check that the process lives, stays under its memory and descriptors, and serves an ordinary request afterwards.

--- a/Makefile
+++ b/Makefile
@@ -7,13 +7,15 @@
 WORKERS ?= 4
 # Options or node ids for pytest; all tests by default.
 TESTS ?=
+# Tests with crowds of clients run one at a time, by their own target.
+SELECT ?= not crowd
 
 # Creates the environment and the folder that the README's tour writes to.
 .PHONY: setup
 setup: $(VENV)/.ready
 	mkdir -p run
 
-.PHONY: demo test check faults soak measure report schema golden
+.PHONY: demo test crowds check faults soak measure report schema golden
 
 $(VENV)/.ready: requirements.txt requirements-dev.txt pyproject.toml
 	test -x $(PY) || $(PYTHON) -m venv $(VENV)
@@ -26,7 +28,10 @@
 	$(PY) -m tests.fleet.demo
 
 test: $(VENV)/.ready
-	$(PY) -m pytest -n $(WORKERS) $(TESTS)
+	$(PY) -m pytest -n $(WORKERS) -m "$(SELECT)" $(TESTS)
+
+crowds: $(VENV)/.ready
+	$(PY) -m pytest -m crowd tests/test_crowds.py $(TESTS)
 
 check: $(VENV)/.ready
 	$(PY) -m ruff format --check .
--- a/tests/fleet/fleet.py
+++ b/tests/fleet/fleet.py
@@ -77,8 +77,17 @@
     can cut links silently.
     """
 
-    def __init__(self, folder, states=3, entries=2, agents=4, has_relays=False):
+    def __init__(
+        self,
+        folder,
+        states=3,
+        entries=2,
+        agents=4,
+        has_relays=False,
+        entry_settings=None,
+    ):
         self.folder = pathlib.Path(folder)
+        self.entry_settings = entry_settings or {}
         self.folder.mkdir(parents=True, exist_ok=True)
         self.pool = ports.PortPool()
         self.cuts = relay.Cuts()
@@ -218,6 +227,7 @@
             "failure_domain": "north",
             "state": self.state_addresses,
             "operator_tokens": TOKENS,
+            **self.entry_settings,
         }
         path = self._write_settings(name, settings)
         await self._add_process(
--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -194,8 +194,11 @@
 class Platform:
     """A small deployment: three state processes, a front, an agent and its minion."""
 
-    def __init__(self, path):
+    def __init__(self, path, fields_by_role=None, limits=None):
         self.path = path
+        # Fields of the settings files and of the configuration that a test sets itself.
+        self.fields_by_role = fields_by_role or {}
+        self.limits = limits or {}
         self.processes = {}
         self.ports = ports.PortPool()
         self.control_port = self.ports.reserve()
@@ -245,6 +248,7 @@
 
     def start(self, role, ip, **fields):
         path = self.path / f"{role}-{ip}.json"
+        fields = {**self.fields_by_role.get(role, {}), **fields}
         path.write_text(json.dumps(self.settings(role, ip, **fields)))
         environment = {
             **os.environ,
@@ -347,7 +351,7 @@
                 for number, prefix in enumerate(prefixes or (PREFIX,))
             ],
             "services": [{"name": SERVICE, "enforces_capacity": False}],
-            "limits": {},
+            "limits": self.limits,
         }
 
     async def beat(self):
@@ -400,9 +404,9 @@
 
 
 @contextlib.asynccontextmanager
-async def running(path):
+async def running(path, fields_by_role=None, limits=None):
     """Run a deployment with its first configuration in force."""
-    platform = Platform(path)
+    platform = Platform(path, fields_by_role, limits)
     beats = None
     try:
         platform.start_all()
