--- a/sardinegauge/workflows/flowmetrics.py
+++ b/sardinegauge/workflows/flowmetrics.py
@@ -140,11 +140,15 @@
         self.write(self.page())
 
 
+def route(page):
+    """Return the route of a metrics page at ``/metrics``."""
+    return ("/metrics", _MetricsHandler, {"page": page})
+
+
 def serve(address, page):
     """Serve a metrics page at ``/metrics`` of an address; return the server."""
-    routes = [("/metrics", _MetricsHandler, {"page": page})]
     server = httpserver.HTTPServer(
-        web.Application(routes, log_function=lambda handler: None)
+        web.Application([route(page)], log_function=lambda handler: None)
     )
     host, port = addresses.split(address)
     server.listen(port, host)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -57,6 +57,7 @@
         "agents/agentapp",
         "state/statemetrics",
         "workflows/flowmetrics",
+        "intake/intakemetrics",
     ):
         source = (ROOT / "sardinegauge" / f"{name}.py").read_text(encoding="utf-8")
         in_code.update(METRIC_NAME.findall(source))
