Apply the limits of the configuration at every front

Callers could send four times as much as the configuration allows, and keep a connection for an hour.

Cause: the configuration names `limits`, and its decoder only checked that they are an object. Nothing carried them to the fronts.

Limits that are no numbers are refused, as other malformed parts are.

--- a/sardinegauge/calls.py
+++ b/sardinegauge/calls.py
@@ -4,6 +4,7 @@
 
 from sardinegauge import commands, record
 from sardinegauge import operator_pb2 as schema
+from sardinegauge.intake import limits
 from sardinegauge.workflows import queues
 
 # The leader receives a message from a live member every 100 ms.
@@ -149,11 +150,12 @@
         parsed_pools = [
             queues.Pool.from_dict(item) for item in document.get("pools", [])
         ]
+        parsed_limits = limits.RequestLimits.from_dict(document.get("limits", {}))
     except (TypeError, ValueError) as error:
         raise BadRequestError([("document", str(error))]) from error
     return commands.SetQueues(
         version=request.version,
-        packed=queues.pack(parsed_queues, parsed_pools),
+        packed=queues.pack(parsed_queues, parsed_pools, parsed_limits),
         source=request.document,
     )
 
--- a/sardinegauge/workflows/gateway.py
+++ b/sardinegauge/workflows/gateway.py
@@ -11,6 +11,7 @@
 import zlib
 
 from sardinegauge import background, clock, commands, outcome, record
+from sardinegauge.intake import limits
 from sardinegauge.workflows import (
     cancellations,
     flowmetrics,
@@ -64,7 +65,7 @@
         calls while no leader confirms its queues. By default, there is no bound.
 
     `seen_index` is a log index that is known to be applied, as far as refusals are
-    recorded.
+    recorded. `limits` are the limits of callers in the last confirmed configuration.
     """
 
     def __init__(self, client, policy=None, propagation_bound_s=None):
@@ -72,6 +73,7 @@
         self.propagation_bound_s = propagation_bound_s
         self.version = 0
         self.router = queues.Router([])
+        self.limits = limits.RequestLimits()
         self._queue_by_name = {}
         self._confirmed_at_ms = None
         self.metrics = flowmetrics.GatewayMetrics()
@@ -182,6 +184,8 @@
             queue = queues.Queue.from_dict(fields)
             self._queue_by_name[queue.name] = queue
         self.router = queues.Router(self._queue_by_name.values())
+        # Leaders of an earlier release send no limits.
+        self.limits = limits.RequestLimits.from_dict(changes.get("limits", {}))
 
     async def find(self, host, path, timeout_s=LEADER_WAIT_S):
         """Return the queue of a request and the remaining path.
--- a/sardinegauge/workflows/queues.py
+++ b/sardinegauge/workflows/queues.py
@@ -9,6 +9,7 @@
 import zlib
 
 from sardinegauge import checks, record
+from sardinegauge.intake import limits as limits_module
 
 MAX_QUEUES = 20_000
 # Limit of the removed queues whose names are kept for polls. A poll since an earlier
@@ -82,7 +83,8 @@
     still run to their end. `changed_by_name` and `removed_by_name` hold the version in
     which a queue last changed or was removed; polls since a version before
     `oldest_change` get the whole set. `fields_by_name` holds the packed fields of the
-    current queues, if they are known.
+    current queues, if they are known. `limits` are the `limits.RequestLimits` of
+    callers.
     """
 
     __slots__ = (
@@ -90,6 +92,7 @@
         "changed_by_name",
         "fields_by_name",
         "known_by_name",
+        "limits",
         "oldest_change",
         "pool_by_name",
         "removed_by_name",
@@ -103,6 +106,7 @@
         self.fields_by_name = {}
         self.known_by_name = {}
         self.pool_by_name = {}
+        self.limits = limits_module.RequestLimits()
         self.source = ""
         self.changed_by_name = {}
         self.removed_by_name = {}
@@ -123,10 +127,13 @@
             plain = json.loads(unpack_text(packed))
             queues = [self._build(fields) for fields in plain["queues"]]
             pools = [Pool.from_dict(fields) for fields in plain["pools"]]
+            limits = limits_module.RequestLimits.from_dict(plain.get("limits", {}))
         except (TypeError, ValueError, KeyError, AttributeError) as error:
             return [["queues", str(error)]]
         problems = check(version, queues, pools, self.by_name)
+        problems += limits_module.check(limits)
         if not problems and self.replace(version, queues, pools, source):
+            self.limits = limits
             self.fields_by_name = {fields["name"]: fields for fields in plain["queues"]}
         return problems
 
@@ -199,6 +206,7 @@
                 if name not in self.by_name
             ],
             "pools": [pool.to_dict() for pool in self.pool_by_name.values()],
+            "limits": self.limits.to_sparse_dict(),
             "source": self.source,
         }
 
@@ -215,6 +223,9 @@
             [Pool.from_dict(fields) for fields in data["pools"]],
             data["source"],
         )
+        # Snapshots of earlier releases have no limits.
+        plain_limits = data.get("limits", {})
+        queue_set.limits = limits_module.RequestLimits.from_dict(plain_limits)
         queue_set.oldest_change = data["oldest_change"]
         queue_set._load_changes(data["changed"], data["removed_at"])
         return queue_set
@@ -235,8 +246,8 @@
         }
 
 
-def pack(queues, pools):
-    """Return queues and pools as compressed text for the log.
+def pack(queues, pools, limits=None):
+    """Return queues, pools and limits of callers as compressed text for the log.
 
     Examples
     --------
@@ -248,6 +259,8 @@
         "queues": [queue.to_sparse_dict() for queue in queues],
         "pools": [pool.to_sparse_dict() for pool in pools],
     }
+    if limits is not None:
+        plain["limits"] = limits.to_sparse_dict()
     return pack_text(json.dumps(plain, separators=(",", ":")).encode())
 
 
--- a/sardinegauge/workflows/queuetransfer.py
+++ b/sardinegauge/workflows/queuetransfer.py
@@ -28,6 +28,7 @@
         "is_full": is_full,
         "queues": [queue.to_sparse_dict() for queue in changed],
         "removed": removed,
+        "limits": queue_set.limits.to_sparse_dict(),
     }
     data = json.dumps(plain, separators=(",", ":")).encode()
     # Entries may have links with low bandwidth, and names of queues are long.
--- a/tests/test_queuetransfer.py
+++ b/tests/test_queuetransfer.py
@@ -7,6 +7,7 @@
 
 from sardinegauge import commands, settings
 from sardinegauge.agreement import storage
+from sardinegauge.intake import limits
 from sardinegauge.links import messages, stateclient
 from sardinegauge.state import stateapp
 from sardinegauge.workflows import gateway, queues, queuetransfer
@@ -257,3 +258,24 @@
     download = queuetransfer.Download()
     assert download.add(older_reply) == reply.queues
     assert older_reply.queues_target == 3
+
+
+def test_limits_of_callers_reach_gateways_and_survive_a_restart():
+    """The limits of a configuration were dropped, so that no front kept them."""
+    wanted = limits.RequestLimits(max_body_bytes=262_144, idle_timeout_ms=15_000)
+    queue_set = queues.QueueSet()
+    packed = queues.pack([], [POOL], wanted)
+    assert queue_set.apply(1, packed, "") == []
+    restored = queues.QueueSet.from_snapshot(queue_set.to_snapshot())
+    for each in (queue_set, restored):
+        changes = json.loads(zlib.decompress(queuetransfer.encode(each, 0)))
+        found = limits.RequestLimits.from_dict(changes["limits"])
+        assert found.to_dict() == wanted.to_dict()
+    # A configuration of an earlier release names none.
+    assert queue_set.apply(2, queues.pack([], [POOL]), "") == []
+    assert queue_set.limits.to_sparse_dict() == {}
+
+
+def test_limits_that_are_no_numbers_are_refused():
+    broken = limits.RequestLimits(max_body_bytes=-1)
+    assert queues.QueueSet().apply(1, queues.pack([], [POOL], broken), "") != []
--- a/tests/test_wireformat.py
+++ b/tests/test_wireformat.py
@@ -37,10 +37,11 @@
 
 def test_configuration_keeps_its_text_and_names_each_field():
     body = json.dumps(CONFIGURATION).encode()
-    version, (queue,), (pool,), source = wireformat.decode_configuration(body)
+    version, (queue,), (pool,), limits, source = wireformat.decode_configuration(body)
     assert (version, queue.pool, queue.max_attempts) == (7, "svc", 4)
     assert (queue.objective_ms, queue.advice.valid_ms) == (250, 900)
     assert pool.is_capacity_enforced
+    assert limits.to_sparse_dict() == {"max_body_bytes": 1}
     assert queues.unpack_text(source) == body
 
 
@@ -57,6 +58,8 @@
         {"services": None},
         {"services": [{"enforces_capacity": True}]},
         {"limits": 3},
+        {"limits": {"max_body_bytes": "1"}},
+        {"limits": {"idle_timeout_ms": -1}},
     ],
 )
 def test_configuration_that_cannot_be_read_in_full_is_refused(change):
