Receive few bodies in tiny chunks at the same time

An ordinary request got no answer while, and long after, clients sent bodies in chunks of two bytes.

Cause: each chunk costs two reads and a turn of the reader, whatever it carries, so that a body of legal size takes seconds of processor time. All of them were read side by side, also when their clients had left.

Change: the stream counts the heads of chunks. A body whose chunks have fewer than 64 bytes on average, after 256 of them, is fragmented; two of these are received at the same time. A further one is refused with 503, unless one has not grown for a second, which then gives way. One such body alone is served as before, and no length of chunks is refused as such.

--- a/sardinegauge/intake/connections.py
+++ b/sardinegauge/intake/connections.py
@@ -7,6 +7,15 @@
 # or the rest of its head, or for the next bytes of a body.
 MIN_IDLE_S = 1.0
 MIN_BODY_STALL_S = 3.0
+# Bodies in small chunks cost much processor time for each byte: so many are received at
+# the same time, which leaves the event loop to other callers in between.
+MAX_FRAGMENTED_BODIES = 2
+# A body is fragmented if its chunks are smaller than this on average.
+MIN_BYTES_PER_CHUNK = 64
+# Chunks of a body that are not judged.
+MIN_JUDGED_CHUNKS = 256
+# A fragmented body that has not grown for this long gives way to another one.
+FRAGMENTED_STALL_S = 1.0
 
 # What the process waits for on a connection.
 REQUEST = "request"
@@ -24,11 +33,12 @@
     """One connection and what is waited for on it.
 
     `phase_since_s` is when the phase began, `active_s` when bytes last arrived. The
-    count of bytes is that of the current request.
+    counts of bytes and chunks are those of the current request.
     """
 
     __slots__ = (
         "active_s",
+        "chunk_count",
         "owner",
         "phase",
         "phase_since_s",
@@ -41,13 +51,14 @@
         self.phase_since_s = now_s
         self.active_s = now_s
         self.received_bytes = 0
+        self.chunk_count = 0
 
     def enter(self, phase, now_s):
         """Begin a phase; a new request begins to count anew."""
         self.phase = phase
         self.phase_since_s = self.active_s = now_s
         if phase == REQUEST:
-            self.received_bytes = 0
+            self.received_bytes = self.chunk_count = 0
 
     def add_received(self, size, now_s):
         """Count bytes that arrived; the first ones of a request begin its head."""
@@ -66,6 +77,14 @@
             return 0
         return waited_s if waited_s >= least_s else 0
 
+    @property
+    def is_fragmented(self):
+        """Whether the chunks of the body are small on average."""
+        return (
+            self.chunk_count >= MIN_JUDGED_CHUNKS
+            and self.received_bytes < MIN_BYTES_PER_CHUNK * self.chunk_count
+        )
+
     def expiry_reason(self, limits, now_s):
         """Return why the connection is to be closed by its limits, or an empty text."""
         if self.phase == HEAD:
@@ -94,6 +113,7 @@
     def __init__(self, max_connections):
         self.max_connections = max_connections
         self._connections = {}
+        self._fragmented = {}
 
     def __len__(self):
         return len(self._connections)
@@ -127,6 +147,30 @@
     def remove(self, connection):
         """Remove a connection that is closed."""
         self._connections.pop(connection, None)
+        self._fragmented.pop(connection, None)
+
+    def add_fragmented(self, connection, now_s):
+        """Count a body as fragmented until `end_body`.
+
+        Returns
+        -------
+        tuple of (bool, Connection or None)
+            Whether its reception may go on, and the stalled one that gives way to it.
+        """
+        if connection in self._fragmented:
+            return True, None
+        stalled = None
+        if len(self._fragmented) >= MAX_FRAGMENTED_BODIES:
+            stalled = min(self._fragmented, key=lambda each: each.active_s)
+            if now_s - stalled.active_s < FRAGMENTED_STALL_S:
+                return False, None
+            del self._fragmented[stalled]
+        self._fragmented[connection] = None
+        return True, stalled
+
+    def end_body(self, connection):
+        """Forget that the body of a connection is fragmented."""
+        self._fragmented.pop(connection, None)
 
     def add_pause(self, paused_s):
         """Leave time in which the process did not read out of all measured times."""
--- a/sardinegauge/intake/intake.py
+++ b/sardinegauge/intake/intake.py
@@ -29,6 +29,7 @@
 
 BODY_TOO_LARGE = "body_too_large"
 NO_ROOM = "no_room"
+FRAGMENTED = "fragmented_body"
 GAVE_WAY = "gave_way"
 
 log = logging.getLogger(__name__)
@@ -210,11 +211,35 @@
             return self._refuse(_no_room(), request.connection)
         return None
 
+    def add_chunks(self, connection):
+        """Judge the chunks of a body that is being received.
+
+        Returns
+        -------
+        Refusal or None
+            A refusal if many bodies arrive in small chunks.
+        """
+        if not connection.is_fragmented:
+            return None
+        is_admitted, stalled = self.table.add_fragmented(connection, self.time_s())
+        if stalled is not None:
+            self._end(stalled, FRAGMENTED)
+        if is_admitted:
+            return None
+        refusal = Refusal(
+            status=503,
+            reason=FRAGMENTED,
+            text="too many bodies in small chunks at once",
+            retry_after_s=RETRY_AFTER_S,
+        )
+        return self._refuse(refusal, connection)
+
     def end_body(self, request):
         """Note that a body has arrived completely."""
         if request.share is not None:
             request.share.is_receiving = False
         request.connection.enter(connections.RESPONSE, self.time_s())
+        self.table.end_body(request.connection)
 
     def end_request(self, request):
         """Return what a request reserved; nothing happens if that was done before."""
@@ -225,6 +250,7 @@
     def wait_for_request(self, connection):
         """Note that the connection waits for its next request."""
         connection.enter(connections.REQUEST, self.time_s())
+        self.table.end_body(connection)
 
     def _too_large(self):
         return Refusal(
--- a/sardinegauge/intake/intakeserver.py
+++ b/sardinegauge/intake/intakeserver.py
@@ -22,6 +22,8 @@
 # would reset the connection, and the caller could lose the answer.
 MAX_DISCARDED_BYTES = 1 << 20
 DISCARD_TIMEOUT_S = 1.0
+# Chunks of a body after which their size is judged again.
+JUDGED_CHUNKS = 256
 CONNECTION_REFUSED = (
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
     b"Sardinegauge-Verdict: not-run\r\nContent-Length: 0\r\n"
@@ -50,6 +52,14 @@
             self.connection.add_received(size, self._server.intake.time_s())
         return size
 
+    def read_until(self, delimiter, max_bytes=None):
+        """Count the head of a chunk; the server reads nothing else by this method."""
+        if self.connection is not None and self.message is not None:
+            self.connection.chunk_count += 1
+            if not self.connection.chunk_count % JUDGED_CHUNKS:
+                self.message.judge_chunks()
+        return super().read_until(delimiter, max_bytes)
+
 
 class _Owner:
     """Closes the connection of a stream for a reason of the intake."""
@@ -151,6 +161,17 @@
         """Release what was reserved if the body was not complete."""
         self._abandon_delegate()
 
+    def judge_chunks(self):
+        """End the request if its body comes in too many small chunks."""
+        if self._is_refused:
+            self._end_discarding()
+            return
+        refusal = self._intake.add_chunks(self._stream.connection)
+        if refusal is not None:
+            self._abandon_delegate()
+            self._refuse(refusal)
+            self._end_discarding()
+
     def end(self, reason):
         """Answer a request that has to give way, if it certainly did not run."""
         if self._is_refused or self._is_complete or self._request is None:
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -3,7 +3,7 @@
 import pytest
 
 from sardinegauge import metrics
-from sardinegauge.intake import budget, intake, intakemetrics, limits
+from sardinegauge.intake import budget, connections, intake, intakemetrics, limits
 
 LARGE = 40_000
 
@@ -152,6 +152,31 @@
     assert owner.reasons == []
 
 
+def test_few_fragmented_bodies_are_received_at_once():
+    """Reading bodies in tiny chunks must leave the event loop to others."""
+    taken = make_intake()
+    owners = [Owner() for _ in range(connections.MAX_FRAGMENTED_BODIES + 1)]
+    found = [taken.open_connection(owner) for owner in owners]
+    for connection in found:
+        taken.begin_request(connection, 0)
+        connection.add_received(1000, 0)
+        connection.chunk_count = connections.MIN_JUDGED_CHUNKS
+    *admitted, refused = [taken.add_chunks(connection) for connection in found]
+    assert admitted == [None] * connections.MAX_FRAGMENTED_BODIES
+    assert (refused.status, refused.reason) == (503, "fragmented_body")
+    taken.now_s = 2
+    assert taken.add_chunks(found[-1]) is None
+    assert [owner.reasons for owner in owners] == [["fragmented_body"], [], []]
+
+
+def test_bodies_in_larger_chunks_are_not_fragmented():
+    connection = connections.Connection(None, 0)
+    connection.enter(connections.BODY, 0)
+    connection.chunk_count = connections.MIN_JUDGED_CHUNKS
+    connection.add_received(connections.MIN_BYTES_PER_CHUNK * 256, 0)
+    assert not connection.is_fragmented
+
+
 def test_streamed_body_that_was_passed_on_does_not_give_way():
     """Its receiver pauses it at times, and its request may have run."""
     taken = make_intake()
