Bound what all callers of an entry hold together

Callers of an entry met the same as those of a front: 300 of them made it hold 123 MB with bodies that stop one byte short, and 201 MB with chunks that do not end, whatever the VM has. Operators' calls are buffered up to 4 MiB before their token is looked at.

Cause: each body is buffered up to 256 KiB and each connection bounded by itself; nothing counted them together.

Change: the entry serves through `sardinegauge.intake`, as a front does. A body that is passed on while it arrives counts with its buffer. It never gives way, since its receiver pauses it, and is never called refused once a part of it was passed on; its own time-out and its deadline end it. A request whose caller has left counts until its attempt ends. `process_memory_mb` is the memory that the entry may use, 320 MB by default; the crowds called it `memory_mb`, which is a setting of the agent with another meaning. Their sizes and bounds are as before.

--- a/sardinegauge/entries/callerhttp.py
+++ b/sardinegauge/entries/callerhttp.py
@@ -85,6 +85,13 @@
         """Report that the caller disconnected before its body ended."""
         self._connection_closed()
 
+    def release(self):
+        """Release what is reserved for the request, whose body is not needed any more.
+
+        Until then, an attempt goes on with the body of a caller who has left.
+        """
+        self.connection.release()
+
     def _connection_closed(self):
         if self.is_disconnected:
             return
--- a/sardinegauge/entries/entryapp.py
+++ b/sardinegauge/entries/entryapp.py
@@ -11,6 +11,7 @@
     entrymetrics,
     requestdispatcher,
 )
+from sardinegauge.intake import intake, intakemetrics, limits
 from sardinegauge.links import link, messages, stateclient
 
 POLL_INTERVAL_S = 0.5
@@ -30,6 +31,14 @@
     settings.Setting(name="state", kind="addresses"),
     settings.Setting(name="http_listen", kind="address"),
     settings.Setting(name="operator_tokens", kind="table", default={}),
+    settings.Setting(
+        name="process_memory_mb",
+        kind="integer",
+        default=320,
+        minimum=80,
+        maximum=1_000_000,
+        text="memory that the process may use, in MB",
+    ),
     settings.Setting(
         name="max_concurrent", kind="integer", default=1000, minimum=1, maximum=100_000
     ),
@@ -69,6 +78,13 @@
         self.requests = requestdispatcher.RequestDispatcher(
             self.state, state_client, _hello(config), self.metrics, self.log
         )
+        intake_metrics = intakemetrics.IntakeMetrics(self.metrics.metrics)
+        self.intake = entryhttp.make_intake(
+            limits.room(config.process_memory_mb), intake_metrics, listener="callers"
+        )
+        self.internal_intake = entryhttp.make_intake(
+            entryhttp.INTERNAL_ROOM, intake_metrics, listener="internal"
+        )
         self.router = None
         self.server = None
         self.metrics_server = None
@@ -81,9 +97,17 @@
         tokens = self.config.operator_tokens
         reserved = entryhttp.reserved_routes(self, self.client, tokens)
         self.router = entryhttp.Router(self, reserved)
-        self.server = entryhttp.serve(self.router, self.config.http_listen)
+        self.server = entryhttp.serve(
+            self.router,
+            self.config.http_listen,
+            self.intake,
+            entryhttp.max_held_bytes,
+        )
         if self.config.metrics_listen:
-            self.metrics_server = entryhttp.serve(reserved, self.config.metrics_listen)
+            self.metrics_server = entryhttp.serve(
+                reserved, self.config.metrics_listen, self.internal_intake
+            )
+        self.every(intake.EXPIRY_INTERVAL_S, self._close_expired)
         self.every(POLL_INTERVAL_S, self._on_poll_timer)
         background.spawn(self._poll())
 
@@ -111,6 +135,10 @@
             return False
         return self.state.is_ready(clock.monotonic_ms())
 
+    def _close_expired(self, now_ms):
+        for each in (self.intake, self.internal_intake):
+            each.close_expired()
+
     def _on_poll_timer(self, now_ms):
         self.requests.check_stalled_callers()
         background.spawn(self._poll())
--- a/sardinegauge/entries/entryhttp.py
+++ b/sardinegauge/entries/entryhttp.py
@@ -2,10 +2,10 @@
 
 import weakref
 
-from tornado import httpserver, httputil, web
+from tornado import httputil, web
 
-from sardinegauge import addresses
 from sardinegauge.entries import callerhttp, entrymetrics, operatorapi
+from sardinegauge.intake import intake, intakeserver, limits
 
 RESERVED_PREFIXES = ("/-/", "/sardinegauge.v1.")
 # Limit of the wait for a request's head, and thus of idle time between requests.
@@ -13,19 +13,12 @@
 # A head between the limit of `requesthead` and this one is answered with a status; on a
 # longer one the HTTP server closes the connection.
 MAX_SERVER_HEADER_BYTES = 64 * 1024
-# Effectively unlimited: `callerhttp` checks body sizes, since it can answer with a
-# status.
-MAX_SERVER_BODY_BYTES = 1 << 40
 # Calls to reserved paths are buffered completely.
 MAX_RESERVED_BODY_BYTES = 4 << 20
-STREAM_BUFFER_BYTES = 256 * 1024
 # An idle connection uses about 20 KB of memory and a file descriptor.
 MAX_CONNECTIONS = 4096
-_TOO_MANY_CONNECTIONS = (
-    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
-    b"Sardinegauge-Verdict: not-run\r\nContent-Length: 0\r\n"
-    b"Connection: close\r\n\r\n"
-)
+# Room of the listener for metrics and operators, for one of their largest calls.
+INTERNAL_ROOM = limits.Room(max_bytes=32 << 20, max_connections=32)
 
 
 class Router(httputil.HTTPServerConnectionDelegate):
@@ -123,27 +116,28 @@
     return web.Application(routes, log_function=lambda handler: None)
 
 
-class _Server(httpserver.HTTPServer):
-    """An HTTP server that limits the number of its open connections."""
+def make_intake(room, metrics, listener):
+    """Return the `intake.Intake` of a listener.
 
-    def initialize(self, *arguments, **options):
-        super().initialize(*arguments, **options)
-        self.connection_count = 0
-
-    def handle_stream(self, stream, address):
-        if self.connection_count >= MAX_CONNECTIONS:
-            stream.write(_TOO_MANY_CONNECTIONS)
-            stream.close()
-            return
-        self.connection_count += 1
-        super().handle_stream(stream, address)
-
-    def on_close(self, server_conn):
-        self.connection_count -= 1
-        super().on_close(server_conn)
+    Parameters
+    ----------
+    room : limits.Room
+    metrics : intakemetrics.IntakeMetrics
+    listener : str
+        Who is served, as a label of the metrics.
+    """
+    room = room.replace(max_connections=min(room.max_connections, MAX_CONNECTIONS))
+    timeout_ms = int(1000 * HEADER_TIMEOUT_S)
+    defaults = limits.RequestLimits(
+        max_header_bytes=MAX_SERVER_HEADER_BYTES,
+        max_body_bytes=MAX_RESERVED_BODY_BYTES,
+        header_timeout_ms=timeout_ms,
+        idle_timeout_ms=timeout_ms,
+    )
+    return intake.Intake(room, metrics, defaults, listener)
 
 
-def serve(delegate, address):
+def serve(delegate, address, taken_by, max_held_bytes=intakeserver.hold_all):
     """Serve HTTP on an ``ip:port`` address; return the server.
 
     Parameters
@@ -152,14 +146,22 @@
         A `Router`, or a tornado application.
     address : str
         Address to listen on; port 0 selects a free port.
+    taken_by : intake.Intake
+        What is taken from all callers.
+    max_held_bytes : callable, optional
+        See `intakeserver.serve`.
     """
-    server = _Server(
+    return intakeserver.serve(
         delegate,
+        address,
+        taken_by,
+        max_held_bytes,
         idle_connection_timeout=HEADER_TIMEOUT_S,
-        max_header_size=MAX_SERVER_HEADER_BYTES,
-        max_body_size=MAX_SERVER_BODY_BYTES,
-        max_buffer_size=STREAM_BUFFER_BYTES,
     )
-    host, port = addresses.split(address)
-    server.listen(port, host)
-    return server
+
+
+def max_held_bytes(path):
+    """Return the most bytes that a `Router` holds of a body, 0 for all of it."""
+    if path.startswith(RESERVED_PREFIXES):
+        return 0
+    return callerhttp.MAX_BUFFERED_BODY_BYTES
--- a/sardinegauge/entries/requestdispatcher.py
+++ b/sardinegauge/entries/requestdispatcher.py
@@ -262,6 +262,8 @@
         finally:
             if self._attempts.get(number) is asyncio.current_task():
                 del self._attempts[number]
+            if attempt.caller.is_disconnected:
+                attempt.caller.release()
         self.handle(event)
 
     def _head_received(self, effect, response):
@@ -316,6 +318,8 @@
         caller = self.callers.pop(effect.number)
         if not keep_timer:
             caller.timer.cancel()
+        if caller.is_disconnected and effect.number not in self._attempts:
+            caller.release()
         duration_s = self.time_s() - caller.started_s
         self.metrics.observe(self.state, caller.head, verdict, status, duration_s)
         return caller
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -389,7 +389,7 @@
         states=1,
         entries=1,
         agents=1,
-        entry_settings={"memory_mb": MEMORY_MB},
+        entry_settings={"process_memory_mb": MEMORY_MB},
     )
 
     async def check_entry():
--- a/tests/test_entryapp.py
+++ b/tests/test_entryapp.py
@@ -448,3 +448,44 @@
         page
     )
     assert "unheard-of" not in page
+
+
+def test_streamed_body_leaves_nothing_reserved():
+    """A share that is not released would shrink the room of all later callers."""
+
+    async def test(app):
+        body = b"x" * 600_000
+        response = await entrykit.fetch(app, "/shop", method="POST", body=body)
+        held = "POST /shop HTTP/1.1\nHost: a\nContent-Length: 9\n\nabc"
+        _, writer = await asyncio.open_connection("127.0.0.1", app.port)
+        writer.write(entrykit.raw_request(held))
+        await entryfakes.wait_until(lambda: len(app.intake.budget))
+        writer.close()
+        await entryfakes.wait_until(lambda: not app.intake.budget.reserved_bytes)
+        return response.code
+
+    assert entrykit.run(test, entrykit.agent()) == 200
+
+
+def test_body_of_a_caller_who_left_counts_until_its_attempt_ends():
+    release = asyncio.Event()
+
+    async def hold(agent, exchange, head, body):
+        await release.wait()
+        entryfakes.send_response(exchange, b"held")
+
+    async def test(app):
+        held = "POST /shop HTTP/1.1\nHost: a\nContent-Length: 3\n\nabc"
+        _, writer = await asyncio.open_connection("127.0.0.1", app.port)
+        writer.write(entrykit.raw_request(held))
+        await entryfakes.wait_until(lambda: app.agents[0].received)
+        assert len(app.intake.budget) == 1
+        writer.close()
+        await entryfakes.wait_until(lambda: not app.server.connection_count)
+        await asyncio.sleep(0.05)
+        kept = len(app.intake.budget)
+        release.set()
+        await entryfakes.wait_until(lambda: not app.intake.budget.reserved_bytes)
+        return kept
+
+    assert entrykit.run(test, entrykit.agent(hold)) == 1
