Keep no more workflows than the cores have memory for

A front that takes in many large legal jobs at once made the cores outgrow their memory: 383 MB of 160 with six crowds of 300 jobs of 211 KB, and the leader changed under the load.

Cause: the bytes held for a workflow left out what its caller chooses freely, labels and lists of earlier steps. The limit was a constant, whatever the machine has. While the leader was too busy to give a copy of its backlog, gateways accepted whatever came. Nothing stopped a leader that neared its memory.

Change: labels and lists count. The core knows its memory (`process_memory_mb`, on the users' platform `limits.memory_mb`), and its leader tells gateways what the replicas can hold; 64 MiB as before from 266 MB on. Workflows that hold over 256 KiB may fill three quarters, and are refused without a copy. Known ids are acknowledged as before.

One test of the backlog summed a step without its list; it names the list now.

--- a/sardinegauge/entries/entryapp.py
+++ b/sardinegauge/entries/entryapp.py
@@ -34,10 +34,10 @@
     settings.Setting(
         name="process_memory_mb",
         kind="integer",
-        default=320,
-        minimum=80,
+        default=0,
+        minimum=0,
         maximum=1_000_000,
-        text="memory that the process may use, in MB",
+        text="memory that the process may use, in MB; 0 stands for 320",
     ),
     settings.Setting(
         name="max_concurrent", kind="integer", default=1000, minimum=1, maximum=100_000
--- a/sardinegauge/state/replica.py
+++ b/sardinegauge/state/replica.py
@@ -11,7 +11,13 @@
 from sardinegauge import commands, outcome, record
 from sardinegauge.agreement import membership, raft, raftstate, reads, snapshotting
 from sardinegauge.links import httpmessages, messages
-from sardinegauge.state import directivedelivery, replicaeffects, replicasteps, requests
+from sardinegauge.state import (
+    directivedelivery,
+    memorylimit,
+    replicaeffects,
+    replicasteps,
+    requests,
+)
 from sardinegauge.workflows import leaderexchange, queuetransfer
 
 # Limits of the entries applied per event, so that a long log does not delay heartbeats.
@@ -33,9 +39,13 @@
 
 
 class SchedulerTick(record.Record):
-    """Periodic event of the scheduler; expected every 100 ms."""
+    """Periodic event of the scheduler; expected every 100 ms.
+
+    `resident_bytes` is the memory that the process uses, 0 if that is not known.
+    """
 
-    __slots__ = ("now_ms", "wall_ms")
+    __slots__ = ("now_ms", "resident_bytes", "wall_ms")
+    _defaults = {"resident_bytes": 0}
 
 
 class ApplyCommitted(record.Record):
@@ -76,6 +86,8 @@
         See `raftstate.State`.
     replacement_ms : int
         See `raftstate.State`.
+    memory_bytes : int
+        Memory of the machine, 0 without a limit.
     """
 
     def __init__(
@@ -87,6 +99,7 @@
         now_ms,
         target_voters=0,
         replacement_ms=raftstate.REPLACEMENT_MS,
+        memory_bytes=0,
     ):
         self.address = address
         self.modules = modules
@@ -94,6 +107,7 @@
             identity, stored, now_ms, target_voters, replacement_ms
         )
         self.machine = modules.machine.Machine()
+        self.memory = memorylimit.MemoryLimit(memory_bytes=memory_bytes)
         self.applied_index = stored.snapshot.index
         if stored.snapshot.blob:
             _, data = membership.unpack_snapshot(stored.snapshot.blob)
@@ -151,11 +165,13 @@
 
 def _on_scheduler_tick(state, event):
     state.wall_ms = event.wall_ms
+    state.memory.resident_bytes = event.resident_bytes
     if state.is_leading:
         directivedelivery.step_scheduler(
             state, state.modules.scheduler.Tick(now_ms=state.now_ms)
         )
         leaderexchange.tick(state)
+        state.memory.held_bytes = leaderexchange.held_bytes(state)
     directivedelivery.expire(state)
 
 
--- a/sardinegauge/state/requests.py
+++ b/sardinegauge/state/requests.py
@@ -3,7 +3,7 @@
 import json
 import logging
 
-from sardinegauge import commands, outcome
+from sardinegauge import checks, commands, outcome
 from sardinegauge.agreement import membership, raft, raftstate, reads
 from sardinegauge.links import messages
 from sardinegauge.state import (
@@ -18,6 +18,7 @@
     waitingcount,
     workflowqueries,
 )
+from sardinegauge.workflows.policies import admission
 
 MAX_COMMAND_BYTES = 512 << 10
 # Limit on entries that lack a quorum or are not durable on the leader's own disk. Above
@@ -77,6 +78,8 @@
         return
     if isinstance(command, dict):
         _change_member(state, token, command)
+    elif _is_beyond_memory(state, command):
+        reply_not_run(state, token, "the leader is short of memory")
     else:
         replicasteps.append_command(state, command, token)
 
@@ -94,6 +97,19 @@
     return ""
 
 
+def _is_beyond_memory(state, command):
+    """Tell whether the replicas might not have the memory for a new workflow.
+
+    Gateways refuse such workflows by the backlog, whose copy may be some seconds old.
+    """
+    is_checked = isinstance(command, commands.SubmitWorkflow) and checks.is_valid(
+        checks.TEXT, command.id
+    )
+    if not is_checked or command.id in state.machine.workflows.workflow_by_id:
+        return False  # The machine refuses or acknowledges it.
+    return not state.memory.has_room(admission.submitted_bytes(command))
+
+
 def _is_forming(state):
     """Tell whether a new group has too few voters to acknowledge commands.
 
--- a/sardinegauge/state/stateapp.py
+++ b/sardinegauge/state/stateapp.py
@@ -8,7 +8,15 @@
 
 from tornado import httpserver
 
-from sardinegauge import addresses, application, background, clock, errors, settings
+from sardinegauge import (
+    addresses,
+    application,
+    background,
+    clock,
+    errors,
+    residentmemory,
+    settings,
+)
 from sardinegauge.agreement import joining, raft, raftstate, storage, writer
 from sardinegauge.links import link, messages
 from sardinegauge.state import (
@@ -54,6 +62,14 @@
         default=raftstate.REPLACEMENT_MS / 1000,
         minimum=MIN_REPLACEMENT_S,
     ),
+    settings.Setting(
+        name="process_memory_mb",
+        kind="integer",
+        default=0,
+        minimum=0,
+        maximum=1_000_000,
+        text="memory that the process may use, in MB; 0 without a limit",
+    ),
 ]
 
 
@@ -159,6 +175,7 @@
             clock.monotonic_ms(),
             self.config.replicas,
             int(1000 * self.config.replacement_s),
+            self.config.process_memory_mb << 20,
         )
         self._generation += 1
         self._start_writer()
@@ -236,10 +253,21 @@
         self._dispatch(raft.Tick(now_ms=now_ms, jitter=random.random()))
 
     def _tick_scheduler(self, now_ms):
-        self._dispatch(replica.SchedulerTick(now_ms=now_ms, wall_ms=clock.wall_ms()))
+        self._dispatch(
+            replica.SchedulerTick(
+                now_ms=now_ms,
+                wall_ms=clock.wall_ms(),
+                resident_bytes=self._resident_bytes(),
+            )
+        )
         self.metrics.update(self.state, self.writer)
         self.event_times.report(now_ms, self.metrics)
 
+    def _resident_bytes(self):
+        if not self.config.process_memory_mb:
+            return 0
+        return residentmemory.resident_bytes()
+
     def _on_durable(self, generation, sequence):
         # The writer of a closed data folder may still report.
         if generation == self._generation:
--- a/sardinegauge/workflows/backlog.py
+++ b/sardinegauge/workflows/backlog.py
@@ -87,13 +87,14 @@
         self._finished_by_pool = {}
         self.current = self._build(state)
 
-    def summary(self, now_ms):
+    def summary(self, now_ms, max_held_bytes=admission.MAX_HELD_BYTES):
         """Return the JSON for a poll reply, empty if there is none that is recent."""
         if self._started_at_ms is None or now_ms - self._started_at_ms < WARM_UP_MS:
             return b""
         if now_ms - self._built_at_ms > 2 * INTERVAL_MS:
             return b""
         self.current.age_ms = now_ms - self._built_at_ms
+        self.current.max_held_bytes = max_held_bytes
         return self.current.to_json()
 
     def _build(self, state):
--- a/sardinegauge/workflows/gateway.py
+++ b/sardinegauge/workflows/gateway.py
@@ -38,6 +38,7 @@
 # A caller is told so many of the problems of a submission.
 MAX_PROBLEMS = 10
 REFUSED_BEFORE = "refused_before"
+BACKLOG_UNKNOWN = "the backlog is not known"
 CANCELLED = "cancelled"
 
 log = logging.getLogger(__name__)
@@ -254,6 +255,10 @@
         if problems:
             # The log would take in the whole command before it is refused.
             return outcome.Invalid(problems=problems[:MAX_PROBLEMS])
+        if self.admission.lacks_copy(command, loop.time()):
+            return outcome.Refused(
+                reason=BACKLOG_UNKNOWN, retry_after_ms=1000 * RETRY_AFTER_S
+            )
         decision = self.admission.decide(queue, command, loop.time())
         if decision is not None:
             answer = await self._refuse(queue, command, decision, deadline_s)
--- a/sardinegauge/workflows/gatewayadmission.py
+++ b/sardinegauge/workflows/gatewayadmission.py
@@ -1,7 +1,7 @@
 """Admission at a gateway: its copy of the leader's backlog, and the ids that it knows.
 
-Without a recent copy, every workflow is accepted. Times are in seconds of the
-gateway's monotonic clock.
+Without a recent copy, every workflow is accepted that is not very large. Times are in
+seconds of the gateway's monotonic clock.
 """
 
 import logging
@@ -93,6 +93,19 @@
         """Return the age of the copy, or None if there is none."""
         return now_s - self._copied_at_s if self._backlog is not None else None
 
+    def lacks_copy(self, command, now_s):
+        """Tell whether a submission is too large to be accepted without a copy.
+
+        Without one, each gateway would accept as many as arrive, and a few hundred
+        large workflows fill the memory of the replicas.
+        """
+        age_s = self.copy_age_s(now_s)
+        if command.id in self.proposed or (
+            age_s is not None and age_s <= MAX_COPY_AGE_S
+        ):
+            return False
+        return admission.submitted_bytes(command) > admission.LARGE_HELD_BYTES
+
     def decide(self, queue, command, now_s):
         """Return the `Decision` to refuse a submission, or None to propose it."""
         age_s = self.copy_age_s(now_s)
--- a/sardinegauge/workflows/leaderexchange.py
+++ b/sardinegauge/workflows/leaderexchange.py
@@ -228,13 +228,21 @@
     dispatch(state, event)
 
 
+def held_bytes(state):
+    """Return what is held for open workflows by the newest summary, 0 without one."""
+    current = state.leader_exchange.scheduler
+    if current is None or current.backlog.current is None:
+        return 0
+    return current.backlog.current.held_bytes
+
+
 def backlog_fields(state):
     """Return the fields of a poll reply that gateways admit workflows by."""
     current = state.leader_exchange.scheduler
     if current is None or not current.store.queue_set.version:
         return {}  # A deployment without queues has no workflows.
     return {
-        "backlog": current.backlog.summary(state.now_ms),
+        "backlog": current.backlog.summary(state.now_ms, state.memory.max_held_bytes),
         "refusal_index": state.applied_index if current.store.refusals.by_id else 0,
     }
 
--- a/sardinegauge/workflows/policies/admission.py
+++ b/sardinegauge/workflows/policies/admission.py
@@ -19,6 +19,7 @@
 # the measurement.
 WORKFLOW_BYTES = 1200
 STEP_BYTES = 700
+AFTER_BYTES = 8
 TASK_BYTES = 500
 # Limit of the bytes held for open workflows. A snapshot takes 1.3 times as much again
 # while it is encoded: 147 MB in all, beside 55 MB of the process without workflows and
@@ -32,6 +33,10 @@
 # may fill the rest even if other gateways let the batch work exceed its share.
 BEST_EFFORT_SHARE = 0.75
 BATCH_SHARE = 0.9
+# Workflows that hold more than this may fill a smaller share of the bytes, so that a
+# few very large ones do not lock out the usual ones.
+LARGE_HELD_BYTES = 256 << 10
+LARGE_SHARE = 0.75
 # Least share of the limits that newcomers may fill while refused callers return.
 LEAST_NEWCOMER_SHARE = 0.5
 
@@ -103,6 +108,7 @@
     """Open work by pool, and what the replicas hold for it, `age_ms` ago.
 
     Persistent workflows are part of `open_count` and `held_bytes`, and counted apart.
+    The replicas have memory for `max_held_bytes`.
     """
 
     __slots__ = (
@@ -111,6 +117,7 @@
         "held_bytes",
         "persistent_count",
         "persistent_bytes",
+        "max_held_bytes",
         "pool_by_name",
     )
     _defaults = {
@@ -119,6 +126,7 @@
         "held_bytes": 0,
         "persistent_count": 0,
         "persistent_bytes": 0,
+        "max_held_bytes": MAX_HELD_BYTES,
         "pool_by_name": dict,
     }
 
@@ -156,7 +164,11 @@
         """
         try:
             *counts, pools = json.loads(data)
-            backlog = cls(**dict(zip(cls.field_names()[:-1], counts, strict=True)))
+            names = cls.field_names()[:-1]
+            if len(counts) == len(names) - 1:
+                # A leader of an earlier release names no `max_held_bytes`.
+                counts.append(MAX_HELD_BYTES)
+            backlog = cls(**dict(zip(names, counts, strict=True)))
             backlog.pool_by_name = {name: _read_pool(pools[name]) for name in pools}
             _check_numbers(backlog)
         except (ValueError, TypeError, KeyError, AttributeError, RecursionError):
@@ -248,12 +260,27 @@
     task_count = sum(step.count for step in steps) * occurrence_count
     return (
         WORKFLOW_BYTES
-        + STEP_BYTES * len(steps)
+        + sum(STEP_BYTES + _text_bytes(step) for step in steps)
         + TASK_BYTES * task_count
         + len(payload)
     )
 
 
+def _text_bytes(step):
+    """Return the memory of the parts of a step whose size its caller chooses."""
+    names = (step.required_label, step.preferred_rack, step.image)
+    return sum(len(name) for name in names) + AFTER_BYTES * len(step.after)
+
+
+def submitted_bytes(command):
+    """Return `held_bytes` of a `commands.SubmitWorkflow`, 0 if that is invalid."""
+    try:
+        steps = [steps_module.Step.from_dict(fields) for fields in command.steps]
+        return held_bytes(steps, command.payload)
+    except (TypeError, ValueError, AttributeError):
+        return 0
+
+
 def size_class(work_core_ms):
     """Return the class of an amount of work, each four times as large as the last.
 
@@ -320,8 +347,11 @@
         return _check_end(pool, demand, waiting)
 
     def _check_limits(self, backlog, demand, waiting):
+        max_held_bytes = min(self.max_held_bytes, backlog.max_held_bytes)
+        if demand.held_bytes > LARGE_HELD_BYTES:
+            max_held_bytes *= LARGE_SHARE
         is_alone = not backlog.open_count
-        if is_alone and demand.held_bytes <= self.max_held_bytes:
+        if is_alone and demand.held_bytes <= max_held_bytes:
             return None
         ended_per_s = sum(p.ended_per_s for p in backlog.pool_by_name.values())
         for reason, held, persistent, own, maximum in (
@@ -337,7 +367,7 @@
                 backlog.held_bytes,
                 backlog.persistent_bytes,
                 demand.held_bytes,
-                self.max_held_bytes,
+                max_held_bytes,
             ),
         ):
             if demand.is_persistent:
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -32,8 +32,11 @@
 FEW_FDS = 256
 CROWD_SIZE = 300
 CORE_MEMORY_MB = 160
+AMPLE_MEMORY_MB = 1000
 # Crowds that come one after the other, each with ids of its own.
 CORE_ROUNDS = 2
+# As many as an ample front needs to hand on more than the cores have memory for.
+AMPLE_CORE_ROUNDS = 6
 # Patience of the ordinary caller, who repeats a refused request.
 ANSWER_LIMIT_S = 60
 HOST = platformkit.HOST
@@ -52,9 +55,11 @@
     return job().ljust(size)
 
 
-def run_scenario(tmp_path, scenario, core_memory_mb=0, max_fds=MAX_FDS):
+def run_scenario(
+    tmp_path, scenario, core_memory_mb=0, max_fds=MAX_FDS, memory_mb=MEMORY_MB
+):
     """Run a scenario on a deployment whose front, or cores, have low limits."""
-    fields_by_role = {"front": {"limits": {"memory_mb": MEMORY_MB, "max_fds": max_fds}}}
+    fields_by_role = {"front": {"limits": {"memory_mb": memory_mb, "max_fds": max_fds}}}
     if core_memory_mb:
         fields_by_role["core"] = {
             "limits": {"memory_mb": core_memory_mb, "max_fds": MAX_FDS}
@@ -261,24 +266,41 @@
 
 def test_cores_keep_no_more_large_jobs_than_they_have_memory_for(tmp_path):
     """Labels weren't counted, so accepted jobs outgrew the memory of the cores."""
-    body = legal_large_job()
 
     async def scenario(platform):
-        for turn in range(CORE_ROUNDS):
-            numbers = range(turn * CROWD_SIZE, (turn + 1) * CROWD_SIZE)
-            requests = [
-                crowd.announced(job_path(number), HOST, len(body), body)
-                for number in numbers
-            ]
-            async with front_crowd(platform, requests) as held:
-                await held.hold()
-        for ip in platform.core_ips:
-            await check_process(platform.processes["core", ip], CORE_MEMORY_MB)
+        await fill_cores(platform, CORE_ROUNDS)
         await check_front(platform)
 
     run_scenario(tmp_path, scenario, core_memory_mb=CORE_MEMORY_MB)
 
 
+def test_cores_bound_what_they_keep_beside_a_front_with_much_memory(tmp_path):
+    """A front that takes in more must not make the cores keep more than they can."""
+
+    async def scenario(platform):
+        await fill_cores(platform, AMPLE_CORE_ROUNDS)
+        await platform.wait_until(lambda: is_served(platform), ANSWER_LIMIT_S)
+
+    run_scenario(
+        tmp_path, scenario, core_memory_mb=CORE_MEMORY_MB, memory_mb=AMPLE_MEMORY_MB
+    )
+
+
+async def fill_cores(platform, rounds):
+    """Send crowds of large jobs, each under an id of its own, and check the cores."""
+    body = legal_large_job()
+    for turn in range(rounds):
+        numbers = range(turn * CROWD_SIZE, (turn + 1) * CROWD_SIZE)
+        requests = [
+            crowd.announced(job_path(number), HOST, len(body), body)
+            for number in numbers
+        ]
+        async with front_crowd(platform, requests) as held:
+            await held.hold()
+    for ip in platform.core_ips:
+        await check_process(platform.processes["core", ip], CORE_MEMORY_MB)
+
+
 # Connections and descriptors
 
 
--- a/tests/test_workflow_backlog.py
+++ b/tests/test_workflow_backlog.py
@@ -42,7 +42,7 @@
     # 8,000 and 16,000 core-ms are in one class, since 4**7 is 16,384.
     assert rows == [[0, 7, False, 24_000, 1_200_000, 2], [2, 7, True, 8000, 400_000, 1]]
     current = leader.state.backlog.current
-    steps = [[STEP], [STEP, STEP], [BEST_EFFORT]]
+    steps = [[STEP], [STEP, STEP.replace(after=[0])], [BEST_EFFORT]]
     held = sum(admission.held_bytes(s, "x") for s in steps)
     assert (current.open_count, current.held_bytes) == (3, held)
     # Work that is worthless by now is not ahead of other work.
@@ -124,15 +124,20 @@
 
 
 @pytest.mark.parametrize(
-    "step_count, task_count, payload",
-    [(2, 20, 200), (1, 1, 0), (10, 1, 0), (1, 999, 9)],
+    "step_count, task_count, payload, label",
+    [(2, 20, 200, 0), (1, 1, 0, 0), (10, 1, 0, 0), (1, 999, 9, 0), (100, 1, 0, 200)],
 )
 def test_estimate_of_held_bytes_is_what_a_replica_holds(
-    leader, step_count, task_count, payload
+    leader, step_count, task_count, payload, label
 ):
     """With a lower estimate, the limit would not keep a replica within its memory."""
     steps = [
-        STEP.replace(count=task_count, after=[number - 1] if number else [])
+        STEP.replace(
+            count=task_count,
+            after=list(range(number if label else min(number, 1))),
+            image="i" * label,
+            preferred_rack="r" * label,
+        )
         for number in range(step_count)
     ]
     plain = json.dumps([step.to_sparse_dict() for step in steps])
--- a/tests/test_workflow_gateway.py
+++ b/tests/test_workflow_gateway.py
@@ -292,3 +292,20 @@
         assert client.proposed == []
 
     run(scenario)
+
+
+def test_very_large_workflow_is_not_proposed_without_a_copy_of_the_backlog():
+    """Without one, each gateway accepted as many as came while the leader was busy."""
+
+    async def scenario(client, gate):
+        client.polls = [reply(1, [QUEUE], is_full=True)]
+        await gate.poll()
+        client.answer = outcome.Answered(outcome.Accepted(ids=["w"]))
+        large = {"payload": "", "steps": [{"count": 1000}]}
+        answer = await gate.submit(QUEUE, "w", large, 1)
+        assert isinstance(answer, outcome.Refused)
+        assert client.proposed == []
+        small = {"payload": "", "steps": [{"count": 100}]}
+        assert isinstance(await gate.submit(QUEUE, "w", small, 1), outcome.Accepted)
+
+    run(scenario)
