Send crowds beside the injected faults of the soak

Crowds met a calm deployment only. The soak now sends stalled, refused and fragmented bodies and heads that never end to the front, drawn from its seed, while processes restart, freeze and lose their disks. They are drawn last, so that the faults of a seed are as before.

--- a/tests/soak/runs.py
+++ b/tests/soak/runs.py
@@ -9,7 +9,7 @@
 import tempfile
 import time
 
-from tests.soak import checker, clients, deployment, faults, operators
+from tests.soak import checker, clients, crowds, deployment, faults, operators
 
 SETTLE_LIMIT_S = 60.0
 # The bound in the settings of `platformkit`.
@@ -40,8 +40,12 @@
         load = clients.Clients(fleet, observations, random.Random(rng.random()))
         injector = faults.FaultInjector(fleet, random.Random(rng.random()))
         operator = operators.Operator(fleet, observations, random.Random(rng.random()))
+        sender = crowds.CrowdSender(fleet, random.Random(rng.random()))
         await asyncio.gather(
-            load.run(until_s), injector.run(until_s), operator.run(until_s)
+            load.run(until_s),
+            injector.run(until_s),
+            operator.run(until_s),
+            sender.run(until_s),
         )
         await _check_end(fleet, observations, load)
     finally:
