Call no repeated submission refused that may have run

A front without room answered 503, "never runs", before it looked at the request, also if the client repeated a job that the same front had proposed or seen accepted.

Change: the server is told which first lines repeat such a request, and answers these with 504.

--- a/sardinegauge/intake/intakeserver.py
+++ b/sardinegauge/intake/intakeserver.py
@@ -122,11 +122,13 @@
         self._is_complete = False
         self._is_ended = False
         self._is_head = False
+        self._may_have_run = False
         self._discarded_bytes = 0
 
     def headers_received(self, start_line, headers):
         """Admit or refuse the request by its head."""
         self._is_head = start_line.method == "HEAD"
+        self._may_have_run = self._server.may_have_run(start_line)
         max_held_bytes = self._server.max_held_bytes(start_line.path)
         admitted = self._intake.begin_request(
             self._stream.connection, declared_length(headers), max_held_bytes
@@ -218,7 +220,9 @@
             # Nothing can be said of a request that may have run.
             self._stream.close()
             return
-        verdict = outcome.Verdict.NOT_RUN.value
+        status, verdict = refusal.status, outcome.Verdict.NOT_RUN.value
+        if self._may_have_run:
+            status, verdict = 504, outcome.Verdict.MAY_HAVE_RUN.value
         body = json.dumps({"error": refusal.text, "verdict": verdict}).encode()
         fields = httputil.HTTPHeaders(
             {
@@ -227,10 +231,10 @@
                 "Sardinegauge-Verdict": verdict,
             }
         )
-        if refusal.retry_after_s:
+        if refusal.retry_after_s and status == refusal.status:
             fields["Retry-After"] = str(refusal.retry_after_s)
-        phrase = http.HTTPStatus(refusal.status).phrase
-        line = httputil.ResponseStartLine("HTTP/1.1", refusal.status, phrase)
+        phrase = http.HTTPStatus(status).phrase
+        line = httputil.ResponseStartLine("HTTP/1.1", status, phrase)
         self._connection.write_headers(line, fields, None if self._is_head else body)
         asyncio.get_running_loop().call_later(DISCARD_TIMEOUT_S, self._end_discarding)
 
@@ -249,7 +253,7 @@
 class IntakeServer(httpserver.HTTPServer):
     """An HTTP server within an intake; see `serve`."""
 
-    def initialize(self, delegate, taken_by, max_held_bytes, **options):
+    def initialize(self, delegate, taken_by, max_held_bytes, may_have_run, **options):
         """Set the delegate, the intake and the options of the base class."""
         super().initialize(
             delegate,
@@ -260,6 +264,7 @@
         )
         self.intake = taken_by
         self.max_held_bytes = max_held_bytes
+        self.may_have_run = may_have_run
 
     def handle_stream(self, stream, address):
         """Serve a new connection if there is room for it."""
@@ -345,7 +350,19 @@
     return 0
 
 
-def serve(delegate, address, taken_by, max_held_bytes=hold_all, **options):
+def is_new(start_line):
+    """Return False: an earlier copy of no request may have run."""
+    return False
+
+
+def serve(
+    delegate,
+    address,
+    taken_by,
+    max_held_bytes=hold_all,
+    may_have_run=is_new,
+    **options,
+):
     """Serve HTTP on an ``ip:port`` address within an intake; return the server.
 
     Parameters
@@ -358,10 +375,14 @@
     max_held_bytes : callable, optional
         Returns, for a path, the most bytes of a body that the delegate holds at a time;
         0 if it holds the whole body, which is the default for all paths.
+    may_have_run : callable, optional
+        Tells, for a request's first line, whether an earlier copy of the request may
+        have run. Such a copy is answered with 504 in place of a refusal, which would
+        claim that it never runs.
     **options
         Further options of tornado's HTTP server.
     """
-    server = IntakeServer(delegate, taken_by, max_held_bytes, **options)
+    server = IntakeServer(delegate, taken_by, max_held_bytes, may_have_run, **options)
     host, port = addresses.split(address)
     server.listen(port, host)
     return server
--- a/tests/test_intakeserver.py
+++ b/tests/test_intakeserver.py
@@ -123,6 +123,19 @@
     run(test, max_bytes=200_000)
 
 
+def test_repeated_request_that_may_have_run_is_not_called_refused():
+    """A 503 promises that a job never runs, but an earlier copy was accepted."""
+
+    async def test(server, ask):
+        for path, status in ((b"/known", b"504"), (b"/new", b"503")):
+            answer = await ask(request(b"x" * 90_000, path=path.decode()))
+            assert answer.startswith(b"HTTP/1.1 " + status)
+            assert (b"may-have-run" in answer) == (status == b"504")
+            assert (b"Retry-After" in answer) == (status == b"503")
+
+    run(test, max_bytes=200_000, may_have_run=lambda line: line.path == "/known")
+
+
 def test_fields_of_a_form_are_not_parsed():
     """A form became a table of its fields, many times as large as its body."""
 
--- a/tests/test_wireformat.py
+++ b/tests/test_wireformat.py
@@ -237,3 +237,13 @@
 def test_deadline_of_a_client_is_a_number_that_timers_take(header):
     deadline_ms = wireformat.decode_deadline_ms(header)
     assert deadline_ms <= wireformat.MAX_DEADLINE_MS
+
+
+def test_descriptors_leave_out_those_that_the_platform_keeps():
+    """A front that counted them as its own ran out of descriptors."""
+    fields = {"node": "n", "ip": "10.0.0.1", "internal_port_range": [1, 2]}
+    limited = {**fields, "limits": {"memory_mb": 300, "max_fds": 4100}}
+    found = nodesettings.decode(limited)
+    assert (found.memory_mb, found.max_descriptors) == (300, 3900)
+    found = nodesettings.decode(fields)
+    assert (found.memory_mb, found.max_descriptors) == (0, 0)
