Tell a body over the limit as such, also if its job is known

Cause: the 504 in place of a refusal covered every refusal. A caller who repeated a job with a body over a new limit got 504, which asks for the same again, and never 413.

Change: only a 503 becomes a 504, since only that promises that no copy runs.

Tests: test_repeated_request_that_may_have_run_is_not_called_refused covers 413 and fails before; the crowd test passes.

--- a/sardinegauge/intake/intakeserver.py
+++ b/sardinegauge/intake/intakeserver.py
@@ -222,7 +222,9 @@
             return
         status, verdict = refusal.status, outcome.Verdict.NOT_RUN.value
         if self._may_have_run:
-            status, verdict = 504, outcome.Verdict.MAY_HAVE_RUN.value
+            verdict = outcome.Verdict.MAY_HAVE_RUN.value
+            # A 503 would promise that no copy runs; the other statuses are final.
+            status = 504 if status == 503 else status
         body = json.dumps({"error": refusal.text, "verdict": verdict}).encode()
         fields = httputil.HTTPHeaders(
             {
--- a/tests/test_intakeserver.py
+++ b/tests/test_intakeserver.py
@@ -132,6 +132,9 @@
             assert answer.startswith(b"HTTP/1.1 " + status)
             assert (b"may-have-run" in answer) == (status == b"504")
             assert (b"Retry-After" in answer) == (status == b"503")
+        # A limit is told as such, or the caller would send the same again and again.
+        answer = await ask(request(b"", path="/known", length=100_001))
+        assert answer.startswith(b"HTTP/1.1 413") and b"may-have-run" in answer
 
     run(test, max_bytes=200_000, may_have_run=lambda line: line.path == "/known")
 
