--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,4 @@
-"""Lasting tasks that fill and may miss one at a time, beside serving tasks in a burst."""
+"""Lasting tasks that fill and may miss one at a time, beside serving tasks."""
 
 import asyncio
 import pathlib
@@ -81,7 +81,7 @@
 
 def is_at_work(watcher, task, at_s):
     """Return whether a task was at 100 percent at a time."""
-    begun_s = max((e[0] for e in watcher.starts if e[2] == task and e[0] < at_s))
+    begun_s = max(e[0] for e in watcher.starts if e[2] == task and e[0] < at_s)
     is_ended = any(e[2] == task and begun_s <= e[0] < at_s for e in watcher.ends)
     return not is_ended and at_s - begun_s >= STARTUP_MS / 1000
 
