--- a/review/common-3/kit.py
+++ b/review/common-3/kit.py
@@ -25,7 +25,7 @@
 SERVICE = "huvo11a"
 PREFIX = "/lohu930/"
 HEARTBEAT_S = 1.5
-LEASE_CLOCK_STEP_S = 0.02
+RUNS_INTERVAL_S = 0.02
 # Bounds of the sheet of irbid-pearstore.
 BOUNDS = {
     "seed_lag_s": 3,
@@ -233,14 +233,17 @@
 
     async def _watch_runs(self):
         while True:
-            now_ms = self.clock_ms()
-            for (task, run), running in list(self.running.items()):
-                if now_ms >= self.until_ms:
-                    self._end(task, run, "lapsed")
-                elif running.is_done(now_ms):
-                    how = "failed" if running.spec.get("fails") else "done"
-                    self._end(task, run, how)
-            await asyncio.sleep(LEASE_CLOCK_STEP_S)
+            self.end_due_runs(self.clock_ms())
+            await asyncio.sleep(RUNS_INTERVAL_S)
+
+    def end_due_runs(self, now_ms):
+        """End the runs whose lease has expired or whose work is done."""
+        for (task, run), running in list(self.running.items()):
+            if now_ms >= self.until_ms:
+                self._end(task, run, "lapsed")
+            elif running.is_done(now_ms):
+                how = "failed" if running.spec.get("fails") else "done"
+                self._end(task, run, how)
 
     def load_of(self, running):
         """Return the fifth entry of a run's row; cases override this method."""
@@ -369,6 +372,8 @@
             )
             for ip, own in zip(self.side_ips, labels)
         ]
+        self.advice_ip = f"{network}.99"
+        self.advice_port = 8169
         for ip in self.core_ips + self.front_ips + self.side_ips:
             for port in (8161, 8165, 8166, 8167, 7720, 9464):
                 with socket.socket() as probe:
@@ -418,6 +423,7 @@
             "bounds": BOUNDS,
             "config_mode": "highest",
             "orders": "call",
+            "advice": f"{self.advice_ip}:{self.advice_port}",
         }
 
     def start(self, role, ip, is_first=False):
@@ -496,15 +502,15 @@
             },
         }
 
-    async def put_config(self, version, limit_s):
+    async def put_config(self, version, limit_s, body=None):
         """Send a configuration to one core node after the other until acknowledged."""
+        body = body or self.configuration(version)
         end_s = time.monotonic() + limit_s
         number = 0
         while time.monotonic() < end_s:
             ip = self.core_ips[number % len(self.core_ips)]
             number += 1
             address = f"{ip}:{self.control_port}"
-            body = self.configuration(version)
             status, _ = await call(address, "PUT", "/api/config", body, timeout_s=1.0)
             self.record.add(f"operator PUT version {version} at {ip}: {status}")
             if status == 200:
@@ -520,21 +526,21 @@
         self.record.add(f"client {method} {path}: {status} {answer}")
         return status, answer
 
-    async def submit(self, spec, steps, limit_s=15, **fields):
+    async def submit(self, spec, steps, limit_s=15, prefix=PREFIX, **fields):
         """Submit a job until it is accepted; return its id."""
         job = f"{random.getrandbits(64):016x}"
         body = {"spec": json.dumps(spec), "steps": steps, **fields}
         end_s = time.monotonic() + limit_s
         while time.monotonic() < end_s:
-            status, _ = await self.client("POST", PREFIX + job, body)
+            status, _ = await self.client("POST", prefix + job, body)
             if 200 <= status < 300:
                 return job
             await asyncio.sleep(0.5)
         raise CaseError("the job was not accepted")
 
-    async def state_of(self, job):
+    async def state_of(self, job, prefix=PREFIX):
         """Ask for the state of a job; return status and state."""
-        status, answer = await self.client("GET", PREFIX + job)
+        status, answer = await self.client("GET", prefix + job)
         return status, answer.get("state")
 
     async def stop_all(self):
