Let calls to a policy service take the time that its queue says

Cause: the agent gave up each call after a constant of 2.0 s, while the leader allowed decide_ms + each_ms * workers + 3 s by the queue's terms and did not tell the agent.

Change: orders name the time that a call may take, and the agent counts it from its call. An agent has one call open at a time, as the service answers the calls of a caller in turn; an answer whose question was dropped meanwhile is reported all the same, and an unexpected error ends the call instead of keeping it open for good.

--- a/sardinegauge/workflows/adviceclient.py
+++ b/sardinegauge/workflows/adviceclient.py
@@ -19,7 +19,7 @@
     """Asks the policy service."""
 
     @abc.abstractmethod
-    async def ask(self, step, workers):
+    async def ask(self, step, workers, timeout_s):
         """Return the `Advice` on a step.
 
         Parameters
@@ -28,6 +28,8 @@
             ``workflow.occurrence.step``.
         workers : list of str
             Ids of the workers that the service decides on.
+        timeout_s : float
+            Time within which the answer must be complete, in seconds.
 
         Raises
         ------
@@ -42,6 +44,6 @@
 class NoService(AdviceClient):
     """Client for deployments without a policy service."""
 
-    async def ask(self, step, workers):
+    async def ask(self, step, workers, timeout_s):
         """Raise `NoAdviceError`."""
         raise NoAdviceError("no policy service is set")
--- a/sardinegauge/workflows/advicetracker.py
+++ b/sardinegauge/workflows/advicetracker.py
@@ -14,7 +14,7 @@
 # Remaining validity that a ticket needs when a start is planned or ordered, so that it
 # is still valid when the call reaches the worker.
 TICKET_MARGIN_MS = 300
-# A question is dropped this long after the time that the service takes to decide.
+# A call is given up this long after the time that the service takes to decide.
 ANSWER_MARGIN_MS = 3000
 
 log = logging.getLogger(__name__)
@@ -31,14 +31,18 @@
 
 
 class Question:
-    """A question to the service; `asker` is the worker id of the agent that asks."""
+    """A question to the service.
 
-    __slots__ = ("asker", "expires_ms", "workers")
+    `asker` is the worker id of the agent that asks, whose call may take `limit_ms`.
+    """
+
+    __slots__ = ("asker", "expires_ms", "limit_ms", "workers")
 
-    def __init__(self, asker, workers, expires_ms):
+    def __init__(self, asker, workers, expires_ms, limit_ms):
         self.asker = asker
         self.workers = workers
         self.expires_ms = expires_ms
+        self.limit_ms = limit_ms
 
 
 class AdviceTracker:
@@ -125,8 +129,10 @@
         for worker, (step, pending) in zip(chosen, list(self.pending_by_step.items())):
             workers, advice = pending
             cost_ms = advice.decide_ms + advice.each_ms * len(workers)
-            expires_ms = now_ms + cost_ms + ANSWER_MARGIN_MS
-            self.question_by_step[step] = Question(worker, workers, expires_ms)
+            limit_ms = cost_ms + ANSWER_MARGIN_MS
+            expires_ms = now_ms + limit_ms
+            question = Question(worker, workers, expires_ms, limit_ms)
+            self.question_by_step[step] = question
             log.info(
                 "advice_asked step=%s workers=%d asker=%s", step, len(workers), worker
             )
@@ -141,6 +147,18 @@
             if question.asker == asker
         ]
 
+    def limits_for(self, asker):
+        """Return how long an agent's calls may take, in ms by step.
+
+        The agent counts from when it calls, since the service answers the calls of a
+        caller in turn and goes on with one that its caller has given up.
+        """
+        return {
+            step: question.limit_ms
+            for step, question in self.question_by_step.items()
+            if question.asker == asker
+        }
+
     def record_answer(self, step, incarnation_by_worker, tickets, expires_ms):
         """Record the answer to a question.
 
--- a/sardinegauge/workflows/hostapp.py
+++ b/sardinegauge/workflows/hostapp.py
@@ -169,11 +169,22 @@
         tickets, valid_ms = None, 0
         end = "done"
         try:
-            answer = await self.advice.ask(effect.step, effect.workers)
+            answer = await self.advice.ask(
+                effect.step, effect.workers, effect.limit_ms / 1000
+            )
             tickets, valid_ms = answer.tickets, answer.valid_ms
         except adviceclient.NoAdviceError as error:
             end = "unanswered"
-            self.log.info("advice_unanswered", step=effect.step, error=str(error))
+            self.log.info(
+                "advice_unanswered",
+                step=effect.step,
+                limit_ms=effect.limit_ms,
+                error=str(error),
+            )
+        except Exception:
+            # A call that never ends would keep the agent from asking for good.
+            end = "failed"
+            self.log.exception("advice_failed", step=effect.step)
         seconds = (clock.monotonic_ms() - begun_ms) / 1000
         self.metrics.count("AskAdvice", end, seconds)
         self._dispatch(
--- a/sardinegauge/workflows/hostedadvice.py
+++ b/sardinegauge/workflows/hostedadvice.py
@@ -1,84 +1,132 @@
-"""Questions that an agent sends to the policy service on behalf of the leader."""
+"""Questions that an agent sends to the policy service on behalf of the leader.
+
+The service answers the calls of one caller in turn and finishes a call that its caller
+has given up. An agent therefore has one call open at a time and waits for its end, also
+if the leader no longer lists the question: the answer has taken the service's time.
+"""
 
 from sardinegauge.workflows import hostevents
 
 # Pause before an unanswered question is sent again.
 RETRY_MS = 300
+# Limit of a call for a leader of an earlier release, which names none.
+DEFAULT_LIMIT_MS = 2000
 
 
 class HostedQuestion:
-    """A question about a step.
-
-    `tickets` are the rows of worker and ticket of the answer, None until it arrives.
-    `is_open` while a call to the service is under way.
-    """
+    """A question about a step, whose call may take `limit_ms`."""
 
-    __slots__ = (
-        "answered_ms",
-        "is_open",
-        "next_ask_ms",
-        "tickets",
-        "valid_ms",
-        "workers",
-    )
+    __slots__ = ("limit_ms", "next_ask_ms", "step", "workers")
 
-    def __init__(self, workers):
+    def __init__(self, step, workers):
+        self.step = step
         self.workers = workers
-        self.is_open = False
+        self.limit_ms = DEFAULT_LIMIT_MS
         self.next_ask_ms = 0
-        self.answered_ms = 0
-        self.valid_ms = 0
-        self.tickets = None
-
-
-def update_questions(state, questions):
-    """Send the questions in the leader's orders, and drop those no longer listed."""
-    workers_by_step = dict(questions)
-    for step in state.question_by_step.keys() - workers_by_step.keys():
-        del state.question_by_step[step]
-    for step, workers in workers_by_step.items():
-        question = state.question_by_step.get(step)
-        if question is None or question.workers != workers:
-            state.question_by_step[step] = HostedQuestion(workers)
+
+    def covers(self, workers):
+        """Return whether an answer to this question is one about all the workers."""
+        return set(workers) <= set(self.workers)
+
+
+class HostedAnswer:
+    """An answer to a question, to report until the leader has received it.
+
+    `tickets` are rows of worker and ticket, valid for `valid_ms` from `answered_ms`.
+    """
+
+    __slots__ = ("answered_ms", "question", "tickets", "valid_ms")
+
+    def __init__(self, question, tickets, valid_ms, answered_ms):
+        self.question = question
+        self.tickets = tickets
+        self.valid_ms = valid_ms
+        self.answered_ms = answered_ms
+
+
+def update_questions(state, questions, limits_ms, report_sent_ms):
+    """Apply the list of questions in the leader's orders.
+
+    Parameters
+    ----------
+    state : hoststate.State
+    questions : list
+        Rows of step and workers.
+    limits_ms : dict
+        Time that a call may take, by step.
+    report_sent_ms : int
+        When the report that the orders answer was sent; 0 for pushed orders.
+    """
+    # Orders that answer a later report come from a leader that has the answers.
+    state.advice_answers = [
+        answer
+        for answer in state.advice_answers
+        if report_sent_ms <= answer.answered_ms
+    ]
+    known_by_step = state.question_by_step
+    state.question_by_step = {}
+    for step, workers in questions:
+        if any(
+            _covers(answer.question, step, workers) for answer in state.advice_answers
+        ):
+            continue
+        question = known_by_step.get(step)
+        if _covers(state.open_question, step, workers):
+            question = state.open_question
+        elif question is None or not question.covers(workers):
+            question = HostedQuestion(step, workers)
+        question.limit_ms = limits_ms.get(step, DEFAULT_LIMIT_MS)
+        state.question_by_step[step] = question
     send_due_questions(state)
 
 
+def _covers(question, step, workers):
+    return question is not None and question.step == step and question.covers(workers)
+
+
 def send_due_questions(state):
-    """Send the unanswered questions that are due."""
-    for step, question in state.question_by_step.items():
-        if question.is_open or question.tickets is not None:
-            continue
+    """Send the next question that is due, unless a call is under way."""
+    if state.open_question is not None:
+        return
+    for question in state.question_by_step.values():
         if state.now_ms >= question.next_ask_ms:
-            question.is_open = True
+            state.open_question = question
             state.effects.append(
-                hostevents.AskAdvice(step=step, workers=question.workers)
+                hostevents.AskAdvice(
+                    step=question.step,
+                    workers=question.workers,
+                    limit_ms=question.limit_ms,
+                )
             )
+            return
 
 
 def on_advice_received(state, event):
-    """Record the answer to a question, or schedule the question again."""
-    question = state.question_by_step.get(event.step)
-    if question is None or question.workers != event.workers:
+    """Record the answer to the open question, or schedule the question again."""
+    question = state.open_question
+    if question is None:
         return
-    question.is_open = False
+    state.open_question = None
     if event.tickets is None:
         question.next_ask_ms = state.now_ms + RETRY_MS
-        return
-    question.tickets = event.tickets
-    question.valid_ms = event.valid_ms
-    question.answered_ms = state.now_ms
-    state.report()
+    else:
+        answer = HostedAnswer(question, event.tickets, event.valid_ms, state.now_ms)
+        state.advice_answers.append(answer)
+        listed = state.question_by_step.get(question.step)
+        if listed is not None and question.covers(listed.workers):
+            del state.question_by_step[question.step]
+        state.report()
+    send_due_questions(state)
 
 
 def report_rows(state):
     """Return the answers as rows of a `views.Report`, with their remaining validity."""
     return [
         [
-            step,
-            question.workers,
-            question.tickets,
-            question.valid_ms - (state.now_ms - question.answered_ms),
+            answer.question.step,
+            answer.question.workers,
+            answer.tickets,
+            answer.valid_ms - (state.now_ms - answer.answered_ms),
         ]
-        for step, question in state.question_by_step.items()
-        if question.tickets is not None
+        for answer in state.advice_answers
     ]
--- a/sardinegauge/workflows/hostevents.py
+++ b/sardinegauge/workflows/hostevents.py
@@ -45,9 +45,9 @@
 
 
 class AskAdvice(record.Record):
-    """Effect: ask the policy service; `AdviceReceived` follows."""
+    """Effect: ask the policy service; `AdviceReceived` follows within `limit_ms`."""
 
-    __slots__ = ("step", "workers")
+    __slots__ = ("step", "workers", "limit_ms")
 
 
 class Tick(record.Record):
--- a/sardinegauge/workflows/hoststate.py
+++ b/sardinegauge/workflows/hoststate.py
@@ -105,6 +105,9 @@
     the agent. `is_fence_highest` is whether it is higher than all that the worker had
     seen, `fence_step` how much it rises when the worker refuses it. `slots` limits the
     open calls to the worker.
+    `question_by_step` holds the leader's questions to the policy service that have no
+    answer yet, `open_question` the one whose call is under way, and `advice_answers`
+    the answers to report.
     `unreported_count` is the number of ends and checkpoints that the last report left
     out. `ignored_worker` is the last worker whose announcement was ignored as the known
     one answers.
@@ -125,6 +128,8 @@
         self.report_due_ms = 0
         self.effects = []
         self.question_by_step = {}
+        self.open_question = None
+        self.advice_answers = []
         self.crash = None
         self.unreported_count = 0
         self.ignored_worker = ""
--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -179,7 +179,7 @@
     async def post(self):
         body = json.loads(self.request.body)
         self.platform.advice_requests.append((body["step"], body["workers"]))
-        await asyncio.sleep(0.05)
+        await asyncio.sleep(self.platform.advice_s)
         if self.platform.refused_advice_count:
             self.platform.refused_advice_count -= 1
             self.set_status(429)
@@ -217,6 +217,8 @@
         self.advice_server = None
         self.advice_requests = []
         self.refused_advice_count = 0
+        # Time that the policy service takes to answer, in seconds.
+        self.advice_s = 0.05
         self.version = 0
         self.minion = None
         self.client = httpclient.AsyncHTTPClient(
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -174,8 +174,7 @@
         return
     state = hoststate.State("a")
     announce(state, decode_heartbeat(HEARTBEAT))
-    question = hostedadvice.HostedQuestion(["i-1"])
-    state.question_by_step["w.0.0"] = question
+    hostedadvice.update_questions(state, [["w.0.0", ["i-1"]]], {}, 0)
     received = hostevents.AdviceReceived(
         now_ms=state.now_ms,
         step="w.0.0",
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -116,6 +116,22 @@
     run_scenario(tmp_path, scenario)
 
 
+def test_tasks_of_a_queue_with_slow_advice_start(tmp_path):
+    # Guards against calls that are given up before the time that the queue's advice
+    # takes by its configuration: no task of such a queue ever started.
+    async def scenario(platform):
+        document = platform.document(2)
+        advice = {"decide_ms": 2600, "each_ms": 100, "valid_ms": 5000}
+        document["routes"][0]["advice"] = advice
+        platform.advice_s = 2.7
+        await platform.wait_until_accepted(document)
+        assert await platform.submit("a1", 200) == 200
+        await platform.wait_until(lambda: platform.state_is("a1", "completed"))
+        assert platform.advice_requests == [("a1.0.0", ["i-1"])]
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_configuration_is_kept_read_back_and_in_force(tmp_path):
     async def scenario(platform):
         second = platform.document(5, "/q/", "/new/")
--- a/tests/test_workflow_advising.py
+++ b/tests/test_workflow_advising.py
@@ -29,7 +29,14 @@
 
     def __init__(self, workers="abc"):
         super().__init__()
-        advice = queues.Advice(decide_ms=480, each_ms=2, valid_ms=VALID_MS)
+        self.set_advice(queues.Advice(decide_ms=480, each_ms=2, valid_ms=VALID_MS), 2)
+        self.workers = workers
+        for worker in workers:
+            self.report(worker)
+        self.settle()
+
+    def set_advice(self, advice, version):
+        """Put a configuration with these terms of the policy service in force."""
         queue = queues.Queue(
             name="q",
             host="h",
@@ -40,11 +47,7 @@
             advice=advice,
         )
         packed = queues.pack([queue], [queues.Pool(name="p")])
-        self.commit(commands.SetQueues(version=2, packed=packed))
-        self.workers = workers
-        for worker in workers:
-            self.report(worker)
-        self.settle()
+        self.commit(commands.SetQueues(version=version, packed=packed))
 
     def questions(self):
         """Return the questions by the worker whose agent asks."""
@@ -191,6 +194,23 @@
     assert leader.placed() == {"w.0.0.0": "b"}
 
 
+def test_agent_may_ask_for_as_long_as_the_queue_says(leader):
+    # Guards against calls that are given up before the service can have answered.
+    leader.submit(steps_module.Step())
+    leader.settle()
+    ((asker, _),) = leader.questions().items()
+    limits_ms = leader.orders(asker)["question_limits_ms"]
+    assert limits_ms["w.0.0"] >= 480 + 3 * 2
+    advice = queues.Advice(decide_ms=7000, each_ms=100, valid_ms=VALID_MS)
+    leader.set_advice(advice, version=3)
+    leader.answer(asker, "")
+    leader.submit(steps_module.Step(), id="x")
+    leader.settle()
+    ((asker, _),) = leader.questions().items()
+    limits_ms = leader.orders(asker)["question_limits_ms"]
+    assert limits_ms["x.0.0"] >= 7000 + 3 * 100
+
+
 class Agent:
     """An agent's state that receives questions and answers of the policy service."""
 
@@ -198,12 +218,18 @@
         self.state = hoststate.State("agent")
         self.now_ms = 1000
 
-    def receive_questions(self, rows):
+    def receive_questions(self, rows, limits_ms=None, sent_ms=0):
+        """Apply orders; `sent_ms` is that of the report that they answer, if any."""
         self.state.now_ms = self.now_ms
         self.state.effects = []
-        hostedadvice.update_questions(self.state, rows)
+        hostedadvice.update_questions(self.state, rows, limits_ms or {}, sent_ms)
+        return self.take_asked()
+
+    def take_asked(self):
         effects, self.state.effects = self.state.effects, []
-        return [(e.step, e.workers) for e in effects]
+        return [
+            (e.step, e.workers) for e in effects if isinstance(e, hostevents.AskAdvice)
+        ]
 
     def advised(self, step, workers, tickets=None):
         event = hostevents.AdviceReceived(
@@ -213,7 +239,13 @@
             tickets=tickets,
             valid_ms=VALID_MS,
         )
-        hosting.reduce(self.state, event)
+        effects = hosting.reduce(self.state, event)
+        return [
+            (e.step, e.workers) for e in effects if isinstance(e, hostevents.AskAdvice)
+        ]
+
+    def reported(self):
+        return hostedadvice.report_rows(self.state)
 
 
 def test_agent_asks_once_and_reports_the_remaining_validity():
@@ -222,11 +254,9 @@
     assert agent.receive_questions([["w.0.0", ["a"]]]) == []
     agent.advised("w.0.0", ["a"], [["a", "t"]])
     agent.state.now_ms += 500
-    assert hostedadvice.report_rows(agent.state) == [
-        ["w.0.0", ["a"], [["a", "t"]], 2500]
-    ]
-    agent.receive_questions([])
-    assert hostedadvice.report_rows(agent.state) == []
+    assert agent.reported() == [["w.0.0", ["a"], [["a", "t"]], 2500]]
+    agent.receive_questions([], sent_ms=agent.state.now_ms)
+    assert agent.reported() == []
 
 
 def test_agent_asks_again_after_a_pause_when_there_was_no_answer():
@@ -236,3 +266,40 @@
     assert agent.receive_questions([["w.0.0", ["a"]]]) == []
     agent.now_ms += hostedadvice.RETRY_MS
     assert agent.receive_questions([["w.0.0", ["a"]]]) == [("w.0.0", ["a"])]
+
+
+def test_call_may_take_the_time_that_the_leader_names():
+    agent = Agent()
+    state = agent.state
+    hostedadvice.update_questions(state, [["w.0.0", ["a"]]], {"w.0.0": 8100}, 0)
+    assert [effect.limit_ms for effect in state.effects] == [8100]
+
+
+def test_agent_has_one_call_open_and_reports_its_late_answer():
+    # Guards against calls that wait behind one that was given up, since the service
+    # answers the calls of a caller in turn, and against answers that are thrown away.
+    agent = Agent()
+    agent.receive_questions([["w.0.0", ["a", "b"]]])
+    assert agent.receive_questions([["x.0.0", ["a"]]]) == []
+    agent.now_ms += 900
+    asked = agent.advised("w.0.0", ["a", "b"], [["b", "t"]])
+    assert asked == [("x.0.0", ["a"])]
+    assert agent.reported() == [["w.0.0", ["a", "b"], [["b", "t"]], VALID_MS]]
+    agent.receive_questions([["x.0.0", ["a"]]], sent_ms=agent.now_ms - 5)
+    assert len(agent.reported()) == 1
+    agent.receive_questions([["x.0.0", ["a"]]], sent_ms=agent.now_ms + 5)
+    assert agent.reported() == []
+
+
+def test_question_of_a_new_leader_waits_for_the_open_call_about_the_same_workers():
+    # Guards against a second call about a step whose answer is on its way, as a new
+    # leader lists the workers in another order.
+    agent = Agent()
+    agent.receive_questions([["w.0.0", ["a", "b"]]])
+    agent.receive_questions([])
+    assert agent.receive_questions([["w.0.0", ["b", "a"]]]) == []
+    assert agent.advised("w.0.0", ["a", "b"], [["b", "t"]]) == []
+    assert agent.receive_questions([["w.0.0", ["b", "a"]]]) == []
+    # It is asked again once a leader that has the answer still lists it.
+    asked = agent.receive_questions([["w.0.0", ["b"]]], sent_ms=agent.now_ms + 5)
+    assert asked == [("w.0.0", ["b"])]
