Ask another agent when one gets no answer of the policy service

Callers saw a job queued for good when the policy service answered all agents but one, whose connection stayed open: five idle agents could have asked (trials of the users).

Cause: an expired question went to the first idle agent in the order of the workers, which was the one that had just failed. No failure was kept or reported, and a question of an agent that was gone waited until it expired.

Change: the module advicequestions keeps when an agent failed and asks it last for a minute. A question ends when its agent is gone or reports a failed call, and is overdue 1 s after the time of the service; the call goes on and its answer counts, also without an open question. Failed calls pause the step (0.3 to 1 s), so that a service that is down gets one call a second for each step. The margins double with each failure.

test_agent_that_the_policy_service_does_not_answer_holds_up_no_task (real processes, two agents, one with a silent service) fails before the change in 2 of 2 runs, with no end of the first job in 30 s, and passes in 3 of 3 now. The tests of the leader's questions in test_workflow_advising fail before the change as well.

--- a/sardinegauge/state/statemetrics.py
+++ b/sardinegauge/state/statemetrics.py
@@ -103,6 +103,11 @@
             "Runs that were stopped to start on another worker.",
             ("queue", "reason"),
         )
+        self._questions = self._metrics.histogram(
+            "workflow_advice_seconds",
+            "Time of questions to the policy service by how they ended.",
+            ("queue", "end"),
+        )
         self._suspected = gauge(
             "workflow_suspected_workers",
             "Workers in backoff or on probation since runs stood still there.",
@@ -172,6 +177,10 @@
         self._queues_encoded.inc()
         self._queues_encoded_bytes.inc(effect.byte_count)
 
+    def _count_question(self, effect):
+        question = self._questions.labels(effect.queue, effect.end)
+        question.observe(effect.lasted_ms / 1000)
+
     def _count_refused_command(self, effect):
         self._refused_commands.labels(effect.kind).inc()
 
@@ -245,6 +254,7 @@
     schedulerevents.RunDisplaced: StateMetrics._count_displacement,
     schedulerevents.LastingTasksCounted: StateMetrics._count_lasting,
     schedulerevents.OverTargetEnded: StateMetrics._count_over_target,
+    schedulerevents.QuestionEnded: StateMetrics._count_question,
     schedulerevents.RunEnded: StateMetrics._count_run,
     schedulerevents.RowsDecided: StateMetrics._count_decided_rows,
     schedulerevents.RunRestarted: StateMetrics._count_restart,
--- a/sardinegauge/workflows/hostapp.py
+++ b/sardinegauge/workflows/hostapp.py
@@ -166,7 +166,7 @@
 
     async def _ask_advice(self, effect):
         begun_ms = clock.monotonic_ms()
-        tickets, valid_ms = None, 0
+        tickets, valid_ms, reason = None, 0, ""
         end = "done"
         try:
             answer = await self.advice.ask(
@@ -175,15 +175,17 @@
             tickets, valid_ms = answer.tickets, answer.valid_ms
         except adviceclient.NoAdviceError as error:
             end = "unanswered"
+            reason = str(error)
             self.log.info(
                 "advice_unanswered",
                 step=effect.step,
                 limit_ms=effect.limit_ms,
-                error=str(error),
+                error=reason,
             )
-        except Exception:
+        except Exception as error:
             # A call that never ends would keep the agent from asking for good.
             end = "failed"
+            reason = repr(error)
             self.log.exception("advice_failed", step=effect.step)
         seconds = (clock.monotonic_ms() - begun_ms) / 1000
         self.metrics.count("AskAdvice", end, seconds)
@@ -194,6 +196,7 @@
                 workers=effect.workers,
                 tickets=tickets,
                 valid_ms=valid_ms,
+                reason=reason,
             )
         )
 
--- a/sardinegauge/workflows/hostedadvice.py
+++ b/sardinegauge/workflows/hostedadvice.py
@@ -9,18 +9,26 @@
 
 # Pause before an unanswered question is sent again.
 RETRY_MS = 300
+# Time for which a failed call is reported. A leader of an earlier release refuses such
+# reports, so they must not go on.
+FAILURE_REPORT_MS = 1000
+MAX_REASON_LENGTH = 200
 # Limit of a call for a leader of an earlier release, which names none.
 DEFAULT_LIMIT_MS = 2000
 
 
 class HostedQuestion:
-    """A question about a step, whose call may take `limit_ms`."""
+    """A question about a step, whose call may take `limit_ms`.
 
-    __slots__ = ("limit_ms", "next_ask_ms", "step", "workers")
+    `is_limited` is whether the leader names that limit, as it then takes failures.
+    """
+
+    __slots__ = ("is_limited", "limit_ms", "next_ask_ms", "step", "workers")
 
     def __init__(self, step, workers):
         self.step = step
         self.workers = workers
+        self.is_limited = False
         self.limit_ms = DEFAULT_LIMIT_MS
         self.next_ask_ms = 0
 
@@ -44,6 +52,17 @@
         self.answered_ms = answered_ms
 
 
+class HostedFailure:
+    """A failed call, to report until the leader has received it."""
+
+    __slots__ = ("failed_ms", "reason", "step")
+
+    def __init__(self, step, reason, failed_ms):
+        self.step = step
+        self.reason = reason
+        self.failed_ms = failed_ms
+
+
 def update_questions(state, questions, limits_ms, report_sent_ms):
     """Apply the list of questions in the leader's orders.
 
@@ -63,6 +82,11 @@
         for answer in state.advice_answers
         if report_sent_ms <= answer.answered_ms
     ]
+    state.advice_failures = [
+        failure
+        for failure in state.advice_failures
+        if report_sent_ms <= failure.failed_ms
+    ]
     known_by_step = state.question_by_step
     state.question_by_step = {}
     for step, workers in questions:
@@ -75,6 +99,7 @@
             question = state.open_question
         elif question is None or not question.covers(workers):
             question = HostedQuestion(step, workers)
+        question.is_limited = step in limits_ms
         question.limit_ms = limits_ms.get(step, DEFAULT_LIMIT_MS)
         state.question_by_step[step] = question
     send_due_questions(state)
@@ -109,6 +134,11 @@
     state.open_question = None
     if event.tickets is None:
         question.next_ask_ms = state.now_ms + RETRY_MS
+        if question.is_limited:
+            reason = event.reason[:MAX_REASON_LENGTH]
+            failure = HostedFailure(question.step, reason, state.now_ms)
+            state.advice_failures.append(failure)
+            state.report()
     else:
         answer = HostedAnswer(question, event.tickets, event.valid_ms, state.now_ms)
         state.advice_answers.append(answer)
@@ -130,3 +160,12 @@
         ]
         for answer in state.advice_answers
     ]
+
+
+def failure_rows(state):
+    """Return the failed calls as rows of a `views.Report`, with their age."""
+    return [
+        [failure.step, state.now_ms - failure.failed_ms, failure.reason]
+        for failure in state.advice_failures
+        if state.now_ms - failure.failed_ms <= FAILURE_REPORT_MS
+    ]
--- a/sardinegauge/workflows/hostedreport.py
+++ b/sardinegauge/workflows/hostedreport.py
@@ -53,6 +53,9 @@
     if announcement.cold_ms > 0:
         # Leaders of earlier releases refuse a report with this field.
         fields["cold_ms"] = announcement.cold_ms
+    advice_failures = hostedadvice.failure_rows(state)
+    if advice_failures:
+        fields["advice_failures"] = advice_failures
     crash = hostedcrash.report_field(state)
     if crash is not None:
         fields["crash"] = crash
--- a/sardinegauge/workflows/hostevents.py
+++ b/sardinegauge/workflows/hostevents.py
@@ -37,11 +37,11 @@
     """Event: a question to the policy service ended.
 
     `tickets` are rows of worker and ticket, valid for `valid_ms`, or None if the
-    service gave no answer.
+    service gave no answer for `reason`.
     """
 
-    __slots__ = ("now_ms", "step", "tickets", "valid_ms", "workers")
-    _defaults = {"tickets": None, "valid_ms": 0}
+    __slots__ = ("now_ms", "reason", "step", "tickets", "valid_ms", "workers")
+    _defaults = {"reason": "", "tickets": None, "valid_ms": 0}
 
 
 class AskAdvice(record.Record):
--- a/sardinegauge/workflows/hoststate.py
+++ b/sardinegauge/workflows/hoststate.py
@@ -106,8 +106,8 @@
     seen, `fence_step` how much it rises when the worker refuses it. `slots` limits the
     open calls to the worker.
     `question_by_step` holds the leader's questions to the policy service that have no
-    answer yet, `open_question` the one whose call is under way, and `advice_answers`
-    the answers to report.
+    answer yet, `open_question` the one whose call is under way, `advice_answers`
+    the answers and `advice_failures` the failed calls to report.
     `unreported_count` is the number of ends and checkpoints that the last report left
     out. `ignored_worker` is the last worker whose announcement was ignored as the known
     one answers.
@@ -130,6 +130,7 @@
         self.question_by_step = {}
         self.open_question = None
         self.advice_answers = []
+        self.advice_failures = []
         self.crash = None
         self.unreported_count = 0
         self.ignored_worker = ""
--- a/sardinegauge/workflows/orders.py
+++ b/sardinegauge/workflows/orders.py
@@ -69,7 +69,7 @@
         forget=[],
         paces=[],
         is_watched=False,
-        questions=state.advice_tracker.questions_for(worker),
+        questions=state.advice_tracker.questions.rows_for(worker),
         crash_seen=0,
     )
     if (
@@ -80,7 +80,8 @@
         return body.encode()
     runs = state.store.runs_of(worker, incarnation)
     if body.fields["questions"]:
-        body.fields["question_limits_ms"] = state.advice_tracker.limits_for(worker)
+        questions = state.advice_tracker.questions
+        body.fields["question_limits_ms"] = questions.limits_for(worker)
     body.fields["crash_seen"] = state.crash_by_agent.get(view.agent, 0)
     body.fields["seen_end"] = state.store.worker_by_id[worker].seen_end
     body.fields["is_watched"] = any(
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -122,16 +122,52 @@
 
 
 def _record_advice(state, report):
-    """Record answers of the policy service about current incarnations of workers."""
+    """Record answers of the policy service about current incarnations of workers.
+
+    An answer counts also if its question is no longer open, as after a change of
+    leader.
+    """
+    tracker = state.advice_tracker
     for step, workers, tickets, valid_ms in report.advice:
-        if step not in state.advice_tracker.question_by_step:
+        if _advised_queue(state, step) is None:
             continue
-        state.advice_tracker.record_answer(
+        question = tracker.questions.end_answered(
+            report.worker, step, workers, state.now_ms
+        )
+        _count_questions(state, [question] if question is not None else [])
+        tracker.record_answer(
             step,
             {worker: state.registered_incarnation(worker) for worker in workers},
             dict(tickets),
             state.now_ms + valid_ms,
         )
+    for step, age_ms, reason in report.advice_failures:
+        question = tracker.questions.end_failed(
+            report.worker, step, state.now_ms - age_ms, reason, state.now_ms
+        )
+        _count_questions(state, [question] if question is not None else [])
+
+
+def _advised_queue(state, step):
+    """Return the queue of an open workflow's step if a policy service decides on it."""
+    workflow = state.store.workflow_by_id.get(step.split(".")[0])
+    if workflow is None or not workflow.is_open:
+        return None
+    queue = state.store.queue_of(workflow)
+    return queue if queue.advice is not None else None
+
+
+def _count_questions(state, ended):
+    """Emit the effects that count questions that ended."""
+    for question in ended:
+        queue = _advised_queue(state, question.step)
+        state.effects.append(
+            schedulerevents.QuestionEnded(
+                queue=queue.name if queue is not None else "",
+                end=question.end,
+                lasted_ms=question.lasted_ms,
+            )
+        )
 
 
 def _propose_ends(state, view, report):
@@ -370,16 +406,29 @@
 
 def _send_questions(state):
     """Push the pending questions to agents without a question."""
-    if not state.advice_tracker.pending_by_step:
+    questions = state.advice_tracker.questions
+    if not questions.pending_by_step:
         return
-    askers = [
+    for worker in questions.assign(_askers(state), state.now_ms):
+        state.push(worker, state.registered_incarnation(worker))
+
+
+def _end_unanswered_questions(state):
+    """End the questions whose answer is overdue or whose agent is gone."""
+    questions = state.advice_tracker.questions
+    if questions.by_step:
+        ended = questions.end_unanswered(set(_askers(state)), state.now_ms)
+        _count_questions(state, ended)
+
+
+def _askers(state):
+    """Return the workers whose agents may ask the policy service."""
+    return [
         view.id
         for view in state.view_by_id.values()
         if view.is_fresh(state.now_ms)
         and view.incarnation == state.registered_incarnation(view.id)
     ]
-    for worker in state.advice_tracker.assign_questions(askers, state.now_ms):
-        state.push(worker, state.registered_incarnation(worker))
 
 
 def plan(state, now_ms):
@@ -387,7 +436,7 @@
     state.effects = []
     state.now_ms = max(state.now_ms, now_ms)
     state.is_plan_due = False
-    state.advice_tracker.expire_questions(state.now_ms)
+    _end_unanswered_questions(state)
     wall_ms = state.now_ms + state.wall_offset_ms
     movestarts.assign_reserved(state)
     assignments = state.planner.plan(state, state.now_ms, wall_ms)
--- a/sardinegauge/workflows/schedulerevents.py
+++ b/sardinegauge/workflows/schedulerevents.py
@@ -63,6 +63,12 @@
     __slots__ = ("count_by_state", "lasted_ms", "queue")
 
 
+class QuestionEnded(record.Record):
+    """Effect: count a question to the policy service by how it ended."""
+
+    __slots__ = ("end", "lasted_ms", "queue")
+
+
 class RunEnded(record.Record):
     """Effect: count a run that ended, and the time that CPU caps cost it."""
 
--- a/sardinegauge/workflows/views.py
+++ b/sardinegauge/workflows/views.py
@@ -125,7 +125,8 @@
     `runs` are rows of task, run, phase, checkpoint, progress, load, reason, CPU cap and
     the time that the worker has survived the run; `ends` rows of number, task, run, how
     and checkpoint; `advice` rows of step, the workers asked about, rows of worker and
-    ticket, and the tickets' validity in ms.
+    ticket, and the tickets' validity in ms; `advice_failures` rows of step, time in ms
+    since the call failed, and reason, which agents of earlier releases omit.
     `is_lapsed` is True if every lease of this incarnation has expired, or the
     incarnation has ended. `sent_ms` is when the report was sent, on the agent's clock.
     `cold_ms` is the time for which the worker is still cold; older agents omit it.
@@ -153,6 +154,7 @@
         "runs",
         "ends",
         "advice",
+        "advice_failures",
         "crash",
     )
     _defaults = {
@@ -173,6 +175,7 @@
         "runs": list,
         "ends": list,
         "advice": list,
+        "advice_failures": list,
         "crash": None,
     }
 
@@ -198,10 +201,12 @@
     "runs": list,
     "ends": list,
     "advice": list,
+    "advice_failures": list,
 }
 _RUN_TYPES = (str, int, str, str, _NUMBER, _NUMBER, str, _NUMBER, _NUMBER)
 _END_TYPES = (int, str, int, str, str)
 _ADVICE_TYPES = (str, list, list, _NUMBER)
+_ADVICE_FAILURE_TYPES = (str, _NUMBER, str)
 _CRASH_RUN_TYPES = (str, int, _NUMBER, _NUMBER)
 
 
@@ -232,6 +237,7 @@
     _check_rows("runs", report.runs, _RUN_TYPES)
     _check_rows("ends", report.ends, _END_TYPES)
     _check_rows("advice", report.advice, _ADVICE_TYPES)
+    _check_rows("advice_failures", report.advice_failures, _ADVICE_FAILURE_TYPES)
     report.crash = _decode_crash(report.crash)
     for row in report.runs:
         if row[2] not in PHASES:
--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -186,7 +186,8 @@
             self.finish({})
             return
         ticket = f"t-{len(self.platform.advice_requests)}"
-        self.platform.minion.ticket_by_step[body["step"]] = ticket
+        for minion in self.platform.minions():
+            minion.ticket_by_step[body["step"]] = ticket
         good = [[worker, ticket] for worker in body["workers"]]
         self.finish({"good": good, "valid_ms": 3000})
 
@@ -213,8 +214,14 @@
         self.core_ips = [f"{network}.{n}" for n in (1, 2, 3)]
         self.front_ip = f"{network}.11"
         self.side_ip = f"{network}.21"
+        # Side and minion that a test starts by `start_second_side`.
+        self.second_side_ip = f"{network}.22"
+        self.second_minion = None
         self.advice_port = self.ports.reserve()
         self.advice_server = None
+        # A listener that takes calls of the policy service and never answers.
+        self.silent_port = self.ports.reserve()
+        self.silent_server = None
         self.advice_requests = []
         self.refused_advice_count = 0
         # Time that the policy service takes to answer, in seconds.
@@ -280,6 +287,22 @@
         self.minion = Minion(worker_id, f"{self.side_ip}:{self.minion_port}", born)
         self.minion.listen()
 
+    def start_second_side(self):
+        """Start another side with a minion, both like the first ones."""
+        ip = self.second_side_ip
+        self.start("side", ip)
+        self.second_minion = Minion("i-2", f"{ip}:{self.minion_port}", 1000)
+        self.second_minion.listen()
+
+    def minions(self):
+        return [m for m in (self.minion, self.second_minion) if m is not None]
+
+    async def start_silent_service(self):
+        """Start a policy service that takes connections and never answers."""
+        self.silent_server = await asyncio.start_server(
+            lambda reader, writer: None, self.side_ip, self.silent_port
+        )
+
     def kill(self, role, ip, number=signal.SIGKILL):
         process = self.processes.pop((role, ip))
         process.send_signal(number)
@@ -290,10 +313,12 @@
             process.kill()
         for process in self.processes.values():
             process.wait(timeout=10)
-        if self.minion is not None:
-            self.minion.stop()
+        for minion in self.minions():
+            minion.stop()
         if self.advice_server is not None:
             self.advice_server.stop()
+        if self.silent_server is not None:
+            self.silent_server.close()
         self.ports.close()
 
     async def call(self, method, url, body=None, host=None, timeout_s=4):
@@ -359,9 +384,10 @@
     async def beat(self):
         """Send heartbeats until cancelled."""
         while True:
-            minion = self.minion
-            url = f"http://{self.side_ip}:{self.control_port}/api/instances/{minion.id}"
-            await self.call("PUT", url, minion.heartbeat(), timeout_s=1)
+            for minion in self.minions():
+                ip = minion.address.split(":")[0]
+                url = f"http://{ip}:{self.control_port}/api/instances/{minion.id}"
+                await self.call("PUT", url, minion.heartbeat(), timeout_s=1)
             await asyncio.sleep(0.2)
 
     async def wait_until(self, condition, limit_s=START_LIMIT_S):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -132,6 +132,32 @@
     run_scenario(tmp_path, scenario)
 
 
+def test_agent_that_the_policy_service_does_not_answer_holds_up_no_task(tmp_path):
+    # Guards against asking only the one agent that gets no answer: with others idle, no
+    # task of the queue ever started.
+    async def scenario(platform):
+        await platform.start_silent_service()
+        silent = f"{platform.side_ip}:{platform.silent_port}"
+        platform.kill("side", platform.side_ip)
+        platform.start("side", platform.side_ip, advice=silent)
+        assert await platform.submit("a1", 100) == 200
+        await platform.wait_until(lambda: platform.state_is("a1", "completed"))
+        platform.start_second_side()
+        # Its agent reports to the leader once the minion has seen a fence.
+        await platform.wait_until(lambda: platform.second_minion.fence)
+        document = platform.document(2)
+        advice = {"decide_ms": 50, "each_ms": 1, "valid_ms": 3000}
+        document["routes"][0]["advice"] = advice
+        await platform.wait_until_accepted(document)
+        for job in ("b1", "b2", "b3"):
+            assert await platform.submit(job, 100) == 200
+            await platform.wait_until(
+                lambda job=job: platform.state_is(job, "completed")
+            )
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_configuration_is_kept_read_back_and_in_force(tmp_path):
     async def scenario(platform):
         second = platform.document(5, "/q/", "/new/")
--- a/tests/test_workflow_advising.py
+++ b/tests/test_workflow_advising.py
@@ -8,6 +8,7 @@
 
 from sardinegauge import commands
 from sardinegauge.workflows import (
+    advicequestions,
     advicetracker,
     hostedadvice,
     hostevents,
@@ -150,8 +151,8 @@
     advice = queues.Advice(decide_ms=480)
     tracker.request_tickets("w.0.0", [("b", 1, True)], advice, 0)
     tracker.request_tickets("w.0.0", [("a", 1, True), ("b", 1, True)], advice, 0)
-    tracker.assign_questions(["c"], 0)
-    assert tracker.questions_for("c") == [["w.0.0", ["b", "a"]]]
+    tracker.questions.assign(["c"], 0)
+    assert tracker.questions.rows_for("c") == [["w.0.0", ["b", "a"]]]
 
 
 def test_assigned_run_is_stopped_if_the_service_refuses_its_worker(leader):
@@ -211,6 +212,161 @@
     assert limits_ms["x.0.0"] >= 7000 + 3 * 100
 
 
+def report_all(leader, but=()):
+    """Let all agents report, which doesn't mean that they answered."""
+    for worker in leader.workers:
+        if worker not in but:
+            leader.report(worker)
+    leader.settle()
+
+
+def only_asker(leader):
+    ((asker, _),) = leader.questions().items()
+    return asker
+
+
+def pass_over(leader, asker, within_ms):
+    """Let time pass until another agent than `asker` is asked."""
+    end_ms = leader.now_ms + within_ms
+    while leader.now_ms < end_ms:
+        leader.now_ms += 100
+        report_all(leader)
+        if only_asker(leader) != asker:
+            return
+    raise AssertionError(f"only {asker} was asked in {within_ms} ms")
+
+
+def test_agent_without_an_answer_is_asked_last(leader):
+    # Guards against a step that waits for good for the one agent that can't reach the
+    # service, while the others are idle.
+    leader.submit(steps_module.Step())
+    leader.settle()
+    silent = only_asker(leader)
+    # Tasks whose turn has come must not all stand still for 3 s.
+    pass_over(leader, silent, within_ms=2900)
+    leader.answer(only_asker(leader), "b")
+    for number in range(3):
+        leader.submit(steps_module.Step(), id=f"x{number}")
+        leader.settle()
+        assert only_asker(leader) != silent
+        leader.answer(only_asker(leader), "b")
+
+
+def test_all_agents_have_a_turn_before_one_is_asked_again(leader):
+    leader.submit(steps_module.Step())
+    leader.settle()
+    asked = [only_asker(leader)]
+    for _ in range(1000):
+        leader.now_ms += 100
+        report_all(leader)
+        asker = only_asker(leader)
+        if asker != asked[-1]:
+            asked.append(asker)
+    assert sorted(asked[:3]) == ["a", "b", "c"]
+    assert asked[:3] == asked[3:6]
+
+
+def test_question_of_an_agent_that_is_gone_goes_to_another_one(leader):
+    # Guards against a question that waits for an agent that was killed until it is
+    # overdue, which takes longer the slower the service is.
+    leader.set_advice(queues.Advice(decide_ms=9000, valid_ms=VALID_MS), version=3)
+    leader.submit(steps_module.Step())
+    leader.settle()
+    lost = only_asker(leader)
+    leader.now_ms += views.MAX_REPORT_AGE_MS + 1
+    report_all(leader, but=lost)
+    assert only_asker(leader) != lost
+
+
+def test_failure_that_an_agent_reports_ends_its_question_after_a_pause(leader):
+    leader.submit(steps_module.Step())
+    leader.settle()
+    first = only_asker(leader)
+    leader.now_ms += 20
+    leader.report(first, advice_failures=[["w.0.0", 5, "status 429"]])
+    leader.settle()
+    assert leader.questions() == {}
+    leader.now_ms += advicequestions.RETRY_MS
+    report_all(leader)
+    second = only_asker(leader)
+    assert second != first
+    # The same failure may arrive once more; it is not one of the new question.
+    leader.report(first, advice_failures=[["w.0.0", 330, "status 429"]])
+    leader.settle()
+    assert only_asker(leader) == second
+
+
+def test_service_that_is_down_is_asked_about_a_step_once_a_second_at_most(leader):
+    # Guards against a storm: each failure is followed by a question to the next agent.
+    leader.submit(steps_module.Step())
+    leader.settle()
+    count = 0
+    for _ in range(100):
+        for asker in leader.questions():
+            count += 1
+            leader.report(asker, advice_failures=[["w.0.0", 0, "connection refused"]])
+        leader.now_ms += 100
+        report_all(leader)
+    assert 8 <= count <= 12
+
+
+def test_answer_of_an_agent_that_was_given_up_counts(leader):
+    # Guards against answers that are thrown away though the service has worked on them.
+    leader.submit(steps_module.Step(count=2, cpu_millis=1000))
+    leader.settle()
+    first = only_asker(leader)
+    (question,) = leader.questions()[first]
+    pass_over(leader, first, within_ms=10_000)
+    step, workers = question
+    leader.report(first, advice=[[step, workers, [["b", "t-b"]], VALID_MS]])
+    leader.settle()
+    assert leader.questions() == {}
+    assert [start[4] for start in leader.orders("b")["starts"]] == ["t-b", "t-b"]
+    # A ticket that ends earlier, from an answer that was overtaken, replaces none.
+    leader.report("c", advice=[[step, workers, [["b", "old"]], VALID_MS - 500]])
+    assert [start[4] for start in leader.orders("b")["starts"]] == ["t-b", "t-b"]
+
+
+def test_answer_to_a_question_of_the_former_leader_counts(leader):
+    leader.submit(steps_module.Step())
+    leader.settle()
+    asker = only_asker(leader)
+    ((step, workers),) = leader.questions()[asker]
+    leader.start_term(term=2)
+    for worker in leader.workers:
+        leader.report(worker)
+    leader.report(asker, advice=[[step, workers, [["b", "t-b"]], VALID_MS]])
+    leader.settle()
+    assert leader.placed() == {"w.0.0.0": "b"}
+    assert leader.questions() == {}
+
+
+def test_answer_about_an_unknown_or_ended_workflow_is_not_kept(leader):
+    leader.submit(steps_module.Step())
+    leader.settle()
+    leader.commit(commands.CancelWorkflow(id="w"))
+    leader.settle()
+    for step in ("w.0.0", "none.0.0", "none", ""):
+        leader.report("a", advice=[[step, ["a"], [["a", "t"]], VALID_MS]])
+        leader.report("a", advice_failures=[[step, 0, "status 429"]])
+    assert leader.state.advice_tracker.drop_workflow("w") is None
+    assert leader.state.advice_tracker.steps() == []
+
+
+def test_service_that_is_slower_than_its_terms_gets_more_time(leader):
+    # Guards against a step that never starts since each call is given up too early.
+    leader.submit(steps_module.Step())
+    leader.settle()
+    limits_ms = set()
+    for _ in range(200):
+        leader.now_ms += 100
+        report_all(leader)
+        limits_ms |= set(
+            leader.orders(only_asker(leader))["question_limits_ms"].values()
+        )
+    assert max(limits_ms) > 10_000
+
+
 class Agent:
     """An agent's state that receives questions and answers of the policy service."""
 
@@ -231,13 +387,14 @@
             (e.step, e.workers) for e in effects if isinstance(e, hostevents.AskAdvice)
         ]
 
-    def advised(self, step, workers, tickets=None):
+    def advised(self, step, workers, tickets=None, reason=""):
         event = hostevents.AdviceReceived(
             now_ms=self.now_ms,
             step=step,
             workers=workers,
             tickets=tickets,
             valid_ms=VALID_MS,
+            reason=reason,
         )
         effects = hosting.reduce(self.state, event)
         return [
@@ -303,3 +460,21 @@
     # It is asked again once a leader that has the answer still lists it.
     asked = agent.receive_questions([["w.0.0", ["b"]]], sent_ms=agent.now_ms + 5)
     assert asked == [("w.0.0", ["b"])]
+
+
+def test_agent_reports_a_failed_call_to_a_leader_that_takes_it():
+    # Guards against reports that a leader of an earlier release refuses.
+    agent = Agent()
+    agent.receive_questions([["w.0.0", ["a"]]])
+    agent.advised("w.0.0", ["a"], reason="status 429")
+    assert hostedadvice.failure_rows(agent.state) == []
+    agent.now_ms += hostedadvice.RETRY_MS
+    agent.receive_questions([["w.0.0", ["a"]]], {"w.0.0": 3500})
+    agent.now_ms += 40
+    agent.advised("w.0.0", ["a"], reason="status 429")
+    agent.state.now_ms += 7
+    assert hostedadvice.failure_rows(agent.state) == [["w.0.0", 7, "status 429"]]
+    agent.state.now_ms += hostedadvice.FAILURE_REPORT_MS
+    assert hostedadvice.failure_rows(agent.state) == []
+    agent.receive_questions([], sent_ms=agent.state.now_ms)
+    assert agent.state.advice_failures == []
--- a/tests/test_workflow_reports.py
+++ b/tests/test_workflow_reports.py
@@ -30,6 +30,7 @@
     "runs": [["w.0.0.0", 1, views.ACTIVE, "", 50, 0.5, "", 100, 40]],
     "ends": [[1, "w.0.0.1", 1, store.DONE, ""]],
     "advice": [["w.0.0", ["a", "b"], [["a", "t"]], 500]],
+    "advice_failures": [["w.0.0", 12.5, "status 429"]],
     "crash": {"worker": "a", "life": 1, "runs": [["w.0.0.2", 1, 12.5, 20]]},
 }
 # Values of every JSON type; none is valid in a place that holds another type.
