Use tickets that are valid for less than the margin of 300 ms

Callers of a queue with a `valid_ms` of 300 or less, or whose policy service names no validity in its answer, saw jobs queued for good while the service was asked without a pause.

Change: a ticket is used until 300 ms or half of its validity are left, whichever is less. The terms of a question hold the queue's `valid_ms`, which counts where the answer names none. Tickets that have ended on arrival count as a failed question, so that the step pauses and the log says why.

--- a/sardinegauge/workflows/adviceclient.py
+++ b/sardinegauge/workflows/adviceclient.py
@@ -10,7 +10,10 @@
 
 
 class Advice(record.Record):
-    """An answer: rows of worker and ticket, valid for `valid_ms` from its receipt."""
+    """An answer: rows of worker and ticket, valid for `valid_ms` from its receipt.
+
+    `valid_ms` is None if the answer names no time; then that of the queue holds.
+    """
 
     __slots__ = ("tickets", "valid_ms")
 
--- a/sardinegauge/workflows/advicequestions.py
+++ b/sardinegauge/workflows/advicequestions.py
@@ -24,6 +24,7 @@
 
 # How a question ended.
 ANSWERED = "answered"
+EXPIRED = "expired"
 OVERDUE = "overdue"
 FAILED = "failed"
 ASKER_LOST = "asker_lost"
@@ -35,16 +36,25 @@
     """A question to the service.
 
     `asker` is the worker id of the agent that asks, whose call may take `limit_ms`.
+    Tickets are valid for `valid_ms` unless the answer says otherwise.
     """
 
-    __slots__ = ("asked_ms", "asker", "expires_ms", "limit_ms", "workers")
+    __slots__ = (
+        "asked_ms",
+        "asker",
+        "expires_ms",
+        "limit_ms",
+        "valid_ms",
+        "workers",
+    )
 
-    def __init__(self, asker, workers, asked_ms, expires_ms, limit_ms):
+    def __init__(self, asker, workers, asked_ms, expires_ms, limit_ms, valid_ms):
         self.asker = asker
         self.workers = workers
         self.asked_ms = asked_ms
         self.expires_ms = expires_ms
         self.limit_ms = limit_ms
+        self.valid_ms = valid_ms
 
 
 class Ended:
@@ -134,6 +144,7 @@
             now_ms,
             now_ms + cost_ms + OVERDUE_MARGIN_MS * doubled,
             cost_ms + ANSWER_MARGIN_MS * doubled,
+            advice.valid_ms,
         )
         log.info(
             "advice_asked step=%s workers=%d asker=%s attempt=%d",
@@ -151,14 +162,15 @@
             if question.asker == asker
         ]
 
-    def limits_for(self, asker):
-        """Return how long an agent's calls may take, in ms by step.
+    def terms_for(self, asker):
+        """Return the terms of the questions assigned to an agent, by step.
 
-        The agent counts from when it calls, since the service answers the calls of a
-        caller in turn and goes on with one that its caller has given up.
+        They are how long its call may take and how long tickets are valid, in ms. The
+        agent counts from when it calls, since the service answers the calls of a caller
+        in turn and goes on with one that its caller has given up.
         """
         return {
-            step: question.limit_ms
+            step: [question.limit_ms, question.valid_ms]
             for step, question in self.by_step.items()
             if question.asker == asker
         }
@@ -189,13 +201,22 @@
         question = self.by_step.get(step)
         if question is None or question.asker != asker or failed_ms < question.asked_ms:
             return None
+        self._pause(step, now_ms)
+        return self._end(step, FAILED, reason, now_ms)
+
+    def end_expired(self, step, now_ms):
+        """End the question whose tickets have ended on arrival; return it or None."""
+        if step not in self.by_step:
+            return None
+        self._pause(step, now_ms)
+        return self._end(step, EXPIRED, "the tickets ended before they came", now_ms)
+
+    def _pause(self, step, now_ms):
+        """Count a failure of the service, and let the step wait."""
         attempts = self.attempts_by_step[step]
-        pause_ms = min(
-            RETRY_MS * 2 ** min(attempts.failures, MAX_DOUBLINGS), MAX_RETRY_MS
-        )
+        doubled = 2 ** min(attempts.failures, MAX_DOUBLINGS)
         attempts.failures += 1
-        attempts.retry_ms = now_ms + pause_ms
-        return self._end(step, FAILED, reason, now_ms)
+        attempts.retry_ms = now_ms + min(RETRY_MS * doubled, MAX_RETRY_MS)
 
     def _end(self, step, end, reason, now_ms):
         question = self.by_step.pop(step)
--- a/sardinegauge/workflows/advicetracker.py
+++ b/sardinegauge/workflows/advicetracker.py
@@ -14,20 +14,26 @@
 # Limit of the workers in one question, since the service takes time for each of them.
 MAX_WORKERS_PER_QUESTION = 30
 # Remaining validity that a ticket needs when a start is planned or ordered, so that it
-# is still valid when the call reaches the worker.
+# is still valid when the call reaches the worker; at most half of its whole validity,
+# since a shorter one would otherwise never be used.
 TICKET_MARGIN_MS = 300
 
 log = logging.getLogger(__name__)
 
 
 class Ticket:
-    """A decision on a worker; the `text` is empty if it may not run the step."""
+    """A decision on a worker; the `text` is empty if it may not run the step.
 
-    __slots__ = ("text", "expires_ms")
+    The worker takes it until `expires_ms`; it is used until `usable_until_ms`.
+    """
+
+    __slots__ = ("text", "expires_ms", "usable_until_ms")
 
-    def __init__(self, text, expires_ms):
+    def __init__(self, text, expires_ms, now_ms):
         self.text = text
         self.expires_ms = expires_ms
+        margin_ms = min(TICKET_MARGIN_MS, max(expires_ms - now_ms, 0) / 2)
+        self.usable_until_ms = expires_ms - margin_ms
 
 
 class AdviceTracker:
@@ -50,7 +56,7 @@
     def ticket(self, step, worker, incarnation, now_ms):
         """Return the text of a ticket that is valid long enough, or an empty one."""
         ticket = self._tickets_of_step(step).get((worker, incarnation))
-        if ticket is None or now_ms + TICKET_MARGIN_MS > ticket.expires_ms:
+        if ticket is None or now_ms >= ticket.usable_until_ms:
             return ""
         return ticket.text
 
@@ -80,16 +86,14 @@
             if worker in missing:
                 continue
             ticket = tickets.get((worker, incarnation))
-            is_valid = (
-                ticket is not None and now_ms + TICKET_MARGIN_MS < ticket.expires_ms
-            )
+            is_valid = ticket is not None and now_ms < ticket.usable_until_ms
             if ticket is None or (ticket.text and has_room and not is_valid):
                 missing.append(worker)
         if missing:
             del missing[MAX_WORKERS_PER_QUESTION:]
             pending_by_step[step] = (missing, advice)
 
-    def record_answer(self, step, incarnation_by_worker, tickets, expires_ms):
+    def record_answer(self, step, incarnation_by_worker, tickets, expires_ms, now_ms):
         """Record an answer, also one that comes after its question was dropped.
 
         A ticket that ends before the known one is not taken, since the answers of two
@@ -104,6 +108,7 @@
             Texts of the tickets by worker, for the workers that may run the step.
         expires_ms : int
             Time at which the tickets expire.
+        now_ms : int
         """
         tickets_by_incarnation = self._tickets_of_step(step)
         for worker, incarnation in incarnation_by_worker.items():
@@ -111,7 +116,7 @@
             text = tickets.get(worker, "")
             if known is None or not text or known.expires_ms < expires_ms:
                 key = (worker, incarnation)
-                tickets_by_incarnation[key] = Ticket(text, expires_ms)
+                tickets_by_incarnation[key] = Ticket(text, expires_ms, now_ms)
         log.info(
             "advice_received step=%s workers=%d allowed=%d",
             step,
--- a/sardinegauge/workflows/hostapp.py
+++ b/sardinegauge/workflows/hostapp.py
@@ -166,7 +166,7 @@
 
     async def _ask_advice(self, effect):
         begun_ms = clock.monotonic_ms()
-        tickets, valid_ms, reason = None, 0, ""
+        tickets, valid_ms, reason = None, None, ""
         end = "done"
         try:
             answer = await self.advice.ask(
--- a/sardinegauge/workflows/hostedadvice.py
+++ b/sardinegauge/workflows/hostedadvice.py
@@ -20,16 +20,25 @@
 class HostedQuestion:
     """A question about a step, whose call may take `limit_ms`.
 
-    `is_limited` is whether the leader names that limit, as it then takes failures.
+    Tickets are valid for `valid_ms` unless the answer says otherwise. `has_terms` is
+    whether the leader names these times, as it then takes reports of failures.
     """
 
-    __slots__ = ("is_limited", "limit_ms", "next_ask_ms", "step", "workers")
+    __slots__ = (
+        "has_terms",
+        "limit_ms",
+        "next_ask_ms",
+        "step",
+        "valid_ms",
+        "workers",
+    )
 
     def __init__(self, step, workers):
         self.step = step
         self.workers = workers
-        self.is_limited = False
+        self.has_terms = False
         self.limit_ms = DEFAULT_LIMIT_MS
+        self.valid_ms = 0
         self.next_ask_ms = 0
 
     def covers(self, workers):
@@ -63,7 +72,7 @@
         self.failed_ms = failed_ms
 
 
-def update_questions(state, questions, limits_ms, report_sent_ms):
+def update_questions(state, questions, terms_by_step, report_sent_ms):
     """Apply the list of questions in the leader's orders.
 
     Parameters
@@ -71,8 +80,8 @@
     state : hoststate.State
     questions : list
         Rows of step and workers.
-    limits_ms : dict
-        Time that a call may take, by step.
+    terms_by_step : dict
+        Times in ms that a call may take and that tickets are valid, by step.
     report_sent_ms : int
         When the report that the orders answer was sent; 0 for pushed orders.
     """
@@ -99,8 +108,10 @@
             question = state.open_question
         elif question is None or not question.covers(workers):
             question = HostedQuestion(step, workers)
-        question.is_limited = step in limits_ms
-        question.limit_ms = limits_ms.get(step, DEFAULT_LIMIT_MS)
+        question.has_terms = step in terms_by_step
+        question.limit_ms, question.valid_ms = terms_by_step.get(
+            step, (DEFAULT_LIMIT_MS, 0)
+        )
         state.question_by_step[step] = question
     send_due_questions(state)
 
@@ -134,13 +145,14 @@
     state.open_question = None
     if event.tickets is None:
         question.next_ask_ms = state.now_ms + RETRY_MS
-        if question.is_limited:
+        if question.has_terms:
             reason = event.reason[:MAX_REASON_LENGTH]
             failure = HostedFailure(question.step, reason, state.now_ms)
             state.advice_failures.append(failure)
             state.report()
     else:
-        answer = HostedAnswer(question, event.tickets, event.valid_ms, state.now_ms)
+        valid_ms = event.valid_ms if event.valid_ms is not None else question.valid_ms
+        answer = HostedAnswer(question, event.tickets, valid_ms, state.now_ms)
         state.advice_answers.append(answer)
         listed = state.question_by_step.get(question.step)
         if listed is not None and question.covers(listed.workers):
--- a/sardinegauge/workflows/hostevents.py
+++ b/sardinegauge/workflows/hostevents.py
@@ -36,12 +36,12 @@
 class AdviceReceived(record.Record):
     """Event: a question to the policy service ended.
 
-    `tickets` are rows of worker and ticket, valid for `valid_ms`, or None if the
-    service gave no answer for `reason`.
+    `tickets` are rows of worker and ticket, or None if the service gave no answer for
+    `reason`. They are valid for `valid_ms`, which is None if the answer names no time.
     """
 
     __slots__ = ("now_ms", "reason", "step", "tickets", "valid_ms", "workers")
-    _defaults = {"reason": "", "tickets": None, "valid_ms": 0}
+    _defaults = {"reason": "", "tickets": None, "valid_ms": None}
 
 
 class AskAdvice(record.Record):
--- a/sardinegauge/workflows/hosting.py
+++ b/sardinegauge/workflows/hosting.py
@@ -357,11 +357,11 @@
     hostedruns.keep_orders(state, body.get("still_ordered"))
     for task_id, run_number, percent in body["paces"]:
         hostedruns.set_cpu_cap(state, (task_id, run_number), percent)
-    # Leaders of earlier releases send no questions, or no limits of their time.
+    # Leaders of earlier releases send no questions, or no terms.
     hostedadvice.update_questions(
         state,
         body.get("questions", []),
-        body.get("question_limits_ms", {}),
+        body.get("question_terms", {}),
         message.sent_ms,
     )
     hostedcrash.acknowledge(state, body.get("crash_seen", 0))
--- a/sardinegauge/workflows/orders.py
+++ b/sardinegauge/workflows/orders.py
@@ -55,7 +55,7 @@
     cap; ordered starts that stay in force, in `still_ordered`, as rows of task and run;
     stops, and runs for the agent to forget, as rows of task and run; CPU caps, in
     `paces`, as rows of task, run and percent; questions to the policy service as rows
-    of step and workers, and the time in ms that a call about them may take, by step;
+    of step and workers, and their terms by step, see `advicequestions.Questions`;
     the number of the last recorded end; and the incarnation of the last recorded
     crash. A worker is watched while it runs both latency-critical and
     best-effort tasks.
@@ -81,7 +81,7 @@
     runs = state.store.runs_of(worker, incarnation)
     if body.fields["questions"]:
         questions = state.advice_tracker.questions
-        body.fields["question_limits_ms"] = questions.limits_for(worker)
+        body.fields["question_terms"] = questions.terms_for(worker)
     body.fields["crash_seen"] = state.crash_by_agent.get(view.agent, 0)
     body.fields["seen_end"] = state.store.worker_by_id[worker].seen_end
     body.fields["is_watched"] = any(
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -128,24 +128,33 @@
     leader.
     """
     tracker = state.advice_tracker
+    ended = []
     for step, workers, tickets, valid_ms in report.advice:
         if _advised_queue(state, step) is None:
             continue
-        question = tracker.questions.end_answered(
-            report.worker, step, workers, state.now_ms
-        )
-        _count_questions(state, [question] if question is not None else [])
+        if tickets and valid_ms <= 0:
+            ended.append(tracker.questions.end_expired(step, state.now_ms))
+        else:
+            ended.append(
+                tracker.questions.end_answered(
+                    report.worker, step, workers, state.now_ms
+                )
+            )
         tracker.record_answer(
             step,
             {worker: state.registered_incarnation(worker) for worker in workers},
             dict(tickets),
             state.now_ms + valid_ms,
+            state.now_ms,
         )
     for step, age_ms, reason in report.advice_failures:
-        question = tracker.questions.end_failed(
-            report.worker, step, state.now_ms - age_ms, reason, state.now_ms
+        failed_ms = state.now_ms - age_ms
+        ended.append(
+            tracker.questions.end_failed(
+                report.worker, step, failed_ms, reason, state.now_ms
+            )
         )
-        _count_questions(state, [question] if question is not None else [])
+    _count_questions(state, [question for question in ended if question is not None])
 
 
 def _advised_queue(state, step):
--- a/tests/test_wireformat.py
+++ b/tests/test_wireformat.py
@@ -227,6 +227,7 @@
     advice = wireformat.decode_advice(body)
     assert (advice.tickets, advice.valid_ms) == ([["i-1", "t"]], 3000)
     numbered = wireformat.decode_advice({"good": [["i-1", 7]]})
+    assert numbered.valid_ms is None
     assert numbered.tickets == [["i-1", "7"]]
     for broken in ([], {}, {"good": [["i-1"]]}, {"good": "x"}):
         with pytest.raises(wireformat.DecodeError):
--- a/tests/test_workflow_advising.py
+++ b/tests/test_workflow_advising.py
@@ -200,16 +200,17 @@
     leader.submit(steps_module.Step())
     leader.settle()
     ((asker, _),) = leader.questions().items()
-    limits_ms = leader.orders(asker)["question_limits_ms"]
-    assert limits_ms["w.0.0"] >= 480 + 3 * 2
+    limit_ms, valid_ms = leader.orders(asker)["question_terms"]["w.0.0"]
+    assert limit_ms >= 480 + 3 * 2
+    assert valid_ms == VALID_MS
     advice = queues.Advice(decide_ms=7000, each_ms=100, valid_ms=VALID_MS)
     leader.set_advice(advice, version=3)
     leader.answer(asker, "")
     leader.submit(steps_module.Step(), id="x")
     leader.settle()
     ((asker, _),) = leader.questions().items()
-    limits_ms = leader.orders(asker)["question_limits_ms"]
-    assert limits_ms["x.0.0"] >= 7000 + 3 * 100
+    limit_ms, _ = leader.orders(asker)["question_terms"]["x.0.0"]
+    assert limit_ms >= 7000 + 3 * 100
 
 
 def report_all(leader, but=()):
@@ -357,16 +358,54 @@
     # Guards against a step that never starts since each call is given up too early.
     leader.submit(steps_module.Step())
     leader.settle()
-    limits_ms = set()
+    limits_ms = []
     for _ in range(200):
         leader.now_ms += 100
         report_all(leader)
-        limits_ms |= set(
-            leader.orders(only_asker(leader))["question_limits_ms"].values()
-        )
+        terms_by_step = leader.orders(only_asker(leader))["question_terms"]
+        limits_ms.append(terms_by_step["w.0.0"][0])
     assert max(limits_ms) > 10_000
 
 
+def test_ticket_that_is_valid_for_less_than_the_usual_margin_is_used(leader):
+    # Guards against a queue whose tickets are all taken for ended when they arrive.
+    leader.set_advice(queues.Advice(decide_ms=480, valid_ms=250), version=3)
+    leader.submit(steps_module.Step())
+    leader.settle()
+    leader.answer(only_asker(leader), "b", valid_ms=245)
+    assert leader.placed() == {"w.0.0.0": "b"}
+    assert [start[4] for start in leader.orders("b")["starts"]] == ["t-b"]
+    leader.tick(245)
+    assert leader.orders("b")["starts"] == []
+
+
+def test_tickets_that_end_before_they_arrive_make_no_storm_of_questions(leader):
+    leader.set_advice(queues.Advice(decide_ms=480, valid_ms=0), version=3)
+    leader.submit(steps_module.Step())
+    leader.settle()
+    count = 0
+    for _ in range(100):
+        for asker in leader.questions():
+            count += 1
+            leader.answer(asker, "b", valid_ms=0)
+        leader.now_ms += 100
+        report_all(leader)
+    assert 8 <= count <= 12
+    assert leader.placed() == {}
+
+
+def test_step_without_an_answer_is_asked_about_by_new_terms(leader):
+    # Guards against a step that keeps the time of the terms it was first asked with.
+    leader.submit(steps_module.Step())
+    leader.settle()
+    first = only_asker(leader)
+    advice = queues.Advice(decide_ms=20_000, each_ms=100, valid_ms=VALID_MS)
+    leader.set_advice(advice, version=3)
+    pass_over(leader, first, within_ms=2900)
+    limit_ms, _ = leader.orders(only_asker(leader))["question_terms"]["w.0.0"]
+    assert limit_ms >= 20_000 + 3 * 100
+
+
 class Agent:
     """An agent's state that receives questions and answers of the policy service."""
 
@@ -374,11 +413,11 @@
         self.state = hoststate.State("agent")
         self.now_ms = 1000
 
-    def receive_questions(self, rows, limits_ms=None, sent_ms=0):
+    def receive_questions(self, rows, terms_by_step=None, sent_ms=0):
         """Apply orders; `sent_ms` is that of the report that they answer, if any."""
         self.state.now_ms = self.now_ms
         self.state.effects = []
-        hostedadvice.update_questions(self.state, rows, limits_ms or {}, sent_ms)
+        hostedadvice.update_questions(self.state, rows, terms_by_step or {}, sent_ms)
         return self.take_asked()
 
     def take_asked(self):
@@ -387,13 +426,13 @@
             (e.step, e.workers) for e in effects if isinstance(e, hostevents.AskAdvice)
         ]
 
-    def advised(self, step, workers, tickets=None, reason=""):
+    def advised(self, step, workers, tickets=None, reason="", valid_ms=VALID_MS):
         event = hostevents.AdviceReceived(
             now_ms=self.now_ms,
             step=step,
             workers=workers,
             tickets=tickets,
-            valid_ms=VALID_MS,
+            valid_ms=valid_ms,
             reason=reason,
         )
         effects = hosting.reduce(self.state, event)
@@ -428,7 +467,7 @@
 def test_call_may_take_the_time_that_the_leader_names():
     agent = Agent()
     state = agent.state
-    hostedadvice.update_questions(state, [["w.0.0", ["a"]]], {"w.0.0": 8100}, 0)
+    hostedadvice.update_questions(state, [["w.0.0", ["a"]]], {"w.0.0": [8100, 5]}, 0)
     assert [effect.limit_ms for effect in state.effects] == [8100]
 
 
@@ -469,7 +508,7 @@
     agent.advised("w.0.0", ["a"], reason="status 429")
     assert hostedadvice.failure_rows(agent.state) == []
     agent.now_ms += hostedadvice.RETRY_MS
-    agent.receive_questions([["w.0.0", ["a"]]], {"w.0.0": 3500})
+    agent.receive_questions([["w.0.0", ["a"]]], {"w.0.0": [3500, 5]})
     agent.now_ms += 40
     agent.advised("w.0.0", ["a"], reason="status 429")
     agent.state.now_ms += 7
@@ -478,3 +517,12 @@
     assert hostedadvice.failure_rows(agent.state) == []
     agent.receive_questions([], sent_ms=agent.state.now_ms)
     assert agent.state.advice_failures == []
+
+
+def test_answer_without_a_validity_takes_that_of_the_queue():
+    # Guards against tickets that count as ended at once: the service need not name a
+    # time that the queue's terms name already.
+    agent = Agent()
+    agent.receive_questions([["w.0.0", ["a"]]], {"w.0.0": [3500, 800]})
+    agent.advised("w.0.0", ["a"], [["a", "t"]], valid_ms=None)
+    assert agent.reported() == [["w.0.0", ["a"], [["a", "t"]], 800]]
