Explain what a workflow waits for from the policy service

An operator who asked `sardinegauge explain` about a workflow of a queue with advice read that nothing is known of it, though the leader knew which agent asks, how often the step was asked about and why no answer came.

Change: adviceexplanation lists, for a workflow, step or task, what the service decided, the open question and the last failure. test_explanation_names_who_asked_how_often_and_ why_no_answer_came and test_questions_are_counted_by_how_they_ended pass with the other tests of the advising, the replica, the command line and the pages.

--- a/sardinegauge/cli/explanations.py
+++ b/sardinegauge/cli/explanations.py
@@ -25,6 +25,8 @@
 ):
     """Explain the state of a job, task or upstream, or trace any id in saved logs.
 
+    Of a workflow, tell what is known from its policy service.
+
     With `placement` as the id and a queue, tell where its next task would start now.
 
     Example: sardinegauge explain job-17
--- a/sardinegauge/state/requests.py
+++ b/sardinegauge/state/requests.py
@@ -13,6 +13,7 @@
     replicasteps,
 )
 from sardinegauge.workflows import (
+    adviceexplanation,
     leaderexchange,
     placementexplanation,
     waitingcount,
@@ -239,7 +240,11 @@
         return replicasteps.status(state)
     if kind == "explain":
         lines = state.modules.scheduler.explain(state.scheduler, arguments["id"])
-        return {"lines": lines}
+        # The native scheduler says of a workflow that it knows nothing.
+        advice = adviceexplanation.lines(
+            state.leader_exchange.scheduler, arguments["id"]
+        )
+        return {"lines": advice or lines}
     if kind == "failure_domains":
         return domainqueries.answer(state.machine, state.leader_exchange.scheduler)
     if kind == "explain_placement":
--- a/sardinegauge/workflows/advicetracker.py
+++ b/sardinegauge/workflows/advicetracker.py
@@ -9,6 +9,7 @@
 
 import logging
 
+from sardinegauge import record
 from sardinegauge.workflows import advicequestions
 
 # Limit of the workers in one question, since the service takes time for each of them.
@@ -36,6 +37,12 @@
         self.usable_until_ms = expires_ms - margin_ms
 
 
+class DecisionCounts(record.Record):
+    """Workers by what the service decided; `usable` have a ticket for a start now."""
+
+    __slots__ = ("allowed", "refused", "usable")
+
+
 class AdviceTracker:
     """The leader's record of the service's decisions; soft state.
 
@@ -124,9 +131,21 @@
             len(tickets),
         )
 
-    def steps(self):
-        """Return the steps with decisions."""
-        return [step for found in self._tickets_by_workflow.values() for step in found]
+    def steps_of(self, workflow):
+        """Return the steps of a workflow that the service was to be asked about."""
+        return list(self._tickets_by_workflow.get(workflow, {}))
+
+    def count_decisions(self, step, now_ms):
+        """Return the `DecisionCounts` of a step."""
+        tickets = self._tickets_of_step(step).values()
+        return DecisionCounts(
+            allowed=sum(bool(ticket.text) for ticket in tickets),
+            usable=sum(
+                bool(ticket.text) and now_ms < ticket.usable_until_ms
+                for ticket in tickets
+            ),
+            refused=sum(not ticket.text for ticket in tickets),
+        )
 
     def drop_ticket(self, step, worker, incarnation):
         """Drop a ticket that a worker refused."""
--- a/tests/test_workflow_advising.py
+++ b/tests/test_workflow_advising.py
@@ -8,6 +8,7 @@
 
 from sardinegauge import commands
 from sardinegauge.workflows import (
+    adviceexplanation,
     advicequestions,
     advicetracker,
     hostedadvice,
@@ -15,6 +16,7 @@
     hosting,
     hoststate,
     queues,
+    scheduler,
     schedulerevents,
     store,
     views,
@@ -350,8 +352,8 @@
     for step in ("w.0.0", "none.0.0", "none", ""):
         leader.report("a", advice=[[step, ["a"], [["a", "t"]], VALID_MS]])
         leader.report("a", advice_failures=[[step, 0, "status 429"]])
-    assert leader.state.advice_tracker.drop_workflow("w") is None
-    assert leader.state.advice_tracker.steps() == []
+    tracker = leader.state.advice_tracker
+    assert [tracker.steps_of(name) for name in ("w", "none", "")] == [[], [], []]
 
 
 def test_service_that_is_slower_than_its_terms_gets_more_time(leader):
@@ -406,6 +408,43 @@
     assert limit_ms >= 20_000 + 3 * 100
 
 
+def test_explanation_names_who_asked_how_often_and_why_no_answer_came(leader):
+    # Guards against a job that waits for the policy service without a word.
+    leader.submit(steps_module.Step())
+    leader.settle()
+    first = only_asker(leader)
+    leader.report(first, advice_failures=[["w.0.0", 0, "status 429"]])
+    leader.now_ms += advicequestions.RETRY_MS
+    report_all(leader)
+    second = only_asker(leader)
+    text = "\n".join(adviceexplanation.lines(leader.state, "w"))
+    assert f"{second} asks for 0 ms about 3 workers, question 2" in text
+    assert f"last without an answer was {first}, status 429" in text
+    for id in ("w.0.0", "w.0.0.0"):
+        assert "\n".join(adviceexplanation.lines(leader.state, id)) == text
+    leader.answer(second, "b")
+    (line,) = adviceexplanation.lines(leader.state, "w")
+    assert "allows 1 workers, 1 with a ticket that can be used, and refuses 2" in line
+    assert adviceexplanation.lines(leader.state, "w.0.1") == []
+    assert adviceexplanation.lines(leader.state, "unknown") == []
+    assert adviceexplanation.lines(None, "w") == []
+
+
+def test_questions_are_counted_by_how_they_ended(leader):
+    leader.submit(steps_module.Step())
+    leader.settle()
+    first = only_asker(leader)
+    leader.now_ms += 40
+    report = leaderkit.report_of(first, [], advice_failures=[["w.0.0", 0, "x"]])
+    event = schedulerevents.ReportReceived(now_ms=leader.now_ms, report=report)
+    (counted,) = [
+        effect
+        for effect in scheduler.reduce(leader.state, event)
+        if isinstance(effect, schedulerevents.QuestionEnded)
+    ]
+    assert (counted.queue, counted.end, counted.lasted_ms) == ("q", "failed", 40)
+
+
 class Agent:
     """An agent's state that receives questions and answers of the policy service."""
 
