Move slow lasting tasks only within max_unavailable

Cause: move_slow_best_effort_tasks stops up to three runs at a time and did not ask availability, unlike restarts, overcommitted workers and drains.

Change: the check of recovery is availability.may_stop, and moves ask it as well.

--- a/sardinegauge/workflows/availability.py
+++ b/sardinegauge/workflows/availability.py
@@ -32,3 +32,16 @@
 def count_unavailable(state, tasks):
     """Return how many unfinished tasks are not at work, for any cause."""
     return sum(not task.is_done and not is_available(state, task) for task in tasks)
+
+
+def may_stop(state, occurrence, task):
+    """Return whether `max_unavailable` allows to stop a task of a persistent step."""
+    limit = task.step.max_unavailable
+    if not task.step.is_persistent or limit < 0:
+        return True
+    others = [
+        member
+        for member in occurrence.tasks_by_step[task.position]
+        if member is not task
+    ]
+    return count_unavailable(state, others) + 1 <= limit
--- a/sardinegauge/workflows/besteffort.py
+++ b/sardinegauge/workflows/besteffort.py
@@ -7,6 +7,7 @@
 import math
 
 from sardinegauge.workflows import (
+    availability,
     interference,
     outlooks,
     schedulerevents,
@@ -57,7 +58,7 @@
             continue
         if state.now_ms - since_ms < MIN_SLOW_MS:
             continue
-        workflow, _, task = state.store.find_task(task_id)
+        workflow, occurrence, task = state.store.find_task(task_id)
         run = _find_run(task, run_number)
         if run is None or not workflow.is_open or not task.step.is_checkpointing:
             del state.slow_since_ms_by_run[run_key]
@@ -65,6 +66,8 @@
         gain_ms = _move_gain_ms(state, run_key, run, task)
         if gain_ms <= MIN_MOVE_GAIN_MS:
             continue
+        if not availability.may_stop(state, occurrence, task):
+            continue
         destinations = destinations or _Destinations(state)
         pool = state.store.queue_of(workflow).pool
         if destinations.reserve(pool, task.step, run.worker):
--- a/sardinegauge/workflows/recovery.py
+++ b/sardinegauge/workflows/recovery.py
@@ -214,7 +214,7 @@
         if state.recovery.tokens < 1:
             return
         workflow, occurrence, task = state.store.find_task(_task_id(verdict))
-        if not _may_be_unavailable(state, verdict, occurrence, task):
+        if not availability.may_stop(state, occurrence, task):
             continue
         if rooms.reserve(state.store.queue_of(workflow).pool, task.step, run.worker):
             _restart(state, verdict, run, workflow.queue, gain_ms)
@@ -242,20 +242,6 @@
     return task.runs[0]
 
 
-def _may_be_unavailable(state, verdict, occurrence, task):
-    """Return whether `max_unavailable` allows one more stop in a persistent step."""
-    limit = task.step.max_unavailable
-    if not task.step.is_persistent or limit < 0:
-        return True
-    others = [
-        member
-        for member in occurrence.tasks_by_step[task.position]
-        if member is not task
-    ]
-    unavailable_count = availability.count_unavailable(state, others)
-    return unavailable_count + 1 <= limit
-
-
 def _restart(state, verdict, run, queue, gain_ms):
     task_id, run_number = verdict.info.key
     recovery = state.recovery
--- a/tests/test_workflow_besteffort.py
+++ b/tests/test_workflow_besteffort.py
@@ -1,5 +1,7 @@
 """Guards against best-effort tasks that interfere, stay paused or move needlessly."""
 
+import pytest
+
 from sardinegauge.workflows import (
     besteffort,
     interference,
@@ -267,6 +269,68 @@
     assert len(leader.state.stop_reason_by_run) == 1
 
 
+def make_slow_lasting_tasks(limit):
+    """Return a leader with three slow lasting tasks at work, and idle workers.
+
+    `limit` is how many tasks of the step may be unavailable.
+    """
+    leader = Leader()
+    for worker in "abc":
+        leader.report(worker)
+    leader.settle()
+    step = Step(
+        count=3,
+        cpu_millis=1000,
+        memory_mb=10,
+        is_filler=True,
+        is_persistent=True,
+        is_checkpointing=True,
+        max_per_worker=1,
+        max_unavailable=limit,
+    )
+    leader.submit(step)
+    leader.settle()
+    for worker in "defg":
+        leader.report(worker)
+    for worker in "abc":
+        leader.report(worker, runs=running_on(leader, worker), progress=100)
+        for key in leader.store.runs_of(worker, 1):
+            leader.state.cpu_cap_by_run[key] = 0
+            leader.state.slow_since_ms_by_run[key] = leader.now_ms - 5000
+    return leader
+
+
+@pytest.mark.parametrize(
+    "limit, expected_count", [(-1, 3), (3, 3), (2, 2), (1, 1), (0, 0)]
+)
+def test_slow_lasting_tasks_move_within_max_unavailable(limit, expected_count):
+    # Guards against moves in a burst that stop more tasks of a step at a time than it
+    # allows.
+    leader = make_slow_lasting_tasks(limit)
+    leader.tick(0)
+    assert len(leader.state.stop_reason_by_run) == expected_count
+    leader.tick(100)
+    assert len(leader.state.stop_reason_by_run) == expected_count
+
+
+def test_slow_lasting_task_moves_once_the_one_before_is_at_work_again():
+    leader = make_slow_lasting_tasks(1)
+    leader.tick(0)
+    ((task_id, run_number),) = leader.state.stop_reason_by_run
+    first = leader.placed()[task_id]
+    ends = [[1, task_id, run_number, store.STOPPED, "c"]]
+    leader.report(first, ends=ends)
+    leader.settle()
+    second = leader.placed()[task_id]
+    assert second != first
+    leader.report(second, runs=running_on(leader, second), progress=50)
+    leader.tick(100)
+    assert leader.state.stop_reason_by_run == {}
+    leader.report(second, runs=running_on(leader, second), progress=100)
+    leader.tick(100)
+    assert len(leader.state.stop_reason_by_run) == 1
+
+
 def test_caps_are_removed_with_the_last_latency_critical_task():
     leader = Leader()
     leader.report()
