Renew the tickets of a gang together

A gang of a queue with advice never started where its tickets last little longer than the service takes, or where it needs more than 30 workers.

Cause: a ticket was renewed once it had ended, and while the service decided, the tickets of the other workers ended in turn. A question had 30 workers at most, so a larger gang needed two questions one after the other.

Change: a question about a gang also renews the tickets that would end before its answer, and names as many workers as the gang has tasks, from 30 up to 100. Steps without gangs are asked about as before.

--- a/sardinegauge/workflows/advicetracker.py
+++ b/sardinegauge/workflows/advicetracker.py
@@ -14,6 +14,9 @@
 
 # Limit of the workers in one question, since the service takes time for each of them.
 MAX_WORKERS_PER_QUESTION = 30
+# The same for large gangs, which need all their tickets at the same time: the most that
+# a service takes.
+MAX_WORKERS_PER_GANG_QUESTION = 100
 # Remaining validity that a ticket needs when a start is planned or ordered, so that it
 # is still valid when the call reaches the worker; at most half of its whole validity,
 # since a shorter one would otherwise never be used.
@@ -72,9 +75,12 @@
         ticket = self._tickets_of_step(step).get((worker, incarnation))
         return ticket is not None and not ticket.text
 
-    def request_tickets(self, step, candidates, advice, now_ms):
+    def request_tickets(self, step, candidates, advice, now_ms, gang_size=0):
         """Request the tickets that are missing to place tasks of a step.
 
+        A question about a gang also renews the tickets that would end before its
+        answer.
+
         Parameters
         ----------
         step : str
@@ -82,23 +88,37 @@
             Worker, incarnation, and whether it has room for a task, the best first.
         advice : queues.Advice
         now_ms : int
+        gang_size : int
+            Number of tasks that have to start together, 0 for a step without gangs.
         """
         if not self.questions.may_request(step, now_ms):
             return
-        tickets = self._tickets_of_step(step)
         # Keep the pending requests for runs that are assigned but not ordered yet.
         pending_by_step = self.questions.pending_by_step
         missing, _ = pending_by_step.get(step, ([], advice))
+        missing += self._missing(step, candidates, missing, now_ms)
+        if not missing:
+            return
+        limit = MAX_WORKERS_PER_QUESTION
+        if gang_size:
+            limit = min(max(gang_size, limit), MAX_WORKERS_PER_GANG_QUESTION)
+            count = min(len(candidates), limit)
+            answer_ms = now_ms + advice.decide_ms + advice.each_ms * count
+            missing += self._missing(step, candidates, missing, answer_ms)
+        pending_by_step[step] = (missing[:limit], advice)
+
+    def _missing(self, step, candidates, known, at_ms):
+        """Return the candidates without a ticket for a start at a time."""
+        tickets = self._tickets_of_step(step)
+        found = []
         for worker, incarnation, has_room in candidates:
-            if worker in missing:
+            if worker in known:
                 continue
             ticket = tickets.get((worker, incarnation))
-            is_valid = ticket is not None and now_ms < ticket.usable_until_ms
-            if ticket is None or (ticket.text and has_room and not is_valid):
-                missing.append(worker)
-        if missing:
-            del missing[MAX_WORKERS_PER_QUESTION:]
-            pending_by_step[step] = (missing, advice)
+            is_usable = ticket is not None and at_ms < ticket.usable_until_ms
+            if ticket is None or (ticket.text and has_room and not is_usable):
+                found.append(worker)
+        return found
 
     def record_answer(self, step, incarnation_by_worker, tickets, expires_ms, now_ms):
         """Record an answer, also one that comes after its question was dropped.
--- a/sardinegauge/workflows/planner.py
+++ b/sardinegauge/workflows/planner.py
@@ -72,6 +72,7 @@
             [(c.view.id, c.view.incarnation, c.free.fits(task.step)) for c in allowed],
             advice,
             state.now_ms,
+            task.step.gang_size,
         )
         return [
             candidate
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -409,7 +409,7 @@
             ):
                 candidates = [(view.id, view.incarnation, True)]
                 state.advice_tracker.request_tickets(
-                    step, candidates, advice, state.now_ms
+                    step, candidates, advice, state.now_ms, task.step.gang_size
                 )
 
 
--- a/sardinegauge/workflows/steps.py
+++ b/sardinegauge/workflows/steps.py
@@ -64,6 +64,11 @@
         "max_unavailable": -1,
     }
 
+    @property
+    def gang_size(self):
+        """Number of tasks that have to start together, 0 without a gang."""
+        return self.count if self.is_gang else 0
+
 
 _STEP_CHECKS = {
     "count": checks.integer(1, MAX_TASKS_PER_STEP),
--- a/tests/test_workflow_advising.py
+++ b/tests/test_workflow_advising.py
@@ -445,6 +445,61 @@
     assert (counted.queue, counted.end, counted.lasted_ms) == ("q", "failed", 40)
 
 
+def serve(leader, rounds):
+    """Let all agents report every 50 ms, and answer when the service has decided.
+
+    All workers may run all steps; returns the questions' numbers of workers.
+    """
+    asked_ms_by_question = {}
+    sizes = []
+    advice = leader.store.queue_set.by_name["q"].advice
+    for _ in range(rounds):
+        leader.now_ms += 50
+        for asker, ((_, workers),) in leader.questions().items():
+            question = (asker, tuple(workers))
+            asked_ms = asked_ms_by_question.setdefault(question, leader.now_ms)
+            cost_ms = advice.decide_ms + advice.each_ms * len(workers)
+            if leader.now_ms - asked_ms >= cost_ms:
+                del asked_ms_by_question[question]
+                sizes.append(len(workers))
+                leader.answer(asker, workers, advice.valid_ms)
+        report_all(leader)
+    return sizes
+
+
+@pytest.fixture
+def gang():
+    return steps_module.Step(count=3, cpu_millis=5000, is_gang=True)
+
+
+def test_gang_gets_tickets_that_are_valid_at_the_same_time(gang):
+    # Guards against renewals in turn: while the tickets of some workers are renewed,
+    # those of the others end, so that the gang never starts.
+    leader = Leader("ab")
+    advice = queues.Advice(decide_ms=800, each_ms=10, valid_ms=1000)
+    leader.set_advice(advice, version=3)
+    leader.submit(gang)
+    leader.settle()
+    serve(leader, rounds=18)
+    leader.workers = "abc"
+    leader.report("c")
+    leader.settle()
+    serve(leader, rounds=80)
+    assert sorted(leader.placed().values()) == ["a", "b", "c"]
+
+
+def test_wide_gang_is_asked_about_in_one_question(gang):
+    # Guards against two questions one after the other, whose tickets are not valid at
+    # the same time.
+    leader = Leader([f"m{number:02}" for number in range(40)])
+    advice = queues.Advice(decide_ms=1000, each_ms=50, valid_ms=2000)
+    leader.set_advice(advice, version=3)
+    leader.submit(gang.replace(count=40))
+    leader.settle()
+    assert serve(leader, rounds=70) == [40]
+    assert len(leader.placed()) == 40
+
+
 class Agent:
     """An agent's state that receives questions and answers of the policy service."""
 
