Bound the failed calls that an agent keeps without a leader

An agent that hears no leader repeats its question each 300 ms, and kept each failed call until orders would come: 100 after 30 s without a policy service and a leader.

Change: failed calls that are too old to be reported are dropped with the next one. test_failed_calls_do_not_pile_up_while_no_leader_is_heard fails before the change and passes now.

--- a/sardinegauge/workflows/hostedadvice.py
+++ b/sardinegauge/workflows/hostedadvice.py
@@ -148,7 +148,7 @@
         if question.has_terms:
             reason = event.reason[:MAX_REASON_LENGTH]
             failure = HostedFailure(question.step, reason, state.now_ms)
-            state.advice_failures.append(failure)
+            state.advice_failures = [*_recent_failures(state), failure]
             state.report()
     else:
         valid_ms = event.valid_ms if event.valid_ms is not None else question.valid_ms
@@ -174,10 +174,16 @@
     ]
 
 
+def _recent_failures(state):
+    oldest_ms = state.now_ms - FAILURE_REPORT_MS
+    return [
+        failure for failure in state.advice_failures if failure.failed_ms >= oldest_ms
+    ]
+
+
 def failure_rows(state):
     """Return the failed calls as rows of a `views.Report`, with their age."""
     return [
         [failure.step, state.now_ms - failure.failed_ms, failure.reason]
-        for failure in state.advice_failures
-        if state.now_ms - failure.failed_ms <= FAILURE_REPORT_MS
+        for failure in _recent_failures(state)
     ]
--- a/tests/test_workflow_advising.py
+++ b/tests/test_workflow_advising.py
@@ -620,3 +620,13 @@
     agent.receive_questions([["w.0.0", ["a"]]], {"w.0.0": [3500, 800]})
     agent.advised("w.0.0", ["a"], [["a", "t"]], valid_ms=None)
     assert agent.reported() == [["w.0.0", ["a"], [["a", "t"]], 800]]
+
+
+def test_failed_calls_do_not_pile_up_while_no_leader_is_heard():
+    agent = Agent()
+    agent.receive_questions([["w.0.0", ["a"]]], {"w.0.0": [3500, 5]})
+    for _ in range(100):
+        agent.advised("w.0.0", ["a"], reason="status 429")
+        agent.now_ms += hostedadvice.RETRY_MS
+        hosting.reduce(agent.state, hostevents.Tick(now_ms=agent.now_ms))
+    assert 1 <= len(agent.state.advice_failures) <= 5
