End only an agent's own question by tickets that have ended

An answer that an agent could report only late, with tickets that had ended, ended the question that another agent was asking by then, and made the step pause.

Change: tickets that have ended on arrival end a question of the agent that reports them. test_late_answer_without_valid_tickets_ends_no_question_of_another_agent fails before the change and passes now.

--- a/sardinegauge/workflows/advicequestions.py
+++ b/sardinegauge/workflows/advicequestions.py
@@ -180,7 +180,7 @@
 
         Parameters
         ----------
-        askers : list of str
+        askers : set of str
             Workers whose agents may ask.
         now_ms : int
         """
@@ -204,9 +204,13 @@
         self._pause(step, now_ms)
         return self._end(step, FAILED, reason, now_ms)
 
-    def end_expired(self, step, now_ms):
-        """End the question whose tickets have ended on arrival; return it or None."""
-        if step not in self.by_step:
+    def end_expired(self, asker, step, now_ms):
+        """End the question whose tickets have ended on arrival, and return it.
+
+        Returns None if another agent asks by now, whose tickets may be in time.
+        """
+        question = self.by_step.get(step)
+        if question is None or question.asker != asker:
             return None
         self._pause(step, now_ms)
         return self._end(step, EXPIRED, "the tickets ended before they came", now_ms)
--- a/sardinegauge/workflows/scheduler.py
+++ b/sardinegauge/workflows/scheduler.py
@@ -133,7 +133,9 @@
         if _advised_queue(state, step) is None:
             continue
         if tickets and valid_ms <= 0:
-            ended.append(tracker.questions.end_expired(step, state.now_ms))
+            ended.append(
+                tracker.questions.end_expired(report.worker, step, state.now_ms)
+            )
         else:
             ended.append(
                 tracker.questions.end_answered(
--- a/tests/test_workflow_advising.py
+++ b/tests/test_workflow_advising.py
@@ -396,6 +396,18 @@
     assert leader.placed() == {}
 
 
+def test_late_answer_without_valid_tickets_ends_no_question_of_another_agent(leader):
+    leader.submit(steps_module.Step())
+    leader.settle()
+    first = only_asker(leader)
+    ((step, workers),) = leader.questions()[first]
+    pass_over(leader, first, within_ms=10_000)
+    second = only_asker(leader)
+    leader.report(first, advice=[[step, workers, [["b", "t-b"]], -500]])
+    leader.settle()
+    assert only_asker(leader) == second
+
+
 def test_step_without_an_answer_is_asked_about_by_new_terms(leader):
     # Guards against a step that keeps the time of the terms it was first asked with.
     leader.submit(steps_module.Step())
