--- a/tests/test_workflow_advising.py
+++ b/tests/test_workflow_advising.py
@@ -239,6 +239,18 @@
     raise AssertionError(f"only {asker} was asked in {within_ms} ms")
 
 
+def count_questions(leader, reply):
+    """Return the number of questions in 10 s; `reply` is called for each of them."""
+    count = 0
+    for _ in range(100):
+        for asker in leader.questions():
+            count += 1
+            reply(asker)
+        leader.now_ms += 100
+        report_all(leader)
+    return count
+
+
 def test_agent_without_an_answer_is_asked_last(leader):
     # Guards against a step that waits for good for the one agent that can't reach the
     # service, while the others are idle.
@@ -303,13 +315,10 @@
     # Guards against a storm: each failure is followed by a question to the next agent.
     leader.submit(steps_module.Step())
     leader.settle()
-    count = 0
-    for _ in range(100):
-        for asker in leader.questions():
-            count += 1
-            leader.report(asker, advice_failures=[["w.0.0", 0, "connection refused"]])
-        leader.now_ms += 100
-        report_all(leader)
+    failures = [["w.0.0", 0, "connection refused"]]
+    count = count_questions(
+        leader, lambda asker: leader.report(asker, advice_failures=failures)
+    )
     assert 8 <= count <= 12
 
 
@@ -385,13 +394,7 @@
     leader.set_advice(queues.Advice(decide_ms=480, valid_ms=0), version=3)
     leader.submit(steps_module.Step())
     leader.settle()
-    count = 0
-    for _ in range(100):
-        for asker in leader.questions():
-            count += 1
-            leader.answer(asker, "b", valid_ms=0)
-        leader.now_ms += 100
-        report_all(leader)
+    count = count_questions(leader, lambda asker: leader.answer(asker, "b", valid_ms=0))
     assert 8 <= count <= 12
     assert leader.placed() == {}
 
