--- a/tests/test_hostedadvice.py
+++ b/tests/test_hostedadvice.py
@@ -67,6 +67,7 @@
 
 
 def test_call_may_take_the_time_that_the_leader_names():
+    # Guards against a limit of the agent's own, which is shorter than the service takes.
     agent = Agent()
     state = agent.state
     hostedadvice.update_questions(state, [["w.0.0", ["a"]]], {"w.0.0": [8100, 5]}, 0)
@@ -131,6 +132,7 @@
 
 
 def test_failed_calls_do_not_pile_up_while_no_leader_is_heard():
+    # Guards against memory that grows while neither the service nor a leader answers.
     agent = Agent()
     agent.receive_questions([["w.0.0", ["a"]]], {"w.0.0": [3500, 5]})
     for _ in range(100):
--- a/tests/test_workflow_advising.py
+++ b/tests/test_workflow_advising.py
@@ -264,6 +264,8 @@
 
 
 def test_all_agents_have_a_turn_before_one_is_asked_again(leader):
+    # Guards against questions that go to and fro between two agents without a way to the
+    # service.
     leader.submit(steps_module.Step())
     leader.settle()
     asked = [only_asker(leader)]
@@ -290,6 +292,7 @@
 
 
 def test_failure_that_an_agent_reports_ends_its_question_after_a_pause(leader):
+    # Guards against a step that waits until a question is overdue whose call has failed.
     leader.submit(steps_module.Step())
     leader.settle()
     first = only_asker(leader)
@@ -336,6 +339,7 @@
 
 
 def test_answer_to_a_question_of_the_former_leader_counts(leader):
+    # Guards against a second question about a step after a change of leader.
     leader.submit(steps_module.Step())
     leader.settle()
     asker = only_asker(leader)
@@ -350,6 +354,7 @@
 
 
 def test_answer_about_an_unknown_or_ended_workflow_is_not_kept(leader):
+    # Guards against tickets that are kept for good, since no end of a workflow drops them.
     leader.submit(steps_module.Step())
     leader.settle()
     leader.commit(commands.CancelWorkflow(id="w"))
@@ -396,6 +401,7 @@
 
 
 def test_late_answer_without_valid_tickets_ends_no_question_of_another_agent(leader):
+    # Guards against a step that pauses though an answer in time is on its way.
     leader.submit(steps_module.Step())
     leader.settle()
     first = only_asker(leader)
@@ -442,6 +448,7 @@
 
 
 def test_questions_are_counted_by_how_they_ended(leader):
+    # Guards against failing questions that no metric shows.
     leader.submit(steps_module.Step())
     leader.settle()
     first = only_asker(leader)
--- a/tests/test_workflow_besteffort.py
+++ b/tests/test_workflow_besteffort.py
@@ -314,6 +314,7 @@
 
 
 def test_slow_lasting_task_moves_once_the_one_before_is_at_work_again():
+    # Guards against a second stop while the first task is starting elsewhere.
     leader = make_slow_lasting_tasks(1)
     leader.tick(0)
     ((task_id, run_number),) = leader.state.stop_reason_by_run
