--- a/tests/test_hostedadvice.py
+++ b/tests/test_hostedadvice.py
@@ -67,7 +67,7 @@
 
 
 def test_call_may_take_the_time_that_the_leader_names():
-    # Guards against a limit of the agent's own, which is shorter than the service takes.
+    # Guards against a limit of the agent's own, shorter than the service takes.
     agent = Agent()
     state = agent.state
     hostedadvice.update_questions(state, [["w.0.0", ["a"]]], {"w.0.0": [8100, 5]}, 0)
--- a/tests/test_workflow_advising.py
+++ b/tests/test_workflow_advising.py
@@ -264,8 +264,7 @@
 
 
 def test_all_agents_have_a_turn_before_one_is_asked_again(leader):
-    # Guards against questions that go to and fro between two agents without a way to the
-    # service.
+    # Guards against questions that go to and fro between two agents of many.
     leader.submit(steps_module.Step())
     leader.settle()
     asked = [only_asker(leader)]
@@ -292,7 +291,7 @@
 
 
 def test_failure_that_an_agent_reports_ends_its_question_after_a_pause(leader):
-    # Guards against a step that waits until a question is overdue whose call has failed.
+    # Guards against a step that waits until a question is overdue that has failed.
     leader.submit(steps_module.Step())
     leader.settle()
     first = only_asker(leader)
@@ -354,7 +353,7 @@
 
 
 def test_answer_about_an_unknown_or_ended_workflow_is_not_kept(leader):
-    # Guards against tickets that are kept for good, since no end of a workflow drops them.
+    # Guards against tickets that no end of a workflow drops.
     leader.submit(steps_module.Step())
     leader.settle()
     leader.commit(commands.CancelWorkflow(id="w"))
