--- a/tests/test_workflow_advising.py
+++ b/tests/test_workflow_advising.py
@@ -4,9 +4,12 @@
 question.
 """
 
+import json
+
 import pytest
 
 from sardinegauge import commands
+from sardinegauge.links import messages
 from sardinegauge.workflows import (
     adviceexplanation,
     advicequestions,
@@ -18,7 +21,7 @@
     views,
 )
 from sardinegauge.workflows import steps as steps_module
-from tests import leaderkit
+from tests import leaderkit, test_replica
 
 VALID_MS = 3000
 
@@ -446,6 +449,19 @@
     assert adviceexplanation.lines(None, "w") == []
 
 
+def test_operator_reads_what_a_workflow_waits_for(leader):
+    # Guards against the answer of the scheduler of jobs, which knows no workflow.
+    group = test_replica.Group()
+    group.become_leader()
+    group.state.leader_exchange.scheduler = leader.state
+    leader.submit(steps_module.Step())
+    leader.settle()
+    query = messages.Query(kind="explain", arguments=b'{"id": "w"}')
+    token = group.send_request(query)
+    lines = json.loads(group.replies[token].answer)["lines"]
+    assert any("waits for the policy service" in line for line in lines)
+
+
 def test_questions_are_counted_by_how_they_ended(leader):
     # Guards against failing questions that no metric shows.
     leader.submit(steps_module.Step())
